--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module is a program that prints its figures."""
--- /dev/null
+++ b/ringseam/config.py
@@ -0,0 +1,350 @@
+"""Operators' files: one declarative file per part, and the whole of them.
+
+A file is checked as a whole and takes effect as a whole. Names in a file are
+of its own part; another part's pool is written ``part/pool`` and needs a grant
+in that part's file.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from ringseam.errors import Finding, FindingsError
+from ringseam.ids import qualified
+from ringseam.util.ini import Document, Key, Kind, nearest, parse_ini
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ringseam.messages import AcceptedFile
+
+_MINUTE_MS = 60_000
+_DAY_MS = 86_400_000
+_DIGEST = re.compile(r'^[0-9a-f]{64}$')
+
+PRIORITIES = ('high', 'normal', 'low')
+
+PART_KEYS = (
+    Key(name='name', kind=Kind.qualified, required=True, text='name of this part'),
+    Key(
+        name='operator_token_sha256',
+        kind=Kind.text,
+        required=True,
+        text='SHA-256 of the token that later applies of this part must show',
+    ),
+)
+ACCOUNT_KEYS = (
+    Key(name='token_sha256', kind=Kind.text, required=True, text='SHA-256 of the bearer token'),
+    Key(name='rate_per_s', kind=Kind.number, default=1000, low=1, high=1_000_000),
+    Key(name='concurrency', kind=Kind.number, default=256, low=1, high=1_000_000),
+    Key(name='weight', kind=Kind.number, default=1, low=1, high=1000, text='fair share at queues'),
+)
+POOL_KEYS = (
+    Key(name='kind', kind=Kind.choice, default='service', choices=('service', 'engine')),
+    Key(name='max_in_flight', kind=Kind.number, default=8, low=1, high=4096),
+    Key(name='queue_ms', kind=Kind.number, default=2000, low=1, high=10 * _MINUTE_MS),
+    Key(name='not_run_statuses', kind=Kind.numbers, default=(), low=400, high=599),
+    Key(name='echoes_id', kind=Kind.boolean, default=False),
+    Key(name='checks_fencing', kind=Kind.boolean, default=False),
+    Key(name='models', kind=Kind.names, default=(), text='models the engines shall hold'),
+    Key(name='drain', kind=Kind.names, default=(), text='agents that shall get no new work'),
+)
+STAGE_KEYS = (
+    Key(name='pool', kind=Kind.qualified, required=True),
+    Key(name='path', kind=Kind.text, default='/', text='HTTP path at the backend server'),
+    Key(name='repeatable', kind=Kind.boolean, default=True),
+    Key(name='expected_ms', kind=Kind.number, default=20, low=1, high=10 * _MINUTE_MS),
+    Key(name='model', kind=Kind.text, default=''),
+    Key(name='max_tries', kind=Kind.number, default=3, low=1, high=16),
+)
+PIPELINE_KEYS = (
+    Key(name='stages', kind=Kind.names, required=True, text='in the order they run'),
+    Key(name='accounts', kind=Kind.names, required=True, text='client accounts that may call'),
+    Key(name='deadline_ms', kind=Kind.number, default=4000, low=1, high=60 * _MINUTE_MS),
+    Key(name='priority', kind=Kind.choice, default='normal', choices=PRIORITIES),
+    Key(name='recorded', kind=Kind.boolean, default=False),
+    Key(name='retention_ms', kind=Kind.number, default=_DAY_MS, low=1000, high=30 * _DAY_MS),
+    Key(name='max_body_bytes', kind=Kind.number, default=16 * 2**20, low=0, high=256 * 2**20),
+)
+GRANT_KEYS = (Key(name='pools', kind=Kind.names, required=True),)
+
+SECTIONS: dict[str, tuple[Key, ...]] = {  # noqa: WPS407 - the file's grammar
+    'part': PART_KEYS,
+    'account': ACCOUNT_KEYS,
+    'pool': POOL_KEYS,
+    'stage': STAGE_KEYS,
+    'pipeline': PIPELINE_KEYS,
+    'grant': GRANT_KEYS,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Account:
+    """A client account with its limits."""
+
+    name: str
+    token_sha256: str
+    rate_per_s: int
+    concurrency: int
+    weight: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Pool:
+    """Backend servers of one kind."""
+
+    name: str
+    kind: str
+    max_in_flight: int
+    queue_ms: int
+    not_run_statuses: tuple[int, ...]
+    echoes_id: bool
+    checks_fencing: bool
+    models: tuple[str, ...]
+    drain: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Stage:
+    """One step of a pipeline."""
+
+    name: str
+    pool: str
+    path: str
+    repeatable: bool
+    expected_ms: int
+    model: str
+    max_tries: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Pipeline:
+    """Stages in order, who may call them, and by when they must be done."""
+
+    name: str
+    stages: tuple[Stage, ...]
+    accounts: tuple[str, ...]
+    deadline_ms: int
+    priority: str
+    recorded: bool
+    retention_ms: int
+    max_body_bytes: int
+
+    @property
+    def needs_key(self) -> bool:
+        """Return whether a caller must send an idempotency key."""
+        return self.recorded or any(not stage.repeatable for stage in self.stages)
+
+
+@dataclass(kw_only=True)
+class PartFile:
+    """What one part's file says."""
+
+    name: str
+    operator_token_sha256: str
+    accounts: dict[str, Account] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    stages: dict[str, Stage] = field(default_factory=dict)
+    pipelines: dict[str, Pipeline] = field(default_factory=dict)
+    grants: dict[str, tuple[str, ...]] = field(default_factory=dict)
+
+
+def apply_id(text: str, expect: int) -> str:
+    """Return the identity of one apply: the file and what it expects."""
+    return hashlib.sha256(f'{expect}\n{text}'.encode()).hexdigest()
+
+
+def read_part(text: str, *, path: str) -> PartFile:
+    """Read one part's file.
+
+    :raises FindingsError: with every finding, when there is one.
+    """
+    document = parse_ini(text, path=path)
+    part = _PartReader(document=document).read()
+    if document.findings:
+        raise FindingsError(sorted(document.findings, key=_by_line))
+    return part
+
+
+def wrong_part(path: str, named: str, applied: str) -> Finding:
+    """Return the finding on a file that names another part than applied."""
+    return Finding(
+        path=path,
+        line=0,
+        section='part',
+        key='name',
+        message=f'the file is of part "{named}", not of "{applied}"',
+    )
+
+
+def _by_line(finding: Finding) -> tuple[int, str]:
+    return finding.line, finding.key
+
+
+#: Typed keys by the name of their section.
+Sections = dict[str, dict[str, Any]]
+
+
+class _PartReader:
+    """Turn a document into a part, collecting findings in the document."""
+
+    def __init__(self, *, document: Document) -> None:
+        self.document = document
+        self.sections: dict[str, Sections] = {kind: {} for kind in SECTIONS}
+
+    def read(self) -> PartFile:
+        """Read all sections, then tie them together by name."""
+        for section in self.document.parser.sections():
+            self._section(section)
+        if '' not in self.sections['part']:
+            self.document.report('part', '', 'missing; a file names its part')
+        part = self.sections['part'].get('', {'name': '', 'operator_token_sha256': ''})
+        self._digest('part', 'operator_token_sha256', part['operator_token_sha256'])
+        name = part['name'] or ''
+        if '/' in name:
+            self.document.report('part', 'name', 'a part has no "/" in its name')
+        read = PartFile(name=name, operator_token_sha256=part['operator_token_sha256'] or '')
+        self._simple(read)
+        self._stages(read)
+        self._pipelines(read)
+        return read
+
+    def _section(self, section: str) -> None:
+        kind, _, name = section.partition(' ')
+        if kind not in SECTIONS:
+            hint = nearest(kind, list(SECTIONS))
+            self.document.report(section, '', f'unknown section{hint}')
+            return
+        if (kind == 'part') == bool(name):
+            shape = '[part]' if kind == 'part' else f'[{kind} NAME]'
+            self.document.report(section, '', f'is written {shape}')
+        self.sections[kind][name.strip()] = self.document.read(section, SECTIONS[kind])
+
+    def _digest(self, section: str, key: str, text: str | None) -> None:
+        if text and not _DIGEST.match(text):
+            self.document.report(section, key, 'is not a SHA-256 in 64 hexadecimal digits')
+
+    def _simple(self, part: PartFile) -> None:
+        for name, keys in self.sections['account'].items():
+            self._digest(f'account {name}', 'token_sha256', keys['token_sha256'])
+            full = qualified(part.name, name)
+            part.accounts[full] = Account(name=full, **keys)
+        for name, keys in self.sections['pool'].items():
+            full = qualified(part.name, name)
+            part.pools[full] = Pool(name=full, **keys)
+        for name, keys in self.sections['grant'].items():
+            part.grants[name] = tuple(qualified(part.name, pool) for pool in keys['pools'] or ())
+            self._known(f'grant {name}', 'pools', part.grants[name], part.pools)
+
+    def _stages(self, part: PartFile) -> None:
+        for name, keys in self.sections['stage'].items():
+            full = qualified(part.name, name)
+            pool = qualified(part.name, keys.pop('pool') or '')
+            if pool.startswith(f'{part.name}/'):
+                self._known(f'stage {name}', 'pool', (pool,), part.pools)
+            part.stages[full] = Stage(name=full, pool=pool, **keys)
+
+    def _pipelines(self, part: PartFile) -> None:
+        for name, keys in self.sections['pipeline'].items():
+            section = f'pipeline {name}'
+            full = qualified(part.name, name)
+            stages = tuple(qualified(part.name, stage) for stage in keys.pop('stages') or ())
+            accounts = tuple(qualified(part.name, known) for known in keys.pop('accounts') or ())
+            self._known(section, 'stages', stages, part.stages)
+            self._known(section, 'accounts', accounts, part.accounts)
+            if len(set(stages)) < len(stages):
+                self.document.report(section, 'stages', 'a stage stands twice')
+            part.pipelines[full] = Pipeline(
+                name=full,
+                stages=tuple(part.stages[stage] for stage in stages if stage in part.stages),
+                accounts=accounts,
+                **keys,
+            )
+
+    def _known(
+        self,
+        section: str,
+        key: str,
+        names: Iterable[str],
+        known: dict[str, Any],
+    ) -> None:
+        for name in names:
+            if name not in known:
+                short = name.rpartition('/')[-1]
+                hint = nearest(short, [full.rpartition('/')[-1] for full in known])
+                self.document.report(section, key, f'"{short}" is not in this file{hint}')
+
+
+@dataclass(kw_only=True)
+class Configuration:
+    """All parts at one revision; replaced whole, never changed in place."""
+
+    revision: int = 0
+    files: dict[str, AcceptedFile] = field(default_factory=dict)
+    parts: dict[str, PartFile] = field(default_factory=dict)
+
+    def advanced(self, revision: int, files: Iterable[AcceptedFile]) -> Configuration:
+        """Return the configuration with newer ``files`` taken in.
+
+        A part whose text this version can't read keeps its former meaning.
+        """
+        merged = dict(self.files)
+        parts = dict(self.parts)
+        for accepted in files:
+            known = merged.get(accepted.part)
+            if known is None or known.revision < accepted.revision:
+                merged[accepted.part] = accepted
+                parts[accepted.part] = read_part(accepted.text, path=accepted.part)
+        return Configuration(
+            revision=max(revision, self.revision),
+            files=merged,
+            parts=parts,
+        )
+
+    def pipeline(self, name: str) -> Pipeline | None:
+        """Return a pipeline by its qualified name."""
+        part = self.parts.get(name.partition('/')[0])
+        return part.pipelines.get(name) if part else None
+
+    def pool(self, name: str) -> Pool | None:
+        """Return a pool by its qualified name."""
+        part = self.parts.get(name.partition('/')[0])
+        return part.pools.get(name) if part else None
+
+    def account(self, name: str) -> Account | None:
+        """Return a client account by its qualified name."""
+        part = self.parts.get(name.partition('/')[0])
+        return part.accounts.get(name) if part else None
+
+    def may_use(self, user: str, pool: str) -> bool:
+        """Return whether part ``user`` may use ``pool`` now."""
+        owner = pool.partition('/')[0]
+        if owner == user:
+            return True
+        part = self.parts.get(owner)
+        return bool(part and pool in part.grants.get(user, ()))
+
+    def account_of(self, token_sha256: str) -> Account | None:
+        """Return the client account whose token has this digest."""
+        for part in self.parts.values():
+            for account in part.accounts.values():
+                if account.token_sha256 == token_sha256:
+                    return account
+        return None
+
+    def foreign_findings(self, part: PartFile, *, path: str) -> list[Finding]:
+        """Return findings on what ``part`` uses of the other parts."""
+        return [
+            Finding(
+                path=path,
+                line=0,
+                section=f'stage {stage.name.partition("/")[-1]}',
+                key='pool',
+                message=f'"{stage.pool}" is not granted to part {part.name}',
+            )
+            for stage in part.stages.values()
+            if not self.may_use(part.name, stage.pool)
+        ]
--- /dev/null
+++ b/ringseam/control/replica.py
@@ -0,0 +1,474 @@
+"""The actor that runs one replica: Raft, its storage and the state machine."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import pykka
+
+from ringseam.control.membership import Repair
+from ringseam.control.raft import Raft, Ready
+from ringseam.control.raftlog import (
+    EntryKind,
+    HardState,
+    Log,
+    LogEntry,
+    Member,
+    Membership,
+    Packet,
+    RaftMessage,
+    Snapshot,
+)
+from ringseam.control.state import StateMachine, encode_command
+from ringseam.control.storage import Identity, Storage
+from ringseam.errors import StorageError
+from ringseam.events import Event
+from ringseam.util.actors import Ask, ReplyTo
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ringseam.control.state import Command
+    from ringseam.node import Node
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReplicaSettings:
+    """Durations in seconds."""
+
+    election_s: float
+    heartbeat_s: float
+    snapshot_entries: int
+    group_commit: bool = True
+
+
+@dataclass(frozen=True, kw_only=True)
+class Propose:
+    """Commit a command; the reply is its result or ``NotLeading``."""
+
+    command: Command
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotLeading:
+    """This replica can't commit now; ``leader`` may."""
+
+    leader: str = ''
+
+
+@dataclass(frozen=True, kw_only=True)
+class Deliver:
+    """Messages arrived from the replica at ``address``."""
+
+    packet: Packet
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TimePassed:
+    """The timer of the event loop fired."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class FormGroup:
+    """Found a new group with these members, all known to be blank."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class BlankSeen:
+    """A blank folder was seen at a configured address."""
+
+    disk: str
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadBarrier:
+    """Reply once a read here is linearizable, or ``NotLeading``."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class HandOver:
+    """Give leadership away; the reply says whether it was tried."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class FindApply:
+    """Ask whether this apply was accepted before, be it long ago."""
+
+    part: str
+    expect: int
+    apply_id: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class GetReplicaStatus:
+    """Ask for a :class:`ReplicaStatus`."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReplicaStatus:
+    """How this replica stands."""
+
+    disk: str
+    group: str
+    role: str
+    term: int
+    leader: str
+    commit: int
+    members: tuple[Member, ...]
+    keys: int
+
+
+@dataclass(kw_only=True)
+class Outlets:
+    """Where the actor's effects go; each is called on the actor's thread."""
+
+    send: Callable[[str, Packet], None]
+    files_changed: Callable[[StateMachine], None]
+    failed: Callable[[str], None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class PendingCommand:
+    """Who waits for the entry at an index, and the term it was given."""
+
+    term: int
+    reply_to: ReplyTo
+
+
+@dataclass(kw_only=True)
+class Waiting:
+    """Askers whose answer needs the quorum."""
+
+    commands: dict[int, PendingCommand] = field(default_factory=dict)
+    reads: dict[int, ReplyTo] = field(default_factory=dict)
+    next_read: int = 0
+
+
+class ReplicaActor(pykka.ThreadingActor):
+    """Drive Raft: save, then send, then apply.
+
+    Messages that wait in the inbox are taken in before the folder is synced
+    once for all of them (group commit).
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        storage: Storage,
+        settings: ReplicaSettings,
+        outlets: Outlets,
+        seed: int,
+    ) -> None:
+        """Load the folder and begin as a follower."""
+        super().__init__()
+        self.node = node
+        self.storage = storage
+        self.settings = settings
+        self.outlets = outlets
+        loaded = storage.load()
+        if loaded.tail_cut_bytes:
+            node.events.emit(logger, Event.log_tail_cut, cut_bytes=loaded.tail_cut_bytes)
+        self.identity = loaded.identity
+        node.group = loaded.identity.group
+        self.seed = seed
+        self.raft = self._new_raft(loaded.log, loaded.hard)
+        self.machine = StateMachine(snapshot=loaded.log.snapshot.state)
+        self.waiting = Waiting()
+        self.repair = Repair()
+        self.addresses: dict[str, str] = {}
+        self.was_leader = False
+        self.outlets.files_changed(self.machine)
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message, and flush when no more wait."""
+        reply_to = None
+        body = message
+        if isinstance(message, Ask):
+            reply_to, body = message.reply_to, message.body
+        try:
+            _HANDLERS[type(body)](self, body, reply_to)
+            if self.actor_inbox.empty() or not self.settings.group_commit:
+                self.flush()
+        except StorageError as error:
+            self._fail(str(error))
+
+    def on_stop(self) -> None:
+        """Close the folder."""
+        self.storage.close()
+
+    def on_failure(self, *failure: Any) -> None:
+        """Tell the process: a replica without its actor must not live on."""
+        self.outlets.failed(f'replica actor broke: {failure[1]!r}')
+
+    # -- messages -----------------------------------------------------------
+
+    def propose(self, ask: Propose, reply_to: ReplyTo) -> None:
+        """Append a command to the log."""
+        index = self.raft.propose(encode_command(ask.command))
+        if index is None:
+            reply_to.send(self._not_leading())
+        else:
+            self.waiting.commands[index] = PendingCommand(
+                term=self.raft.term,
+                reply_to=reply_to,
+            )
+
+    def deliver(self, deliver: Deliver, reply_to: ReplyTo | None) -> None:
+        """Step Raft with messages that are meant for this folder."""
+        packet = deliver.packet
+        if packet.target != self.identity.disk or not packet.group:
+            return
+        if not self.identity.group:
+            self._join(packet.group)
+        if packet.group != self.identity.group:
+            return
+        self.addresses[packet.source] = deliver.address
+        now = self.node.clock.now()
+        for message in packet.messages:
+            self.raft.step(packet.source, message, now)
+
+    def pass_time(self, tick: TimePassed, reply_to: ReplyTo | None) -> None:
+        """Tick Raft and repair the membership."""
+        if not self.identity.group:
+            return
+        now = self.node.clock.now()
+        self.raft.tick(now)
+        if self.raft.can_serve:
+            change = self.repair.next_change(self.raft, now)
+            if change is not None and self.raft.change_membership(change) is not None:
+                self._log_members(change)
+
+    def form_group(self, form: FormGroup, reply_to: ReplyTo | None) -> None:
+        """Found the group: its first snapshot names the members."""
+        if self.identity.group:
+            return
+        self._found(Membership(form.members))
+
+    def see_blank(self, seen: BlankSeen, reply_to: ReplyTo | None) -> None:
+        """Remember a blank folder at an address, for repair."""
+        self.repair.see(seen.disk, seen.address, self.node.clock.now())
+
+    def read_barrier(self, ask: ReadBarrier, reply_to: ReplyTo) -> None:
+        """Begin a linearizable read."""
+        self.waiting.next_read += 1
+        if self.raft.read(self.waiting.next_read):
+            self.waiting.reads[self.waiting.next_read] = reply_to
+        else:
+            reply_to.send(self._not_leading())
+
+    def hand_over(self, ask: HandOver, reply_to: ReplyTo) -> None:
+        """Begin to give leadership away."""
+        reply_to.send(self.raft.hand_over(self.node.clock.now()))
+
+    def find_apply(self, ask: FindApply, reply_to: ReplyTo) -> None:
+        """Tell whether an apply was accepted before."""
+        reply_to.send(self.machine.was_accepted(ask.part, ask.expect, ask.apply_id))
+
+    def status(self, ask: GetReplicaStatus, reply_to: ReplyTo) -> None:
+        """Tell how this replica stands."""
+        reply_to.send(
+            ReplicaStatus(
+                disk=self.identity.disk,
+                group=self.identity.group,
+                role=self.raft.role.value,
+                term=self.raft.term,
+                leader=self._leader_address(),
+                commit=self.raft.commit,
+                members=self.raft.membership.members,
+                keys=len(self.machine.ledger.state.runs),
+            ),
+        )
+
+    # -- driving ------------------------------------------------------------
+
+    def flush(self) -> None:
+        """Save, send and apply until Raft has nothing more to do."""
+        if not self.identity.group:
+            return
+        while True:  # noqa: WPS457 - ends when Raft is at rest
+            ready = self.raft.take_ready(self.node.clock.now())
+            if ready.must_save:
+                self._save(ready)
+            self._send(ready.messages)
+            self._apply(ready.committed)
+            for token in ready.reads:
+                self.waiting.reads.pop(token).send(True)
+            if not (ready.must_save or ready.committed):
+                break
+        self._note_leadership()
+        self._compact()
+
+    def _save(self, ready: Ready) -> None:
+        if ready.snapshot is None:
+            self.storage.save(
+                hard=ready.hard,
+                truncate_from=ready.truncate_from,
+                entries=ready.entries,
+            )
+        else:
+            self._install(ready.snapshot)
+        self.raft.persisted()
+
+    def _install(self, snapshot: Snapshot) -> None:
+        self.storage.save_snapshot(
+            snapshot,
+            HardState(self.raft.term, self.raft.voted_for),
+            self.raft.log.entries,
+        )
+        self.machine.restore(snapshot.state)
+        self.outlets.files_changed(self.machine)
+        self.node.events.emit(logger, Event.snapshot_installed, index=snapshot.index)
+
+    def _send(self, messages: list[tuple[str, RaftMessage]]) -> None:
+        by_target: dict[str, list[RaftMessage]] = {}
+        for target, message in messages:
+            by_target.setdefault(target, []).append(message)
+        for target, batch in by_target.items():
+            address = self._address_of(target)
+            if address:
+                packet = Packet(
+                    group=self.identity.group,
+                    source=self.identity.disk,
+                    target=target,
+                    messages=tuple(batch),
+                )
+                self.outlets.send(address, packet)
+
+    def _apply(self, committed: list[LogEntry]) -> None:
+        revision = self.machine.state.revision
+        for entry in committed:
+            outcome: Any = self._not_leading()
+            if entry.kind is EntryKind.command:
+                outcome = self.machine.apply(entry.payload)
+            pending = self.waiting.commands.pop(entry.index, None)
+            if pending is not None:
+                same = pending.term == entry.term
+                pending.reply_to.send(outcome if same else self._not_leading())
+        if self.machine.state.revision != revision:
+            self.outlets.files_changed(self.machine)
+
+    def _compact(self) -> None:
+        log = self.raft.log
+        if self.raft.applied - log.snapshot.index < self.settings.snapshot_entries:
+            return
+        index = self.raft.applied
+        membership = [known for at, known in self.raft.history if at <= index][-1]
+        snapshot = Snapshot(
+            index=index,
+            term=log.term_at(index) or 0,
+            membership=membership,
+            state=self.machine.snapshot(),
+        )
+        self.raft.compacted(snapshot)
+        self.storage.save_snapshot(
+            snapshot,
+            HardState(self.raft.term, self.raft.voted_for),
+            log.entries,
+        )
+        self.node.events.emit(logger, Event.snapshot_written, index=index)
+
+    # -- helpers ------------------------------------------------------------
+
+    def _new_raft(self, log: Log, hard: HardState) -> Raft:
+        return Raft(
+            disk=self.identity.disk,
+            log=log,
+            hard=hard,
+            election_s=self.settings.election_s,
+            heartbeat_s=self.settings.heartbeat_s,
+            seed=self.seed,
+            now=self.node.clock.now(),
+        )
+
+    def _found(self, membership: Membership) -> None:
+        group = f'g-{self.identity.disk}'
+        snapshot = Snapshot(index=1, term=1, membership=membership)
+        hard = HardState(1, '')
+        # The snapshot is synced before the identity names the group.
+        self.storage.save_snapshot(snapshot, hard, [])
+        self._join(group)
+        self.raft = self._new_raft(Log(snapshot=snapshot, entries=[]), hard)
+        self.node.events.emit(
+            logger,
+            Event.group_formed,
+            group=group,
+            members=[member.address for member in membership.members],
+        )
+
+    def _join(self, group: str) -> None:
+        self.identity = Identity(disk=self.identity.disk, group=group)
+        try:
+            self.storage.save_identity(self.identity)
+        except OSError as error:
+            raise StorageError(str(error)) from error
+        self.node.group = group
+
+    def _note_leadership(self) -> None:
+        if self.raft.is_leader == self.was_leader:
+            return
+        self.was_leader = self.raft.is_leader
+        event = Event.became_leader if self.was_leader else Event.became_follower
+        self.node.events.emit(logger, event, term=self.raft.term)
+        if not self.was_leader:
+            self._refuse_waiting()
+
+    def _refuse_waiting(self) -> None:
+        for pending in self.waiting.commands.values():
+            pending.reply_to.send(self._not_leading())
+        for reply_to in self.waiting.reads.values():
+            reply_to.send(self._not_leading())
+        self.waiting.commands.clear()
+        self.waiting.reads.clear()
+
+    def _not_leading(self) -> NotLeading:
+        leader = '' if self.raft.is_leader else self._leader_address()
+        return NotLeading(leader=leader)
+
+    def _leader_address(self) -> str:
+        return self._address_of(self.raft.leader)
+
+    def _address_of(self, disk: str) -> str:
+        member = self.raft.membership.find(disk)
+        if member is None:
+            # A replica that has just joined doesn't hold the membership yet.
+            return self.addresses.get(disk, '')
+        return member.address
+
+    def _log_members(self, membership: Membership) -> None:
+        self.node.events.emit(
+            logger,
+            Event.member_changed,
+            members=[
+                f'{member.address}/{member.disk}/{"voter" if member.voter else "learner"}'
+                for member in membership.members
+            ],
+        )
+
+    def _fail(self, detail: str) -> None:
+        self.node.events.emit(logger, Event.storage_failed, detail=detail)
+        self.outlets.failed(detail)
+        self.stop()
+
+
+_HANDLERS = {  # noqa: WPS407 - one per message type
+    Propose: ReplicaActor.propose,
+    Deliver: ReplicaActor.deliver,
+    TimePassed: ReplicaActor.pass_time,
+    FormGroup: ReplicaActor.form_group,
+    BlankSeen: ReplicaActor.see_blank,
+    ReadBarrier: ReplicaActor.read_barrier,
+    HandOver: ReplicaActor.hand_over,
+    FindApply: ReplicaActor.find_apply,
+    GetReplicaStatus: ReplicaActor.status,
+}
--- /dev/null
+++ b/ringseam/control/role.py
@@ -0,0 +1,394 @@
+"""The control process: a replica of the log, the directory and operators."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import hmac
+import logging
+import zlib
+from typing import TYPE_CHECKING, Any
+
+from ringseam import config
+from ringseam.control.directory import Directory
+from ringseam.control.raftlog import Member, Packet
+from ringseam.control.replica import (
+    BlankSeen,
+    Deliver,
+    FindApply,
+    FormGroup,
+    GetReplicaStatus,
+    HandOver,
+    NotLeading,
+    Outlets,
+    Propose,
+    ReadBarrier,
+    ReplicaActor,
+    ReplicaSettings,
+    ReplicaStatus,
+    TimePassed,
+)
+from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
+from ringseam.control.storage import DiskFiles, Storage
+from ringseam.errors import FindingsError, UnreachableError
+from ringseam.events import Event
+from ringseam.holder import ConfigHolder
+from ringseam.messages import (
+    AcceptedFile,
+    ApplyAccepted,
+    ApplyConflict,
+    ApplyFindings,
+    ApplyForbidden,
+    ApplyReply,
+    ConfigFiles,
+    ConfigReply,
+    DeltaReply,
+    FindingLine,
+    Redirect,
+    ReportReply,
+    StatusReply,
+)
+from ringseam.role import Role
+from ringseam.services import (
+    APPLY,
+    COMMAND,
+    CONFIG,
+    DELTA,
+    FIRST_CONFIG,
+    HELLO,
+    PACKETS,
+    REPORT,
+    STATUS,
+    CommandReply,
+    FirstConfigReply,
+    HelloReply,
+    HelloRequest,
+)
+from ringseam.util.actors import ask
+from ringseam.util.ini import split_list
+
+if TYPE_CHECKING:
+    from ringseam.control.state import StateMachine
+    from ringseam.errors import Finding
+    from ringseam.messages import ApplyRequest
+    from ringseam.rpc import Received
+    from ringseam.settings import Settings
+
+logger = logging.getLogger(__name__)
+
+_COMMIT_TIMEOUT_S = 5.0
+_HELLO_S = 0.3
+_HELLO_TIMEOUT_S = 1.0
+_RECONNECT_S = 0.1
+_PEER_QUEUE = 1024
+_EXPIRE_S = 0.2
+_HAND_OVER_TRIES = 20
+
+
+class PeerLinks:
+    """One ordered stream of packets to each peer; a full one drops packets."""
+
+    def __init__(self, *, role: Role) -> None:
+        """Send through the client of ``role``."""
+        self.role = role
+        self.queues: dict[str, asyncio.Queue[Packet]] = {}
+
+    def send(self, address: str, packet: Packet) -> None:
+        """Queue a packet; Raft sends again what is lost."""
+        if address not in self.queues:
+            self.queues[address] = asyncio.Queue(_PEER_QUEUE)
+            self.role.spawn(self._pass_on(address))
+        with contextlib.suppress(asyncio.QueueFull):
+            self.queues[address].put_nowait(packet)
+
+    async def _pass_on(self, address: str) -> None:
+        while True:  # noqa: WPS457 - ends with the role
+            try:
+                await self.role.client.stream(address, PACKETS, self.queues[address])
+            except UnreachableError as error:
+                logger.debug('peer link broke: %s', error)
+            await asyncio.sleep(_RECONNECT_S)
+            while not self.queues[address].empty():
+                self.queues[address].get_nowait()
+
+
+class ControlRole(Role):
+    """Serve one replica of the control group."""
+
+    name = 'control'
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Prepare the replica; the folder is read when it opens."""
+        super().__init__(settings=settings)
+        self.node.adopts_group = False
+        own = settings.own
+        self.holder = ConfigHolder(node=self.node, client=self.client)
+        self.directory = Directory(
+            epoch=self.node.incarnation,
+            lost_s=settings.seconds('agent_lost_ms'),
+        )
+        self.links = PeerLinks(role=self)
+        self.bootstrap = dict(
+            piece.partition('=')[::2] for piece in split_list(own['bootstrap_part_digests'])
+        )
+
+    async def open(self) -> None:
+        """Load the replica, serve, and join or form the group."""
+        loop = asyncio.get_running_loop()
+        self._serve_methods()
+        await self.server.start()
+        self.stack.push_async_callback(self.server.close)
+
+        def send(address: str, packet: Packet) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(self.links.send, address, packet)
+
+        def changed(machine: StateMachine) -> None:  # noqa: WPS430
+            files = tuple(machine.files())
+            revision = machine.state.revision
+            loop.call_soon_threadsafe(self._take, revision, files)
+
+        def failed(detail: str) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(self._fail, detail)
+
+        own = self.settings.own
+        self.actor = ReplicaActor.start(
+            node=self.node,
+            storage=Storage(files=DiskFiles(folder=own['data_dir'])),
+            settings=ReplicaSettings(
+                election_s=self.settings.seconds('election_ms'),
+                heartbeat_s=self.settings.seconds('heartbeat_ms'),
+                snapshot_entries=own['snapshot_entries'],
+                group_commit=own['group_commit'],
+            ),
+            outlets=Outlets(send=send, files_changed=changed, failed=failed),
+            seed=zlib.crc32(self.node.incarnation.encode()),
+        )
+        self.stack.callback(self.actor.stop)
+        self.spawn(self._tick_always())
+        self.spawn(self._introduce_until_joined())
+
+    async def drain(self) -> None:
+        """Hand leadership over before leaving."""
+        for _ in range(_HAND_OVER_TRIES):
+            status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
+            if status.leader != self.node.address:
+                return
+            if not await ask(self.actor, HandOver()):
+                return
+            await asyncio.sleep(self.settings.seconds('heartbeat_ms'))
+
+    # -- methods ------------------------------------------------------------
+
+    def take_packet(self, received: Received) -> None:
+        """Hand a peer's messages to the replica."""
+        self.actor.tell(Deliver(packet=received.body, address=received.address))
+
+    async def hello(self, received: Received) -> HelloReply:
+        """Introduce this folder and remember a blank one."""
+        greeting: HelloRequest = received.body
+        if not greeting.group and greeting.address in self.settings.process['control']:
+            self.actor.tell(BlankSeen(disk=greeting.disk, address=greeting.address))
+        status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
+        return HelloReply(disk=status.disk, address=self.node.address, group=status.group)
+
+    async def command(self, received: Received) -> CommandReply:
+        """Commit a ledger or token command."""
+        outcome = await self._commit(received.body.command)
+        return CommandReply(reply=_redirected(outcome))
+
+    async def first_config(self, received: Received) -> FirstConfigReply:
+        """Return the configuration at a linearizable read."""
+        outcome = await self._ask_quorum(ReadBarrier())
+        if isinstance(outcome, NotLeading):
+            return FirstConfigReply(reply=_redirected(outcome))
+        held = self.holder.since(0)
+        return FirstConfigReply(reply=ConfigFiles(revision=held.revision, files=held.files))
+
+    async def report(self, received: Received) -> ReportReply:
+        """Take an agent's state into the directory."""
+        if self.directory.report(received.body, self.node.clock.now()):
+            self.node.events.emit(logger, Event.agent_seen, agent=received.body.name)
+        return ReportReply()
+
+    async def delta(self, received: Received) -> DeltaReply:
+        """Return directory changes to an entry."""
+        request = received.body
+        self.directory.note_process(request.process, self.node.clock.now())
+        return self.directory.delta(request.epoch, request.since)
+
+    async def status(self, received: Received) -> StatusReply:
+        """Return this host's view."""
+        status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
+        return StatusReply(
+            name=self.node.name,
+            role=status.role,
+            term=status.term,
+            leader=status.leader,
+            revision=self.node.revision,
+            parts={name: accepted.revision for name, accepted in self.holder.current.files.items()},
+            members=tuple(
+                f'{member.address}/{member.disk}/{"voter" if member.voter else "learner"}'
+                for member in status.members
+            ),
+            processes=tuple(process for _, process in self.directory.processes.values()),
+            agents=tuple(row.state for row in self.directory.rows.values()),
+            commit=status.commit,
+            keys=status.keys,
+        )
+
+    async def apply(self, received: Received) -> ApplyReply:
+        """Check a part's file and commit it whole, or change nothing."""
+        request: ApplyRequest = received.body
+        barrier = await self._ask_quorum(ReadBarrier())
+        if isinstance(barrier, NotLeading):
+            return ApplyReply(reply=_redirected(barrier))
+        if not self._is_operator(request):
+            return ApplyReply(reply=ApplyForbidden())
+        identity = config.apply_id(request.text, request.expect)
+        # A resend is answered as at first, also when it would be refused now.
+        earlier = FindApply(part=request.part, expect=request.expect, apply_id=identity)
+        if not await ask(self.actor, earlier):
+            findings = self._findings(request)
+            if findings:
+                return ApplyReply(reply=ApplyFindings(findings=findings))
+        outcome = await self._commit(
+            ApplyFile(
+                part=request.part,
+                text=request.text,
+                expect=request.expect,
+                apply_id=identity,
+            ),
+        )
+        return ApplyReply(reply=self._apply_reply(request, outcome))
+
+    def _serve_methods(self) -> None:
+        self.server.add_stream(PACKETS, self.take_packet)
+        self.server.add(HELLO, self.hello)
+        self.server.add(COMMAND, self.command)
+        self.server.add(CONFIG, self.holder.answer)
+        self.server.add(FIRST_CONFIG, self.first_config)
+        self.server.add(APPLY, self.apply)
+        self.server.add(REPORT, self.report)
+        self.server.add(DELTA, self.delta)
+        self.server.add(STATUS, self.status)
+
+    # -- applying -----------------------------------------------------------
+
+    def _apply_reply(self, request: ApplyRequest, outcome: Any) -> Any:
+        if isinstance(outcome, FileAccepted):
+            self.node.events.emit(
+                logger,
+                Event.apply_accepted,
+                part=request.part,
+                revision=outcome.revision,
+                resent=outcome.resent,
+            )
+            return ApplyAccepted(
+                revision=outcome.revision,
+                newest=outcome.newest,
+                resent=outcome.resent,
+            )
+        if isinstance(outcome, FileConflict):
+            self.node.events.emit(
+                logger,
+                Event.apply_refused,
+                part=request.part,
+                expected=request.expect,
+                revision=outcome.revision,
+            )
+            return ApplyConflict(revision=outcome.revision)
+        return _redirected(outcome)
+
+    def _is_operator(self, request: ApplyRequest) -> bool:
+        part = self.holder.current.parts.get(request.part)
+        wanted = part.operator_token_sha256 if part else self.bootstrap.get(request.part, '')
+        shown = hashlib.sha256(request.operator_token.encode()).hexdigest()
+        return bool(wanted) and hmac.compare_digest(wanted, shown)
+
+    def _findings(self, request: ApplyRequest) -> tuple[FindingLine, ...]:
+        try:
+            part = config.read_part(request.text, path=request.path)
+        except FindingsError as error:
+            return _lines(error.findings)
+        findings = self.holder.current.foreign_findings(part, path=request.path)
+        if part.name != request.part:
+            findings.append(config.wrong_part(request.path, part.name, request.part))
+        return _lines(findings)
+
+    # -- background ---------------------------------------------------------
+
+    async def _commit(self, command: Any) -> Any:
+        return await self._ask_quorum(Propose(command=command))
+
+    async def _ask_quorum(self, body: Any) -> Any:
+        try:
+            return await asyncio.wait_for(ask(self.actor, body), _COMMIT_TIMEOUT_S)
+        except asyncio.TimeoutError:
+            return NotLeading()
+
+    async def _tick_always(self) -> None:
+        interval = self.settings.seconds('heartbeat_ms') / 2
+        expiry = self.node.clock.now()
+        while True:  # noqa: WPS457 - ends with the role
+            self.actor.tell(TimePassed())
+            now = self.node.clock.now()
+            if now >= expiry:
+                expiry = now + _EXPIRE_S
+                for name in self.directory.expire(now):
+                    self.node.events.emit(logger, Event.agent_lost, agent=name)
+            await asyncio.sleep(interval)
+
+    async def _introduce_until_joined(self) -> None:
+        while not self.node.group:
+            status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
+            await self._introduce(status)
+            await asyncio.sleep(_HELLO_S)
+
+    async def _introduce(self, status: ReplicaStatus) -> None:
+        """Tell all configured addresses of a blank folder; maybe found a group.
+
+        Only when every configured address answers and every one is blank, and
+        then only the lowest address founds: two lost folders out of three
+        must not begin a new history.
+        """
+        addresses = self.settings.process['control']
+        greeting = HelloRequest(disk=status.disk, address=self.node.address)
+        calls = [
+            self.client.call(address, HELLO, greeting, timeout_s=_HELLO_TIMEOUT_S)
+            for address in addresses
+            if address != self.node.address
+        ]
+        replies = await asyncio.gather(*calls, return_exceptions=True)
+        if any(isinstance(reply, BaseException) for reply in replies):
+            return
+        peers: list[HelloReply] = [reply.body for reply in replies]
+        if any(peer.group for peer in peers) or self.node.address != min(addresses):
+            return
+        members = [Member(disk=peer.disk, address=peer.address) for peer in peers]
+        members.append(Member(disk=status.disk, address=self.node.address))
+        self.actor.tell(FormGroup(members=tuple(members)))
+
+    def _take(self, revision: int, files: tuple[AcceptedFile, ...]) -> None:
+        self.holder.take(ConfigReply(revision=revision, files=files))
+
+    def _fail(self, detail: str) -> None:
+        self.failure = detail
+        self.stopping.set()
+
+
+def _redirected(outcome: Any) -> Any:
+    return Redirect(leader=outcome.leader) if isinstance(outcome, NotLeading) else outcome
+
+
+def _lines(findings: list[Finding]) -> tuple[FindingLine, ...]:
+    return tuple(
+        FindingLine(
+            path=finding.path,
+            line=finding.line,
+            section=finding.section,
+            key=finding.key,
+            message=finding.message,
+        )
+        for finding in findings
+    )
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,96 @@
+"""Fixtures and the one hypothesis profile of all tests."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+from ringseam.layout import Layout, digest_of
+from tests.processes import System
+
+settings.register_profile(
+    'fixed',
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile('fixed')
+
+PART_FILE = f"""\
+[part]
+name = demo
+operator_token_sha256 = {digest_of('operator-of-demo')}
+
+[account inspector]
+token_sha256 = {digest_of('caller')}
+
+[pool readers]
+echoes_id = yes
+
+[pool signals]
+
+[stage read]
+pool = readers
+path = /read
+
+[stage rank]
+pool = readers
+path = /rank
+
+[stage reject]
+pool = signals
+path = /reject
+repeatable = no
+
+[pipeline two]
+stages = read, rank
+accounts = inspector
+deadline_ms = 10000
+
+[pipeline signal]
+stages = reject
+accounts = inspector
+deadline_ms = 10000
+priority = high
+
+[pipeline verdict]
+stages = read, reject
+accounts = inspector
+deadline_ms = 10000
+recorded = yes
+"""
+
+
+@pytest.fixture
+def part_file():
+    """Return an operator's file with repeatable and other pipelines."""
+    return PART_FILE
+
+
+@pytest.fixture
+def system(tmp_path):
+    """Return a system whose processes end with the test."""
+    made = System(layout=Layout(folder=tmp_path / 'system'))
+    yield made
+    made.close()
+
+
+@pytest.fixture
+def whole_system(system):
+    """Return a running system: three control hosts, two entries, two servers."""
+    layout = system.layout
+    layout.add_control(3)
+    layout.add_server('reader', pool='demo/readers')
+    layout.add_server('signaller', pool='demo/signals')
+    layout.add_entry('entry')
+    layout.add_entry('other')
+    system.start()
+    system.apply(PART_FILE, expect=0)
+    system.await_ready()
+    system.await_ready('other')
+    for entry in ('entry', 'other'):
+        system.post_whole('two', b'warm-up', entry=entry)
+        system.post_whole('signal', b'warm-up', entry=entry, key=f'warm-up-{entry}')
+    return system
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,206 @@
+"""Start real processes of a small system and talk to them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+
+from ringseam.controlclient import ControlClient
+from ringseam.layout import Layout
+from ringseam.messages import ApplyRequest, Empty
+from ringseam.node import Node
+from ringseam.rpc import CallClient
+from ringseam.services import APPLY, STATUS
+
+WAIT_S = 30
+STEP_S = 0.02
+
+
+def eventually(check, *, within_s=WAIT_S, what='the condition'):
+    """Return the first true value of ``check``; fail after ``within_s``."""
+    until = time.monotonic() + within_s
+    while time.monotonic() < until:
+        found = check()
+        if found:
+            return found
+        time.sleep(STEP_S)
+    raise AssertionError(f'{what} did not come within {within_s} s')
+
+
+@dataclass
+class System:
+    """Processes of one layout, each started and ended by name."""
+
+    layout: Layout
+    running: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    def start(self, *names):
+        for name in names or self.layout.planned:
+            planned = self.layout.planned[name]
+            command = [sys.executable, '-m', 'ringseam', planned.role, '--settings']
+            errors = (self.layout.folder / f'{name}.err').open('ab')
+            self.running[name] = subprocess.Popen(
+                [*command, str(planned.settings)],
+                stdout=errors,
+                stderr=errors,
+            )
+            errors.close()
+
+    def send(self, name, number):
+        self.running[name].send_signal(number)
+
+    def kill(self, *names):
+        for name in names:
+            process = self.running.pop(name)
+            process.kill()
+            process.wait()
+
+    def stop(self, name, within_s=WAIT_S):
+        """Stop as planned and return the exit code."""
+        process = self.running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(within_s)
+
+    def close(self):
+        for process in self.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.running.values():
+            process.wait()
+        self.running.clear()
+
+    # -- calls ---------------------------------------------------------------
+
+    def call(self, work):
+        """Run ``work(control_client)`` on an event loop of its own."""
+        secret = self.layout.key_file.read_bytes().strip()[:64]
+
+        async def connected():
+            client = CallClient(
+                node=Node(name='test', role='operator', address='', secret=secret),
+            )
+            try:
+                return await work(ControlClient(client=client, addresses=self.layout.control))
+            finally:
+                client.close()
+
+        return asyncio.run(connected())
+
+    def apply(self, text, *, expect, part='demo', timeout_s=WAIT_S):
+        request = ApplyRequest(
+            part=part,
+            text=text,
+            expect=expect,
+            operator_token=self.layout.operator_token(part),
+            path=f'{part}.ini',
+        )
+        return self.call(lambda control: control.ask_leader(APPLY, request, timeout_s=timeout_s))
+
+    def statuses(self):
+        """Return the status of each control host that answers, by name."""
+
+        async def gather(control):
+            calls = [
+                control.client.call(address, STATUS, Empty(), timeout_s=1)
+                for address in self.layout.control
+            ]
+            replies = await asyncio.gather(*calls, return_exceptions=True)
+            return {
+                reply.body.name: reply.body
+                for reply in replies
+                if not isinstance(reply, BaseException)
+            }
+
+        return self.call(gather)
+
+    def leader(self):
+        """Return the name of the control host that leads, once there is one."""
+
+        def find():
+            leading = [
+                (status.term, name)
+                for name, status in self.statuses().items()
+                if status.role == 'leader'
+            ]
+            return max(leading)[1] if leading else None
+
+        return eventually(find, what='a leader')
+
+    def await_agents(self, count):
+        eventually(
+            lambda: any(
+                sum(state.serving for state in status.agents) >= count
+                for status in self.statuses().values()
+            ),
+            what=f'{count} serving agents',
+        )
+
+    def await_ready(self, entry='entry'):
+        """Wait until the entry holds a configuration and sees agents."""
+        eventually(lambda: self.get(entry, '/readyz').status == 200, what='readiness')
+
+    def get(self, entry, path):
+        try:
+            return urllib3.request(
+                'GET',
+                f'http://{self.layout.planned[entry].http}{path}',
+                retries=False,
+                timeout=5,
+            )
+        except urllib3.exceptions.HTTPError:
+            return urllib3.HTTPResponse(status=0)
+
+    def post(self, pipeline, body=b'x', *, entry='entry', key='', token='caller', timeout=30):
+        headers = {'Authorization': f'Bearer {token}', 'Content-Type': 'text/plain'}
+        if key:
+            headers['Idempotency-Key'] = key
+        return urllib3.request(
+            'POST',
+            f'http://{self.layout.planned[entry].http}/v1/pipelines/{pipeline}',
+            body=body,
+            headers=headers,
+            retries=False,
+            timeout=timeout,
+        )
+
+    def post_whole(self, pipeline, body=b'x', **named):
+        """Post until the answer is whole: for starting up only."""
+        return eventually(
+            lambda: _whole(self.post(pipeline, body, **named)),
+            what=f'a whole answer of {pipeline}',
+        )
+
+    def faults(self, server, **faults):
+        """Change the faults of a stand-in."""
+        reply = urllib3.request(
+            'POST',
+            f'http://{self.layout.planned[f"{server}-server"].http}/faults',
+            json=faults,
+            retries=False,
+        )
+        assert reply.status == 200, reply.data
+
+    def executions(self, server, marker=''):
+        """Return the recorded executions whose identity holds ``marker``."""
+        path = Path(self.layout.planned[f'{server}-server'].record_file)
+        lines = path.read_text().splitlines() if path.exists() else []
+        return [line for line in lines if marker in line]
+
+    def events(self, name, event=''):
+        """Return the logged events of one process."""
+        path = self.layout.folder / f'{name}.log'
+        lines = path.read_text().splitlines() if path.exists() else []
+        rows = [json.loads(line) for line in lines if line.startswith('{')]
+        return [row for row in rows if row.get('event_name') and event in row['event_name']]
+
+
+def _whole(reply):
+    return reply if reply.status == 200 else None
