Hand out each port of a layout once

Ruled out: a lost claim, a lost announcement (the log of the agent shows the bind error). Conclusion: ports come from below the outgoing range, each once.

--- a/ringseam/layout.py
+++ b/ringseam/layout.py
@@ -2,22 +2,36 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
+import random
 import secrets
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from ringseam.errors import RingseamError
+
 LOOPBACK = '127.0.0.1'
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+# Each process begins elsewhere, so that layouts made at once don't meet.
+_PORTS = iter(range(random.SystemRandom().randrange(_FIRST_PORT, _LAST_PORT - 2000), _LAST_PORT))
 
 
 def free_address(host: str = LOOPBACK) -> str:
-    """Return an address that is free now."""
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((host, 0))
-        return f'{host}:{probe.getsockname()[1]}'
+    """Return an address that is free now and was not returned before.
+
+    Its port is below the range that the system takes for outgoing
+    connections, so that none of those can take it before it is bound.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((host, port))
+            return f'{host}:{port}'
+    raise RingseamError('no free port is left')
 
 
 def digest_of(token: str) -> str:
