--- a/ringseam/control/replica.py
+++ b/ringseam/control/replica.py
@@ -152,15 +152,12 @@
     next_read: int = 0
 
 
-class ReplicaActor(pykka.ThreadingActor):
+class Replica:
     """Drive Raft: save, then send, then apply.
 
-    Messages that wait in the inbox are taken in before the folder is synced
-    once for all of them (group commit).
+    A plain class: its actor gives it messages, tests give them directly.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         *,
@@ -171,7 +168,6 @@
         seed: int,
     ) -> None:
         """Load the folder and begin as a follower."""
-        super().__init__()
         self.node = node
         self.storage = storage
         self.settings = settings
@@ -190,26 +186,9 @@
         self.was_leader = False
         self.outlets.files_changed(self.machine)
 
-    def on_receive(self, message: Any) -> None:
-        """Handle one message, and flush when no more wait."""
-        reply_to = None
-        body = message
-        if isinstance(message, Ask):
-            reply_to, body = message.reply_to, message.body
-        try:
-            _HANDLERS[type(body)](self, body, reply_to)
-            if self.actor_inbox.empty() or not self.settings.group_commit:
-                self.flush()
-        except StorageError as error:
-            self._fail(str(error))
-
-    def on_stop(self) -> None:
-        """Close the folder."""
-        self.storage.close()
-
-    def on_failure(self, *failure: Any) -> None:
-        """Tell the process: a replica without its actor must not live on."""
-        self.outlets.failed(f'replica actor broke: {failure[1]!r}')
+    def receive(self, body: Any, reply_to: ReplyTo | None = None) -> None:
+        """Take in one message; ``flush`` must follow."""
+        _HANDLERS[type(body)](self, body, reply_to)
 
     # -- messages -----------------------------------------------------------
 
@@ -455,20 +434,54 @@
             ],
         )
 
-    def _fail(self, detail: str) -> None:
-        self.node.events.emit(logger, Event.storage_failed, detail=detail)
-        self.outlets.failed(detail)
-        self.stop()
-
 
 _HANDLERS = {  # noqa: WPS407 - one per message type
-    Propose: ReplicaActor.propose,
-    Deliver: ReplicaActor.deliver,
-    TimePassed: ReplicaActor.pass_time,
-    FormGroup: ReplicaActor.form_group,
-    BlankSeen: ReplicaActor.see_blank,
-    ReadBarrier: ReplicaActor.read_barrier,
-    HandOver: ReplicaActor.hand_over,
-    FindApply: ReplicaActor.find_apply,
-    GetReplicaStatus: ReplicaActor.status,
+    Propose: Replica.propose,
+    Deliver: Replica.deliver,
+    TimePassed: Replica.pass_time,
+    FormGroup: Replica.form_group,
+    BlankSeen: Replica.see_blank,
+    ReadBarrier: Replica.read_barrier,
+    HandOver: Replica.hand_over,
+    FindApply: Replica.find_apply,
+    GetReplicaStatus: Replica.status,
 }
+
+
+class ReplicaActor(pykka.ThreadingActor):
+    """Run a replica on a thread of its own.
+
+    Messages that wait in the inbox are taken in before the folder is synced
+    once for all of them (group commit).
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, *, replica: Replica) -> None:
+        """Run ``replica``."""
+        super().__init__()
+        self.replica = replica
+
+    def on_receive(self, message: Any) -> None:
+        """Handle one message, and flush when no more wait."""
+        reply_to = None
+        body = message
+        if isinstance(message, Ask):
+            reply_to, body = message.reply_to, message.body
+        replica = self.replica
+        try:
+            replica.receive(body, reply_to)
+            if self.actor_inbox.empty() or not replica.settings.group_commit:
+                replica.flush()
+        except StorageError as error:
+            replica.node.events.emit(logger, Event.storage_failed, detail=str(error))
+            replica.outlets.failed(str(error))
+            self.stop()
+
+    def on_stop(self) -> None:
+        """Close the folder."""
+        self.replica.storage.close()
+
+    def on_failure(self, *failure: Any) -> None:
+        """Tell the process: a replica without its actor must not live on."""
+        self.replica.outlets.failed(f'replica broke: {failure[1]!r}')
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -24,6 +24,7 @@
     Outlets,
     Propose,
     ReadBarrier,
+    Replica,
     ReplicaActor,
     ReplicaSettings,
     ReplicaStatus,
@@ -152,7 +153,7 @@
             loop.call_soon_threadsafe(self._fail, detail)
 
         own = self.settings.own
-        self.actor = ReplicaActor.start(
+        replica = Replica(
             node=self.node,
             storage=Storage(files=DiskFiles(folder=own['data_dir'])),
             settings=ReplicaSettings(
@@ -164,6 +165,7 @@
             outlets=Outlets(send=send, files_changed=changed, failed=failed),
             seed=zlib.crc32(self.node.incarnation.encode()),
         )
+        self.actor = ReplicaActor.start(replica=replica)
         self.stack.callback(self.actor.stop)
         self.spawn(self._tick_always())
         self.spawn(self._introduce_until_joined())
--- a/ringseam/events.py
+++ b/ringseam/events.py
@@ -7,7 +7,7 @@
 import sys
 from typing import TYPE_CHECKING, Any
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 if TYPE_CHECKING:
     from ringseam.clock import HybridClock
@@ -109,8 +109,14 @@
     else:
         stream_handler = logging.StreamHandler(sys.stderr)
     stream_handler.setFormatter(
-        JsonFormatter('%(asctime)s %(levelname)s %(name)s %(message)s'),
+        MsgspecFormatter('%(created)f %(levelname)s %(name)s %(message)s'),
     )
+    # Where a line was logged, by which thread and process, is in no line of
+    # ours; the logging how-to says how to save the time of finding it out.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None  # noqa: WPS437 - as the how-to has it
     root = logging.getLogger(ROOT)
     root.handlers = [stream_handler]
     root.setLevel(level)
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,264 @@
+"""Fakes at the interfaces: files in memory, and replicas over a fake network."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from ringseam.clock import PausedClock
+from ringseam.control.raftlog import Member
+from ringseam.control.replica import (
+    BlankSeen,
+    Deliver,
+    FormGroup,
+    NotLeading,
+    Outlets,
+    Propose,
+    ReadBarrier,
+    Replica,
+    ReplicaSettings,
+    TimePassed,
+)
+from ringseam.control.state import ApplyFile, FileAccepted
+from ringseam.control.storage import Files, Storage
+from ringseam.node import Node
+
+STEP_S = 0.05
+
+
+class MemoryFiles(Files):
+    """Files that keep what was synced apart from what was only written."""
+
+    def __init__(self):
+        self.written = {}
+        self.synced = {}
+        self.synced_names = set()
+        self.fail_sync = False
+        self.full = False
+
+    def names(self):
+        return sorted(self.written)
+
+    def read(self, name):
+        return bytes(self.written[name])
+
+    def append(self, name, chunk):
+        if self.full:
+            self.written.setdefault(name, bytearray()).extend(chunk[: len(chunk) // 2])
+            raise OSError(28, 'No space left on device')
+        self.written.setdefault(name, bytearray()).extend(chunk)
+
+    def sync(self, name):
+        if self.fail_sync:
+            raise OSError(5, 'Input/output error')
+        self.synced[name] = bytes(self.written[name])
+
+    def sync_folder(self):
+        self.synced_names = set(self.written)
+
+    def rename(self, source, target):
+        self.written[target] = self.written.pop(source)
+        self.synced[target] = self.synced.pop(source, b'')
+
+    def remove(self, name):
+        self.written.pop(name, None)
+
+    def truncate(self, name, size):
+        del self.written[name][size:]
+
+    def close(self):
+        """Keep nothing open."""
+
+    def crash(self):
+        """Lose all that was not synced."""
+        self.written = {
+            name: bytearray(self.synced.get(name, b'')) for name in sorted(self.synced_names)
+        }
+        self.synced = {name: bytes(raw) for name, raw in self.written.items()}
+        self.fail_sync = False
+        self.full = False
+
+
+class Reply:
+    """A reply that a test looks at."""
+
+    def __init__(self):
+        self.sent = None
+
+    def send(self, reply):
+        if self.sent is None:
+            self.sent = reply
+
+
+@dataclass
+class Host:
+    """One control host: an address, a folder and maybe a running replica."""
+
+    address: str
+    files: MemoryFiles = field(default_factory=MemoryFiles)
+    replica: Replica | None = None
+
+
+class Network:
+    """Replicas over a network that delays, drops and cuts; seeded."""
+
+    def __init__(self, count=3, seed=1, snapshot_entries=20):
+        self.random = random.Random(seed)
+        self.clock = PausedClock()
+        self.settings = ReplicaSettings(
+            election_s=0.6,
+            heartbeat_s=0.1,
+            snapshot_entries=snapshot_entries,
+        )
+        self.hosts = {f'10.0.0.{number}:1': None for number in range(1, count + 1)}
+        self.hosts = {address: Host(address=address) for address in self.hosts}
+        self.packets = []
+        self.cuts = set()
+        self.drop = 0.0
+        self.replies = []
+        for address in self.hosts:
+            self.start(address)
+
+    # -- hosts ---------------------------------------------------------------
+
+    def start(self, address):
+        host = self.hosts[address]
+        node = Node(name=address, role='control', address=address, secret=b'x', clock=self.clock)
+
+        def send(target, packet):
+            self.packets.append((address, target, packet))
+
+        host.replica = Replica(
+            node=node,
+            storage=Storage(files=host.files),
+            settings=self.settings,
+            outlets=Outlets(send=send, files_changed=lambda machine: None, failed=print),
+            seed=self.random.randrange(2**30),
+        )
+
+    def crash(self, address):
+        """Kill a replica; what it did not sync is lost."""
+        self.hosts[address].replica = None
+        self.hosts[address].files.crash()
+
+    def restart(self, address):
+        self.crash(address)
+        self.start(address)
+
+    def lose_disk(self, address):
+        """Lose a folder; the host starts again with a blank one."""
+        self.hosts[address].files = MemoryFiles()
+        self.start(address)
+
+    def running(self):
+        return [host.replica for host in self.hosts.values() if host.replica is not None]
+
+    def isolate(self, address):
+        """Cut a host from all others, both ways."""
+        for other in self.hosts:
+            if other != address:
+                self.cuts |= {(address, other), (other, address)}
+
+    # -- time ----------------------------------------------------------------
+
+    def run(self, seconds):
+        for _ in range(int(seconds / STEP_S)):
+            self.step()
+
+    def step(self):
+        self.clock.advance(STEP_S)
+        self._introduce()
+        for replica in self.running():
+            replica.receive(TimePassed())
+            replica.flush()
+        packets, self.packets = self.packets, []
+        self.random.shuffle(packets)
+        for source, target, packet in packets:
+            replica = self.hosts[target].replica
+            if replica is None or (source, target) in self.cuts:
+                continue
+            if self.random.random() < self.drop:
+                continue
+            replica.receive(Deliver(packet=packet, address=source))
+            replica.flush()
+
+    def run_until(self, check, within_s=30):
+        for _ in range(int(within_s / STEP_S)):
+            if check():
+                return
+            self.step()
+        raise AssertionError('the condition did not come')
+
+    def _introduce(self):
+        """Do what blank hosts do: introduce themselves; maybe found a group."""
+        for address, host in self.hosts.items():
+            if host.replica is None or host.replica.identity.group:
+                continue
+            peers = [other for other in self.hosts.values() if other is not host]
+            reached = [
+                peer
+                for peer in peers
+                if peer.replica is not None and (address, peer.address) not in self.cuts
+            ]
+            disk = host.replica.identity.disk
+            for peer in reached:
+                peer.replica.receive(BlankSeen(disk=disk, address=address))
+            blank = [peer for peer in reached if not peer.replica.identity.group]
+            if len(blank) == len(peers) and address == min(self.hosts):
+                members = [
+                    Member(disk=peer.replica.identity.disk, address=peer.address)
+                    for peer in [host, *peers]
+                ]
+                host.replica.receive(FormGroup(members=tuple(members)))
+
+    # -- use -----------------------------------------------------------------
+
+    def leader(self):
+        leading = [replica for replica in self.running() if replica.raft.can_serve]
+        return max(leading, key=lambda replica: replica.raft.term) if leading else None
+
+    def await_leader(self):
+        self.run_until(self.leader)
+        return self.leader()
+
+    def ask(self, replica, body):
+        reply = Reply()
+        replica.receive(body, reply)
+        replica.flush()
+        return reply
+
+    def apply(self, expect, text='file', part='demo'):
+        """Apply through whoever leads until it is accepted."""
+        command = ApplyFile(part=part, text=text, expect=expect, apply_id=f'{expect}-{text}')
+        reply = None
+
+        def accepted():
+            nonlocal reply
+            if reply is None or isinstance(reply.sent, NotLeading):
+                leader = self.leader()
+                reply = self.ask(leader, Propose(command=command)) if leader else None
+            return reply is not None and reply.sent is not None
+
+        def settled():
+            return accepted() and not isinstance(reply.sent, NotLeading)
+
+        self.run_until(settled)
+        return reply.sent
+
+    def apply_many(self, count, first=0):
+        """Apply ``count`` files one after another; return the last revision."""
+        revision = first
+        for number in range(count):
+            outcome = self.apply(revision, text=f'file {number}')
+            assert isinstance(outcome, FileAccepted), outcome
+            revision = outcome.revision
+        return revision
+
+    def read_revision(self):
+        """Return the revision at a linearizable read."""
+        reply = self.ask(self.await_leader(), ReadBarrier())
+        self.run_until(lambda: reply.sent is not None)
+        return None if isinstance(reply.sent, NotLeading) else self.leader().machine.state.revision
+
+
+__all__ = ('Host', 'MemoryFiles', 'Network', 'Reply')
--- /dev/null
+++ b/tests/test_control/test_control_replica.py
@@ -0,0 +1,253 @@
+"""Control under lost hosts, lost disks and cuts, on a fake network and clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from ringseam.control.replica import NotLeading, Propose, ReadBarrier
+from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
+from ringseam.errors import DamagedLogError, StorageError
+from tests.fakes import Network
+
+SEEDS = range(6)
+
+
+def voters(network):
+    members = network.await_leader().raft.membership.members
+    return sorted(member.address for member in members if member.voter)
+
+
+def voter_disks(network):
+    return network.await_leader().raft.membership.voters
+
+
+@pytest.mark.parametrize('count', [1, 3, 5])
+def test_group_forms_and_accepts(count):
+    network = Network(count=count)
+    assert network.apply_many(3) == 3
+    assert network.read_revision() == 3
+
+
+def test_group_waits_for_every_address():
+    network = Network()
+    network.crash('10.0.0.3:1')
+    network.run(10)
+    assert not any(replica.identity.group for replica in network.running())
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_leader_killed_with_an_apply_in_flight(seed):
+    network = Network(seed=seed)
+    network.apply_many(2)
+    old = network.await_leader()
+    command = ApplyFile(part='demo', text='lost?', expect=2, apply_id='in-flight')
+    reply = network.ask(old, Propose(command=command))
+    network.crash(old.node.address)
+    again = network.apply(2, text='other')
+    network.start(old.node.address)
+    network.run(5)
+    accepted_first = isinstance(again, FileConflict)
+    assert reply.sent is None
+    expected = 3 if accepted_first or isinstance(again, FileAccepted) else None
+    assert network.read_revision() == expected
+
+
+def test_majority_gone_then_back():
+    network = Network()
+    network.apply_many(3)
+    first, second = [replica.node.address for replica in network.running()][:2]
+    network.crash(first)
+    network.crash(second)
+    network.run(5)
+    assert network.leader() is None
+    network.start(first)
+    network.start(second)
+    assert network.read_revision() == 3
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_isolated_replica_returns_quietly(seed):
+    """A long cut: the leader stays, nothing stale is served, it catches up."""
+    network = Network(seed=seed)
+    network.apply_many(2)
+    leader = network.await_leader()
+    cut = next(replica for replica in network.running() if replica is not leader)
+    network.isolate(cut.node.address)
+    term = leader.raft.term
+    network.apply_many(60, first=2)
+    assert isinstance(network.ask(cut, ReadBarrier()).sent, NotLeading)
+    network.cuts.clear()
+    network.run(5)
+    assert network.await_leader() is leader
+    assert leader.raft.term == term
+    assert cut.machine.state.revision == 62
+    assert cut.raft.log.snapshot.index > 20
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_isolated_leader_steps_down(seed):
+    network = Network(seed=seed)
+    network.apply_many(2)
+    old = network.await_leader()
+    network.isolate(old.node.address)
+    reply = network.ask(old, ReadBarrier())
+    network.run(4)
+    assert isinstance(reply.sent, NotLeading)
+    assert not old.raft.is_leader
+    network.run_until(network.leader)
+    assert network.apply(2, text='by the others').revision == 3
+    network.cuts.clear()
+    network.run(3)
+    assert old.machine.state.revision == 3
+
+
+@pytest.mark.parametrize('outward', [True, False])
+def test_asymmetric_cut_of_a_leader(outward):
+    network = Network(count=3)
+    network.apply_many(1)
+    old = network.await_leader().node.address
+    for other in network.hosts:
+        if other != old:
+            network.cuts.add((old, other) if outward else (other, old))
+    network.run(8)
+    network.run_until(lambda: network.leader() and network.leader().node.address != old)
+    assert network.apply(1, text='on').revision == 2
+
+
+def test_frozen_leader_does_not_serve_when_it_wakes():
+    network = Network()
+    network.apply_many(1)
+    frozen = network.await_leader()
+    host = network.hosts[frozen.node.address]
+    host.replica = None
+    network.run_until(lambda: network.leader() is not None)
+    network.apply(1, text='meanwhile')
+    host.replica = frozen
+    read = network.ask(frozen, ReadBarrier())
+    network.run(3)
+    assert not isinstance(read.sent, bool)
+    assert frozen.machine.state.revision == 2
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_lost_disk_is_repaired_and_then_a_second_is_lost(seed):
+    network = Network(seed=seed)
+    revision = network.apply_many(30)
+    victims = sorted(network.hosts)[:2]
+    for victim in victims:
+        old_disk = network.hosts[victim].replica.identity.disk
+        network.lose_disk(victim)
+        new_disk = network.hosts[victim].replica.identity.disk
+        network.run_until(lambda disk=new_disk: disk in voter_disks(network), within_s=60)
+        assert old_disk not in voter_disks(network)
+        assert voters(network) == sorted(network.hosts)
+    assert network.read_revision() == revision
+
+
+def test_learner_whose_disk_is_lost_in_turn():
+    network = Network()
+    network.apply_many(30)
+    victim = next(
+        replica.node.address for replica in network.running() if replica is not network.leader()
+    )
+    network.lose_disk(victim)
+    network.run_until(lambda: len(network.await_leader().raft.membership.members) > 3)
+    network.lose_disk(victim)
+    newest = network.hosts[victim].replica.identity.disk
+    network.run_until(lambda: newest in voter_disks(network))
+    assert network.read_revision() == 30
+
+
+def test_two_lost_disks_form_no_group():
+    network = Network()
+    network.apply_many(5)
+    survivor, *lost = sorted(network.hosts, reverse=True)
+    for address in lost:
+        network.crash(address)
+    for address in lost:
+        network.lose_disk(address)
+    network.run(20)
+    assert network.leader() is None
+    groups = {replica.identity.group for replica in network.running()}
+    assert groups <= {'', network.hosts[survivor].replica.identity.group}
+
+
+@pytest.mark.parametrize('seed', range(40))
+def test_random_faults_lose_nothing_acknowledged(seed):
+    """Crashes, cuts and lost packets: revisions stay totally ordered."""
+    network = Network(seed=seed)
+    acknowledged = network.apply_many(1)
+    network.drop = 0.1
+    for _ in range(25):
+        address = network.random.choice(sorted(network.hosts))
+        fault = network.random.choice(['crash', 'isolate', 'heal', 'none'])
+        if fault == 'crash':
+            network.restart(address)
+        elif fault == 'isolate':
+            network.cuts.clear()
+            network.isolate(address)
+        elif fault == 'heal':
+            network.cuts.clear()
+        outcome = network.apply(acknowledged, text=f'{acknowledged}')
+        assert outcome.revision >= acknowledged
+        acknowledged = outcome.revision
+        revisions = [replica.machine.state.revision for replica in network.running()]
+        assert max(revisions) == acknowledged
+    network.cuts.clear()
+    network.drop = 0
+    network.run(10)
+    assert network.read_revision() == acknowledged
+    texts = {replica.machine.snapshot() for replica in network.running()}
+    assert len(texts) == 1
+
+
+def test_failed_sync_is_final():
+    network = Network(count=1)
+    network.apply_many(1)
+    replica = network.leader()
+    host = network.hosts['10.0.0.1:1']
+    host.files.fail_sync = True
+    command = ApplyFile(part='demo', text='x', expect=1, apply_id='x')
+    with pytest.raises(StorageError):
+        network.ask(replica, Propose(command=command))
+    host.files.fail_sync = False
+    with pytest.raises(StorageError):
+        replica.storage.save(hard=None, truncate_from=None, entries=[])
+    network.restart('10.0.0.1:1')
+    assert network.read_revision() == 1
+
+
+def test_full_disk_acknowledges_nothing():
+    network = Network(count=1)
+    network.apply_many(1)
+    replica = network.leader()
+    network.hosts['10.0.0.1:1'].files.full = True
+    command = ApplyFile(part='demo', text='x', expect=1, apply_id='x')
+    with pytest.raises(StorageError):
+        network.ask(replica, Propose(command=command))
+    host = network.hosts['10.0.0.1:1']
+    host.files.full = False
+    host.files.synced = {name: bytes(raw) for name, raw in host.files.written.items()}
+    network.start('10.0.0.1:1')
+    assert network.read_revision() == 1
+
+
+def test_flipped_byte_in_the_middle_refuses_to_start():
+    network = Network(count=1, snapshot_entries=1000)
+    network.apply_many(10)
+    files = network.hosts['10.0.0.1:1'].files
+    segment = next(name for name in files.names() if name.startswith('log-'))
+    files.written[segment][len(files.written[segment]) // 2] ^= 1
+    with pytest.raises(DamagedLogError, match=f'{segment}: damaged at byte'):
+        network.start('10.0.0.1:1')
+
+
+@pytest.mark.parametrize('cut', range(1, 40, 3))
+def test_torn_tail_is_cut(cut):
+    network = Network(count=1, snapshot_entries=1000)
+    network.apply_many(10)
+    files = network.hosts['10.0.0.1:1'].files
+    segment = next(name for name in files.names() if name.startswith('log-'))
+    del files.written[segment][-cut:]
+    network.start('10.0.0.1:1')
+    assert network.read_revision() in {9, 10}
