--- a/ringseam/agent/role.py
+++ b/ringseam/agent/role.py
@@ -21,7 +21,7 @@
 from ringseam.errors import UnreachableError
 from ringseam.holder import ConfigHolder
 from ringseam.ids import split_address
-from ringseam.messages import AgentState, DispatchReply
+from ringseam.messages import AgentState, DispatchReply, StageNotRun
 from ringseam.role import Role
 from ringseam.services import AGENT_STATE, DISPATCH, REPORT, TOMBSTONE
 from ringseam.util.actors import ask
@@ -104,6 +104,9 @@
         except asyncio.CancelledError:
             self.actor.tell(Abandon(dispatch=dispatch))
             raise
+        if isinstance(reply, StageNotRun):
+            # The sender's view was wrong: correct it along with the refusal.
+            return DispatchReply(reply=reply, state=await ask(self.actor, Tick()))
         return DispatchReply(reply=reply)
 
     async def tombstone(self, received: Received) -> DispatchReply:
--- a/ringseam/entry/stages.py
+++ b/ringseam/entry/stages.py
@@ -46,6 +46,17 @@
 _SETTLE_S = 2.0
 _TOMBSTONE_S = 1.0
 _TOMBSTONE_TRIES = 3
+#: Refusals that cost no server any time and correct the view: trying the next
+#: agent after one of them adds no load, so it takes nothing from the budget.
+_FREE_REASONS = frozenset(
+    (
+        RefusalReason.draining,
+        RefusalReason.no_server,
+        RefusalReason.incarnation,
+        RefusalReason.stale_ticket,
+        RefusalReason.unreachable,
+    ),
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -140,6 +151,8 @@
 
     def _may_retry(self, ask: Ask, stage: Stage, reply: StageReply) -> bool:
         state = self.state
+        if isinstance(reply, StageNotRun) and reply.reason in _FREE_REASONS:
+            return self._left_s(ask) > 0
         now = state.node.clock.now()
         allowed = state.retries.may_retry(
             left_ms=(ask.deadline - now) * MS_PER_S,
@@ -321,6 +334,7 @@
 
     async def _call(self, agent: AgentState, dispatch: Dispatch, left_s: float) -> StageReply:
         state = self.state
+        began = state.node.clock.now()
         state.node.events.emit(
             logger,
             Event.stage_dispatched,
@@ -337,10 +351,14 @@
                 timeout_s=max(left_s, 0.001),
             )
         except UnreachableError as error:
+            if dispatch.repeatable and state.node.clock.now() - began >= left_s:
+                return StageTimedOut()
             if dispatch.repeatable:
                 return StageFailed(detail=str(error))
             return StageUnknown(detail=str(error))
         reply: StageReply = received.body.reply
+        if received.body.state is not None:
+            state.view.take(received.body.state, state.node.clock.now())
         if isinstance(reply, StageDone) and not _is_answer_to(reply, dispatch):
             state.node.events.emit(
                 logger,
@@ -390,7 +408,9 @@
 
     def _choose(self, ask: Ask, stage: Stage, avoid: frozenset[str]) -> AgentState | None:
         state = self.state
-        if not state.holder.current.may_use(ask.pipeline.name.partition('/')[0], stage.pool):
+        current = state.holder.current
+        pool = current.pool(stage.pool)
+        if pool is None or not current.may_use(ask.pipeline.name.partition('/')[0], pool.name):
             return None
         now = state.node.clock.now()
         wanted = Routable(
@@ -400,7 +420,12 @@
             prefix=ask.prefix,
             avoid=avoid,
         )
-        return state.router.choose(state.view.of_pool(stage.pool, stage.model), wanted, now)
+        agents = [
+            agent
+            for agent in state.view.of_pool(pool.name, stage.model)
+            if agent.name not in pool.drain
+        ]
+        return state.router.choose(agents, wanted, now)
 
     def _left_s(self, ask: Ask) -> float:
         return ask.deadline - self.state.node.clock.now()
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -76,7 +76,6 @@
     declared = 'declared-not-run'
     cancelled = 'cancelled'
     no_server = 'no-server'
-    limit = 'limit'
     unauthorised_pool = 'pool-not-granted'
     ledger = 'ledger-unreachable'
 
@@ -138,12 +137,6 @@
 ]
 
 
-class DispatchReply(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """An agent's word on a dispatch."""
-
-    reply: StageReply
-
-
 class Tombstone(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Forbid an execution that never started; else tell how it stands.
 
@@ -191,6 +184,13 @@
     revision: int = 0
 
 
+class DispatchReply(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """An agent's word on a dispatch; a refusal brings the agent's state."""
+
+    reply: StageReply
+    state: Union[AgentState, None] = None
+
+
 class ReportReply(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Acknowledgement of a report."""
 
--- a/ringseam/node.py
+++ b/ringseam/node.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.clock import Clock, HybridClock, RuntimeClock
+from ringseam.drill import Drill
 from ringseam.events import EventLog
 from ringseam.ids import fresh_id
 
@@ -29,6 +30,7 @@
     group: str = ''
     #: Whether the first group that shows itself is taken for good.
     adopts_group: bool = True
+    drill: Drill = field(default_factory=Drill)
     hybrid: HybridClock = field(init=False)
     events: EventLog = field(init=False)
     on_newer: Callable[[int, str], None] | None = None
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -35,6 +35,7 @@
 logger = logging.getLogger(__name__)
 
 _DIGEST_BYTES = 16
+_DRILL_SILENCE_S = 60
 #: What a broken connection raises, whichever layer sees it first.
 CALL_ERRORS = (
     OSError,
@@ -184,7 +185,7 @@
         async def serve(stream: Stream[Any, Any]) -> None:  # noqa: WPS430
             try:
                 async for received in stream:
-                    take(received)
+                    self._unless_dropped(received, take)
             except StrangerError as error:
                 self._refuse(error)
             await stream.send_message(Empty())
@@ -225,8 +226,16 @@
             received = await stream.recv_message()
         except StrangerError as error:
             self._refuse(error)
-        if received is not None:
-            await stream.send_message(await respond(received))
+        if received is None:
+            return
+        if self.node.drill.drops(received.address):
+            await asyncio.sleep(_DRILL_SILENCE_S)
+            return
+        await stream.send_message(await respond(received))
+
+    def _unless_dropped(self, received: Received, take: Callable[[Received], None]) -> None:
+        if not self.node.drill.drops(received.address):
+            take(received)
 
     def _refuse(self, error: StrangerError) -> NoReturn:
         self.node.events.emit(logger, Event.stranger_refused, detail=str(error))
@@ -253,6 +262,9 @@
 
         :raises UnreachableError: when no whole, authentic reply came in time.
         """
+        if self.node.drill.drops(address):
+            await asyncio.sleep(timeout_s)
+            raise UnreachableError(f'{address} is cut off by a drill')
         stub = UnaryUnaryMethod(
             self._channel(address),
             method.path,
@@ -284,7 +296,7 @@
         try:
             async with stub.open() as stream:
                 while True:  # noqa: WPS457 - ends with the connection
-                    await stream.send_message(await source.get())
+                    await self._pass_on(stream, address, await source.get())
         except CALL_ERRORS as error:
             detail = f'{method.path} at {address}: {type(error).__name__} {error}'
             raise UnreachableError(detail) from None
@@ -295,6 +307,10 @@
             channel.close()
         self.channels.clear()
 
+    async def _pass_on(self, stream: Any, address: str, message: Any) -> None:
+        if not self.node.drill.drops(address):
+            await stream.send_message(message)
+
     def _channel(self, address: str) -> Channel:
         channel = self.channels.get(address)
         if channel is None:
--- a/ringseam/settings.py
+++ b/ringseam/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+from ringseam.drill import Drill
 from ringseam.errors import FindingsError
 from ringseam.node import Node
 from ringseam.util.ini import Key, Kind, parse_ini
@@ -39,6 +40,12 @@
     ),
     Key(name='log_level', kind=Kind.choice, default='INFO', choices=LOG_LEVELS),
     Key(name='log_file', kind=Kind.path, default='', text='empty: standard error'),
+    Key(
+        name='drill_file',
+        kind=Kind.path,
+        default='',
+        text='for drills: addresses in this file are silently cut off',
+    ),
     Key(
         name='drain_ms',
         kind=Kind.number,
@@ -129,6 +136,7 @@
             secret=self.secret,
             zone=self.process['zone'],
             region=self.process['region'],
+            drill=Drill(path=self.process['drill_file']),
         )
 
     def seconds(self, key: str) -> float:
--- a/ringseam/standin/backend.py
+++ b/ringseam/standin/backend.py
@@ -155,13 +155,12 @@
         headers = {
             **reply.headers,
             'Content-Length': str(len(reply.body)),
-            'Connection': 'close',
         }
         return HttpReply(
             status=reply.status,
             content_type=reply.content_type,
             headers=headers,
-            chunks=[reply.body[: len(reply.body) // 2]],
+            chunks=_cut_short(reply.body),
         )
 
     def _set_faults(self, request: HttpRequest) -> HttpReply:
@@ -187,6 +186,12 @@
         return json_reply(http.HTTPStatus.OK, {'models': list(order.models)})
 
 
+def _cut_short(body: bytes) -> Iterator[bytes]:
+    """Yield half of ``body`` and break the connection."""
+    yield body[: len(body) // 2]
+    raise ConnectionAbortedError('a truncation was asked for')
+
+
 class Order(msgspec.Struct, frozen=True):
     """An order to load models."""
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -69,6 +69,21 @@
         process.send_signal(signal.SIGTERM)
         return process.wait(within_s)
 
+    def cut(self, name, *others, both=True):
+        """Silently cut ``name`` off from ``others``; none: heal it."""
+        planned = self.layout.planned
+        (self.layout.folder / f'{name}.drill').write_text(
+            ' '.join(planned[other].address for other in others),
+        )
+        if both:
+            for other in others:
+                path = self.layout.folder / f'{other}.drill'
+                path.write_text(planned[name].address)
+
+    def heal(self):
+        for path in self.layout.folder.glob('*.drill'):
+            path.unlink()
+
     def close(self):
         for process in self.running.values():
             process.send_signal(signal.SIGCONT)
