Stop agents without cutting off entries that have not heard

Ruled out: lost executions (the agent's log shows each dispatch refused). Conclusion: refusals carry the agent's state and correct the entry's view; refusals that cost no server time take nothing from the retry budget; a call that could not connect is known not to have left; an agent lingers 1 s. Also the test of a stale starting entry looked at the event of the first start; it now waits for the second.

--- a/ringseam/agent/role.py
+++ b/ringseam/agent/role.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import http
 import logging
 from typing import TYPE_CHECKING, Literal
 
 import msgspec
+from pykka import ActorDeadError
 
 from ringseam.agent.server import (
     Abandon,
@@ -38,6 +40,7 @@
 _ANNOUNCE_BYTES = 64 * 1024
 _ANNOUNCE_PATH = '/v1/announce'
 _REPORT_TIMEOUT_S = 1.0
+_LINGER_S = 1.0
 
 
 class AnnouncementBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -95,6 +98,8 @@
         idle = asyncio.create_task(ask(self.actor, Drain()))
         await self.report_once()
         await idle
+        # Entries that have not heard yet are refused, not cut off.
+        await asyncio.sleep(_LINGER_S)
 
     async def dispatch(self, received: Received) -> DispatchReply:
         """Run a dispatch; when the caller goes away, say so to the actor."""
@@ -102,7 +107,8 @@
         try:
             reply = await ask(self.actor, Offer(dispatch=dispatch, revision=received.revision))
         except asyncio.CancelledError:
-            self.actor.tell(Abandon(dispatch=dispatch))
+            with contextlib.suppress(ActorDeadError):
+                self.actor.tell(Abandon(dispatch=dispatch))
             raise
         if isinstance(reply, StageNotRun):
             # The sender's view was wrong: correct it along with the refusal.
--- a/ringseam/entry/stages.py
+++ b/ringseam/entry/stages.py
@@ -9,7 +9,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.config import PRIORITIES, Account, Pipeline, Stage
 from ringseam.costs import FAILED, LATE, RETRIED, USEFUL, CostKey
-from ringseam.errors import UnreachableError
+from ringseam.errors import NotSentError, UnreachableError
 from ringseam.events import Event
 from ringseam.ledger import (
     ClaimStage,
@@ -350,6 +350,8 @@
                 dispatch,
                 timeout_s=max(left_s, 0.001),
             )
+        except NotSentError:
+            return StageNotRun(reason=RefusalReason.unreachable)
         except UnreachableError as error:
             if dispatch.repeatable and state.node.clock.now() - began >= left_s:
                 return StageTimedOut()
--- a/ringseam/errors.py
+++ b/ringseam/errors.py
@@ -17,6 +17,10 @@
     """No process answered in time."""
 
 
+class NotSentError(UnreachableError):
+    """No connection could be made, so not a byte of the call has left."""
+
+
 class StorageError(RingseamError):
     """The data folder can't be written; the process must stop."""
 
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -20,7 +20,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
-from ringseam.errors import StrangerError, UnreachableError
+from ringseam.errors import NotSentError, StrangerError, UnreachableError
 from ringseam.events import Event
 from ringseam.ids import split_address
 from ringseam.messages import Empty
@@ -260,13 +260,19 @@
     ) -> Received:
         """Call ``method`` at ``address``.
 
+        :raises NotSentError: when no connection could be made.
         :raises UnreachableError: when no whole, authentic reply came in time.
         """
         if self.node.drill.drops(address):
             await asyncio.sleep(timeout_s)
             raise UnreachableError(f'{address} is cut off by a drill')
+        channel = self._channel(address)
+        try:
+            await asyncio.wait_for(channel.__connect__(), timeout_s)
+        except CALL_ERRORS as error:
+            raise NotSentError(f'{address}: {error}') from None
         stub = UnaryUnaryMethod(
-            self._channel(address),
+            channel,
             method.path,
             method.request,
             method.reply,
--- a/tests/test_system/test_system_control.py
+++ b/tests/test_system/test_system_control.py
@@ -191,7 +191,10 @@
     whole_system.kill('other')
     whole_system.cut('other', *others, both=False)
     whole_system.start('other')
-    eventually(lambda: whole_system.events('other', 'first_revision'), what='a first revision')
+    eventually(
+        lambda: len(whole_system.events('other', 'first_revision')) == 2,
+        what='the first revision of the second start',
+    )
     assert whole_system.events('other', 'first_revision')[-1]['revision'] == 1
     whole_system.heal()
     eventually(
