--- a/ringseam/agent/queue.py
+++ b/ringseam/agent/queue.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.agent.execution import Execution
     from ringseam.messages import Dispatch
 
@@ -23,6 +25,7 @@
     deadline: float
     offered: float
     weight: int = 1
+    on_text: Callable[[str], None] | None = None
 
     @property
     def cost_ms(self) -> float:
--- a/ringseam/agent/role.py
+++ b/ringseam/agent/role.py
@@ -11,25 +11,32 @@
 import msgspec
 from pykka import ActorDeadError
 
+from ringseam.agent.coalesce import Coalescer
+from ringseam.agent.orders import OrderGiver, OrderOutcome
 from ringseam.agent.server import (
     Abandon,
     Announcement,
     Drain,
+    GetServer,
     Offer,
     Reconfigured,
     ServerActor,
     Tick,
 )
+from ringseam.controlclient import ControlClient
 from ringseam.errors import UnreachableError
+from ringseam.events import Event
 from ringseam.holder import ConfigHolder
 from ringseam.ids import split_address
-from ringseam.messages import AgentState, DispatchReply, StageNotRun
+from ringseam.messages import AgentState, DispatchReply, Frame, StageNotRun, StreamEnd
 from ringseam.role import Role
-from ringseam.services import AGENT_STATE, DISPATCH, REPORT, TOMBSTONE
+from ringseam.services import AGENT_STATE, DISPATCH, DISPATCH_STREAM, REPORT, TOMBSTONE
 from ringseam.util.actors import ask
 from ringseam.util.http import HttpReply, HttpRequest, HttpServer, json_reply, problem
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ringseam.config import Configuration
     from ringseam.rpc import Received
     from ringseam.settings import Settings
@@ -63,6 +70,11 @@
         super().__init__(settings=settings)
         self.holder = ConfigHolder(node=self.node, client=self.client)
         own = settings.own
+        self.control = ControlClient(
+            client=self.client,
+            addresses=settings.process['control'],
+        )
+        self.orders: OrderGiver | None = None
         self.actor = ServerActor.start(
             node=self.node,
             queue=own['queue'],
@@ -85,6 +97,7 @@
         self.holder.listeners.append(self._reconfigured)
         self.holder.serve(self.server)
         self.server.add(DISPATCH, self.dispatch)
+        self.server.add_frames(DISPATCH_STREAM, self.dispatch_stream)
         self.server.add(TOMBSTONE, self.tombstone)
         self.server.add(AGENT_STATE, self.agent_state)
         await self.server.start()
@@ -92,6 +105,7 @@
         self.http.start()
         self.stack.callback(self.http.stop)
         self.spawn(self.report_always())
+        self.spawn(self.reconcile_always())
 
     async def drain(self) -> None:
         """Refuse new work, tell control, wait until nothing runs."""
@@ -103,17 +117,22 @@
 
     async def dispatch(self, received: Received) -> DispatchReply:
         """Run a dispatch; when the caller goes away, say so to the actor."""
-        dispatch = received.body
+        return await self._offer(received, None)
+
+    async def dispatch_stream(
+        self,
+        received: Received,
+        send: Callable[[Frame], Awaitable[None]],
+    ) -> None:
+        """Run a dispatch whose text goes out while it is generated."""
+        coalescer = Coalescer(send=send)
+        sending = asyncio.create_task(coalescer.run())
         try:
-            reply = await ask(self.actor, Offer(dispatch=dispatch, revision=received.revision))
-        except asyncio.CancelledError:
-            with contextlib.suppress(ActorDeadError):
-                self.actor.tell(Abandon(dispatch=dispatch))
-            raise
-        if isinstance(reply, StageNotRun):
-            # The sender's view was wrong: correct it along with the refusal.
-            return DispatchReply(reply=reply, state=await ask(self.actor, Tick()))
-        return DispatchReply(reply=reply)
+            reply = await self._offer(received, coalescer.take)
+        finally:
+            sending.cancel()
+        await coalescer.flush()
+        await send(Frame(part=StreamEnd(reply=reply)))
 
     async def tombstone(self, received: Received) -> DispatchReply:
         """Forbid an execution or tell how it stands."""
@@ -123,6 +142,15 @@
         """Return the state now, for an entry that lost the directory."""
         return await ask(self.actor, Tick())
 
+    async def reconcile_always(self) -> None:
+        """Order the engine to hold the models that its pool's file names."""
+        interval = self.settings.seconds('report_ms')
+        while True:  # noqa: WPS457 - ends with the role
+            await asyncio.sleep(interval)
+            server = await ask(self.actor, GetServer())
+            if server is not None and not self.draining:
+                await self._reconcile(server)
+
     async def report_always(self) -> None:
         """Report to every control host at the interval of the settings."""
         interval = self.settings.seconds('report_ms')
@@ -155,5 +183,43 @@
         self.actor.tell(Announcement(**msgspec.structs.asdict(body)))
         return json_reply(http.HTTPStatus.OK, {'agent': self.node.name})
 
+    async def _offer(
+        self,
+        received: Received,
+        on_text: Callable[[str], None] | None,
+    ) -> DispatchReply:
+        dispatch = received.body
+        offer = Offer(dispatch=dispatch, revision=received.revision, on_text=on_text)
+        try:
+            reply = await ask(self.actor, offer)
+        except asyncio.CancelledError:
+            with contextlib.suppress(ActorDeadError):
+                self.actor.tell(Abandon(dispatch=dispatch))
+            raise
+        if isinstance(reply, StageNotRun):
+            # The sender's view was wrong: correct it along with the refusal.
+            return DispatchReply(reply=reply, state=await ask(self.actor, Tick()))
+        return DispatchReply(reply=reply)
+
+    async def _reconcile(self, server: Announcement) -> None:
+        pool = self.holder.current.pool(server.pool)
+        if pool is None or not pool.models or set(pool.models) == set(server.models):
+            return
+        if self.orders is None or self.orders.server != server.address:
+            self.orders = OrderGiver(
+                control=self.control,
+                clock=self.node.clock,
+                server=server.address,
+            )
+        outcome = await self.orders.load_models(pool.models)
+        self.node.events.emit(
+            logger,
+            Event.order_given if outcome is OrderOutcome.done else Event.order_not_given,
+            server=server.address,
+            token=self.orders.token,
+            models=list(pool.models),
+            outcome=outcome.value,
+        )
+
     def _reconfigured(self, configuration: Configuration) -> None:
         self.actor.tell(Reconfigured(configuration=configuration))
--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -35,6 +35,8 @@
 from ringseam.util.actors import Ask, ReplyTo
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.config import Configuration, Pool
     from ringseam.node import Node
 
@@ -61,6 +63,7 @@
 
     dispatch: Dispatch
     revision: int
+    on_text: Callable[[str], None] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -90,6 +93,11 @@
     """Time passed; expire, forget and report."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class GetServer:
+    """Ask for the latest :class:`Announcement`, or None."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Drain:
     """A planned stop began: take nothing new."""
@@ -236,6 +244,10 @@
         self.idle.append(reply_to)
         self._tell_idle()
 
+    def tell_server(self, ask: GetServer, reply_to: ReplyTo) -> None:
+        """Tell the backend server's latest announcement."""
+        reply_to.send(self.server)
+
     # -- state --------------------------------------------------------------
 
     def state(self, now: float) -> AgentState:
@@ -297,6 +309,7 @@
                 deadline=now + offer.dispatch.time_left_ms / MS_PER_S,
                 offered=now,
                 weight=account.weight if account else 1,
+                on_text=offer.on_text,
             ),
         )
         self._pump()
@@ -371,7 +384,13 @@
             stage=job.dispatch.stage,
             generation=execution.generation,
         )
-        call = Call(dispatch=job.dispatch, pool=pool, budget_s=left_ms / MS_PER_S, cancel=cancel)
+        call = Call(
+            dispatch=job.dispatch,
+            pool=pool,
+            budget_s=left_ms / MS_PER_S,
+            cancel=cancel,
+            on_text=job.on_text,
+        )
         self.workers.submit(_carry_out, self.actor_ref, self.adapter, call, job)
 
     def _end(self, execution: Execution, reply: StageReply) -> None:
@@ -421,5 +440,6 @@
     Reconfigured: ServerActor.reconfigure,
     Announcement: ServerActor.announce,
     Tick: ServerActor.tick,
+    GetServer: ServerActor.tell_server,
     Drain: ServerActor.drain,
 }
--- a/ringseam/control/directory.py
+++ b/ringseam/control/directory.py
@@ -75,6 +75,7 @@
             upto=self.change,
             whole=whole,
             agents=tuple(row.state for row in self.rows.values() if row.change > first),
+            entries=max(1, len(self.processes)),
             gone=() if whole else tuple(name for change, name in self.gone if change > first),
         )
 
--- a/ringseam/entry/frontend.py
+++ b/ringseam/entry/frontend.py
@@ -7,9 +7,11 @@
 import http
 import math
 import threading
+from concurrent import futures
 from typing import TYPE_CHECKING, Any
 
 from ringseam.entry.runs import CallerRequest, PipelineRuns
+from ringseam.entry.streaming import EVENT_STREAM, TextStream
 from ringseam.ids import fresh_id
 from ringseam.outcomes import (
     Completed,
@@ -26,6 +28,8 @@
 from ringseam.util.http import HttpReply, HttpRequest, problem
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.config import Account, Pipeline
     from ringseam.entry.state import EntryState
 
@@ -101,20 +105,52 @@
                 status=http.HTTPStatus.SERVICE_UNAVAILABLE,
             )
             return _reply(busy, request_id)
+        if EVENT_STREAM in request.header('accept'):
+            return self._streamed(request, request_id)
         try:
-            caller = self._caller_request(request, request_id)
-            outcome = self._run(caller)
+            caller = self._caller_request(request, request_id, None)
+            outcome = self._begin(caller).result()
         except RejectedError as error:
             outcome = Rejected(status=error.status, detail=str(error))
         finally:
             self.places.release()
         return _reply(outcome, request_id)
 
-    def _run(self, caller: CallerRequest) -> Outcome:
-        future = asyncio.run_coroutine_threadsafe(self.runs.run(caller), self.loop)
-        return future.result()
+    def _streamed(self, request: HttpRequest, request_id: str) -> HttpReply:
+        """Answer with events; an error before the first text has its status."""
+        stream = TextStream()
+        try:
+            future = self._begin(self._caller_request(request, request_id, stream.take))
+        except RejectedError as error:
+            self.places.release()
+            return _reply(Rejected(status=error.status, detail=str(error)), request_id)
+        future.add_done_callback(stream.finish)
+        first = stream.first()
+
+        def release() -> None:  # noqa: WPS430
+            # When the caller has gone, the run is cancelled down to the engine.
+            future.cancel()
+            self.places.release()
+
+        if not isinstance(first, (str, Completed)):
+            release()
+            return _reply(first, request_id)
+        return HttpReply(
+            status=http.HTTPStatus.OK,
+            content_type=EVENT_STREAM,
+            headers={'Ringseam-Request-Id': request_id},
+            chunks=stream.events(first, release),
+        )
+
+    def _begin(self, caller: CallerRequest) -> futures.Future[Outcome]:
+        return asyncio.run_coroutine_threadsafe(self.runs.run(caller), self.loop)
 
-    def _caller_request(self, request: HttpRequest, request_id: str) -> CallerRequest:
+    def _caller_request(
+        self,
+        request: HttpRequest,
+        request_id: str,
+        on_text: Callable[[str], None] | None,
+    ) -> CallerRequest:
         if request.method != 'POST':
             raise RejectedError(http.HTTPStatus.METHOD_NOT_ALLOWED, 'use POST')
         account = self._authenticate(request)
@@ -133,6 +169,7 @@
             content_type=request.content_type or 'application/octet-stream',
             body=request.body,
             received=self.state.node.clock.now(),
+            on_text=on_text,
         )
 
     def _authenticate(self, request: HttpRequest) -> Account:
--- a/ringseam/entry/role.py
+++ b/ringseam/entry/role.py
@@ -186,3 +186,5 @@
         delta: DeltaReply = received.body
         self.state.view.merge(address, delta, self.node.clock.now())
         self.epochs[address] = delta
+        # Where the directories differ, the smaller share is the safe one.
+        self.state.limits.entries = max(known.entries for known in self.epochs.values())
--- a/ringseam/entry/runs.py
+++ b/ringseam/entry/runs.py
@@ -45,6 +45,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.config import Account, Pipeline, Stage
     from ringseam.entry.state import EntryState
 
@@ -69,6 +71,7 @@
     content_type: str
     body: bytes
     received: float
+    on_text: Callable[[str], None] | None = None
 
 
 class PipelineRuns:
@@ -133,6 +136,7 @@
             key=request.key,
             pipeline=request.pipeline,
             deadline=deadline,
+            on_text=request.on_text,
         )
         known: dict[str, StageRecord] = {}
         if request.pipeline.needs_key:
--- a/ringseam/entry/stages.py
+++ b/ringseam/entry/stages.py
@@ -24,6 +24,8 @@
 from ringseam.messages import (
     AgentState,
     Dispatch,
+    DispatchReply,
+    Frame,
     RefusalReason,
     StageDone,
     StageFailed,
@@ -32,13 +34,16 @@
     StageRunning,
     StageTimedOut,
     StageUnknown,
+    StreamEnd,
     Ticket,
     Tombstone,
 )
 from ringseam.routing import Routable
-from ringseam.services import COMMAND, DISPATCH, TOMBSTONE, CommandRequest
+from ringseam.services import COMMAND, DISPATCH, DISPATCH_STREAM, TOMBSTONE, CommandRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.entry.state import EntryState
 
 logger = logging.getLogger(__name__)
@@ -59,7 +64,7 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True)
 class Ask:
     """One caller's request as its stages see it."""
 
@@ -69,6 +74,10 @@
     pipeline: Pipeline
     deadline: float
     prefix: str = ''
+    #: Hears the text of the last stage while it is generated.
+    on_text: Callable[[str], None] | None = None
+    #: Whether text has gone to the caller: then no other try may add to it.
+    text_left: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -133,7 +142,7 @@
         agent = self._next_agent(ask, stage, tries)
         while agent is not None:
             reply = await self._dispatch(ask, stage, given, agent, len(tries.avoid))
-            if isinstance(reply, (StageDone, StageTimedOut)):
+            if isinstance(reply, (StageDone, StageTimedOut)) or ask.text_left:
                 return reply
             tries.note(reply)
             agent = self._next_agent(ask, stage, tries)
@@ -328,11 +337,49 @@
             est_ms=state.estimates.estimate_ms(stage, now),
         )
         state.router.started(agent)
-        reply = await self._call(agent, dispatch, left_s)
+        on_text = _text_outlet(ask) if stage is ask.pipeline.stages[-1] else None
+        reply = await self._call(agent, dispatch, left_s, on_text)
         self._account(ask, stage, agent, reply, now)
         return reply
 
-    async def _call(self, agent: AgentState, dispatch: Dispatch, left_s: float) -> StageReply:
+    async def _exchange(
+        self,
+        agent: AgentState,
+        dispatch: Dispatch,
+        timeout_s: float,
+        on_text: Callable[[str], None] | None,
+    ) -> DispatchReply:
+        """Send a dispatch and return the agent's word on it."""
+        client = self.state.client
+        if on_text is None:
+            received = await client.call(agent.address, DISPATCH, dispatch, timeout_s=timeout_s)
+            return received.body
+        ends: list[DispatchReply] = []
+
+        def take(frame: Frame) -> None:  # noqa: WPS430
+            if isinstance(frame.part, StreamEnd):
+                ends.append(frame.part.reply)
+            else:
+                on_text(frame.part.text)
+
+        await client.call_frames(
+            agent.address,
+            DISPATCH_STREAM,
+            dispatch,
+            take,
+            timeout_s=timeout_s,
+        )
+        if not ends:
+            raise UnreachableError(f'{agent.address}: the stream had no end')
+        return ends[0]
+
+    async def _call(
+        self,
+        agent: AgentState,
+        dispatch: Dispatch,
+        left_s: float,
+        on_text: Callable[[str], None] | None,
+    ) -> StageReply:
         state = self.state
         began = state.node.clock.now()
         state.node.events.emit(
@@ -344,12 +391,7 @@
             agent=agent.name,
         )
         try:
-            received = await state.client.call(
-                agent.address,
-                DISPATCH,
-                dispatch,
-                timeout_s=max(left_s, 0.001),
-            )
+            answered = await self._exchange(agent, dispatch, max(left_s, 0.001), on_text)
         except NotSentError:
             return StageNotRun(reason=RefusalReason.unreachable)
         except UnreachableError as error:
@@ -358,9 +400,9 @@
             if dispatch.repeatable:
                 return StageFailed(detail=str(error))
             return StageUnknown(detail=str(error))
-        reply: StageReply = received.body.reply
-        if received.body.state is not None:
-            state.view.take(received.body.state, state.node.clock.now())
+        reply: StageReply = answered.reply
+        if answered.state is not None:
+            state.view.take(answered.state, state.node.clock.now())
         if isinstance(reply, StageDone) and not _is_answer_to(reply, dispatch):
             state.node.events.emit(
                 logger,
@@ -433,6 +475,19 @@
         return ask.deadline - self.state.node.clock.now()
 
 
+def _text_outlet(ask: Ask) -> Callable[[str], None] | None:
+    """Return where the last stage's text goes, noting that it has gone."""
+    on_text = ask.on_text
+    if on_text is None:
+        return None
+
+    def take(text: str) -> None:  # noqa: WPS430
+        ask.text_left = True
+        on_text(text)
+
+    return take
+
+
 def reply_of(record: StageRecord, stage: Stage) -> StageReply:
     """Return the reply that a settled record stands for."""
     if record.state is StageState.completed and record.answer is not None:
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -191,6 +191,24 @@
     state: Union[AgentState, None] = None
 
 
+class Piece(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """A part of a streamed answer: as many tokens as came in one interval."""
+
+    text: str
+
+
+class StreamEnd(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """The last frame of a streamed dispatch."""
+
+    reply: DispatchReply
+
+
+class Frame(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """One frame of a streamed dispatch."""
+
+    part: Union[Piece, StreamEnd]
+
+
 class ReportReply(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Acknowledgement of a report."""
 
@@ -213,6 +231,9 @@
     whole: bool
     agents: tuple[AgentState, ...] = ()
     gone: tuple[str, ...] = ()
+    #: How many entries this control host hears of; the account limits are
+    #: shared among them.
+    entries: int = 1
 
 
 # -- configuration -----------------------------------------------------------
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import msgspec
-from grpclib.client import Channel, StreamUnaryMethod, UnaryUnaryMethod
+from grpclib.client import Channel, StreamUnaryMethod, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -32,6 +32,11 @@
 
     from ringseam.node import Node
 
+    #: Sends one frame of a reply.
+    FrameSender = Callable[[Any], Awaitable[None]]
+    #: Answers one request by sending frames.
+    FrameResponder = Callable[['Received', FrameSender], Awaitable[None]]
+
 logger = logging.getLogger(__name__)
 
 _DIGEST_BYTES = 16
@@ -197,6 +202,28 @@
             method.reply,
         )
 
+    def add_frames(
+        self,
+        method: Method,
+        respond: FrameResponder,
+    ) -> None:
+        """Serve ``method`` with many frames for one request."""
+
+        async def serve(stream: Stream[Any, Any]) -> None:  # noqa: WPS430
+            try:
+                received = await stream.recv_message()
+            except StrangerError as error:
+                self._refuse(error)
+            if received is not None:
+                await respond(received, stream.send_message)
+
+        self.mapping[method.path] = Handler(
+            serve,
+            Cardinality.UNARY_STREAM,
+            method.request,
+            method.reply,
+        )
+
     def __mapping__(self) -> dict[str, Handler]:
         """Return the methods in grpclib's form."""
         return self.mapping
@@ -266,13 +293,8 @@
         if self.node.drill.drops(address):
             await asyncio.sleep(timeout_s)
             raise UnreachableError(f'{address} is cut off by a drill')
-        channel = self._channel(address)
-        try:
-            await asyncio.wait_for(channel.__connect__(), timeout_s)
-        except CALL_ERRORS as error:
-            raise NotSentError(f'{address}: {error}') from None
         stub = UnaryUnaryMethod(
-            channel,
+            await self._connected(address, timeout_s),
             method.path,
             method.request,
             method.reply,
@@ -283,6 +305,35 @@
             detail = f'{method.path} at {address}: {type(error).__name__} {error}'
             raise UnreachableError(detail) from None
 
+    async def call_frames(
+        self,
+        address: str,
+        method: Method,
+        message: Any,
+        take: Callable[[Any], None],
+        *,
+        timeout_s: float,
+    ) -> None:
+        """Call ``method`` and give each frame's body to ``take``.
+
+        :raises NotSentError: when no connection could be made.
+        :raises UnreachableError: when the frames broke off or were late.
+        """
+        stub = UnaryStreamMethod(
+            await self._connected(address, timeout_s),
+            method.path,
+            method.request,
+            method.reply,
+        )
+        try:
+            async with asyncio.timeout(timeout_s), stub.open() as stream:
+                await stream.send_message(message, end=True)
+                async for received in stream:
+                    take(received.body)
+        except CALL_ERRORS as error:
+            detail = f'{method.path} at {address}: {type(error).__name__} {error}'
+            raise UnreachableError(detail) from None
+
     async def stream(
         self,
         address: str,
@@ -317,6 +368,14 @@
         if not self.node.drill.drops(address):
             await stream.send_message(message)
 
+    async def _connected(self, address: str, timeout_s: float) -> Channel:
+        channel = self._channel(address)
+        try:
+            await asyncio.wait_for(channel.__connect__(), timeout_s)
+        except CALL_ERRORS as error:
+            raise NotSentError(f'{address}: {error}') from None
+        return channel
+
     def _channel(self, address: str) -> Channel:
         channel = self.channels.get(address)
         if channel is None:
--- a/ringseam/services.py
+++ b/ringseam/services.py
@@ -18,6 +18,7 @@
     Dispatch,
     DispatchReply,
     Empty,
+    Frame,
     Message,
     Redirect,
     ReportReply,
@@ -27,6 +28,7 @@
 from ringseam.rpc import Method
 
 DISPATCH = Method('/ringseam.Agent/Dispatch', Dispatch, DispatchReply)
+DISPATCH_STREAM = Method('/ringseam.Agent/DispatchStream', Dispatch, Frame)
 TOMBSTONE = Method('/ringseam.Agent/Tombstone', Tombstone, DispatchReply)
 AGENT_STATE = Method('/ringseam.Agent/State', Empty, AgentState)
 REPORT = Method('/ringseam.Directory/Report', AgentState, ReportReply)
