--- a/ringseam/agent/queue.py
+++ b/ringseam/agent/queue.py
@@ -24,14 +24,10 @@
     dispatch: Dispatch
     deadline: float
     offered: float
+    cost_ms: float
     weight: int = 1
     on_text: Callable[[str], None] | None = None
 
-    @property
-    def cost_ms(self) -> float:
-        """Return the expected server time."""
-        return max(1, self.dispatch.est_ms)
-
 
 #: A job behind its deadline and its order of arrival.
 Waiting = tuple[float, int, Job]
--- a/ringseam/agent/role.py
+++ b/ringseam/agent/role.py
@@ -78,6 +78,7 @@
         self.actor = ServerActor.start(
             node=self.node,
             queue=own['queue'],
+            shed=own['shed'],
             threads=own['threads'],
             memory_s=own['memory_s'],
             stale_grace_s=settings.seconds('stale_grace_ms'),
--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -28,6 +28,7 @@
     AgentState,
     Dispatch,
     RefusalReason,
+    StageFailed,
     StageNotRun,
     StageReply,
     Tombstone,
@@ -113,6 +114,7 @@
         *,
         node: Node,
         queue: str,
+        shed: bool,
         threads: int,
         memory_s: float,
         stale_grace_s: float,
@@ -122,6 +124,7 @@
         super().__init__()
         self.node = node
         self.queue: StageQueue = StageQueue.kinds[queue]()
+        self.shed = shed
         self.table = ExecutionTable(incarnation=node.incarnation, memory_s=memory_s)
         self.workers = ThreadPoolExecutor(threads, thread_name_prefix='execution')
         self.stale_grace_s = stale_grace_s
@@ -136,7 +139,7 @@
         self.running: dict[ExecutionKey, tuple[Job, Cancel]] = {}
         self.waiters: dict[ExecutionKey, list[ReplyTo]] = defaultdict(list)
         self.idle: list[ReplyTo] = []
-        self.mean_ms: float = 0
+        self.means_ms: dict[str, float] = {}
 
     def on_receive(self, message: Any) -> None:
         """Handle one message."""
@@ -188,9 +191,7 @@
         """Record an execution's reply, tell it and start the next."""
         execution = concluded.job.execution
         self.running.pop(execution.key, None)
-        spent = getattr(concluded.reply, 'server_ms', 0)
-        if spent:
-            self.mean_ms += _DECAY * (spent - self.mean_ms)
+        self._learn(concluded)
         self._end(execution, concluded.reply)
         self._pump()
 
@@ -267,6 +268,7 @@
             queued=self.queue.count,
             capacity=capacity,
             wait_ms=self.queue.work_ms / capacity,
+            service_ms=max(self.means_ms.values(), default=0),
             draining=self._is_leaving(),
             serving=self._is_serving(now),
             revision=self.node.revision,
@@ -308,6 +310,7 @@
                 dispatch=offer.dispatch,
                 deadline=now + offer.dispatch.time_left_ms / MS_PER_S,
                 offered=now,
+                cost_ms=self._cost_ms(offer.dispatch),
                 weight=account.weight if account else 1,
                 on_text=offer.on_text,
             ),
@@ -326,13 +329,13 @@
         owner = dispatch.pipeline.partition('/')[0]
         if not self.configuration.may_use(owner, dispatch.pool):
             return RefusalReason.unauthorised_pool
-        return self._time_refusal(dispatch, pool)
+        return self._time_refusal(dispatch, pool) if self.shed else None
 
     def _time_refusal(self, dispatch: Dispatch, pool: Pool) -> RefusalReason | None:
         wait_ms = self._wait_ms(dispatch.priority)
         if wait_ms > pool.queue_ms:
             return RefusalReason.queue_full
-        if wait_ms + dispatch.est_ms > dispatch.time_left_ms:
+        if wait_ms + self._cost_ms(dispatch) > dispatch.time_left_ms:
             return RefusalReason.deadline
         return None
 
@@ -343,7 +346,19 @@
         return self.queue.work_before_ms(priority) / capacity
 
     def _retry_after_ms(self) -> int:
-        return int(self.queue.work_ms / self._capacity() + self.mean_ms) + 1
+        mean_ms = max(self.means_ms.values(), default=0)
+        return int(self.queue.work_ms / self._capacity() + mean_ms) + 1
+
+    def _cost_ms(self, dispatch: Dispatch) -> float:
+        """Return the server time to expect here: this server may be slower."""
+        return max(1, dispatch.est_ms, self.means_ms.get(dispatch.stage, 0))
+
+    def _learn(self, concluded: Concluded) -> None:
+        spent = getattr(concluded.reply, 'server_ms', 0)
+        if spent and not isinstance(concluded.reply, StageFailed):
+            stage = concluded.job.dispatch.stage
+            known = self.means_ms.get(stage, spent)
+            self.means_ms[stage] = known + _DECAY * (spent - known)
 
     def _is_stale(self, revision: int, now: float) -> bool:
         return any(
@@ -365,7 +380,9 @@
         now = self.node.clock.now()
         execution = job.execution
         left_ms = (job.deadline - now) * MS_PER_S
-        if execution.state is ExecutionState.queued and left_ms < job.dispatch.est_ms / 2:
+        # Refused now, it still has time to run on a faster server.
+        needed_ms = self._cost_ms(job.dispatch) if self.shed else 0
+        if execution.state is ExecutionState.queued and left_ms <= needed_ms:
             refusal = StageNotRun(
                 reason=RefusalReason.deadline,
                 retry_after_ms=self._retry_after_ms(),
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -168,6 +168,7 @@
     queued: int = 0
     capacity: int = 1
     wait_ms: float = 0
+    service_ms: float = 0
     draining: bool = False
     serving: bool = False
     revision: int = 0
--- a/ringseam/routing.py
+++ b/ringseam/routing.py
@@ -76,7 +76,6 @@
     in_flight: int = 0
     failures: int = 0
     ejected_until: float = 0
-    latency_ms: float = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -170,9 +169,6 @@
     zone_penalty_ms = 5.0
     eject_failures = 3
     eject_s = 2.0
-    #: An agent this many times slower than the pool's median is avoided.
-    slow_ratio = 4.0
-    decay = 0.2
 
     def choose(
         self,
@@ -194,16 +190,13 @@
         return first
 
     def ended(self, agent: AgentState, *, failed: bool, spent_ms: float, now: float) -> None:
-        """Count failures and latency; eject after several failures on end.
+        """Count failures; eject after several on end.
 
-        A failure says nothing of speed: an agent that fails fast must not look
-        like a fast one.
+        An agent that fails fast would otherwise look like a fast one.
         """
         super().ended(agent, failed=failed, spent_ms=spent_ms, now=now)
         record = self.records[agent.incarnation]
-        if not failed:
-            record.latency_ms += self.decay * (spent_ms - record.latency_ms)
-        elif record.failures >= self.eject_failures:
+        if record.failures >= self.eject_failures:
             steps = min(record.failures - self.eject_failures, 4)
             record.ejected_until = now + self.eject_s * 2**steps
 
@@ -230,7 +223,7 @@
         """Return the expected milliseconds until an answer from ``agent``."""
         record = self.records[agent.incarnation]
         busy = max(agent.in_flight + agent.queued, record.in_flight)
-        service = max(record.latency_ms, wanted.est_ms)
+        service = max(agent.service_ms, wanted.est_ms)
         waiting = max(0, busy - agent.capacity + 1)
         spread = busy / agent.capacity
         return service * (1 + waiting / agent.capacity + spread)
--- a/ringseam/settings.py
+++ b/ringseam/settings.py
@@ -85,6 +85,7 @@
     Key(name='memory_s', kind=Kind.number, default=600, low=1, high=86_400),
     Key(name='threads', kind=Kind.number, default=64, low=1, high=2048),
     Key(name='queue', kind=Kind.choice, default='fair', choices=('fair', 'fifo')),
+    Key(name='shed', kind=Kind.boolean, default=True, text='refuse what can not be in time'),
     Key(
         name='stale_grace_ms',
         kind=Kind.number,
