--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -23,6 +23,7 @@
 )
 from ringseam.agent.queue import Job, StageQueue
 from ringseam.clock import MS_PER_S
+from ringseam.config import PRIORITIES
 from ringseam.events import Event
 from ringseam.messages import (
     AgentState,
@@ -45,6 +46,8 @@
 
 _DECAY = 0.2
 _REVISIONS_KEPT = 64
+#: How much of the time left a dispatch may spend in the queue.
+_QUEUE_SHARE = 0.25
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -267,7 +270,7 @@
             in_flight=len(self.running),
             queued=self.queue.count,
             capacity=capacity,
-            wait_ms=self.queue.work_ms / capacity,
+            waits_ms=tuple(self._wait_ms(priority) for priority in range(len(PRIORITIES))),
             service_ms=max(self.means_ms.values(), default=0),
             draining=self._is_leaving(),
             serving=self._is_serving(now),
@@ -332,18 +335,25 @@
         return self._time_refusal(dispatch, pool) if self.shed else None
 
     def _time_refusal(self, dispatch: Dispatch, pool: Pool) -> RefusalReason | None:
-        wait_ms = self._wait_ms(dispatch.priority)
-        if wait_ms > pool.queue_ms:
+        account = self.configuration.account(dispatch.account)
+        weight = account.weight if account else 1
+        wait_ms = self._wait_ms(dispatch.priority, dispatch.account, weight)
+        # Short queues lose no throughput, and leave room for wrong estimates.
+        if wait_ms > min(pool.queue_ms, _QUEUE_SHARE * dispatch.time_left_ms):
             return RefusalReason.queue_full
-        if wait_ms + self._cost_ms(dispatch) > dispatch.time_left_ms:
+        needed_ms = wait_ms + self._cost_ms(dispatch) + dispatch.reserve_ms
+        if needed_ms > dispatch.time_left_ms:
             return RefusalReason.deadline
         return None
 
-    def _wait_ms(self, priority: int) -> float:
+    def _wait_ms(self, priority: int, account: str = '', weight: int = 1) -> float:
         capacity = self._capacity()
         if len(self.running) < capacity:
             return 0
-        return self.queue.work_before_ms(priority) / capacity
+        before_ms = self.queue.work_before_ms(priority, account, weight)
+        # Half of an execution on average until a place becomes free.
+        mean_ms = max(self.means_ms.values(), default=0)
+        return (before_ms + mean_ms / 2) / capacity
 
     def _retry_after_ms(self) -> int:
         mean_ms = max(self.means_ms.values(), default=0)
@@ -381,7 +391,7 @@
         execution = job.execution
         left_ms = (job.deadline - now) * MS_PER_S
         # Refused now, it still has time to run on a faster server.
-        needed_ms = self._cost_ms(job.dispatch) if self.shed else 0
+        needed_ms = self._cost_ms(job.dispatch) + job.dispatch.reserve_ms if self.shed else 0
         if execution.state is ExecutionState.queued and left_ms <= needed_ms:
             refusal = StageNotRun(
                 reason=RefusalReason.deadline,
--- a/ringseam/entry/frontend.py
+++ b/ringseam/entry/frontend.py
@@ -6,10 +6,10 @@
 import hashlib
 import http
 import math
-import threading
 from concurrent import futures
 from typing import TYPE_CHECKING, Any
 
+from ringseam.config import PRIORITIES
 from ringseam.entry.runs import CallerRequest, PipelineRuns
 from ringseam.entry.streaming import EVENT_STREAM, TextStream
 from ringseam.ids import fresh_id
@@ -25,11 +25,10 @@
     outcome_name,
     refused,
 )
+from ringseam.places import Places
 from ringseam.util.http import HttpReply, HttpRequest, problem
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ringseam.config import Account, Pipeline
     from ringseam.entry.state import EntryState
 
@@ -69,7 +68,7 @@
         self.state = state
         self.runs = runs
         self.loop = loop
-        self.places = threading.BoundedSemaphore(places)
+        self.places = Places(total=places)
         self.draining = False
         self.ready = False
 
@@ -97,48 +96,40 @@
 
     def _pipeline(self, request: HttpRequest) -> HttpReply:
         request_id = fresh_id()
-        if not self.places.acquire(blocking=False):
-            busy = refused(
-                'all places of this entry are taken',
-                1,
-                key=request.header('idempotency-key'),
-                status=http.HTTPStatus.SERVICE_UNAVAILABLE,
-            )
-            return _reply(busy, request_id)
-        if EVENT_STREAM in request.header('accept'):
-            return self._streamed(request, request_id)
+        stream = TextStream() if EVENT_STREAM in request.header('accept') else None
         try:
-            caller = self._caller_request(request, request_id, None)
-            outcome = self._begin(caller).result()
+            caller = self._caller_request(request, request_id, stream)
         except RejectedError as error:
-            outcome = Rejected(status=error.status, detail=str(error))
+            return _reply(Rejected(status=error.status, detail=str(error)), request_id)
+        account = caller.account.name
+        if not self.places.take(account, PRIORITIES.index(caller.pipeline.priority)):
+            return _reply(_no_place(caller), request_id)
+        if stream is not None:
+            return self._streamed(caller, stream)
+        try:
+            outcome = self._begin(caller).result()
         finally:
-            self.places.release()
+            self.places.release(account)
         return _reply(outcome, request_id)
 
-    def _streamed(self, request: HttpRequest, request_id: str) -> HttpReply:
+    def _streamed(self, caller: CallerRequest, stream: TextStream) -> HttpReply:
         """Answer with events; an error before the first text has its status."""
-        stream = TextStream()
-        try:
-            future = self._begin(self._caller_request(request, request_id, stream.take))
-        except RejectedError as error:
-            self.places.release()
-            return _reply(Rejected(status=error.status, detail=str(error)), request_id)
+        future = self._begin(caller)
         future.add_done_callback(stream.finish)
         first = stream.first()
 
         def release() -> None:  # noqa: WPS430
             # When the caller has gone, the run is cancelled down to the engine.
             future.cancel()
-            self.places.release()
+            self.places.release(caller.account.name)
 
         if not isinstance(first, (str, Completed)):
             release()
-            return _reply(first, request_id)
+            return _reply(first, caller.request_id)
         return HttpReply(
             status=http.HTTPStatus.OK,
             content_type=EVENT_STREAM,
-            headers={'Ringseam-Request-Id': request_id},
+            headers={'Ringseam-Request-Id': caller.request_id},
             chunks=stream.events(first, release),
         )
 
@@ -149,7 +140,7 @@
         self,
         request: HttpRequest,
         request_id: str,
-        on_text: Callable[[str], None] | None,
+        stream: TextStream | None,
     ) -> CallerRequest:
         if request.method != 'POST':
             raise RejectedError(http.HTTPStatus.METHOD_NOT_ALLOWED, 'use POST')
@@ -169,7 +160,7 @@
             content_type=request.content_type or 'application/octet-stream',
             body=request.body,
             received=self.state.node.clock.now(),
-            on_text=on_text,
+            on_text=stream.take if stream else None,
         )
 
     def _authenticate(self, request: HttpRequest) -> Account:
@@ -215,6 +206,15 @@
     return min(int(text), pipeline.deadline_ms)
 
 
+def _no_place(caller: CallerRequest) -> Outcome:
+    return refused(
+        'all places of this entry are taken',
+        1,
+        key=caller.key if caller.pipeline.needs_key else '',
+        status=http.HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+
+
 def _reply(outcome: Outcome, request_id: str) -> HttpReply:
     headers = {
         'Ringseam-Request-Id': request_id,
--- a/ringseam/entry/role.py
+++ b/ringseam/entry/role.py
@@ -51,6 +51,7 @@
         own = settings.own
         seed = zlib.crc32(self.node.incarnation.encode())
         estimates = StageEstimates()
+        view = AgentView()
         self.holder = ConfigHolder(node=self.node, client=self.client)
         self.state = EntryState(
             node=self.node,
@@ -61,12 +62,12 @@
                 seed=seed,
             ),
             holder=self.holder,
-            view=AgentView(),
+            view=view,
             router=Router.kinds[own['routing']](seed=seed),
             limits=AccountLimits(),
             retries=RetryPolicy.kinds[own['retries']](),
             estimates=estimates,
-            admission=Admission.kinds[own['admission']](estimates=estimates),
+            admission=Admission.kinds[own['admission']](estimates=estimates, view=view),
             costs=CostBook(),
             metrics=Metrics(),
         )
--- a/ringseam/entry/stages.py
+++ b/ringseam/entry/stages.py
@@ -335,6 +335,11 @@
             model=stage.model,
             prefix=ask.prefix,
             est_ms=state.estimates.estimate_ms(stage, now),
+            reserve_ms=state.admission.needed_ms(
+                ask.pipeline,
+                ask.pipeline.stages.index(stage) + 1,
+                now,
+            ),
         )
         state.router.started(agent)
         on_text = _text_outlet(ask) if stage is ask.pipeline.stages[-1] else None
@@ -431,7 +436,7 @@
         state.metrics.add('stage_replies_total', stage=stage.name, reply=type(reply).__name__)
         state.metrics.add('tries_total', pipeline=ask.pipeline.name)
         if isinstance(reply, StageDone):
-            state.estimates.record(stage, spent_ms, now)
+            state.estimates.record(stage, reply.server_ms, now)
             state.retries.succeeded()
         server_ms = getattr(reply, 'server_ms', 0)
         if server_ms:
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -58,7 +58,10 @@
     body: bytes
     model: str = ''
     prefix: str = ''
+    #: Server time that the sender expects, from recent executions.
     est_ms: float = 0
+    #: Time that the later stages of the pipeline will need of what is left.
+    reserve_ms: float = 0
 
 
 class RefusalReason(Enum):
@@ -167,7 +170,8 @@
     in_flight: int = 0
     queued: int = 0
     capacity: int = 1
-    wait_ms: float = 0
+    #: Expected wait in milliseconds of new work, by priority class.
+    waits_ms: tuple[float, ...] = ()
     service_ms: float = 0
     draining: bool = False
     serving: bool = False
--- a/ringseam/routing.py
+++ b/ringseam/routing.py
@@ -74,6 +74,9 @@
     """What this entry saw of one agent incarnation by itself."""
 
     in_flight: int = 0
+    #: Work of other entries there, as of the report with ``sequence``.
+    others: int = 0
+    sequence: int = -1
     failures: int = 0
     ejected_until: float = 0
 
@@ -219,10 +222,21 @@
             return one
         return other
 
+    def _busy(self, agent: AgentState) -> int:
+        """Return the work at ``agent``: our own as it is, the others' as told.
+
+        Our own work in a report is as old as the report. Counting it again
+        would send everybody to whoever was idle half a second ago.
+        """
+        record = self.records[agent.incarnation]
+        if record.sequence != agent.sequence:
+            record.sequence = agent.sequence
+            record.others = max(0, agent.in_flight + agent.queued - record.in_flight)
+        return record.in_flight + record.others
+
     def _cost(self, agent: AgentState, wanted: Routable) -> float:
         """Return the expected milliseconds until an answer from ``agent``."""
-        record = self.records[agent.incarnation]
-        busy = max(agent.in_flight + agent.queued, record.in_flight)
+        busy = self._busy(agent)
         service = max(agent.service_ms, wanted.est_ms)
         waiting = max(0, busy - agent.capacity + 1)
         spread = busy / agent.capacity
--- a/ringseam/settings.py
+++ b/ringseam/settings.py
@@ -71,7 +71,7 @@
 ENTRY_KEYS = (
     Key(name='http', kind=Kind.address, default='127.0.0.1:8080', text='where callers come'),
     Key(name='threads', kind=Kind.number, default=64, low=1, high=2048),
-    Key(name='backlog', kind=Kind.number, default=64, low=1, high=65_536),
+    Key(name='backlog', kind=Kind.number, default=1024, low=1, high=65_536),
     Key(name='max_body_bytes', kind=Kind.number, default=16 * 2**20, high=2**30),
     Key(name='poll_ms', kind=Kind.number, default=200, low=10, high=60_000),
     Key(name='routing', kind=Kind.choice, default='adaptive', choices=('adaptive', 'round-robin')),
