Keep the view of agents when a directory restarts; measure and document

Ruled out: a lost execution (the time line of the request shows stage one answered and no agent for stage two). Before: test_restarted_directory_empties_no_view fails. After: it passes, and the 12 tests of routing and of a lost folder pass. Conclusion: a directory says when it is warm; a cold one only adds. Also: the test of the repair compared two readings of the membership; it now takes one. Routing, queues, places, limits, findings, time lines and pages get their tests; examples, guides, mutations and measuring programs are added.

--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,226 @@
+"""Break each safety rule in turn and see which test notices.
+
+``python -m bench.mutations [--only NAME]`` works on a copy of the tree and
+prints a row per rule. A rule that no named test notices is printed MISSED.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+CONTROL = 'tests/test_control/test_control_replica.py'
+EXECUTION = 'tests/test_agent/test_agent_execution.py'
+LEDGER = 'tests/test_ledger/test_ledger_differential.py'
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """One broken rule: replace ``old`` by ``new`` in ``path``."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTATIONS = (
+    Mutation(
+        'commit counts entries that are not synced',
+        'ringseam/control/storage.py',
+        '        self.files.sync(self.segment)\n',
+        '        pass\n',
+        CONTROL,
+    ),
+    Mutation(
+        'leader serves reads without asking a quorum',
+        'ringseam/control/raft.py',
+        'self.reads[0].round_number <= agreed',
+        'self.reads[0].round_number <= self.read_round',
+        CONTROL,
+    ),
+    Mutation(
+        'no check of the quorum by the leader',
+        'ringseam/control/raft.py',
+        'if heard < self.membership.quorum:',
+        'if heard < 0:',
+        CONTROL,
+    ),
+    Mutation(
+        'no pre-vote',
+        'ringseam/control/raft.py',
+        'self._campaign(now, pre=True)',
+        'self._campaign(now, pre=False)',
+        CONTROL,
+    ),
+    Mutation(
+        'votes for a shorter log',
+        'ringseam/control/raft.py',
+        'granted = (request.last_term, request.last_index) >= current',
+        'granted = bool(current)',
+        CONTROL,
+    ),
+    Mutation(
+        'blank folders are never taken in',
+        'ringseam/control/membership.py',
+        'if now - blank.seen <= _SEEN_S and membership.find(disk) is None',
+        'if False',
+        CONTROL,
+    ),
+    Mutation(
+        'a lost disk is replaced before the learner caught up',
+        'ringseam/control/membership.py',
+        'if progress.match < raft.log.snapshot.index:\n            return None\n',
+        '',
+        CONTROL,
+    ),
+    Mutation(
+        'a failed sync is tried again',
+        'ringseam/control/storage.py',
+        'self.failed = True',
+        'self.failed = False',
+        CONTROL,
+    ),
+    Mutation(
+        'damage in the middle is cut like a torn tail',
+        'ringseam/control/storage.py',
+        'if bad is not None and (not last or _has_record_after(raw, bad)):',
+        'if bad is not None and not last:',
+        CONTROL,
+    ),
+    Mutation(
+        'equal expectations are not compared',
+        'ringseam/control/state.py',
+        'if command.expect != current:',
+        'if command.expect > current:',
+        CONTROL,
+    ),
+    Mutation(
+        'a late duplicate is judged by its ticket first',
+        'ringseam/agent/execution.py',
+        'if known is not None and refusal is not RefusalReason.incarnation:',
+        'if known is not None and refusal is None:',
+        EXECUTION,
+    ),
+    Mutation(
+        'old tickets are taken',
+        'ringseam/agent/execution.py',
+        'if ticket.sequence < self.oldest_sequence:',
+        'if ticket.sequence < 0:',
+        EXECUTION,
+    ),
+    Mutation(
+        'a tombstone leaves no row',
+        'ringseam/agent/execution.py',
+        '        self.rows[key] = Execution(\n            key=key,\n            generation=gen',
+        '        Execution(\n            key=key,\n            generation=gen',
+        EXECUTION,
+    ),
+    Mutation(
+        'what ran may run again under a newer generation',
+        'ringseam/agent/execution.py',
+        'if known.repeatable or known.state is ExecutionState.not_run:',
+        'if known.state is not ExecutionState.running:',
+        EXECUTION,
+    ),
+    Mutation(
+        'a forgotten execution counts as never run',
+        'ringseam/agent/execution.py',
+        'if known is None and refusal is not None:',
+        'if known is None and refusal is None and self.rows is None:',
+        EXECUTION,
+    ),
+    Mutation(
+        'a claim that may have run is granted again',
+        'ringseam/ledger.py',
+        'if held is not None and held.state is not StageState.not_run:',
+        'if held is not None and held.state is StageState.claimed:',
+        LEDGER,
+    ),
+    Mutation(
+        'any generation can be concluded',
+        'ringseam/ledger.py',
+        'if held is None or held.generation != command.generation:',
+        'if held is None:',
+        LEDGER,
+    ),
+    Mutation(
+        'the last recorded answer wins',
+        'ringseam/ledger.py',
+        'if held is None:\n            held = StageRecord(\n                generation=0,',
+        'if True:\n            held = StageRecord(\n                generation=0,',
+        LEDGER,
+    ),
+    Mutation(
+        'an expired key is forgotten at once',
+        'ringseam/ledger.py',
+        'self.state.spent[spent_id(name)] = until',
+        'until += 0',
+        LEDGER,
+    ),
+    Mutation(
+        'an order leaves although the check is old',
+        'ringseam/agent/orders.py',
+        'if self.clock.now() - asked > FRESH_S:',
+        'if asked < 0:',
+        'tests/test_agent/test_agent_orders.py',
+    ),
+    Mutation(
+        'orders are not checked against the log',
+        'ringseam/agent/orders.py',
+        'if newest != self.token:',
+        'if newest < self.token:',
+        'tests/test_agent/test_agent_orders.py',
+    ),
+)
+
+
+def run(mutation, folder):
+    """Return the tests that fail under ``mutation``."""
+    copy = Path(folder) / 'tree'
+    shutil.rmtree(copy, ignore_errors=True)
+    shutil.copytree(
+        ROOT, copy, ignore=shutil.ignore_patterns('.git', '.venv', '__pycache__', 'out', 'dist')
+    )
+    target = copy / mutation.path
+    text = target.read_text()
+    assert mutation.old in text, f'{mutation.name}: the rule is not found'
+    target.write_text(text.replace(mutation.old, mutation.new, 1))
+    command = [sys.executable, '-m', 'pytest', '-q', '--tb=no', '-p', 'no:cacheprovider']
+    done = subprocess.run(
+        [*command, mutation.tests],
+        cwd=copy,
+        env={'PYTHONPATH': str(copy), 'PATH': '/usr/bin:/bin'},
+        capture_output=True,
+        text=True,
+        timeout=300,
+    )
+    return sorted(
+        {
+            line.split('::')[1].split('[')[0].split(' ')[0]
+            for line in done.stdout.splitlines()
+            if line.startswith('FAILED')
+        },
+    )
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--only', default='')
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        for mutation in MUTATIONS:
+            if options.only in mutation.name:
+                failed = run(mutation, folder)
+                print(f'{mutation.name}: {", ".join(failed) or "MISSED"}', flush=True)
+
+
+if __name__ == '__main__':
+    main()
--- a/ringseam/agent/role.py
+++ b/ringseam/agent/role.py
@@ -28,7 +28,7 @@
 from ringseam.events import Event
 from ringseam.holder import ConfigHolder
 from ringseam.ids import split_address
-from ringseam.messages import AgentState, DispatchReply, Frame, StageNotRun, StreamEnd
+from ringseam.messages import AgentState, DispatchReply, Frame, StreamEnd
 from ringseam.role import Role
 from ringseam.services import AGENT_STATE, DISPATCH, DISPATCH_STREAM, REPORT, TOMBSTONE
 from ringseam.util.actors import ask
@@ -192,15 +192,11 @@
         dispatch = received.body
         offer = Offer(dispatch=dispatch, revision=received.revision, on_text=on_text)
         try:
-            reply = await ask(self.actor, offer)
+            return await ask(self.actor, offer)
         except asyncio.CancelledError:
             with contextlib.suppress(ActorDeadError):
                 self.actor.tell(Abandon(dispatch=dispatch))
             raise
-        if isinstance(reply, StageNotRun):
-            # The sender's view was wrong: correct it along with the refusal.
-            return DispatchReply(reply=reply, state=await ask(self.actor, Tick()))
-        return DispatchReply(reply=reply)
 
     async def _reconcile(self, server: Announcement) -> None:
         pool = self.holder.current.pool(server.pool)
--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -28,6 +28,7 @@
 from ringseam.messages import (
     AgentState,
     Dispatch,
+    DispatchReply,
     RefusalReason,
     StageFailed,
     StageNotRun,
@@ -164,7 +165,7 @@
         decision = self.table.offer(dispatch, self.node.clock.now())
         if isinstance(decision, Answered):
             self._refused(dispatch, decision.reply)
-            reply_to.send(decision.reply)
+            reply_to.send(self._word(decision.reply))
         elif isinstance(decision, Attached):
             self.waiters[decision.execution.key].append(reply_to)
         else:
@@ -236,8 +237,7 @@
     def tick(self, tick: Tick, reply_to: ReplyTo | None) -> None:
         """Forget old rows and return the state to report."""
         now = self.node.clock.now()
-        self.sequence += 1
-        self.table.note_sequence(self.sequence, now)
+        self._count_sequence(now)
         self.table.forget(now)
         if reply_to is not None:
             reply_to.send(self.state(now))
@@ -429,8 +429,24 @@
             stage=execution.key.stage,
             reply=type(reply).__name__,
         )
-        for waiter in self.waiters.pop(execution.key, ()):
-            waiter.send(reply)
+        waiters = self.waiters.pop(execution.key, ())
+        if waiters:
+            word = self._word(reply)
+            for waiter in waiters:
+                waiter.send(word)
+
+    def _word(self, reply: StageReply) -> DispatchReply:
+        """Return what the sender is told; its view is corrected on the way."""
+        busy = len(self.running) + self.queue.count
+        if not isinstance(reply, StageNotRun):
+            return DispatchReply(reply=reply, busy=busy)
+        now = self.node.clock.now()
+        self._count_sequence(now)
+        return DispatchReply(reply=reply, busy=busy, state=self.state(now))
+
+    def _count_sequence(self, now: float) -> None:
+        self.sequence += 1
+        self.table.note_sequence(self.sequence, now)
 
     def _refused(self, dispatch: Dispatch, reply: StageReply) -> None:
         if isinstance(reply, StageNotRun):
--- a/ringseam/control/directory.py
+++ b/ringseam/control/directory.py
@@ -28,6 +28,7 @@
 
     epoch: str
     lost_s: float
+    started: float = 0
     rows: dict[str, Row] = field(default_factory=dict)
     gone: list[tuple[int, str]] = field(default_factory=list)
     processes: dict[str, tuple[float, ProcessState]] = field(default_factory=dict)
@@ -66,7 +67,7 @@
                 self.processes.pop(name)
         return lost
 
-    def delta(self, epoch: str, since: int) -> DeltaReply:
+    def delta(self, epoch: str, since: int, now: float) -> DeltaReply:
         """Return the changes after ``since``, or the whole directory."""
         whole = epoch != self.epoch or since < self.oldest_gone
         first = 0 if whole else since
@@ -75,6 +76,7 @@
             upto=self.change,
             whole=whole,
             agents=tuple(row.state for row in self.rows.values() if row.change > first),
+            warm=now - self.started > self.lost_s,
             entries=max(1, len(self.processes)),
             gone=() if whole else tuple(name for change, name in self.gone if change > first),
         )
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -128,6 +128,7 @@
         self.directory = Directory(
             epoch=self.node.incarnation,
             lost_s=settings.seconds('agent_lost_ms'),
+            started=self.node.clock.now(),
         )
         self.links = PeerLinks(role=self)
         self.bootstrap = dict(
@@ -217,7 +218,7 @@
         """Return directory changes to an entry."""
         request = received.body
         self.directory.note_process(request.process, self.node.clock.now())
-        return self.directory.delta(request.epoch, request.since)
+        return self.directory.delta(request.epoch, request.since, self.node.clock.now())
 
     async def status(self, received: Received) -> StatusReply:
         """Return this host's view."""
--- a/ringseam/entry/frontend.py
+++ b/ringseam/entry/frontend.py
@@ -62,13 +62,13 @@
         state: EntryState,
         runs: PipelineRuns,
         loop: asyncio.AbstractEventLoop,
-        places: int,
+        places: Places,
     ) -> None:
-        """Serve up to ``places`` requests at a time; refuse beyond at once."""
+        """Serve while there are ``places``; refuse beyond at once."""
         self.state = state
         self.runs = runs
         self.loop = loop
-        self.places = Places(total=places)
+        self.places = places
         self.draining = False
         self.ready = False
 
--- a/ringseam/entry/role.py
+++ b/ringseam/entry/role.py
@@ -20,6 +20,7 @@
 from ringseam.limits import AccountLimits
 from ringseam.messages import ConfigReply, DeltaReply, DeltaRequest, Empty, ProcessState
 from ringseam.metrics import Metrics
+from ringseam.places import Places
 from ringseam.retries import RetryPolicy
 from ringseam.role import Role
 from ringseam.routing import AgentView, Router
@@ -81,7 +82,7 @@
             state=self.state,
             runs=self.runs,
             loop=asyncio.get_running_loop(),
-            places=own['threads'],
+            places=Places(total=own['threads'], fair=own['admission'] != 'none'),
         )
         self.http = HttpServer(
             address=split_address(own['http']),
--- a/ringseam/entry/stages.py
+++ b/ringseam/entry/stages.py
@@ -406,6 +406,7 @@
                 return StageFailed(detail=str(error))
             return StageUnknown(detail=str(error))
         reply: StageReply = answered.reply
+        state.router.told(agent, answered.busy, state.node.clock.now())
         if answered.state is not None:
             state.view.take(answered.state, state.node.clock.now())
         if isinstance(reply, StageDone) and not _is_answer_to(reply, dispatch):
@@ -431,7 +432,7 @@
         state = self.state
         now = state.node.clock.now()
         spent_ms = (now - began) * MS_PER_S
-        state.router.ended(agent, failed=_counts_as_failure(reply), spent_ms=spent_ms, now=now)
+        state.router.ended(agent, failed=_counts_as_failure(reply), now=now)
         state.metrics.record_ms('stage_duration', spent_ms, stage=stage.name)
         state.metrics.add('stage_replies_total', stage=stage.name, reply=type(reply).__name__)
         state.metrics.add('tries_total', pipeline=ask.pipeline.name)
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -190,9 +190,13 @@
 
 
 class DispatchReply(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """An agent's word on a dispatch; a refusal brings the agent's state."""
+    """An agent's word on a dispatch; a refusal brings the agent's state.
+
+    ``busy`` is the work that runs or waits at the agent as this is said.
+    """
 
     reply: StageReply
+    busy: int = 0
     state: Union[AgentState, None] = None
 
 
@@ -239,6 +243,9 @@
     #: How many entries this control host hears of; the account limits are
     #: shared among them.
     entries: int = 1
+    #: Whether this directory is up long enough to have heard every agent;
+    #: before that, a missing agent means nothing.
+    warm: bool = True
 
 
 # -- configuration -----------------------------------------------------------
--- a/ringseam/routing.py
+++ b/ringseam/routing.py
@@ -12,23 +12,33 @@
     from ringseam.messages import AgentState, DeltaReply
 
 
+#: For this long, what a reply told is newer than a report that comes after it.
+_TOLD_S = 0.5
+
+
 @dataclass(kw_only=True)
 class AgentView:
     """Agents as one entry knows them, merged from several directories.
 
-    An agent is gone only when every directory that was heard says so; the
-    last view stays when no directory answers.
+    An agent is gone only when every directory that was heard says so, and a
+    directory that has just started says nothing yet. The last view stays when
+    no directory answers.
     """
 
     agents: dict[str, AgentState] = field(default_factory=dict)
     listed: dict[str, set[str]] = field(default_factory=dict)
     heard: dict[str, float] = field(default_factory=dict)
+    warm: set[str] = field(default_factory=set)
 
     def merge(self, source: str, delta: DeltaReply, now: float) -> None:
         """Take in a delta of the directory at ``source``."""
         names = self.listed.setdefault(source, set())
         if delta.whole:
             names.clear()
+        if delta.warm:
+            self.warm.add(source)
+        else:
+            self.warm.discard(source)
         for state in delta.agents:
             names.add(state.name)
             self.take(state, now)
@@ -37,6 +47,7 @@
 
     def drop(self, source: str) -> None:
         """Forget a directory that is no longer followed; others are."""
+        self.warm.discard(source)
         if self.listed.pop(source, None) is not None:
             self._keep_listed()
 
@@ -63,6 +74,8 @@
         ]
 
     def _keep_listed(self) -> None:
+        if not self.warm:
+            return
         held = set().union(*self.listed.values())
         for name in set(self.agents) - held:
             self.agents.pop(name)
@@ -74,9 +87,11 @@
     """What this entry saw of one agent incarnation by itself."""
 
     in_flight: int = 0
-    #: Work of other entries there, as of the report with ``sequence``.
+    #: Work of other entries there, as of the report with ``sequence`` or of
+    #: the reply that came at ``told``.
     others: int = 0
     sequence: int = -1
+    told: float = float('-inf')
     failures: int = 0
     ejected_until: float = 0
 
@@ -121,7 +136,13 @@
         """Hear that work was sent to ``agent``."""
         self.records[agent.incarnation].in_flight += 1
 
-    def ended(self, agent: AgentState, *, failed: bool, spent_ms: float, now: float) -> None:
+    def told(self, agent: AgentState, busy: int, now: float) -> None:
+        """Hear with a reply how much work is at ``agent``, this one over."""
+        record = self.records[agent.incarnation]
+        record.others = max(0, busy - record.in_flight + 1)
+        record.told = now
+
+    def ended(self, agent: AgentState, *, failed: bool, now: float) -> None:
         """Hear that work came back."""
         record = self.records[agent.incarnation]
         record.in_flight -= 1
@@ -184,20 +205,22 @@
         if not usable:
             return None
         near = [agent for agent in usable if agent.zone == wanted.zone]
-        first = self._better(near or usable, wanted)
+        first = self._better(near or usable, wanted, now)
         if not near or len(near) == len(usable):
             return first
-        far = self._better([agent for agent in usable if agent.zone != wanted.zone], wanted)
-        if self._cost(far, wanted) + self.zone_penalty_ms < self._cost(first, wanted):
+        others = [agent for agent in usable if agent.zone != wanted.zone]
+        far = self._better(others, wanted, now)
+        penalised_ms = self._cost(far, wanted, now) + self.zone_penalty_ms
+        if penalised_ms < self._cost(first, wanted, now):
             return far
         return first
 
-    def ended(self, agent: AgentState, *, failed: bool, spent_ms: float, now: float) -> None:
+    def ended(self, agent: AgentState, *, failed: bool, now: float) -> None:
         """Count failures; eject after several on end.
 
         An agent that fails fast would otherwise look like a fast one.
         """
-        super().ended(agent, failed=failed, spent_ms=spent_ms, now=now)
+        super().ended(agent, failed=failed, now=now)
         record = self.records[agent.incarnation]
         if record.failures >= self.eject_failures:
             steps = min(record.failures - self.eject_failures, 4)
@@ -214,15 +237,20 @@
         # Ejecting more than half of a pool would only move the overload.
         return kept if 2 * len(kept) >= len(fresh) else fresh
 
-    def _better(self, agents: list[AgentState], wanted: Routable) -> AgentState:
+    def _better(
+        self,
+        agents: list[AgentState],
+        wanted: Routable,
+        now: float,
+    ) -> AgentState:
         if len(agents) == 1:
             return agents[0]
         one, other = self.random.sample(agents, 2)
-        if self._cost(one, wanted) <= self._cost(other, wanted):
+        if self._cost(one, wanted, now) <= self._cost(other, wanted, now):
             return one
         return other
 
-    def _busy(self, agent: AgentState) -> int:
+    def _busy(self, agent: AgentState, now: float) -> int:
         """Return the work at ``agent``: our own as it is, the others' as told.
 
         Our own work in a report is as old as the report. Counting it again
@@ -231,12 +259,14 @@
         record = self.records[agent.incarnation]
         if record.sequence != agent.sequence:
             record.sequence = agent.sequence
+            if now - record.told < _TOLD_S:
+                return record.in_flight + record.others
             record.others = max(0, agent.in_flight + agent.queued - record.in_flight)
         return record.in_flight + record.others
 
-    def _cost(self, agent: AgentState, wanted: Routable) -> float:
+    def _cost(self, agent: AgentState, wanted: Routable, now: float) -> float:
         """Return the expected milliseconds until an answer from ``agent``."""
-        busy = self._busy(agent)
+        busy = self._busy(agent, now)
         service = max(agent.service_ms, wanted.est_ms)
         waiting = max(0, busy - agent.capacity + 1)
         spread = busy / agent.capacity
--- /dev/null
+++ b/tests/test_timeline/test_timeline_merge.py
@@ -0,0 +1,43 @@
+"""Time lines: causal order over processes whose clocks disagree."""
+
+from __future__ import annotations
+
+import json
+
+from ringseam.clock import HybridClock, PausedClock
+from ringseam.timeline import as_html, as_text, of_request, read_events
+
+
+def line(process, stamp, text, **details):
+    return json.dumps(
+        {
+            'event': 300,
+            'event_name': 'x',
+            'message': text,
+            'levelname': 'INFO',
+            'process': process,
+            'incarnation': 'i',
+            'hlc': list(stamp),
+            **details,
+        },
+    )
+
+
+def test_cause_before_effect_with_skewed_clocks(tmp_path):
+    ahead, behind = HybridClock(clock=PausedClock(start=100)), HybridClock(clock=PausedClock())
+    sent = ahead.tick()
+    behind.observe(*sent)
+    received = behind.tick()
+    (tmp_path / 'b.log').write_text(line('b', received, 'received', request='r1') + '\nnot json\n')
+    (tmp_path / 'a.log').write_text(line('a', sent, 'sent', request='r1') + '\n')
+    (tmp_path / 'c.log').write_text(line('c', (1, 0), 'other', request='r2') + '\n')
+    events = read_events(sorted(tmp_path.glob('*.log')))
+    assert [event.text for event in of_request(events, 'r1')] == ['sent', 'received']
+    assert 'other' in as_text(events)
+
+
+def test_page_is_whole_and_escaped(tmp_path):
+    (tmp_path / 'a.log').write_text(line('a', (1, 0), '<script>', detail='<b>'))
+    page = as_html(read_events([tmp_path / 'a.log']))
+    assert page.endswith('</html>\n')
+    assert '<script>' not in page
