--- a/bench/policies.py
+++ b/bench/policies.py
@@ -117,6 +117,16 @@
             )
     for number, name in enumerate(ENTRIES, start=1):
         layout.add('entry', name, http=free_address(), zone=f'zone-{number}', **entry_keys)
+    try:
+        serve(system)
+    except BaseException:
+        system.close()
+        raise
+    return system
+
+
+def serve(system):
+    """Start all processes and wait until each entry answers."""
     system.start()
     system.apply(FILE, expect=0)
     system.await_agents(len(READERS + RANKERS + SIGNALS))
@@ -125,7 +135,6 @@
         for _ in range(8):
             system.post_whole('two', b'warm-up', entry=entry, token='small')
         system.post_whole('signal', b'warm-up', entry=entry, key=entry, token='floor')
-    return system
 
 
 def mix(name, pipeline, token, rate, *, keyed=False, burst=(0, 0, 1)):
--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -275,6 +275,7 @@
             draining=self._is_leaving(),
             serving=self._is_serving(now),
             revision=self.node.revision,
+            started_ms=self.node.started_ms,
         )
 
     def _pool(self) -> Pool | None:
--- a/ringseam/messages.py
+++ b/ringseam/messages.py
@@ -57,7 +57,6 @@
     content_type: str
     body: bytes
     model: str = ''
-    prefix: str = ''
     #: Server time that the sender expects, from recent executions.
     est_ms: float = 0
     #: Time that the later stages of the pipeline will need of what is left.
--- a/ringseam/routing.py
+++ b/ringseam/routing.py
@@ -27,7 +27,6 @@
 
     agents: dict[str, AgentState] = field(default_factory=dict)
     listed: dict[str, set[str]] = field(default_factory=dict)
-    heard: dict[str, float] = field(default_factory=dict)
     warm: set[str] = field(default_factory=set)
 
     def merge(self, source: str, delta: DeltaReply, now: float) -> None:
@@ -60,7 +59,6 @@
         elif known is not None and known.started_ms > state.started_ms:
             return
         self.agents[state.name] = state
-        self.heard[state.name] = now
 
     def of_pool(self, pool: str, model: str = '') -> list[AgentState]:
         """Return the agents that may get work of ``pool``."""
@@ -79,7 +77,6 @@
         held = set().union(*self.listed.values())
         for name in set(self.agents) - held:
             self.agents.pop(name)
-            self.heard.pop(name, None)
 
 
 @dataclass(kw_only=True)
@@ -103,7 +100,6 @@
     pool: str
     zone: str
     est_ms: float
-    prefix: str = ''
     avoid: frozenset[str] = frozenset()
 
 
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -300,7 +300,9 @@
             method.reply,
         )
         try:
-            return await asyncio.wait_for(stub(message), timeout_s)
+            # A timeout scope costs no task, as waiting for one would.
+            async with asyncio.timeout(timeout_s):
+                return await stub(message)
         except CALL_ERRORS as error:
             detail = f'{method.path} at {address}: {type(error).__name__} {error}'
             raise UnreachableError(detail) from None
@@ -371,7 +373,8 @@
     async def _connected(self, address: str, timeout_s: float) -> Channel:
         channel = self._channel(address)
         try:
-            await asyncio.wait_for(channel.__connect__(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await channel.__connect__()
         except CALL_ERRORS as error:
             raise NotSentError(f'{address}: {error}') from None
         return channel
