Answer queued work when its pool is removed; server rules in plain classes

Cause: a queued dispatch whose pool had left the configuration was dropped without an answer; its sender waited until the deadline. Found by reading. Before: test_queued_work_is_answered_when_its_pool_is_removed would wait; after: it passes.

--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -22,6 +22,12 @@
     execution_key,
 )
 from ringseam.agent.queue import Job, StageQueue
+from ringseam.agent.standing import (
+    Announcement,
+    ServerEstimates,
+    ServerStanding,
+    time_refusal,
+)
 from ringseam.clock import MS_PER_S
 from ringseam.config import PRIORITIES
 from ringseam.events import Event
@@ -30,7 +36,6 @@
     Dispatch,
     DispatchReply,
     RefusalReason,
-    StageFailed,
     StageNotRun,
     StageReply,
     Tombstone,
@@ -40,27 +45,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ringseam.config import Configuration, Pool
+    from ringseam.config import Configuration
     from ringseam.node import Node
 
 logger = logging.getLogger(__name__)
 
-_DECAY = 0.2
-_REVISIONS_KEPT = 64
-#: How much of the time left a dispatch may spend in the queue.
-_QUEUE_SHARE = 0.25
-
-
-@dataclass(frozen=True, kw_only=True)
-class Announcement:
-    """What a backend server says of itself."""
-
-    address: str
-    pool: str
-    kind: str = 'service'
-    models: tuple[str, ...] = ()
-    leaving: bool = False
-
 
 @dataclass(frozen=True, kw_only=True)
 class Offer:
@@ -138,19 +127,17 @@
         self.shed = shed
         self.table = ExecutionTable(incarnation=node.incarnation, memory_s=memory_s)
         self.workers = ThreadPoolExecutor(threads, thread_name_prefix='execution')
-        self.stale_grace_s = stale_grace_s
-        self.announce_lost_s = announce_lost_s
-        self.configuration: Configuration | None = None
-        self.newer_since: dict[int, float] = {}
-        self.server: Announcement | None = None
-        self.announced = float('-inf')
+        self.standing = ServerStanding(
+            agent=node.name,
+            stale_grace_s=stale_grace_s,
+            announce_lost_s=announce_lost_s,
+        )
+        self.estimates = ServerEstimates(queue=self.queue)
         self.adapter: Adapter | None = None
-        self.draining = False
         self.sequence = 0
         self.running: dict[ExecutionKey, tuple[Job, Cancel]] = {}
         self.waiters: dict[ExecutionKey, list[ReplyTo]] = defaultdict(list)
         self.idle: list[ReplyTo] = []
-        self.means_ms: dict[str, float] = {}
         self.prefixes: tuple[int, ...] = ()
 
     def on_receive(self, message: Any) -> None:
@@ -203,7 +190,7 @@
         """Record an execution's reply, tell it and start the next."""
         execution = concluded.job.execution
         self.running.pop(execution.key, None)
-        self._learn(concluded)
+        self.estimates.learn(concluded.job.dispatch.stage, concluded.reply)
         self._end(execution, concluded.reply)
         self._pump()
 
@@ -221,25 +208,23 @@
 
     def reconfigure(self, message: Reconfigured, reply_to: ReplyTo | None) -> None:
         """Take a newer configuration."""
-        self.configuration = message.configuration
-        self.newer_since[message.configuration.revision] = self.node.clock.now()
+        self.standing.reconfigure(message.configuration, self.node.clock.now())
 
     def announce(self, announcement: Announcement, reply_to: ReplyTo | None) -> None:
         """Take in what the backend server says of itself."""
-        now = self.node.clock.now()
-        known = self.server
-        self.announced = now
+        known = self.standing.server
+        self.standing.announced = self.node.clock.now()
         if known == announcement:
             return
         event = Event.server_left if announcement.leaving else Event.server_announced
         self.node.events.emit(logger, event, server=announcement.address, pool=announcement.pool)
-        self.server = announcement
+        self.standing.server = announcement
         if known is None or known.address != announcement.address:
             if self.adapter is not None:
                 self.adapter.close()
             self.adapter = Adapter.kinds[announcement.kind](
                 address=announcement.address,
-                connections=self._capacity(),
+                connections=self.standing.capacity,
             )
 
     def tick(self, tick: Tick, reply_to: ReplyTo | None) -> None:
@@ -252,7 +237,7 @@
 
     def drain(self, drain: Drain, reply_to: ReplyTo) -> None:
         """Take nothing new; reply once nothing is queued or running."""
-        self.draining = True
+        self.standing.draining = True
         self.idle.append(reply_to)
         self._tell_idle()
 
@@ -262,14 +247,13 @@
 
     def tell_server(self, ask: GetServer, reply_to: ReplyTo) -> None:
         """Tell the backend server's latest announcement."""
-        reply_to.send(self.server)
+        reply_to.send(self.standing.server)
 
     # -- state --------------------------------------------------------------
 
     def state(self, now: float) -> AgentState:
         """Return the state that goes into the directory."""
-        capacity = self._capacity()
-        server = self.server
+        server = self.standing.server
         return AgentState(
             name=self.node.name,
             address=self.node.address,
@@ -281,32 +265,24 @@
             models=server.models if server else (),
             in_flight=len(self.running),
             queued=self.queue.count,
-            capacity=capacity,
+            capacity=self.standing.capacity,
             waits_ms=tuple(self._wait_ms(priority) for priority in range(len(PRIORITIES))),
-            service_ms=max(self.means_ms.values(), default=0),
+            service_ms=self.estimates.service_ms,
             prefixes=self.prefixes,
-            draining=self._is_leaving(),
-            serving=self._is_serving(now),
+            draining=self.standing.is_leaving,
+            serving=self.standing.is_serving(now),
             revision=self.node.revision,
             started_ms=self.node.started_ms,
         )
 
-    def _pool(self) -> Pool | None:
-        if self.server is None or self.configuration is None:
-            return None
-        return self.configuration.pool(self.server.pool)
-
-    def _capacity(self) -> int:
-        pool = self._pool()
-        return pool.max_in_flight if pool else 1
-
-    def _is_leaving(self) -> bool:
-        pool = self._pool()
-        named = pool is not None and self.node.name in pool.drain
-        return self.draining or named or bool(self.server and self.server.leaving)
-
-    def _is_serving(self, now: float) -> bool:
-        return self.server is not None and now - self.announced <= self.announce_lost_s
+    def _wait_ms(self, priority: int, account: str = '') -> float:
+        return self.estimates.wait_ms(
+            priority,
+            running=len(self.running),
+            capacity=self.standing.capacity,
+            account=account,
+            weight=self.standing.weight(account),
+        )
 
     # -- admission ----------------------------------------------------------
 
@@ -316,19 +292,18 @@
         reason = self._refusal(offer, now)
         self.waiters[execution.key].append(reply_to)
         if reason is not None:
-            refusal = StageNotRun(reason=reason, retry_after_ms=self._retry_after_ms())
+            refusal = self._not_run(reason)
             self._refused(offer.dispatch, refusal)
             self._end(execution, refusal)
             return
-        account = self.configuration.account(offer.dispatch.account)
         self.queue.push(
             Job(
                 execution=execution,
                 dispatch=offer.dispatch,
                 deadline=now + offer.dispatch.time_left_ms / MS_PER_S,
                 offered=now,
-                cost_ms=self._cost_ms(offer.dispatch),
-                weight=account.weight if account else 1,
+                cost_ms=self.estimates.cost_ms(offer.dispatch),
+                weight=self.standing.weight(offer.dispatch.account),
                 on_text=offer.on_text,
             ),
         )
@@ -336,64 +311,23 @@
 
     def _refusal(self, offer: Offer, now: float) -> RefusalReason | None:
         dispatch = offer.dispatch
-        pool = self._pool()
-        if self._is_leaving():
-            return RefusalReason.draining
-        if pool is None or dispatch.pool != pool.name or not self._is_serving(now):
-            return RefusalReason.no_server
-        if self._is_stale(offer.revision, now):
-            return RefusalReason.stale_revision
-        owner = dispatch.pipeline.partition('/')[0]
-        if not self.configuration.may_use(owner, dispatch.pool):
-            return RefusalReason.unauthorised_pool
-        return self._time_refusal(dispatch, pool) if self.shed else None
-
-    def _time_refusal(self, dispatch: Dispatch, pool: Pool) -> RefusalReason | None:
-        account = self.configuration.account(dispatch.account)
-        weight = account.weight if account else 1
-        wait_ms = self._wait_ms(dispatch.priority, dispatch.account, weight)
-        # Short queues lose no throughput, and leave room for wrong estimates.
-        if wait_ms > min(pool.queue_ms, _QUEUE_SHARE * dispatch.time_left_ms):
-            return RefusalReason.queue_full
-        needed_ms = wait_ms + self._cost_ms(dispatch) + dispatch.reserve_ms
-        if needed_ms > dispatch.time_left_ms:
-            return RefusalReason.deadline
-        return None
-
-    def _wait_ms(self, priority: int, account: str = '', weight: int = 1) -> float:
-        capacity = self._capacity()
-        if len(self.running) < capacity:
-            return 0
-        before_ms = self.queue.work_before_ms(priority, account, weight)
-        # Half of an execution on average until a place becomes free.
-        mean_ms = max(self.means_ms.values(), default=0)
-        return (before_ms + mean_ms / 2) / capacity
-
-    def _retry_after_ms(self) -> int:
-        mean_ms = max(self.means_ms.values(), default=0)
-        return int(self.queue.work_ms / self._capacity() + mean_ms) + 1
-
-    def _cost_ms(self, dispatch: Dispatch) -> float:
-        """Return the server time to expect here: this server may be slower."""
-        return max(1, dispatch.est_ms, self.means_ms.get(dispatch.stage, 0))
-
-    def _learn(self, concluded: Concluded) -> None:
-        spent = getattr(concluded.reply, 'server_ms', 0)
-        if spent and not isinstance(concluded.reply, StageFailed):
-            stage = concluded.job.dispatch.stage
-            known = self.means_ms.get(stage, spent)
-            self.means_ms[stage] = known + _DECAY * (spent - known)
-
-    def _is_stale(self, revision: int, now: float) -> bool:
-        return any(
-            known > revision and now - since > self.stale_grace_s
-            for known, since in list(self.newer_since.items())[-_REVISIONS_KEPT:]
+        reason = self.standing.refusal(dispatch, offer.revision, now)
+        pool = self.standing.pool
+        if reason is not None or pool is None or not self.shed:
+            return reason
+        wait_ms = self._wait_ms(dispatch.priority, dispatch.account)
+        return time_refusal(dispatch, pool, wait_ms, self.estimates.cost_ms(dispatch))
+
+    def _not_run(self, reason: RefusalReason) -> StageNotRun:
+        return StageNotRun(
+            reason=reason,
+            retry_after_ms=self.estimates.retry_after_ms(self.standing.capacity),
         )
 
     # -- execution ----------------------------------------------------------
 
     def _pump(self) -> None:
-        while len(self.running) < self._capacity():
+        while len(self.running) < self.standing.capacity:
             job = self.queue.pop()
             if job is None:
                 break
@@ -405,16 +339,18 @@
         execution = job.execution
         left_ms = (job.deadline - now) * MS_PER_S
         # Refused now, it still has time to run on a faster server.
-        needed_ms = self._cost_ms(job.dispatch) + job.dispatch.reserve_ms if self.shed else 0
-        if execution.state is ExecutionState.queued and left_ms <= needed_ms:
-            refusal = StageNotRun(
-                reason=RefusalReason.deadline,
-                retry_after_ms=self._retry_after_ms(),
-            )
-            self._end(execution, refusal)
+        dispatch = job.dispatch
+        needed_ms = self.estimates.cost_ms(dispatch) + dispatch.reserve_ms if self.shed else 0
+        if execution.state is not ExecutionState.queued:
+            return
+        pool = self.standing.pool
+        if pool is None or self.adapter is None:
+            self._end(execution, self._not_run(RefusalReason.no_server))
+            return
+        if left_ms <= needed_ms:
+            self._end(execution, self._not_run(RefusalReason.deadline))
             return
-        pool = self._pool()
-        if pool is None or self.adapter is None or not self.table.start(execution, now):
+        if not self.table.start(execution, now):
             return
         cancel = Cancel()
         self.running[execution.key] = (job, cancel)
@@ -473,7 +409,7 @@
             )
 
     def _tell_idle(self) -> None:
-        if self.draining and not self.running and not self.queue.count:
+        if self.standing.draining and not self.running and not self.queue.count:
             for waiter in self.idle:
                 waiter.send(True)
             self.idle.clear()
