--- /dev/null
+++ b/ringseam/backends.py
@@ -0,0 +1,129 @@
+"""Backend servers that report themselves: reports, views and what is newer."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import NewType
+
+from ringseam.messages import Message
+from ringseam.routes import ServiceName
+
+#: One start of one backend server; a restart takes a new one.
+BackendId = NewType('BackendId', str)
+
+
+class BackendState(enum.Enum):
+    """Whether a backend server takes new work."""
+
+    ready = 'ready'
+    draining = 'draining'
+    gone = 'gone'
+
+
+class BackendReport(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """What a backend server says of itself; ``sequence`` grows."""
+
+    instance: BackendId
+    service: ServiceName
+    address: str
+    zone: str
+    sequence: int
+    software: str = ''
+    slots: int = 1
+    state: BackendState = BackendState.ready
+    cold_left_s: float = 0
+
+
+class GatewayState(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """A gateway that follows the directory."""
+
+    name: str
+    address: str
+    zone: str
+    draining: bool = False
+
+
+@dataclass(kw_only=True)
+class BackendRow:
+    """A report, when it came and the change number it got."""
+
+    report: BackendReport
+    heard: float
+    change: int
+
+
+def supersedes(report: BackendReport, known: BackendReport) -> bool:
+    """Return whether a report is newer than a known one of the same server.
+
+    Reports may be seconds late; one that says less than a later one is
+    ignored, and a server that has begun to leave doesn't come back.
+    """
+    if known.state is not BackendState.ready and report.state is BackendState.ready:
+        return False
+    return report.sequence > known.sequence or report.state is BackendState.gone
+
+
+def shows_change(report: BackendReport, known: BackendReport) -> bool:
+    """Return whether followers of the directory must hear of a report."""
+    return (
+        report.state is not known.state
+        or report.address != known.address
+        or report.service != known.service
+        or report.slots != known.slots
+    )
+
+
+@dataclass(kw_only=True)
+class BackendView:
+    """The backend servers that a gateway believes in."""
+
+    backends: dict[BackendId, BackendReport] = field(default_factory=dict)
+    by_service: dict[ServiceName, list[BackendReport]] = field(default_factory=dict)
+    #: Servers that have left; a late report doesn't bring them back.
+    left: dict[BackendId, None] = field(default_factory=dict)
+
+    def take(self, report: BackendReport) -> bool:
+        """Take in a report; True when it changed what is believed."""
+        if report.instance in self.left:
+            return False
+        known = self.backends.get(report.instance)
+        if known is not None and not supersedes(report, known):
+            return False
+        if report.state is BackendState.gone:
+            self.leave(report.instance)
+            return True
+        self.backends[report.instance] = report
+        self._index()
+        return True
+
+    def leave(self, instance: BackendId) -> None:
+        """Forget a server for good."""
+        self.left[instance] = None
+        while len(self.left) > LEFT_KEPT:
+            self.left.pop(next(iter(self.left)))
+        self.lose(instance)
+
+    def lose(self, instance: BackendId) -> None:
+        """Forget a server that fell silent; it may come back."""
+        if self.backends.pop(instance, None) is not None:
+            self._index()
+
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget all servers but these."""
+        for instance in set(self.backends) - instances:
+            self.lose(instance)
+
+    def serving(self, service: ServiceName) -> list[BackendReport]:
+        """Return the servers of a service that take new work."""
+        return self.by_service.get(service, [])
+
+    def _index(self) -> None:
+        self.by_service = {}
+        for report in self.backends.values():
+            if report.state is BackendState.ready:
+                self.by_service.setdefault(report.service, []).append(report)
+
+
+#: How many servers that have left are remembered.
+LEFT_KEPT = 4096
--- /dev/null
+++ b/ringseam/control/backenddirectory.py
@@ -0,0 +1,148 @@
+"""The leader's directory of backend servers and of what gateways confirmed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.backends import BackendRow, BackendState, shows_change, supersedes
+from ringseam.following import WatchNews
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ringseam.backends import BackendId, BackendReport, GatewayState
+    from ringseam.following import WatchRequest
+
+#: Changes that are remembered for gateways that lag.
+_CHANGES_KEPT = 4096
+
+
+@dataclass(kw_only=True)
+class Follower:
+    """A gateway, when it was heard and what it has confirmed."""
+
+    state: GatewayState
+    heard: float
+    since: int = 0
+    number: int = 0
+
+
+@dataclass(kw_only=True)
+class BackendDirectory:
+    """Soft state of one leadership; ``epoch`` names it. Times in seconds."""
+
+    epoch: str
+    started: float
+    #: A server is silent after this long without a report.
+    silent_s: float
+    #: A gateway is no longer waited for after this long without a call.
+    follower_s: float
+    rows: dict[BackendId, BackendRow] = field(default_factory=dict)
+    dropped: list[tuple[int, BackendId]] = field(default_factory=list)
+    followers: dict[str, Follower] = field(default_factory=dict)
+    change: int = 0
+    oldest_dropped: int = 0
+    #: The change at which the set of gateways last became another.
+    gateways_change: int = 0
+
+    def report(self, report: BackendReport, now: float) -> bool:
+        """Take in a report; True when gateways must hear of it."""
+        known = self.rows.get(report.instance)
+        if known is not None and not supersedes(report, known.report):
+            if report.sequence == known.report.sequence:
+                known.heard = now
+            return False
+        changed = known is None or shows_change(report, known.report)
+        if changed:
+            self.change += 1
+        change = self.change if changed or known is None else known.change
+        self.rows[report.instance] = BackendRow(report=report, heard=now, change=change)
+        return changed
+
+    def expire(self, now: float) -> list[BackendId]:
+        """Drop servers that fell silent and return them."""
+        silent = [name for name, row in self.rows.items() if now - row.heard > self.silent_s]
+        for name in silent:
+            self.rows.pop(name)
+            self.change += 1
+            self.dropped.append((self.change, name))
+        if len(self.dropped) > _CHANGES_KEPT:
+            self.oldest_dropped = self.dropped[-_CHANGES_KEPT][0]
+            self.dropped = self.dropped[-_CHANGES_KEPT:]
+        for name, follower in list(self.followers.items()):
+            if now - follower.heard > self.follower_s:
+                self.followers.pop(name)
+                self._note_gateways()
+        return silent
+
+    def follow(self, request: WatchRequest, now: float) -> None:
+        """Hear a gateway and what it confirms."""
+        name = request.gateway.name
+        known = self.followers.get(name)
+        same_epoch = request.epoch == self.epoch
+        self.followers[name] = Follower(
+            state=request.gateway,
+            heard=now,
+            since=request.since if same_epoch else 0,
+            number=request.number,
+        )
+        if known is None or known.state != request.gateway:
+            self._note_gateways()
+
+    def is_confirmed(self, *, change: int = 0, number: int = 0) -> bool:
+        """Return whether every gateway that is heard holds this much."""
+        return all(
+            follower.since >= change and follower.number >= number
+            for follower in self.followers.values()
+        )
+
+    def has_news(self, request: WatchRequest, number: int) -> bool:
+        """Return whether a gateway lacks something."""
+        known = request.epoch == self.epoch and request.since >= self.change
+        return not known or request.number < number
+
+    def is_warm(self, now: float) -> bool:
+        """Return whether every living server has had the time to report."""
+        return now - self.started > self.silent_s
+
+    def news(self, request: WatchRequest, now: float) -> WatchNews:
+        """Return what is newer than what the gateway holds."""
+        whole = request.epoch != self.epoch or request.since < self.oldest_dropped
+        first = 0 if whole else request.since
+        return WatchNews(
+            epoch=self.epoch,
+            upto=self.change,
+            whole=whole,
+            warm=self.is_warm(now),
+            reports=tuple(row.report for row in self.rows.values() if whole or row.change > first),
+            silent=() if whole else tuple(name for at, name in self.dropped if at > first),
+            gateways=self._gateways(),
+        )
+
+    def retire(self, instances: Iterable[BackendId]) -> None:
+        """Let servers that are known to leave take no new work."""
+        for instance in instances:
+            row = self.rows.get(instance)
+            if row is not None and row.report.state is BackendState.ready:
+                self.change += 1
+                row.change = self.change
+                row.report = _leaving(row.report)
+
+    def _gateways(self) -> tuple[GatewayState, ...]:
+        return tuple(follower.state for follower in self.followers.values())
+
+    def _note_gateways(self) -> None:
+        self.change += 1
+        self.gateways_change = self.change
+
+
+def _leaving(report: BackendReport) -> BackendReport:
+    return type(report)(
+        **{
+            name: getattr(report, name)
+            for name in report.__struct_fields__
+            if name != 'state'
+        },
+        state=BackendState.draining,
+    )
--- /dev/null
+++ b/ringseam/control/follow.py
@@ -0,0 +1,242 @@
+"""What the leader does for gateways, backend servers and submitted documents."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ringseam.backends import BackendState
+from ringseam.control.backenddirectory import BackendDirectory
+from ringseam.control.replica import Leadership, NotLeading
+from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
+from ringseam.events import Event
+from ringseam.following import (
+    DocumentHeld,
+    DocumentReply,
+    NotYet,
+    ReportAnswer,
+    ReportTaken,
+    WatchReply,
+)
+from ringseam.messages import Redirect
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ringseam.backends import BackendId, BackendReport
+    from ringseam.following import Submit, WatchRequest
+    from ringseam.node import Node
+    from ringseam.rpc import Received
+
+logger = logging.getLogger(__name__)
+
+#: A watch without news is answered after this long, seconds.
+WATCH_S = 1.0
+#: Several reports in a row and a few lost ones still count as life, seconds.
+_SILENT_BACKEND_S = 4.5
+#: A gateway whose watch is overdue by half a watch isn't waited for, seconds.
+_SILENT_GATEWAY_S = 1.6
+#: An acknowledgement waits this long for gateways; below the two seconds in
+#: which a change must be in force and well below the operator's patience.
+_CONFIRM_S = 1.8
+_EXPIRE_S = 0.25
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeldDocument:
+    """The accepted document and the backend servers that have left."""
+
+    number: int = 0
+    document: bytes = b''
+    retired: tuple[str, ...] = ()
+
+
+class FollowService:  # noqa: WPS214 - the calls of one interface
+    """Serve gateways and backend servers while this replica leads."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        submit: Callable[[Any], Awaitable[Any]],
+        confirm: Callable[[], Awaitable[Any]],
+        voters_needed: int,
+    ) -> None:
+        """Commit by ``submit``; ``confirm`` checks leadership by a quorum."""
+        self.node = node
+        self.submit = submit
+        self.confirm = confirm
+        self.voters_needed = voters_needed
+        self.held = HeldDocument()
+        self.retired: frozenset[str] = frozenset()
+        self.leadership = Leadership()
+        self.directory = self._new_directory()
+        self.changed = asyncio.Event()
+        #: Where backend servers should report; the open interface knows it.
+        self.report_to = ''
+
+    # -- what the replica tells ---------------------------------------------
+
+    def hold(self, held: HeldDocument) -> None:
+        """Take what the state machine holds now."""
+        if held.number < self.held.number:
+            return
+        self.held = held
+        self.retired = frozenset(held.retired)
+        self.directory.retire(msgspec.convert(held.retired, tuple[str, ...]))
+        self._wake()
+
+    def lead(self, leadership: Leadership) -> None:
+        """Hear who leads."""
+        begins = leadership.serves and not self.leadership.serves
+        self.leadership = leadership
+        if begins:
+            self.directory = self._new_directory()
+        self._wake()
+
+    @property
+    def redirect(self) -> Redirect:
+        """Return where the leader may be."""
+        leader = self.leadership.leader
+        return Redirect(leader='' if leader == self.node.address else leader)
+
+    # -- calls --------------------------------------------------------------
+
+    async def watch(self, received: Received) -> WatchReply:
+        """Return news to a gateway, waiting a little for some."""
+        request: WatchRequest = received.body
+        if not self.leadership.serves:
+            return WatchReply(reply=self.redirect)
+        if not request.number and isinstance(await self.confirm(), NotLeading):
+            return WatchReply(reply=self.redirect)
+        self.directory.follow(request, self.node.clock.now())
+        self._wake()
+        await self._wait(lambda: self.directory.has_news(request, self.held.number), WATCH_S)
+        if not self.leadership.serves:
+            return WatchReply(reply=self.redirect)
+        news = self.directory.news(request, self.node.clock.now())
+        held = self.held
+        return WatchReply(
+            reply=msgspec.structs.replace(
+                news,
+                number=held.number,
+                document=held.document if held.number > request.number else b'',
+                control=self.leadership.members,
+            ),
+        )
+
+    async def report(self, received: Received) -> ReportAnswer:
+        """Take a backend server's report; a leave only once it is known."""
+        return ReportAnswer(reply=await self.take_report(received.body))
+
+    async def take_report(self, report: BackendReport) -> ReportTaken | Redirect:
+        """Take a backend server's report; a leave only once it is known."""
+        if not self.leadership.serves:
+            return self.redirect
+        leaving = report.state is not BackendState.ready
+        if leaving and report.instance not in self.retired:
+            outcome = await self.submit(RetireBackend(instance=report.instance))
+            if isinstance(outcome, NotLeading):
+                return self.redirect
+        if report.instance in self.retired and not leaving:
+            report = msgspec.structs.replace(report, state=BackendState.draining)
+        self._note(report)
+        if leaving:
+            change = self.directory.change
+            await self._wait(lambda: self.directory.is_confirmed(change=change), _CONFIRM_S)
+            self.node.events.emit(
+                logger,
+                Event.backend_retired,
+                backend=report.instance,
+                state=report.state.value,
+                confirmed=self.directory.is_confirmed(change=change),
+            )
+        return ReportTaken(report_to=self.report_to)
+
+    async def submit_document(self, received: Received) -> DocumentReply:
+        """Accept a checked document, and answer once it is in force."""
+        return DocumentReply(reply=await self.accept(received.body))
+
+    async def accept(self, submit: Submit) -> DocumentHeld | NotYet | Redirect:
+        """Commit a document; answer once the gateways that are heard have it."""
+        if not self.leadership.serves:
+            return self.redirect
+        if not self.held.number and self.leadership.voters < self.voters_needed:
+            return NotYet()
+        outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
+        if not isinstance(outcome, DocumentPut):
+            return self.redirect
+        number = outcome.newest
+        await self._wait(lambda: self.directory.is_confirmed(number=number), _CONFIRM_S)
+        self.node.events.emit(
+            logger,
+            Event.document_accepted,
+            number=submit.number,
+            newest=number,
+            confirmed=self.directory.is_confirmed(number=number),
+        )
+        return DocumentHeld(number=number)
+
+    async def read(self, received: Received) -> DocumentReply:
+        """Return the newest document, after a quorum has confirmed the leader."""
+        return DocumentReply(reply=await self.newest())
+
+    async def newest(self) -> DocumentHeld | Redirect:
+        """Return the newest document, after a quorum has confirmed the leader."""
+        if not self.leadership.serves or isinstance(await self.confirm(), NotLeading):
+            return self.redirect
+        # What the actor applied before the barrier is on its way to this loop.
+        await asyncio.sleep(0)
+        return DocumentHeld(number=self.held.number, document=self.held.document)
+
+    async def expire_always(self) -> None:
+        """Drop what has fallen silent."""
+        while True:  # noqa: WPS457 - ends with the role
+            await asyncio.sleep(_EXPIRE_S)
+            before = self.directory.change
+            for backend in self.directory.expire(self.node.clock.now()):
+                self.node.events.emit(logger, Event.backend_silent, backend=backend)
+            if self.directory.change != before:
+                self._wake()
+
+    # -- helpers ------------------------------------------------------------
+
+    def _note(self, report: BackendReport) -> None:
+        if self.directory.report(report, self.node.clock.now()):
+            self.node.events.emit(
+                logger,
+                Event.backend_reported,
+                backend=report.instance,
+                address=report.address,
+                state=report.state.value,
+                sequence=report.sequence,
+            )
+            self._wake()
+
+    def _new_directory(self) -> BackendDirectory:
+        return BackendDirectory(
+            epoch=f'{self.node.incarnation}-{self.leadership.term}',
+            started=self.node.clock.now(),
+            silent_s=_SILENT_BACKEND_S,
+            follower_s=_SILENT_GATEWAY_S,
+        )
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def _wait(self, condition: Callable[[], bool], limit_s: float) -> None:
+        until = self.node.clock.now() + limit_s
+        while not condition():
+            left = until - self.node.clock.now()
+            if left <= 0:
+                return
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except asyncio.TimeoutError:
+                return
--- /dev/null
+++ b/ringseam/control/founding.py
@@ -0,0 +1,115 @@
+"""How a replica finds its group: founding from blank seeds, and joining."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any
+
+from ringseam.control.raftlog import Member
+from ringseam.control.replica import FormGroup, GetReplicaStatus, ReplicaStatus
+from ringseam.errors import UnreachableError
+from ringseam.ids import split_address
+from ringseam.services import HELLO, HelloReply, HelloRequest
+from ringseam.util.actors import ask
+
+if TYPE_CHECKING:
+    from pykka import ActorRef
+
+    from ringseam.node import Node
+    from ringseam.rpc import CallClient
+    from ringseam.settings import Settings
+
+logger = logging.getLogger(__name__)
+
+#: Between two rounds of greetings, seconds.
+_HELLO_S = 0.25
+#: A greeting that is unanswered for this long is lost, seconds.
+_HELLO_TIMEOUT_S = 0.8
+
+
+def wanted_voters(own: dict[str, Any]) -> int:
+    """Return how many voters bear the losses of the settings; 0: no limit."""
+    return 2 * own['tolerated_losses'] + 1 if own['seeds'] else 0
+
+
+def cluster_addresses(seeds: tuple[str, ...], ports: tuple[int, ...]) -> tuple[str, ...]:
+    """Return where control hosts listen for other processes."""
+    return tuple(f'{split_address(seed)[0]}:{ports[0]}' for seed in seeds)
+
+
+class Introduction:
+    """Greet the known replicas until this folder is a member."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        client: CallClient,
+        actor: ActorRef[Any],
+        settings: Settings,
+    ) -> None:
+        """Know the addresses of the settings."""
+        self.node = node
+        self.client = client
+        self.actor = actor
+        own = settings.own
+        self.first = tuple(settings.process['control'])
+        if own['seeds']:
+            self.first = cluster_addresses(own['seeds'], own['cluster_ports'])
+        self.may_found = own['may_found']
+        self.known = set(self.first)
+
+    def addresses(self) -> list[str]:
+        """Return all known addresses of replicas but this one's."""
+        return sorted(self.known - {self.node.address})
+
+    async def run(self) -> None:
+        """Greet while this folder is no member or hears no leader."""
+        while True:  # noqa: WPS457 - ends with the role
+            status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
+            self.known.update(member.address for member in status.members)
+            if not self._is_settled(status):
+                await self._greet(status)
+            await asyncio.sleep(_HELLO_S)
+
+    def _is_settled(self, status: ReplicaStatus) -> bool:
+        member = any(member.disk == status.disk for member in status.members)
+        return bool(status.group) and member and bool(status.leader)
+
+    async def _greet(self, status: ReplicaStatus) -> None:
+        greeting = HelloRequest(
+            disk=status.disk,
+            address=self.node.address,
+            group=status.group,
+        )
+        addresses = self.addresses()
+        replies = await asyncio.gather(*(self._hello(peer, greeting) for peer in addresses))
+        answers = {peer: reply for peer, reply in zip(addresses, replies, strict=True) if reply}
+        for reply in answers.values():
+            self.known.update(reply.members)
+        if not status.group and self.may_found:
+            self._found(status, answers)
+
+    async def _hello(self, address: str, greeting: HelloRequest) -> HelloReply | None:
+        try:
+            reply = await self.client.call(address, HELLO, greeting, timeout_s=_HELLO_TIMEOUT_S)
+        except UnreachableError as error:
+            logger.debug('greeting unanswered: %s', error)
+            return None
+        return reply.body
+
+    def _found(self, status: ReplicaStatus, answers: dict[str, HelloReply]) -> None:
+        """Found a group when every first address answers and is blank.
+
+        Only the lowest address founds: two lost folders out of three must not
+        begin a new history.
+        """
+        others = [address for address in self.first if address != self.node.address]
+        if self.node.address != min(self.first) or any(peer not in answers for peer in others):
+            return
+        if any(reply.group for reply in answers.values()):
+            return
+        members = [Member(disk=answers[peer].disk, address=peer) for peer in others]
+        members.append(Member(disk=status.disk, address=self.node.address))
+        self.actor.tell(FormGroup(members=tuple(members)))
--- /dev/null
+++ b/ringseam/control/openinterface.py
@@ -0,0 +1,173 @@
+"""The open interface of control hosts: backend servers and operators over HTTP."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from ringseam.backends import BackendReport, BackendState
+from ringseam.errors import FindingsError, UnreachableError
+from ringseam.events import Event
+from ringseam.following import (
+    READ_DOCUMENT,
+    REPORT_BACKEND,
+    SUBMIT,
+    DocumentHeld,
+    ReportTaken,
+    Submit,
+)
+from ringseam.messages import Empty, Redirect
+from ringseam.platform.manifest import decode_manifest, json_body
+from ringseam.platform.registration import (
+    CONFIG_PATH,
+    decode_report,
+    encode_accepted,
+    instance_of,
+)
+from ringseam.routes import ServiceName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ringseam.backends import BackendId
+    from ringseam.control.follow import FollowService
+    from ringseam.controlclient import ControlClient
+    from ringseam.node import Node
+    from ringseam.rpc import Method
+    from ringseam.web.server import Exchange
+
+logger = logging.getLogger(__name__)
+
+#: Bytes of a document that are accepted.
+DOCUMENT_BYTES = 32 * 2**20
+#: A report must be answered within a second; a leave waits for gateways.
+_REPORT_S = 0.9
+_LEAVE_S = 2.6
+#: A document waits for gateways; the operator gives up after four seconds.
+_SUBMIT_S = 3.0
+_READ_S = 0.9
+#: Where to keep the sequence of a leave that carries none above all others.
+_LAST_SEQUENCE = 2**53
+_JSON = ('Content-Type', 'application/json')
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_NOT_ALLOWED = 405
+_UNAVAILABLE = 503
+
+
+class OpenInterface:
+    """Answer the calls of backend servers and operators."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        follow: FollowService,
+        leader: ControlClient,
+        addresses: Callable[[], list[str]],
+    ) -> None:
+        """Answer here when this replica leads, else through the leader."""
+        self.node = node
+        self.follow = follow
+        self.leader = leader
+        self.addresses = addresses
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one call."""
+        request = exchange.request
+        instance = instance_of(request.path)
+        if instance is not None:
+            await self._handle_instance(exchange, instance)
+        elif request.path != CONFIG_PATH:
+            await exchange.respond(_NOT_FOUND, [])
+        elif request.method == 'PUT':
+            await self._put_document(exchange)
+        elif request.method == 'GET':
+            await self._read_document(exchange)
+        else:
+            await exchange.respond(_NOT_ALLOWED, [])
+
+    # -- backend servers ----------------------------------------------------
+
+    async def _handle_instance(self, exchange: Exchange, instance: BackendId) -> None:
+        if exchange.request.method == 'DELETE':
+            report = BackendReport(
+                instance=instance,
+                service=ServiceName(''),
+                address='',
+                zone='',
+                sequence=_LAST_SEQUENCE,
+                state=BackendState.gone,
+            )
+        elif exchange.request.method == 'PUT':
+            try:
+                report = decode_report(instance, exchange.request.body)
+            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+                await self._refuse(exchange, [str(error)])
+                return
+        else:
+            await exchange.respond(_NOT_ALLOWED, [])
+            return
+        limit_s = _REPORT_S if report.state is BackendState.ready else _LEAVE_S
+        reply = await self._lead(REPORT_BACKEND, report, self.follow.take_report, limit_s)
+        if isinstance(reply, ReportTaken):
+            await exchange.respond(_OK, [_JSON], encode_accepted(reply.report_to))
+        else:
+            await exchange.respond(_UNAVAILABLE, [])
+
+    # -- operators ----------------------------------------------------------
+
+    async def _put_document(self, exchange: Exchange) -> None:
+        document = exchange.request.body
+        try:
+            table = decode_manifest(document)
+        except FindingsError as error:
+            texts = [str(finding) for finding in error.findings]
+            self.node.events.emit(logger, Event.document_refused, findings=texts)
+            await self._refuse(exchange, texts)
+            return
+        submit = Submit(number=table.number, document=document)
+        reply = await self._lead(SUBMIT, submit, self.follow.accept, _SUBMIT_S)
+        if isinstance(reply, DocumentHeld):
+            await exchange.respond(_OK, [_JSON], json_body({}))
+        else:
+            await exchange.respond(_UNAVAILABLE, [])
+
+    async def _read_document(self, exchange: Exchange) -> None:
+        reply = await self._lead(
+            READ_DOCUMENT,
+            Empty(),
+            lambda _: self.follow.newest(),
+            _READ_S,
+        )
+        if isinstance(reply, DocumentHeld) and reply.number:
+            await exchange.respond(_OK, [_JSON], reply.document)
+        else:
+            await exchange.respond(_UNAVAILABLE, [])
+
+    async def _refuse(self, exchange: Exchange, findings: list[str]) -> None:
+        await exchange.respond(_BAD_REQUEST, [_JSON], json_body({'findings': findings}))
+
+    # -- helpers ------------------------------------------------------------
+
+    async def _lead(
+        self,
+        method: Method,
+        message: Any,
+        here: Callable[[Any], Any],
+        limit_s: float,
+    ) -> Any:
+        """Answer here when this replica leads, else ask the leader."""
+        reply = await here(message)
+        if not isinstance(reply, Redirect):
+            return reply
+        self.leader.addresses = self.addresses()
+        self.leader.leader = reply.leader
+        try:
+            return await self.leader.ask_leader(method, message, timeout_s=limit_s)
+        except UnreachableError as error:
+            logger.debug('no leader for %s: %s', method.path, error)
+            return None
--- a/ringseam/control/replica.py
+++ b/ringseam/control/replica.py
@@ -44,6 +44,8 @@
     heartbeat_s: float
     snapshot_entries: int
     group_commit: bool = True
+    #: How many voters the group grows to; 0 stands for no limit.
+    wanted_voters: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -133,6 +135,19 @@
     keys: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class Leadership:
+    """Who leads, as this replica knows; ``serves`` when it does so itself."""
+
+    term: int = 0
+    leader: str = ''
+    serves: bool = False
+    voters: int = 0
+    members: tuple[str, ...] = ()
+    #: Whether this replica's folder belongs to the membership it knows.
+    is_member: bool = False
+
+
 @dataclass(kw_only=True)
 class Outlets:
     """Where the actor's effects go; each is called on the actor's thread."""
@@ -140,6 +155,7 @@
     send: Callable[[str, Packet], None]
     files_changed: Callable[[StateMachine], None]
     failed: Callable[[str], None]
+    leadership_changed: Callable[[Leadership], None] = lambda leadership: None  # noqa: E731
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -188,9 +204,10 @@
         self.raft = self._new_raft(loaded.log, loaded.hard)
         self.machine = StateMachine(snapshot=loaded.log.snapshot.state)
         self.waiting = Waiting()
-        self.repair = Repair()
+        self.repair = Repair(wanted_voters=settings.wanted_voters)
         self.addresses: dict[str, str] = {}
         self.was_leader = False
+        self.leadership = Leadership()
         self.outlets.files_changed(self.machine)
 
     def receive(self, body: Any, reply_to: ReplyTo | None = None) -> None:
@@ -332,7 +349,7 @@
                 self.outlets.send(address, packet)
 
     def _apply(self, committed: list[LogEntry]) -> None:
-        revision = self.machine.state.revision
+        version = self.machine.version
         for entry in committed:
             outcome: Any = self._not_leading()
             if entry.kind is EntryKind.command:
@@ -341,7 +358,7 @@
             if pending is not None:
                 same = pending.term == entry.term
                 pending.reply_to.send(outcome if same else self._not_leading())
-        if self.machine.state.revision != revision:
+        if self.machine.version != version:
             self.outlets.files_changed(self.machine)
 
     def _compact(self) -> None:
@@ -400,7 +417,22 @@
             raise StorageError(str(error)) from error
         self.node.group = group
 
+    def _tell_leadership(self) -> None:
+        membership = self.raft.membership
+        leadership = Leadership(
+            term=self.raft.term,
+            leader=self._leader_address(),
+            serves=self.raft.can_serve,
+            voters=len(membership.voters),
+            members=tuple(member.address for member in membership.members),
+            is_member=membership.find(self.identity.disk) is not None,
+        )
+        if leadership != self.leadership:
+            self.leadership = leadership
+            self.outlets.leadership_changed(leadership)
+
     def _note_leadership(self) -> None:
+        self._tell_leadership()
         if self.raft.is_leader == self.was_leader:
             return
         self.was_leader = self.raft.is_leader
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -13,14 +13,17 @@
 from ringseam import config
 from ringseam.clock import MS_PER_S
 from ringseam.control.directory import Directory
-from ringseam.control.raftlog import Member, Packet
+from ringseam.control.founding import Introduction, wanted_voters
+from ringseam.control.follow import FollowService, HeldDocument
+from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
+from ringseam.control.raftlog import Packet
 from ringseam.control.replica import (
     BlankSeen,
     Deliver,
     FindApply,
-    FormGroup,
     GetReplicaStatus,
     HandOver,
+    Leadership,
     NotLeading,
     Outlets,
     Propose,
@@ -33,9 +36,12 @@
 )
 from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.control.storage import DiskFiles, Storage
+from ringseam.controlclient import ControlClient
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
+from ringseam.following import READ_DOCUMENT, REPORT_BACKEND, SUBMIT, WATCH
 from ringseam.holder import ConfigHolder
+from ringseam.ids import split_address
 from ringseam.messages import (
     AcceptedFile,
     ApplyAccepted,
@@ -67,25 +73,24 @@
     CommandReply,
     FirstConfigReply,
     HelloReply,
-    HelloRequest,
     LeaseReply,
 )
 from ringseam.shares import LEASE_S, ShareBook
 from ringseam.util.actors import ask
 from ringseam.util.ini import split_list
+from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
     from ringseam.control.state import StateMachine
     from ringseam.errors import Finding
     from ringseam.messages import ApplyRequest
     from ringseam.rpc import Received
+    from ringseam.services import HelloRequest
     from ringseam.settings import Settings
 
 logger = logging.getLogger(__name__)
 
 _COMMIT_TIMEOUT_S = 5.0
-_HELLO_S = 0.3
-_HELLO_TIMEOUT_S = 1.0
 _RECONNECT_S = 0.1
 _PEER_QUEUE = 1024
 _EXPIRE_S = 0.2
@@ -136,6 +141,12 @@
             started=self.node.clock.now(),
         )
         self.links = PeerLinks(role=self)
+        self.follow = FollowService(
+            node=self.node,
+            submit=self._commit,
+            confirm=lambda: self._ask_quorum(ReadBarrier()),
+            voters_needed=wanted_voters(settings.own),
+        )
         self.shares: ShareBook | None = None
         self.bootstrap = dict(
             piece.partition('=')[::2] for piece in split_list(own['bootstrap_part_digests'])
@@ -155,6 +166,15 @@
             files = tuple(machine.files())
             revision = machine.state.revision
             loop.call_soon_threadsafe(self._take, revision, files)
+            document = HeldDocument(
+                number=machine.state.number,
+                document=machine.state.document,
+                retired=tuple(machine.state.retired),
+            )
+            loop.call_soon_threadsafe(self.follow.hold, document)
+
+        def led(leadership: Leadership) -> None:  # noqa: WPS430
+            loop.call_soon_threadsafe(self.follow.lead, leadership)
 
         def failed(detail: str) -> None:  # noqa: WPS430
             loop.call_soon_threadsafe(self._fail, detail)
@@ -168,14 +188,28 @@
                 heartbeat_s=self.settings.seconds('heartbeat_ms'),
                 snapshot_entries=own['snapshot_entries'],
                 group_commit=own['group_commit'],
+                wanted_voters=wanted_voters(own),
+            ),
+            outlets=Outlets(
+                send=send,
+                files_changed=changed,
+                failed=failed,
+                leadership_changed=led,
             ),
-            outlets=Outlets(send=send, files_changed=changed, failed=failed),
             seed=zlib.crc32(self.node.incarnation.encode()),
         )
         self.actor = ReplicaActor.start(replica=replica)
+        self.introduction = Introduction(
+            node=self.node,
+            client=self.client,
+            actor=self.actor,
+            settings=self.settings,
+        )
         self.stack.callback(self.actor.stop)
         self.spawn(self._tick_always())
-        self.spawn(self._introduce_until_joined())
+        self.spawn(self.introduction.run())
+        if own['http']:
+            await self._open_follow()
 
     async def drain(self) -> None:
         """Hand leadership over before leaving."""
@@ -196,10 +230,15 @@
     async def hello(self, received: Received) -> HelloReply:
         """Introduce this folder and remember a blank one."""
         greeting: HelloRequest = received.body
-        if not greeting.group and greeting.address in self.settings.process['control']:
+        if self._may_join(greeting):
             self.actor.tell(BlankSeen(disk=greeting.disk, address=greeting.address))
         status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
-        return HelloReply(disk=status.disk, address=self.node.address, group=status.group)
+        return HelloReply(
+            disk=status.disk,
+            address=self.node.address,
+            group=status.group,
+            members=tuple(member.address for member in status.members),
+        )
 
     async def command(self, received: Received) -> CommandReply:
         """Commit a ledger or token command."""
@@ -294,6 +333,10 @@
         self.server.add(DELTA, self.delta)
         self.server.add(STATUS, self.status)
         self.server.add(LEASE, self.lease)
+        self.server.add(WATCH, self.follow.watch)
+        self.server.add(REPORT_BACKEND, self.follow.report)
+        self.server.add(SUBMIT, self.follow.submit_document)
+        self.server.add(READ_DOCUMENT, self.follow.read)
 
     # -- applying -----------------------------------------------------------
 
@@ -338,6 +381,26 @@
             findings.append(config.wrong_part(request.path, part.name, request.part))
         return _lines(findings)
 
+    def _may_join(self, greeting: HelloRequest) -> bool:
+        if greeting.group and greeting.group != self.node.group:
+            return False
+        open_group = bool(self.settings.own['seeds'])
+        return open_group or greeting.address in self.settings.process['control']
+
+    async def _open_follow(self) -> None:
+        """Serve gateways, backend servers and operators over the open interface."""
+        leader = ControlClient(client=self.client, addresses=())
+        interface = OpenInterface(
+            node=self.node,
+            follow=self.follow,
+            leader=leader,
+            addresses=self.introduction.addresses,
+        )
+        web = HttpServer(handler=interface.handle, limits=HttpLimits(body_bytes=DOCUMENT_BYTES))
+        await web.start(*split_address(self.settings.own['http']))
+        self.stack.push_async_callback(web.close)
+        self.spawn(self.follow.expire_always())
+
     # -- background ---------------------------------------------------------
 
     async def _commit(self, command: Any) -> Any:
@@ -361,36 +424,6 @@
                     self.node.events.emit(logger, Event.agent_lost, agent=name)
             await asyncio.sleep(interval)
 
-    async def _introduce_until_joined(self) -> None:
-        while not self.node.group:
-            status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
-            await self._introduce(status)
-            await asyncio.sleep(_HELLO_S)
-
-    async def _introduce(self, status: ReplicaStatus) -> None:
-        """Tell all configured addresses of a blank folder; maybe found a group.
-
-        Only when every configured address answers and every one is blank, and
-        then only the lowest address founds: two lost folders out of three
-        must not begin a new history.
-        """
-        addresses = self.settings.process['control']
-        greeting = HelloRequest(disk=status.disk, address=self.node.address)
-        calls = [
-            self.client.call(address, HELLO, greeting, timeout_s=_HELLO_TIMEOUT_S)
-            for address in addresses
-            if address != self.node.address
-        ]
-        replies = await asyncio.gather(*calls, return_exceptions=True)
-        if any(isinstance(reply, BaseException) for reply in replies):
-            return
-        peers: list[HelloReply] = [reply.body for reply in replies]
-        if any(peer.group for peer in peers) or self.node.address != min(addresses):
-            return
-        members = [Member(disk=peer.disk, address=peer.address) for peer in peers]
-        members.append(Member(disk=status.disk, address=self.node.address))
-        self.actor.tell(FormGroup(members=tuple(members)))
-
     def _take(self, revision: int, files: tuple[AcceptedFile, ...]) -> None:
         self.holder.take(ConfigReply(revision=revision, files=files))
 
--- /dev/null
+++ b/ringseam/following.py
@@ -0,0 +1,88 @@
+"""Messages by which gateways follow control, and control hosts pass on calls."""
+
+from __future__ import annotations
+
+from typing import Union
+
+from ringseam.backends import BackendId, BackendReport, GatewayState
+from ringseam.messages import Empty, Message, Redirect, Tagged
+from ringseam.rpc import Method
+
+
+class WatchRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Ask for what is newer than what the gateway holds.
+
+    It confirms at once: changes up to ``since`` of ``epoch`` are known, and
+    the document with ``number`` is in force.
+    """
+
+    gateway: GatewayState
+    epoch: str = ''
+    since: int = 0
+    number: int = 0
+
+
+class WatchNews(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """What is newer; ``whole`` says that the reports are all there are."""
+
+    epoch: str
+    upto: int
+    whole: bool
+    #: Whether the directory has had the time to hear every backend server.
+    warm: bool
+    reports: tuple[BackendReport, ...] = ()
+    #: Servers that have fallen silent.
+    silent: tuple[BackendId, ...] = ()
+    number: int = 0
+    #: The document with ``number``; empty when the gateway has it.
+    document: bytes = b''
+    gateways: tuple[GatewayState, ...] = ()
+    control: tuple[str, ...] = ()
+
+
+class WatchReply(Message, frozen=True, kw_only=True):
+    """News, or where the leader may be."""
+
+    reply: Union[WatchNews, Redirect]
+
+
+class ReportTaken(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """The report is in the directory; ``report_to`` is the leader's address."""
+
+    report_to: str = ''
+
+
+class ReportAnswer(Message, frozen=True, kw_only=True):
+    """Acknowledgement of a report, or where the leader may be."""
+
+    reply: Union[ReportTaken, Redirect]
+
+
+class Submit(Message, frozen=True, kw_only=True):
+    """Accept a checked document under its number."""
+
+    number: int
+    document: bytes
+
+
+class DocumentHeld(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """The newest accepted document; empty in answers to a submit."""
+
+    number: int
+    document: bytes = b''
+
+
+class NotYet(Tagged, frozen=True, kw_only=True):
+    """Nothing was changed: the group can't bear its losses yet."""
+
+
+class DocumentReply(Message, frozen=True, kw_only=True):
+    """The newest document, or why there is none."""
+
+    reply: Union[DocumentHeld, NotYet, Redirect]
+
+
+WATCH = Method('/ringseam.Follow/Watch', WatchRequest, WatchReply)
+REPORT_BACKEND = Method('/ringseam.Follow/ReportBackend', BackendReport, ReportAnswer)
+SUBMIT = Method('/ringseam.Follow/Submit', Submit, DocumentReply)
+READ_DOCUMENT = Method('/ringseam.Follow/ReadDocument', Empty, DocumentReply)
--- /dev/null
+++ b/ringseam/gateway/batching.py
@@ -0,0 +1,188 @@
+"""Batches of pieces for the servers of one stage service; a plain class.
+
+A server works on one call at a time whatever its size, so pieces wait while
+all servers are busy and leave in full calls: the most urgent request first,
+its pieces together.
+"""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.backends import BackendId, BackendReport
+    from ringseam.gateway.health import HealthBook
+    from ringseam.routes import BatchSpec, ServiceName
+
+
+@dataclass(frozen=True, kw_only=True)
+class PieceJob:
+    """Pieces of one stage of one request; times are absolute seconds."""
+
+    attempt_id: str
+    service: ServiceName
+    stage: int
+    pieces: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    #: When the whole request stops earning its full worth, less later work.
+    due: float
+    deadline: float
+    priority: int
+    result_bytes: int
+    zone: str = ''
+
+
+@dataclass(kw_only=True, eq=False)
+class Piece:
+    """One piece that waits or is worked on."""
+
+    job: PieceJob
+    number: int
+    order: int
+    tries: int = 0
+    avoid: set[BackendId] = field(default_factory=set)
+
+
+@dataclass(kw_only=True, eq=False)
+class StageCall:
+    """Pieces that leave together for one server."""
+
+    server: BackendReport
+    pieces: list[Piece]
+    expected_s: float
+
+
+@dataclass(kw_only=True)
+class Batcher:
+    """Decide which pieces leave next, and for which server."""
+
+    service: ServiceName
+    health: HealthBook
+    waiting: list[Piece] = field(default_factory=list)
+    calls: dict[BackendId, int] = field(default_factory=dict)
+    #: Bytes of results that each server keeps or is about to make.
+    kept_bytes: dict[BackendId, int] = field(default_factory=dict)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def add(self, job: PieceJob) -> list[Piece]:
+        """Let the pieces of a job wait."""
+        pieces = [Piece(job=job, number=piece, order=next(self.numbers)) for piece in job.pieces]
+        self.waiting.extend(pieces)
+        return pieces
+
+    def again(self, piece: Piece, server: BackendId) -> None:
+        """Let a piece wait once more, for another server if there is one."""
+        piece.tries += 1
+        piece.avoid.add(server)
+        self.waiting.append(piece)
+
+    def cancel(self, pieces: Collection[Piece]) -> None:
+        """Drop pieces that nobody waits for."""
+        self.waiting = [piece for piece in self.waiting if piece not in pieces]
+
+    def next_call(
+        self,
+        servers: Collection[BackendReport],
+        spec: BatchSpec,
+        now: float,
+    ) -> StageCall | None:
+        """Return the next call, or None while it is better to wait."""
+        if not self.waiting:
+            return None
+        for server in sorted(self._idle(servers, spec, now), key=self._preference):
+            pieces = self._pick(server, servers, spec, now)
+            if pieces:
+                return self._begin(server, pieces, spec)
+        return None
+
+    def ended(self, call: StageCall) -> None:
+        """Hear that a call is over; results that weren't made need no room."""
+        instance = call.server.instance
+        self.calls[instance] = max(0, self.calls.get(instance, 0) - 1)
+        self.freed(instance, sum(piece.job.result_bytes for piece in call.pieces))
+
+    def kept(self, instance: BackendId, amount: int) -> None:
+        """Hear that a server keeps a result."""
+        self.kept_bytes[instance] = self.kept_bytes.get(instance, 0) + amount
+
+    def freed(self, instance: BackendId, amount: int) -> None:
+        """Hear that a server has given up a result."""
+        self.kept_bytes[instance] = max(0, self.kept_bytes.get(instance, 0) - amount)
+
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget servers that are gone."""
+        for instance in set(self.kept_bytes) - instances:
+            self.kept_bytes.pop(instance)
+        for instance in set(self.calls) - instances:
+            if not self.calls[instance]:
+                self.calls.pop(instance)
+
+    # -- helpers ------------------------------------------------------------
+
+    def _idle(
+        self,
+        servers: Collection[BackendReport],
+        spec: BatchSpec,
+        now: float,
+    ) -> list[BackendReport]:
+        idle = [
+            server for server in servers if self.calls.get(server.instance, 0) < spec.slots
+        ]
+        sound = [
+            server
+            for server in idle
+            if now >= self.health.of(server.instance).ejected_until
+        ]
+        all_ejected = all(
+            now < self.health.of(server.instance).ejected_until for server in servers
+        )
+        return idle if all_ejected else sound
+
+    def _preference(self, server: BackendReport) -> tuple[float, int, str]:
+        standing = self.health.of(server.instance)
+        return (
+            round(standing.slowness, 1),
+            self.kept_bytes.get(server.instance, 0),
+            server.instance,
+        )
+
+    def _pick(
+        self,
+        server: BackendReport,
+        servers: Collection[BackendReport],
+        spec: BatchSpec,
+        now: float,
+    ) -> list[Piece]:
+        room = spec.room_bytes - self.kept_bytes.get(server.instance, 0)
+        picked: list[Piece] = []
+        for piece in sorted(self.waiting, key=lambda waiting: _urgency(waiting, now)):
+            if len(picked) == spec.batch:
+                break
+            if server.instance in piece.avoid and len(piece.avoid) < len(servers):
+                continue
+            if piece.job.result_bytes > room and self.kept_bytes.get(server.instance, 0):
+                continue
+            picked.append(piece)
+            room -= piece.job.result_bytes
+        return picked
+
+    def _begin(self, server: BackendReport, pieces: list[Piece], spec: BatchSpec) -> StageCall:
+        instance = server.instance
+        self.waiting = [piece for piece in self.waiting if piece not in pieces]
+        self.calls[instance] = self.calls.get(instance, 0) + 1
+        self.kept(instance, sum(piece.job.result_bytes for piece in pieces))
+        return StageCall(
+            server=server,
+            pieces=pieces,
+            expected_s=spec.call_s + spec.piece_s * len(pieces),
+        )
+
+
+def _urgency(piece: Piece, now: float) -> tuple[bool, int, float, str, int]:
+    job = piece.job
+    return (job.due < now, job.priority, job.due, job.attempt_id, piece.number)
--- /dev/null
+++ b/ringseam/gateway/follower.py
@@ -0,0 +1,160 @@
+"""Following the leader of control: routes, backend servers, other gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.backends import BackendView, GatewayState
+from ringseam.errors import FindingsError, UnreachableError
+from ringseam.events import Event
+from ringseam.following import WATCH, WatchNews, WatchRequest
+from ringseam.platform.manifest import decode_manifest
+from ringseam.routes import RouteTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ringseam.node import Node
+    from ringseam.rpc import CallClient
+
+logger = logging.getLogger(__name__)
+
+#: A watch is held for a second; later its host counts as lost, seconds.
+_WATCH_TIMEOUT_S = 1.5
+#: Pause after a host that couldn't tell the leader, seconds.
+_PAUSE_S = 0.1
+
+
+class Follower:
+    """Hold the newest routes and backend servers; neither goes back."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        client: CallClient,
+        addresses: tuple[str, ...],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Begin with the addresses of some control hosts."""
+        self.node = node
+        self.client = client
+        self.addresses = list(addresses)
+        self.on_change = on_change
+        self.table = RouteTable()
+        self.view = BackendView()
+        self.gateways: tuple[GatewayState, ...] = ()
+        self.epoch = ''
+        #: The directory against which missing servers were dropped.
+        self.pruned = ''
+        self.since = 0
+        self.leader = ''
+        self.draining = False
+        self.in_touch = False
+
+    @property
+    def state(self) -> GatewayState:
+        """Return what others are told of this gateway."""
+        return GatewayState(
+            name=self.node.name,
+            address=self.node.address,
+            zone=self.node.zone,
+            draining=self.draining,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self.table.number > 0 and bool(self.view.backends)
+
+    async def run(self) -> None:
+        """Follow whoever leads."""
+        turn = 0
+        while True:  # noqa: WPS457 - ends with the role
+            address = self.leader
+            if not address:
+                address = self.addresses[turn % len(self.addresses)]
+                turn += 1
+            if not await self._watch(address):
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _watch(self, address: str) -> bool:
+        request = WatchRequest(
+            gateway=self.state,
+            epoch=self.epoch,
+            since=self.since,
+            number=self.table.number,
+        )
+        try:
+            received = await self.client.call(
+                address,
+                WATCH,
+                request,
+                timeout_s=_WATCH_TIMEOUT_S,
+            )
+        except UnreachableError as error:
+            self._lose(address, str(error))
+            return False
+        reply = received.body.reply
+        if isinstance(reply, WatchNews):
+            self._note_touch(address)
+            self.take(reply)
+            return True
+        self.leader = reply.leader
+        return bool(reply.leader)
+
+    def take(self, news: WatchNews) -> None:
+        """Take in what is newer."""
+        self._take_document(news)
+        for report in news.reports:
+            self.view.take(report)
+        for instance in news.silent:
+            self.view.lose(instance)
+        self.epoch = news.epoch
+        self.since = news.upto
+        if news.warm and self.pruned != news.epoch:
+            self._prune(news)
+        self.gateways = news.gateways
+        if news.control:
+            self.addresses = list(news.control)
+        self.on_change()
+
+    def _prune(self, news: WatchNews) -> None:
+        """Drop what a directory that is complete doesn't have."""
+        if news.whole:
+            self.pruned = news.epoch
+            self.view.keep_only({report.instance for report in news.reports})
+        else:
+            self.epoch = ''
+
+    def _take_document(self, news: WatchNews) -> None:
+        if news.number <= self.table.number or not news.document:
+            return
+        try:
+            table = decode_manifest(news.document)
+        except FindingsError as error:
+            logger.error('accepted document can not be read: %s', error)  # noqa: TRY400
+            return
+        self.table = table
+        self.node.events.emit(logger, Event.document_in_force, number=table.number)
+
+    def _note_touch(self, address: str) -> None:
+        if not self.in_touch or self.leader != address:
+            self.node.events.emit(logger, Event.control_reached, address=address)
+        self.in_touch = True
+        self.leader = address
+
+    def _lose(self, address: str, detail: str) -> None:
+        logger.debug('watch failed: %s', detail)
+        if self.in_touch:
+            self.node.events.emit(
+                logger,
+                Event.control_lost,
+                address=address,
+                detail=detail,
+                number=self.table.number,
+            )
+        self.in_touch = False
+        self.leader = ''
--- /dev/null
+++ b/ringseam/gateway/forwarding.py
@@ -0,0 +1,364 @@
+"""A client's request from its first byte to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING
+
+from ringseam.events import Event
+from ringseam.gateway.choice import EngineChoice, Need, PlainChoice
+from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
+from ringseam.gateway.stagegraph import StageRun, has_stages
+from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Work
+from ringseam.platform.requests import attempt_header, decode_request, retry_after
+from ringseam.platform.stages import PieceFault
+from ringseam.routes import RequestKind
+from ringseam.web.client import ChannelError
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
+    from ringseam.gateway.budget import RetryBudget
+    from ringseam.gateway.follower import Follower
+    from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.piecework import PieceWorks
+    from ringseam.gateway.tries import Sender
+    from ringseam.gateway.work import TryOutcome
+    from ringseam.metrics import Metrics
+    from ringseam.node import Node
+    from ringseam.platform.requests import ClientRequest
+    from ringseam.routes import Account, Route, ServiceName
+    from ringseam.web.server import Exchange
+
+logger = logging.getLogger(__name__)
+
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+_SERVER_ERROR = 500
+_BAD_REQUEST = 400
+#: When a client should come back while nothing is known, seconds.
+_COME_BACK_S = 0.3
+#: Connections that could not be made don't count as attempts; this many end it.
+_UNSENT_TRIES = 4
+
+
+class Forwarder:  # noqa: WPS214 - the steps of one request
+    """Serve clients by the routes and servers that the follower holds."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        follower: Follower,
+        sender: Sender,
+        health: HealthBook,
+        works: PieceWorks,
+        budget: RetryBudget,
+        metrics: Metrics,
+    ) -> None:
+        """Forward through ``sender``."""
+        self.node = node
+        self.clock = node.clock
+        self.follower = follower
+        self.sender = sender
+        self.health = health
+        self.works = works
+        self.budget = budget
+        self.metrics = metrics
+        self.engines = EngineChoice(health=health)
+        self.plain = PlainChoice(health=health)
+        self.random = random.Random(node.incarnation)  # noqa: S311 - spreads load only
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one client request."""
+        request = decode_request(exchange.request)
+        table = self.follower.table
+        if not table.number:
+            await self._refuse(exchange, request, 'no routes yet')
+            return
+        route = table.match(request.host, request.path)
+        if route is None:
+            await exchange.respond(_NOT_FOUND, self._marks(request))
+            return
+        account = table.account_of(request.key)
+        if table.accounts and account is None and not route.public:
+            await exchange.respond(_UNAUTHORIZED, self._marks(request))
+            return
+        work = self._work(exchange, request, route, None if route.public else account)
+        try:
+            await self._serve(work)
+        except asyncio.CancelledError:
+            self._log(work, Event.request_left)
+            raise
+
+    def _work(
+        self,
+        exchange: Exchange,
+        request: ClientRequest,
+        route: Route,
+        account: Account | None,
+    ) -> Work:
+        arrived = exchange.request.arrived
+        limit = route.timeout_s
+        if request.time_left_s is not None:
+            limit = min(limit, request.time_left_s)
+        return Work(
+            exchange=exchange,
+            request=request,
+            route=route,
+            service=self._target(route),
+            account=account,
+            arrived=arrived,
+            deadline=arrived + limit,
+        )
+
+    def _target(self, route: Route) -> ServiceName:
+        services = [target.service for target in route.targets]
+        weights = [target.weight for target in route.targets]
+        return self.random.choices(services, weights)[0]
+
+    async def _serve(self, work: Work) -> None:
+        self.budget.request(work.service, self.clock.now())
+        if not has_stages(work.route, work.request.pieces):
+            await self._forward(work, None)
+            return
+        stages = StageRun(
+            work=work,
+            works=self.works,
+            table=self.follower.table,
+            zone=self.node.zone,
+        )
+        try:
+            fault = await stages.run()
+            if fault is None:
+                work.inputs = stages.inputs()
+                await self._forward(work, stages)
+            elif fault.fault is PieceFault.late:
+                await self._fail(work, _GATEWAY_TIMEOUT, 'stages took too long')
+            else:
+                await self._refuse(
+                    work.exchange,
+                    work.request,
+                    f'stages: {fault.fault.value}',
+                )
+        finally:
+            stages.release()
+
+    # -- sending ------------------------------------------------------------
+
+    async def _forward(self, work: Work, stages: StageRun | None) -> None:
+        """Send until an answer is passed on or nothing more may be sent."""
+        relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
+        outcome: TryOutcome = NotRun(detail='no server')
+        unsent = 0
+        while True:  # noqa: WPS457 - ends when nothing more may be sent
+            server = self._choose(work)
+            if server is None or work.deadline <= self.clock.now():
+                break
+            work.tried.add(server.instance)
+            outcome = await self._try(work, server, relay)
+            if isinstance(outcome, Answered):
+                return
+            if isinstance(outcome, NotRun) and not outcome.reached:
+                unsent += 1
+                if unsent >= _UNSENT_TRIES:
+                    break
+                continue
+            work.sends += 1
+            if not self._may_repeat(work, outcome):
+                break
+        await self._give_up(work, outcome, relay)
+
+    def _may_repeat(self, work: Work, outcome: TryOutcome) -> bool:
+        if isinstance(outcome, Lost):
+            work.maybe_run += 1
+            if not work.route.repeatable:
+                return False
+        if work.sends >= work.route.max_attempts:
+            return False
+        return self.budget.take(work.service, self.clock.now())
+
+    def _choose(self, work: Work) -> BackendReport | None:
+        servers = [
+            server
+            for server in self.follower.view.serving(work.service)
+            if server.instance not in work.tried
+        ]
+        choice = self.engines if work.route.affinity else self.plain
+        need = Need(
+            zone=self.node.zone,
+            prompt_tokens=work.request.prompt_tokens,
+            prefix=work.request.prefix,
+        )
+        return choice.choose(servers, need, self.clock.now())
+
+    async def _try(
+        self,
+        work: Work,
+        server: BackendReport,
+        relay: StreamRelay,
+    ) -> TryOutcome:
+        """Send once; an :class:`Answered` has been passed on whole."""
+        standing = self.health.of(server.instance)
+        standing.in_flight += 1
+        unread = 0
+        if work.route.affinity:
+            need = Need(
+                zone=self.node.zone,
+                prompt_tokens=work.request.prompt_tokens,
+                prefix=work.request.prefix,
+            )
+            unread = self.engines.unread_tokens(server.instance, need, self.clock.now())
+            self.engines.memory.note(server.instance, work.request.prefix, self.clock.now())
+        standing.tokens_waiting += unread
+        self._log(work, Event.request_sent, backend=server.instance, sends=work.sends)
+        begun = self.clock.now()
+        try:
+            last = relay.last if relay.started else None
+            outcome = await self.sender.send(work, server, last_event=last)
+            standing.tokens_waiting -= unread
+            unread = 0
+            if isinstance(outcome, Answered):
+                return await self._pass_on(work, server, outcome, relay, begun)
+            return outcome
+        finally:
+            standing.in_flight -= 1
+            standing.tokens_waiting -= unread
+
+    async def _pass_on(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+        begun: float,
+    ) -> TryOutcome:
+        clean = False
+        try:
+            if is_stream(answered.head) and answered.head.status < _BAD_REQUEST:
+                outcome = await self._pass_stream(work, server, answered, relay)
+            else:
+                outcome = await self._pass_whole(work, server, answered, relay, begun)
+            clean = isinstance(outcome, Answered)
+            return outcome
+        finally:
+            if clean:
+                self.sender.pool.release(answered.channel)
+            else:
+                answered.channel.close()
+
+    async def _pass_whole(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+        begun: float,
+    ) -> TryOutcome:
+        now = self.clock.now()
+        try:
+            async with asyncio.timeout(max(0, work.deadline - now)):
+                body = await answered.channel.whole_body()
+        except (ChannelError, asyncio.TimeoutError) as error:
+            self._count_failure(work, server)
+            return Lost(cause=LossCause.not_whole, detail=f'{server.address}: {error}')
+        if answered.head.status >= _SERVER_ERROR:
+            self._count_failure(work, server)
+            last_chance = work.sends + 1 >= work.route.max_attempts
+            repeatable = work.route.repeatable and not last_chance
+            if relay.started or (repeatable and self._has_other(work)):
+                self.sender.pool.release(answered.channel)
+                return Lost(cause=LossCause.not_whole, detail=f'status {answered.head.status}')
+        else:
+            self.health.succeeded(server.instance, self.clock.now())
+            self.health.took(server.instance, self.clock.now() - begun, 0)
+        await work.exchange.respond(answered.head.status, client_headers(answered.head), body)
+        self._note_answer(work, answered.head.status)
+        return answered
+
+    async def _pass_stream(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+    ) -> TryOutcome:
+        end = await relay.pass_on(answered)
+        if end is StreamEnd.whole:
+            self.health.succeeded(server.instance, self.clock.now())
+            await work.exchange.finish()
+            self._note_answer(work, answered.head.status)
+            return answered
+        self._count_failure(work, server)
+        self._log(
+            work,
+            Event.stream_broken,
+            backend=server.instance,
+            end=end.value,
+            last=relay.last,
+        )
+        cause = LossCause.timeout if end is StreamEnd.deadline else LossCause.gap
+        return Lost(cause=cause, detail=f'{server.address}: stream {end.value}')
+
+    def _has_other(self, work: Work) -> bool:
+        serving = self.follower.view.serving(work.service)
+        return any(server.instance not in work.tried for server in serving)
+
+    def _count_failure(self, work: Work, server: BackendReport) -> None:
+        if self.health.failed(server.instance, self.clock.now()):
+            self._log(work, Event.server_ejected, backend=server.instance)
+
+    # -- final answers ------------------------------------------------------
+
+    async def _give_up(self, work: Work, outcome: TryOutcome, relay: StreamRelay) -> None:
+        """Give the final answer at once."""
+        detail = outcome.detail if not isinstance(outcome, Answered) else ''
+        if relay.started:
+            self._log(work, Event.request_failed, status=0, detail=detail)
+            work.exchange.abort()
+        elif work.maybe_run or isinstance(outcome, Lost):
+            late = self.clock.now() >= work.deadline
+            await self._fail(work, _GATEWAY_TIMEOUT if late else _BAD_GATEWAY, detail)
+        else:
+            await self._refuse(work.exchange, work.request, detail)
+
+    async def _fail(self, work: Work, status: int, detail: str) -> None:
+        self._log(work, Event.request_failed, status=status, detail=detail)
+        self.metrics.add('requests', status=str(status), route=work.route.name)
+        await work.exchange.respond(status, self._marks(work.request))
+
+    async def _refuse(self, exchange: Exchange, request: ClientRequest, detail: str) -> None:
+        """Say that the request has not run, and when to come back."""
+        self.node.events.emit(
+            logger,
+            Event.request_refused,
+            request=request.attempt_id,
+            number=self.follower.table.number,
+            detail=detail,
+        )
+        self.metrics.add('requests', status=str(_UNAVAILABLE), route='')
+        headers = [*self._marks(request), retry_after(_COME_BACK_S)]
+        await exchange.respond(_UNAVAILABLE, headers)
+
+    def _marks(self, request: ClientRequest) -> list[tuple[str, str]]:
+        return [attempt_header(request.attempt_id)] if request.attempt_id else []
+
+    def _note_answer(self, work: Work, status: int) -> None:
+        took_ms = (self.clock.now() - work.arrived) * 1000
+        self.metrics.add('requests', status=str(status), route=work.route.name)
+        self.metrics.record_ms('request', took_ms, route=work.route.name)
+        self._log(work, Event.request_answered, status=status, took_ms=round(took_ms))
+
+    def _log(self, work: Work, event: Event, **fields: object) -> None:
+        self.node.events.emit(
+            logger,
+            event,
+            request=work.request.attempt_id,
+            route=work.route.name,
+            number=self.follower.table.number,
+            **fields,
+        )
--- /dev/null
+++ b/ringseam/gateway/relay.py
@@ -0,0 +1,105 @@
+"""Answers passed on to the client: whole bodies, and streams event by event."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.platform.requests import WITHHELD_FROM_CLIENTS
+from ringseam.web.bodies import EventSplitter, end_to_end
+from ringseam.web.client import ChannelError
+
+if TYPE_CHECKING:
+    from ringseam.clock import Clock
+    from ringseam.gateway.work import Answered, Work
+    from ringseam.web.bodies import Headers
+    from ringseam.web.client import ResponseHead
+
+logger = logging.getLogger(__name__)
+
+#: A stream whose server is silent for this long is given up, seconds: clients
+#: leave after two seconds or more.
+STREAM_GAP_S = 1.8
+_STREAM_TYPE = 'text/event-stream'
+
+
+class StreamEnd(enum.Enum):
+    """How the events of one server ended."""
+
+    whole = 'whole'
+    broken = 'broken'
+    silent = 'silent'
+    out_of_order = 'out-of-order'
+    deadline = 'deadline'
+
+
+def is_stream(head: ResponseHead) -> bool:
+    """Return whether an answer is a series of events."""
+    return head.header('Content-Type').partition(';')[0].strip().lower() == _STREAM_TYPE
+
+
+def client_headers(head: ResponseHead) -> Headers:
+    """Return an answer's headers as the client gets them."""
+    return [
+        (name, text)
+        for name, text in end_to_end(head.headers)
+        if name.lower() not in WITHHELD_FROM_CLIENTS
+    ]
+
+
+@dataclass(kw_only=True)
+class StreamRelay:
+    """Pass events on in order; one per client request, over all servers."""
+
+    work: Work
+    clock: Clock
+    #: Number of the last event that was passed on; the client's own first.
+    last: int | None
+    started: bool = False
+    events: int = 0
+    first_at: float = 0
+    rest: bytes = b''
+    splitter: EventSplitter = field(default_factory=EventSplitter)
+
+    async def pass_on(self, answered: Answered) -> StreamEnd:
+        """Pass one server's events on until they end."""
+        self.splitter = EventSplitter()
+        if not self.started:
+            self.started = True
+            self.work.exchange.start(answered.head.status, client_headers(answered.head))
+        while True:  # noqa: WPS457 - ends with the stream
+            left = self.work.deadline - self.clock.now()
+            if left <= 0:
+                return StreamEnd.deadline
+            try:
+                async with asyncio.timeout(min(left, STREAM_GAP_S)):
+                    chunk = await answered.channel.chunk()
+            except asyncio.TimeoutError:
+                late = self.clock.now() >= self.work.deadline
+                return StreamEnd.deadline if late else StreamEnd.silent
+            except ChannelError as error:
+                logger.debug('stream broke: %s', error)
+                return StreamEnd.broken
+            if chunk is None:
+                return StreamEnd.broken if self.splitter.rest else StreamEnd.whole
+            if not await self._take(chunk):
+                return StreamEnd.out_of_order
+
+    async def _take(self, chunk: bytes) -> bool:
+        passed = []
+        for event in self.splitter.feed(chunk):
+            if event.number is not None:
+                if self.last is not None and event.number <= self.last:
+                    continue
+                if self.last is not None and event.number != self.last + 1:
+                    return False
+                self.last = event.number
+            passed.append(event.raw)
+        if passed:
+            self.events += len(passed)
+            self.first_at = self.first_at or self.clock.now()
+            await self.work.exchange.send(b''.join(passed))
+        return True
--- /dev/null
+++ b/ringseam/gateway/role.py
@@ -0,0 +1,138 @@
+"""The gateway process: clients on one side, backend servers on the other."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.control.founding import cluster_addresses
+from ringseam.gateway.budget import RetryBudget
+from ringseam.gateway.follower import Follower
+from ringseam.gateway.forwarding import Forwarder
+from ringseam.gateway.health import HealthBook
+from ringseam.gateway.piecework import PIECES, RELEASE, PieceWorks
+from ringseam.gateway.tries import Sender
+from ringseam.ids import split_address
+from ringseam.metrics import Metrics
+from ringseam.platform.registration import READY_PATH
+from ringseam.role import Role
+from ringseam.web.client import ChannelPool
+from ringseam.web.server import HttpLimits, HttpServer
+
+if TYPE_CHECKING:
+    from ringseam.settings import Settings
+    from ringseam.web.server import Exchange
+
+logger = logging.getLogger(__name__)
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_METRICS_PATH = '/metrics'
+_SWEEP_S = 0.5
+#: From the signal to stop until the balancer has seen two missed answers and
+#: its last new connections have come, seconds.
+_LEAVE_S = 2.6
+#: What is left of the grace period when all that runs is broken off, seconds.
+_RESERVE_S = 0.6
+_DRAIN_POLL_S = 0.02
+
+
+class GatewayRole(Role):
+    """Serve clients by calling backend servers directly."""
+
+    name = 'gateway'
+
+    def __init__(self, *, settings: Settings) -> None:
+        """Prepare; nothing is opened yet."""
+        super().__init__(settings=settings)
+        self.node.adopts_group = False
+        own = settings.own
+        self.metrics = Metrics()
+        self.health = HealthBook()
+        self.pool = ChannelPool(clock=self.node.clock)
+        self.budget = RetryBudget(
+            ratio=own['retry_percent'] / 100,
+            slack=own['retry_slack'],
+            window_s=own['retry_window_s'],
+        )
+        self.follower = Follower(
+            node=self.node,
+            client=self.client,
+            addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
+            on_change=self._changed,
+        )
+        self.works = PieceWorks(
+            node=self.node,
+            client=self.client,
+            follower=self.follower,
+            pool=self.pool,
+            health=self.health,
+            budget=self.budget,
+        )
+        self.forwarder = Forwarder(
+            node=self.node,
+            follower=self.follower,
+            sender=Sender(pool=self.pool, health=self.health, clock=self.node.clock),
+            health=self.health,
+            works=self.works,
+            budget=self.budget,
+            metrics=self.metrics,
+        )
+        self.clients = HttpServer(handler=self.forwarder.handle, limits=HttpLimits())
+        self.probes = HttpServer(handler=self._answer_probe, limits=HttpLimits())
+
+    async def open(self) -> None:
+        """Listen, and follow control."""
+        self.server.add(PIECES, self.works.serve_pieces)
+        self.server.add(RELEASE, self.works.serve_release)
+        await self.server.start()
+        self.stack.push_async_callback(self.server.close)
+        self.stack.callback(self.pool.close)
+        await self.probes.start(*split_address(self.settings.own['ready']))
+        self.stack.push_async_callback(self.probes.close)
+        await self.clients.start(*split_address(self.settings.own['http']))
+        self.stack.push_async_callback(self.clients.close)
+        self.spawn(self.follower.run())
+        self.spawn(self._sweep_always())
+
+    async def drain(self) -> None:
+        """Let the balancer turn away, then finish what was read."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        self.follower.draining = True
+        self.clients.closing = True
+        until = begun + self.settings.own['grace_s'] - _RESERVE_S
+        await asyncio.sleep(_LEAVE_S)
+        self.clients.stop_listening()
+        while loop.time() < until:
+            self.clients.close_idle()
+            if not self.clients.active and not self.works.in_flight:
+                break
+            await asyncio.sleep(_DRAIN_POLL_S)
+
+    async def _answer_probe(self, exchange: Exchange) -> None:
+        path = exchange.request.path
+        if path == READY_PATH:
+            ready = self.follower.is_ready and not self.draining
+            await exchange.respond(_OK if ready else _UNAVAILABLE, [])
+        elif path == _METRICS_PATH:
+            await exchange.respond(_OK, [('Content-Type', 'text/plain')], self.metrics.render().encode())
+        else:
+            await exchange.respond(_NOT_FOUND, [])
+
+    def _changed(self) -> None:
+        limits = self.follower.table.limits
+        self.clients.limits.head_bytes = limits.head_bytes
+        self.clients.limits.body_bytes = limits.body_bytes
+        self.clients.limits.head_s = limits.head_s
+        self.clients.limits.idle_s = limits.idle_s
+        self.budget.gateways = max(1, len(self.follower.gateways))
+        self.works.refresh()
+
+    async def _sweep_always(self) -> None:
+        while True:  # noqa: WPS457 - ends with the role
+            await asyncio.sleep(_SWEEP_S)
+            self.pool.sweep()
+            self.health.keep_only(set(self.follower.view.backends))
--- /dev/null
+++ b/ringseam/gateway/stagegraph.py
@@ -0,0 +1,153 @@
+"""The stages of one request, run as a graph with pieces and fan-in."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.gateway.batching import PieceJob
+from ringseam.platform.stages import PieceFault
+
+if TYPE_CHECKING:
+    from ringseam.gateway.piecework import PieceWorks
+    from ringseam.gateway.work import Work
+    from ringseam.platform.stages import PieceResult
+    from ringseam.routes import Route, RouteStage, RouteTable
+
+#: What an engine needs of the objective after the stages, seconds.
+_ENGINE_S = 0.4
+#: A stage graph is run this often, when results are lost on the way.
+_GRAPH_TRIES = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class StageFault:
+    """The stages have no whole result; nothing was sent to the last server."""
+
+    fault: PieceFault
+
+
+@dataclass(kw_only=True)
+class StageRun:
+    """Results of one request's stages; owned until they are released."""
+
+    work: Work
+    works: PieceWorks
+    table: RouteTable
+    zone: str
+    handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
+
+    async def run(self) -> StageFault | None:
+        """Make all results; None when they are there."""
+        for _ in range(_GRAPH_TRIES):
+            fault = await self._run_once()
+            if fault is None:
+                return None
+            self.release()
+            if fault is not PieceFault.gone:
+                break
+        return StageFault(fault=fault)
+
+    def inputs(self) -> tuple[str, ...]:
+        """Return the handles of the stages that no other stage follows."""
+        stages = self.work.route.stages
+        followed = {
+            earlier
+            for number, stage in enumerate(stages)
+            if self._pieces_of(number)
+            for earlier in stage.after
+        }
+        return tuple(
+            handle
+            for number in range(len(stages))
+            if number not in followed
+            for handle in self.handles.get(number, ())
+        )
+
+    def release(self) -> None:
+        """Give all results up."""
+        for number, handles in self.handles.items():
+            if handles:
+                self.works.release(self.work.route.stages[number].service, handles)
+        self.handles = {}
+
+    async def _run_once(self) -> PieceFault | None:
+        stages = self.work.route.stages
+        tasks: dict[int, asyncio.Task[PieceFault | None]] = {}
+        async with asyncio.TaskGroup() as group:
+            for number, stage in enumerate(stages):
+                earlier = [tasks[before] for before in stage.after]
+                tasks[number] = group.create_task(self._stage(number, stage, earlier))
+        faults = [task.result() for task in tasks.values()]
+        return next((fault for fault in faults if fault is not None), None)
+
+    async def _stage(
+        self,
+        number: int,
+        stage: RouteStage,
+        earlier: list[asyncio.Task[PieceFault | None]],
+    ) -> PieceFault | None:
+        for task in earlier:
+            fault = await task
+            if fault is not None:
+                return fault
+        count = self._pieces_of(number)
+        if not count:
+            return None
+        inputs = tuple(
+            handle for before in stage.after for handle in self.handles.get(before, ())
+        )
+        made = await self.works.make(self._job(number, stage, count, inputs))
+        self.handles[number] = tuple(result.handle for result in made if result.handle)
+        return _first_fault(made)
+
+    def _job(
+        self,
+        number: int,
+        stage: RouteStage,
+        count: int,
+        inputs: tuple[str, ...],
+    ) -> PieceJob:
+        work = self.work
+        return PieceJob(
+            attempt_id=work.request.attempt_id,
+            service=stage.service,
+            stage=number,
+            pieces=tuple(range(count)),
+            key='' if inputs else work.request.piece_key,
+            inputs=inputs,
+            due=work.objective - _ENGINE_S - self._later_s(number),
+            deadline=work.deadline,
+            priority=work.priority,
+            result_bytes=stage.result_bytes,
+            zone=self.zone,
+        )
+
+    def _later_s(self, number: int) -> float:
+        """Return what the longest path after a stage will take."""
+        longest = 0.0
+        for later, stage in enumerate(self.work.route.stages):
+            if number in stage.after and self._pieces_of(later):
+                longest = max(longest, self._stage_s(later) + self._later_s(later))
+        return longest
+
+    def _stage_s(self, number: int) -> float:
+        service = self.table.services.get(self.work.route.stages[number].service)
+        if service is None or service.batching is None:
+            return 0
+        spec = service.batching
+        return spec.call_s + spec.piece_s * min(spec.batch, self._pieces_of(number))
+
+    def _pieces_of(self, number: int) -> int:
+        pieces = self.work.request.pieces
+        return pieces[number] if number < len(pieces) else 0
+
+
+def has_stages(route: Route, pieces: tuple[int, ...]) -> bool:
+    """Return whether a request needs any stage."""
+    return any(count for count, _ in zip(pieces, route.stages, strict=False))
+
+
+def _first_fault(made: list[PieceResult]) -> PieceFault | None:
+    return next((result.fault for result in made if result.fault is not None), None)
--- /dev/null
+++ b/ringseam/gateway/work.py
@@ -0,0 +1,84 @@
+"""One request in work: its route, its time and how it ended."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Union
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendId
+    from ringseam.platform.requests import AnswerMarks, ClientRequest
+    from ringseam.routes import Account, Route, ServiceName
+    from ringseam.web.client import Channel, ResponseHead
+    from ringseam.web.server import Exchange
+
+
+class LossCause(enum.Enum):
+    """Why an answer that may have been made is not there."""
+
+    connection = 'connection'
+    timeout = 'timeout'
+    not_whole = 'not-whole'
+    not_authentic = 'not-authentic'
+    gap = 'gap'
+
+
+@dataclass(kw_only=True)
+class Work:
+    """A client's request under one version of the routes; times are absolute."""
+
+    exchange: Exchange
+    request: ClientRequest
+    route: Route
+    service: ServiceName
+    account: Account | None
+    arrived: float
+    #: The client's time limit and the route's timeout, whichever is earlier.
+    deadline: float
+    inputs: tuple[str, ...] = ()
+    tried: set[BackendId] = field(default_factory=set)
+    #: Sends that may have run.
+    maybe_run: int = 0
+    sends: int = 0
+
+    @property
+    def objective(self) -> float:
+        """Return when an answer stops earning its full worth."""
+        return self.arrived + self.route.objective_s
+
+    @property
+    def priority(self) -> int:
+        """Return the rank; 0 is first."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answered:
+    """A backend server's authentic head; its body is still to be read."""
+
+    head: ResponseHead
+    marks: AnswerMarks
+    channel: Channel
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotRun:
+    """The request was certainly not run; ``reached`` a server that said so."""
+
+    detail: str
+    reached: bool = False
+    status: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Lost:
+    """The request may have run, and there is no answer."""
+
+    cause: LossCause
+    detail: str
+
+
+TryOutcome = Union[Answered, NotRun, Lost]
--- /dev/null
+++ b/ringseam/platform/manifest.py
@@ -0,0 +1,246 @@
+"""The provider's manifest, decoded into a table of routes.
+
+Everything that makes a manifest invalid is collected as findings with its
+place; nothing is decided here beyond validity.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Optional
+
+import msgspec
+
+from ringseam.errors import Finding, FindingsError
+from ringseam.routes import (
+    Account,
+    AccountName,
+    BackendService,
+    BatchSpec,
+    EdgeLimits,
+    EngineSpec,
+    RequestKind,
+    Route,
+    RouteStage,
+    RouteTable,
+    ServiceName,
+    Target,
+)
+
+_MS = 1000
+_MEGABYTE = 1_000_000
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Amount = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Stage(msgspec.Struct):
+    service: str
+    after: tuple[int, ...] = ()
+    bytes: _Amount = 0  # size of one result
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: _Amount
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_ms: _Amount
+    slo_ms: _Amount = 0  # the latency objective
+    priority: int = 0
+    service: str = ''
+    split: tuple[_Share, ...] = ()
+    max_attempts: int = 1
+    stages: tuple[_Stage, ...] = ()
+    public: bool = False
+    sticky: bool = False  # requests share prompt prefixes
+    resumable: bool = False
+    gap_aim_ms: _Amount = 0
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_tokens: int = 0
+
+
+class _Pieces(msgspec.Struct):
+    slots: int = 1
+    queue: int = 0
+    batch: int = 1
+    call_ms: _Amount = 0
+    item_ms: _Amount = 0
+    room_mb: _Amount = 0
+    handle_s: _Amount = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = '/health'
+    max_conns: int = 1
+    engine: Optional[_Engine] = None
+    pieces: Optional[_Pieces] = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: _Amount = 3000
+    idle_timeout_ms: _Amount = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: Optional[int] = None
+
+
+class _Manifest(msgspec.Struct):
+    version: _Count
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: tuple[_Tenant, ...] = ()
+
+
+_DECODER = msgspec.json.Decoder(_Manifest)
+
+
+def decode_manifest(document: bytes) -> RouteTable:
+    """Return the table of routes that ``document`` describes.
+
+    :raises FindingsError: when it is invalid, with every finding.
+    """
+    try:
+        manifest = _DECODER.decode(document)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FindingsError([_finding('', str(error))]) from None
+    findings = _findings(manifest)
+    if findings:
+        raise FindingsError(findings)
+    return RouteTable(
+        number=manifest.version,
+        routes=tuple(_route(route) for route in manifest.routes),
+        services={
+            ServiceName(service.name): _service(service) for service in manifest.services
+        },
+        accounts=tuple(_account(tenant) for tenant in manifest.tenants),
+        limits=EdgeLimits(
+            head_bytes=manifest.limits.max_header_bytes,
+            body_bytes=manifest.limits.max_body_bytes,
+            head_s=manifest.limits.header_timeout_ms / _MS,
+            idle_s=manifest.limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def _findings(manifest: _Manifest) -> list[Finding]:
+    findings: list[Finding] = []
+    services = {service.name for service in manifest.services}
+    places: set[tuple[str, str]] = set()
+    for route in manifest.routes:
+        findings.extend(_finding(route.name, text) for text in _route_faults(route, services))
+        place = (route.host, route.path_prefix)
+        if place in places:
+            findings.append(_finding(route.name, 'host and prefix are those of another route'))
+        places.add(place)
+    findings.extend(_shared_keys(manifest))
+    return findings
+
+
+def _route_faults(route: _Route, services: set[str]) -> list[str]:
+    used = [share.service for share in route.split] or [route.service]
+    used.extend(stage.service for stage in route.stages)
+    faults = [f'unknown service {name!r}' for name in used if name not in services]
+    if route.split and sum(share.weight for share in route.split) <= 0:
+        faults.append('weights add up to 0')
+    if route.timeout_ms <= 0:
+        faults.append('timeout is 0')
+    for number, stage in enumerate(route.stages):
+        if any(not 0 <= earlier < number for earlier in stage.after):
+            faults.append(f'stage {number} comes after a stage that is not before it')
+    return faults
+
+
+def _shared_keys(manifest: _Manifest) -> list[Finding]:
+    owners: dict[str, str] = {}
+    findings = []
+    for tenant in manifest.tenants:
+        for key in tenant.api_keys:
+            if owners.setdefault(key, tenant.name) != tenant.name:
+                findings.append(_finding(tenant.name, 'shares a key with another account'))
+    return findings
+
+
+def _finding(section: str, message: str) -> Finding:
+    return Finding(path='manifest', line=0, section=section, key='', message=message)
+
+
+def _route(route: _Route) -> Route:
+    shares = route.split or (_Share(service=route.service, weight=1),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.path_prefix,
+        kind=route.kind,
+        timeout_s=route.timeout_ms / _MS,
+        objective_s=route.slo_ms / _MS,
+        targets=tuple(
+            Target(service=ServiceName(share.service), weight=share.weight)
+            for share in shares
+            if share.weight > 0
+        ),
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        stages=tuple(
+            RouteStage(
+                service=ServiceName(stage.service),
+                after=stage.after,
+                result_bytes=int(stage.bytes),
+            )
+            for stage in route.stages
+        ),
+        public=route.public,
+        affinity=route.sticky,
+        resumable=route.resumable,
+        gap_objective_s=route.gap_aim_ms / _MS,
+    )
+
+
+def _service(service: _Service) -> BackendService:
+    engine = service.engine
+    pieces = service.pieces
+    return BackendService(
+        name=ServiceName(service.name),
+        health_path=service.health_path,
+        max_connections=service.max_conns,
+        engine=EngineSpec(slots=engine.slots, cache_tokens=engine.kv_tokens) if engine else None,
+        batching=_batching(pieces) if pieces else None,
+    )
+
+
+def _batching(pieces: _Pieces) -> BatchSpec:
+    return BatchSpec(
+        slots=max(1, pieces.slots),
+        queue=pieces.queue,
+        batch=max(1, pieces.batch),
+        call_s=pieces.call_ms / _MS,
+        piece_s=pieces.item_ms / _MS,
+        room_bytes=int(pieces.room_mb * _MEGABYTE),
+        keep_s=pieces.handle_s,
+    )
+
+
+def _account(tenant: _Tenant) -> Account:
+    return Account(
+        name=AccountName(tenant.name),
+        keys=frozenset(tenant.api_keys),
+        priority=tenant.priority,
+    )
+
+
+def json_body(body: Any) -> bytes:
+    """Return the JSON of a reply."""
+    return msgspec.json.encode(body)
--- /dev/null
+++ b/ringseam/platform/requests.py
@@ -0,0 +1,199 @@
+"""Headers of client requests and of calls to backend servers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+
+if TYPE_CHECKING:
+    from ringseam.web.bodies import Headers
+    from ringseam.web.client import ResponseHead
+    from ringseam.web.server import Request
+
+# One client's try; a retry of the same work has another.
+_ATTEMPT_ID = 'Attempt-Id'
+_DEADLINE = 'Deadline-Ms'
+_AUTHORIZATION = 'Authorization'
+_BEARER = 'bearer '
+_LAST_EVENT = 'Last-Event-Id'
+# Prompt tokens and the most output tokens, separated by a comma.
+_TOKENS = 'Token-Counts'
+_PREFIX = 'Prompt-Prefix'
+# How many pieces each stage has, in the order of the stages.
+_PIECES = 'Pieces'
+_PIECE_KEY = 'Piece-Key'
+# Handles of the results that a model engine needs.
+_INPUTS = 'Inputs'
+_TENANT = 'Tenant'
+_EXPECT_INSTANCE = 'Expect-Instance'
+# 0 is first; 5 applies when absent.
+_URGENCY = 'Request-Urgency'
+# Proof that an answer is a backend server's own.
+_SEAL = 'Server-Seal'
+_NOT_RUN = 'Not-Executed'
+# Running requests, waiting requests and slots.
+_LOAD = 'Worker-Load'
+_RETRY_AFTER = 'Retry-After'
+_MISDIRECTED = 421
+#: Headers of an answer that are for the system alone.
+WITHHELD_FROM_CLIENTS = frozenset(
+    name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id')
+)
+_SET_BY_SYSTEM = frozenset(
+    name.lower()
+    for name in (_DEADLINE, _AUTHORIZATION, _TENANT, _EXPECT_INSTANCE, _URGENCY, _INPUTS)
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class PromptPart:
+    """A part of a prompt that may be cached."""
+
+    name: str
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class ClientRequest:
+    """What a client asks for beside the body, decoded."""
+
+    attempt_id: str
+    host: str
+    path: str
+    time_left_s: float | None
+    key: str
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    prefix: tuple[PromptPart, ...] = ()
+    #: Pieces of each stage, and what marks the request's own pieces.
+    pieces: tuple[int, ...] = ()
+    piece_key: str = ''
+    last_event: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallHeaders:
+    """What the system tells a backend server beside the client's headers."""
+
+    instance: str
+    time_left_s: float
+    account: str = ''
+    urgency: int | None = None
+    inputs: tuple[str, ...] = ()
+    last_event: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServerLoad:
+    """A backend server's load as it told it."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class AnswerMarks:
+    """What a backend server's answer says of itself."""
+
+    attempt_id: str
+    authentic: bool
+    not_run: bool
+    encoded: bool
+    load: ServerLoad | None
+
+
+def decode_request(request: Request) -> ClientRequest:
+    """Return what a client asks for; unreadable optional headers count as absent."""
+    tokens = _numbers(request.header(_TOKENS))
+    left_ms = _number(request.header(_DEADLINE))
+    host = request.header('Host').lower()
+    authorization = request.header(_AUTHORIZATION)
+    key = ''
+    if authorization.lower().startswith(_BEARER):
+        key = authorization[len(_BEARER) :].strip()
+    return ClientRequest(
+        attempt_id=request.header(_ATTEMPT_ID),
+        host=host.rpartition(':')[0] if host.rpartition(':')[2].isdigit() else host,
+        path=request.path,
+        time_left_s=None if left_ms is None else left_ms / MS_PER_S,
+        key=key,
+        prompt_tokens=tokens[0] if tokens else 0,
+        output_tokens=tokens[1] if len(tokens) > 1 else 0,
+        prefix=_parts(request.header(_PREFIX)),
+        pieces=_numbers(request.header(_PIECES)),
+        piece_key=request.header(_PIECE_KEY),
+        last_event=_number(request.header(_LAST_EVENT)),
+    )
+
+
+def encode_call(headers: Headers, call: CallHeaders) -> Headers:
+    """Return the headers of a request as a backend server gets them."""
+    dropped = _SET_BY_SYSTEM
+    if call.last_event is not None:
+        dropped = dropped | {_LAST_EVENT.lower()}
+    passed = [(name, text) for name, text in headers if name.lower() not in dropped]
+    passed.append((_DEADLINE, str(max(1, int(call.time_left_s * MS_PER_S)))))
+    passed.append((_EXPECT_INSTANCE, call.instance))
+    if call.account:
+        passed.append((_TENANT, call.account))
+    if call.urgency is not None:
+        passed.append((_URGENCY, str(call.urgency)))
+    if call.inputs:
+        passed.append((_INPUTS, ','.join(call.inputs)))
+    if call.last_event is not None:
+        passed.append((_LAST_EVENT, str(call.last_event)))
+    return passed
+
+
+def stage_headers(instance: str) -> Headers:
+    """Return the headers of a call for pieces of stages."""
+    headers = [('Host', 'stage'), ('Content-Type', 'application/json')]
+    if instance:
+        headers.append((_EXPECT_INSTANCE, instance))
+    return headers
+
+
+def decode_marks(head: ResponseHead) -> AnswerMarks:
+    """Return what an answer's headers say."""
+    load = _numbers(head.header(_LOAD))
+    return AnswerMarks(
+        attempt_id=head.header(_ATTEMPT_ID),
+        authentic=bool(head.header(_SEAL)),
+        not_run=bool(head.header(_NOT_RUN)) or head.status == _MISDIRECTED,
+        encoded=bool(head.header('Content-Encoding')),
+        load=ServerLoad(running=load[0], waiting=load[1], slots=load[2])
+        if len(load) == 3
+        else None,
+    )
+
+
+def retry_after(seconds: float) -> tuple[str, str]:
+    """Return the header that tells a client when to come back."""
+    return (_RETRY_AFTER, f'{seconds:.2f}')
+
+
+def attempt_header(attempt_id: str) -> tuple[str, str]:
+    """Return the header that names the request of an answer."""
+    return (_ATTEMPT_ID, attempt_id)
+
+
+def _number(text: str) -> int | None:
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def _numbers(text: str) -> tuple[int, ...]:
+    found = [_number(piece.strip()) for piece in text.split(',')]
+    return tuple(piece for piece in found if piece is not None)
+
+
+def _parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for piece in text.split(','):
+        name, _, tokens = piece.strip().partition(':')
+        count = _number(tokens)
+        if name and count is not None:
+            parts.append(PromptPart(name=name, tokens=count))
+    return tuple(parts)
--- /dev/null
+++ b/ringseam/routes.py
@@ -0,0 +1,148 @@
+"""The table of routes that gateways serve by: typed, validated, immutable."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import NewType
+
+#: Name of a service: backend servers that do the same work.
+ServiceName = NewType('ServiceName', str)
+#: Name of a client account, as backend servers are told it.
+AccountName = NewType('AccountName', str)
+
+
+class RequestKind(enum.Enum):
+    """What may be repeated."""
+
+    idempotent = 'idempotent'
+    non_idempotent = 'non_idempotent'
+    stream = 'stream'
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouteStage:
+    """Work to be done before a request can run; ``after`` are stage numbers."""
+
+    service: ServiceName
+    after: tuple[int, ...] = ()
+    result_bytes: int = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Target:
+    """A service that may serve a route, and its share of the requests."""
+
+    service: ServiceName
+    weight: float = 1
+
+
+@dataclass(frozen=True, kw_only=True)
+class Route:
+    """How requests of one host and path prefix are served; seconds."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RequestKind
+    timeout_s: float
+    objective_s: float
+    targets: tuple[Target, ...]
+    priority: int = 0
+    max_attempts: int = 1
+    stages: tuple[RouteStage, ...] = ()
+    public: bool = False
+    affinity: bool = False
+    resumable: bool = False
+    gap_objective_s: float = 0
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.kind is RequestKind.idempotent or self.resumable
+
+
+@dataclass(frozen=True, kw_only=True)
+class BatchSpec:
+    """How a stage service takes pieces; one backend server's limits."""
+
+    slots: int
+    queue: int
+    batch: int
+    call_s: float
+    piece_s: float
+    room_bytes: int
+    keep_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineSpec:
+    """One model engine's limits."""
+
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class BackendService:
+    """A service and the limits of each of its backend servers."""
+
+    name: ServiceName
+    health_path: str
+    max_connections: int
+    engine: EngineSpec | None = None
+    batching: BatchSpec | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Account:
+    """A client account; its priority goes before the route's."""
+
+    name: AccountName
+    keys: frozenset[str]
+    priority: int | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class EdgeLimits:
+    """What clients may send; bytes and seconds."""
+
+    head_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    head_s: float = 3
+    idle_s: float = 15
+
+
+@dataclass(frozen=True, kw_only=True)
+class RouteTable:
+    """One version of all routes, services and client accounts."""
+
+    number: int = 0
+    routes: tuple[Route, ...] = ()
+    services: dict[ServiceName, BackendService] = field(default_factory=dict)
+    accounts: tuple[Account, ...] = ()
+    limits: EdgeLimits = EdgeLimits()
+    by_host: dict[str, tuple[Route, ...]] = field(init=False, default_factory=dict)
+    by_key: dict[str, Account] = field(init=False, default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Index routes by host, longest prefix first, and accounts by key."""
+        for route in sorted(self.routes, key=_by_length, reverse=True):
+            self.by_host[route.host] = (*self.by_host.get(route.host, ()), route)
+        for account in self.accounts:
+            self.by_key.update(dict.fromkeys(account.keys, account))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for route in self.by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def account_of(self, key: str) -> Account | None:
+        """Return the client account that holds ``key``."""
+        return self.by_key.get(key)
+
+
+def _by_length(route: Route) -> int:
+    return len(route.prefix)
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -11,6 +11,7 @@
 import hashlib
 import hmac
 import logging
+import socket
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import msgspec
@@ -40,6 +41,19 @@
 logger = logging.getLogger(__name__)
 
 _DIGEST_BYTES = 16
+#: A connection that isn't made after this long won't be, seconds.
+CONNECT_S = 1.0
+#: Unacknowledged bytes break a connection after this long, ms (RFC 5482).
+_USER_TIMEOUT_MS = 1000
+#: Seconds of silence before the kernel probes a peer, and how often it does.
+_PROBE_S = 1
+_PROBES = 2
+_SILENCE_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    (socket.TCP_KEEPIDLE, _PROBE_S),
+    (socket.TCP_KEEPINTVL, _PROBE_S),
+    (socket.TCP_KEEPCNT, _PROBES),
+)
 _DRILL_SILENCE_S = 60
 #: What a broken connection raises, whichever layer sees it first.
 CALL_ERRORS = (
@@ -269,6 +283,19 @@
         raise GRPCError(Status.PERMISSION_DENIED, 'refused') from None
 
 
+def detect_silence(transport: asyncio.BaseTransport) -> None:
+    """Let the kernel break a connection whose peer has fallen silent."""
+    sock = transport.get_extra_info('socket')
+    if sock is None:
+        return
+    for option, amount in _SILENCE_OPTIONS:
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, option, amount)
+        except OSError as error:
+            logger.debug('socket option %s: %s', option, error)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+
+
 class CallClient:
     """Call typed unary methods; one channel per address, made on demand."""
 
@@ -276,6 +303,8 @@
         """Call as ``node``."""
         self.node = node
         self.channels: dict[str, Channel] = {}
+        #: The connection at each address whose socket has its options.
+        self.tuned: dict[str, Any] = {}
 
     async def call(
         self,
@@ -347,7 +376,7 @@
         :raises UnreachableError: when it does.
         """
         stub = StreamUnaryMethod(
-            self._channel(address),
+            await self._connected(address, CONNECT_S),
             method.path,
             method.request,
             method.reply,
@@ -373,10 +402,13 @@
     async def _connected(self, address: str, timeout_s: float) -> Channel:
         channel = self._channel(address)
         try:
-            async with asyncio.timeout(timeout_s):
-                await channel.__connect__()
+            async with asyncio.timeout(min(timeout_s, CONNECT_S)):
+                protocol = await channel.__connect__()
         except CALL_ERRORS as error:
-            raise NotSentError(f'{address}: {error}') from None
+            raise NotSentError(f'{address}: {type(error).__name__} {error}') from None
+        if address not in self.tuned or self.tuned[address] is not protocol:
+            self.tuned[address] = protocol
+            detect_silence(protocol.connection._transport)  # noqa: WPS437 - no public way
         return channel
 
     def _channel(self, address: str) -> Channel:
--- /dev/null
+++ b/ringseam/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over the event loop, with h11 as the parser on both sides."""
--- /dev/null
+++ b/ringseam/web/server.py
@@ -0,0 +1,383 @@
+"""An HTTP/1.1 server on the event loop: whole requests in, whole answers out.
+
+A request's body is read whole before its handler starts. When a client closes
+its connection, the handler's task is cancelled at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import h11
+
+from ringseam.clock import MS_PER_S
+from ringseam.web.bodies import Headers, find_header
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+logger = logging.getLogger(__name__)
+
+#: Bytes of a head that are accepted before a configuration says otherwise.
+DEFAULT_HEAD_BYTES = 16_384
+#: Bytes of a body that are accepted before a configuration says otherwise.
+DEFAULT_BODY_BYTES = 4_194_304
+#: Bytes that may wait for a slow reader before a sender has to wait.
+_WRITE_BUFFER_BYTES = 262_144
+#: A connection that is closed after an early answer may linger this long, s.
+_LINGER_S = 0.5
+#: Connections that may wait to be accepted.
+_BACKLOG = 1024
+_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
+_TOO_LARGE = 413
+_INTERNAL_ERROR = 500
+_NO_BODY_STATUSES = frozenset((204, 304))
+
+
+@dataclass(kw_only=True)
+class HttpLimits:
+    """What a client may send, and how long it may take; seconds and bytes."""
+
+    head_bytes: int = DEFAULT_HEAD_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    head_s: float = 3
+    idle_s: float = 15
+
+
+@dataclass(kw_only=True)
+class Request:
+    """One whole request; ``target`` is the path with its query."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived: float
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header, or nothing."""
+        return find_header(self.headers, name)
+
+
+class Exchange:
+    """A request and the way to answer it once."""
+
+    def __init__(self, *, request: Request, connection: HttpConnection) -> None:
+        """Answer ``request`` on ``connection``."""
+        self.request = request
+        self.connection = connection
+        self.started = False
+        self.finished = False
+
+    async def respond(self, status: int, headers: Headers, body: bytes = b'') -> None:
+        """Send a whole answer."""
+        framed: Headers = list(headers)
+        if status not in _NO_BODY_STATUSES:
+            framed.append(('Content-Length', str(len(body))))
+        self.start(status, framed)
+        if body and self.request.method != 'HEAD':
+            await self.send(body)
+        await self.finish()
+
+    def start(self, status: int, headers: Headers) -> None:
+        """Send the head; without a length the body goes in chunks."""
+        self.started = True
+        self.connection.send_head(status, headers)
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body, waiting while the client is slow."""
+        self.connection.send_event(h11.Data(data=chunk))
+        await self.connection.writable.wait()
+
+    async def finish(self) -> None:
+        """End the answer as complete."""
+        self.finished = True
+        self.connection.send_event(h11.EndOfMessage())
+        await self.connection.writable.wait()
+
+    def abort(self) -> None:
+        """Break the connection, so that the answer can't look complete."""
+        self.finished = True
+        self.connection.abort()
+
+
+if TYPE_CHECKING:
+    #: Answers one exchange.
+    Handler = Callable[[Exchange], Awaitable[None]]
+
+
+@dataclass(kw_only=True)
+class Incoming:
+    """The request that a connection is reading."""
+
+    head: h11.Request | None = None
+    body: list[bytes] = field(default_factory=list)
+    size: int = 0
+    begun: float = 0
+
+
+class HttpConnection(asyncio.Protocol):  # noqa: WPS214, WPS230 - one connection's life
+    """One client's connection."""
+
+    def __init__(self, *, server: HttpServer) -> None:
+        """Serve with the handler and limits of ``server``."""
+        self.server = server
+        self.loop = asyncio.get_running_loop()
+        self.parser = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=server.limits.head_bytes,
+        )
+        self.incoming = Incoming()
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.transport: asyncio.Transport | None = None
+
+    # -- the transport's calls ----------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        self.transport = transport  # type: ignore[assignment]
+        self.transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        self.server.connections.add(self)
+        self._await_request()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse what has arrived."""
+        if not self.incoming.begun:
+            self.incoming.begun = self.loop.time()
+            self._set_timer(self.server.limits.head_s, self._on_slow_head)
+        try:
+            self.parser.receive_data(chunk)
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+            return
+        self.pump()
+
+    def eof_received(self) -> None:
+        """Treat an end of the client's bytes as the end of its interest."""
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the handler: nobody waits for its answer any more."""
+        self._clear_timer()
+        self.server.connections.discard(self)
+        self.writable.set()
+        if self.task is not None:
+            self.task.cancel()
+
+    def pause_writing(self) -> None:
+        """Make senders wait."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let senders go on."""
+        self.writable.set()
+
+    # -- reading ------------------------------------------------------------
+
+    def pump(self) -> None:
+        """Take in parsed events until more bytes are needed."""
+        try:
+            while self._take(self.parser.next_event()):
+                continue
+        except h11.RemoteProtocolError as error:
+            self._refuse(error.error_status_hint)
+
+    def _take(self, event: object) -> bool:
+        if isinstance(event, h11.Request):
+            self.incoming.head = event
+            self._send_continue()
+            return True
+        if isinstance(event, h11.Data):
+            return self._take_body(bytes(event.data))
+        if isinstance(event, h11.EndOfMessage):
+            self._start_handler()
+        elif isinstance(event, h11.ConnectionClosed):
+            self.close()
+        return False
+
+    def _take_body(self, chunk: bytes) -> bool:
+        self.incoming.body.append(chunk)
+        self.incoming.size += len(chunk)
+        if self.incoming.size > self.server.limits.body_bytes:
+            self._refuse(_TOO_LARGE)
+            return False
+        return True
+
+    def _send_continue(self) -> None:
+        if self.parser.they_are_waiting_for_100_continue:
+            self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _start_handler(self) -> None:
+        self._clear_timer()
+        head = self.incoming.head
+        if head is None:
+            return
+        request = Request(
+            method=head.method.decode('latin-1'),
+            target=head.target.decode('latin-1'),
+            headers=[
+                (name.decode('latin-1'), text.decode('latin-1'))
+                for name, text in head.headers.raw_items()
+            ],
+            body=b''.join(self.incoming.body),
+            arrived=self.incoming.begun or self.loop.time(),
+        )
+        self.task = self.loop.create_task(self._handle(request))
+
+    async def _handle(self, request: Request) -> None:
+        exchange = Exchange(request=request, connection=self)
+        self.server.active += 1
+        try:
+            await self.server.handler(exchange)
+        except asyncio.CancelledError:
+            return
+        except Exception:
+            logger.exception('request handler broke')
+            await self._answer_broken(exchange)
+        finally:
+            self.server.active -= 1
+            self.task = None
+        self._next(exchange)
+
+    async def _answer_broken(self, exchange: Exchange) -> None:
+        if exchange.started:
+            exchange.abort()
+        else:
+            await exchange.respond(_INTERNAL_ERROR, [])
+
+    def _next(self, exchange: Exchange) -> None:
+        if not exchange.finished:
+            exchange.abort()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
+            self.close()
+            return
+        self.parser.start_next_cycle()
+        self.incoming = Incoming()
+        self._await_request()
+        if self.parser.trailing_data[0]:
+            self.incoming.begun = self.loop.time()
+            self._set_timer(self.server.limits.head_s, self._on_slow_head)
+        self.pump()
+
+    # -- writing ------------------------------------------------------------
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self.server.closing:
+            headers = [*headers, ('Connection', 'close')]
+        self.send_event(h11.Response(status_code=status, headers=headers))
+
+    def send_event(self, event: h11.Event) -> None:
+        """Write one event of an answer."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        encoded = self.parser.send(event)
+        if encoded:
+            self.transport.write(encoded)
+
+    def close(self) -> None:
+        """Close after what was written."""
+        self._clear_timer()
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Break the connection."""
+        self._clear_timer()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is being read or answered."""
+        if self.task is None and not self.incoming.begun:
+            self.close()
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        self._clear_timer()
+        if self.parser.our_state in {h11.IDLE, h11.SEND_RESPONSE} and self.task is None:
+            headers = [('Content-Length', '0'), ('Connection', 'close')]
+            with contextlib.suppress(h11.LocalProtocolError):
+                self.send_event(h11.Response(status_code=status, headers=headers))
+                self.send_event(h11.EndOfMessage())
+        if self.transport is not None:
+            self.transport.pause_reading()
+            self.loop.call_later(_LINGER_S, self.close)
+
+    # -- timers -------------------------------------------------------------
+
+    def _await_request(self) -> None:
+        self._set_timer(self.server.limits.idle_s, self.close)
+
+    def _on_slow_head(self) -> None:
+        self._refuse(_REQUEST_TIMEOUT)
+
+    def _set_timer(self, delay_s: float, call: Callable[[], None]) -> None:
+        self._clear_timer()
+        self.timer = self.loop.call_later(delay_s, call)
+
+    def _clear_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+class HttpServer:
+    """Listen on one address and hand each exchange to a handler."""
+
+    def __init__(self, *, handler: Handler, limits: HttpLimits) -> None:
+        """Serve with ``handler``; ``limits`` may be changed while serving."""
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[HttpConnection] = set()
+        self.active = 0
+        #: Whether answers tell clients to leave.
+        self.closing = False
+        self.listener: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port that was taken."""
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: HttpConnection(server=self),
+            host,
+            port,
+            backlog=_BACKLOG,
+            reuse_address=True,
+        )
+        return self.listener.sockets[0].getsockname()[1]
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        if self.listener is not None:
+            self.listener.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing happens."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    async def close(self) -> None:
+        """Close everything."""
+        self.stop_listening()
+        for connection in list(self.connections):
+            connection.close()
+
+
+def milliseconds(amount: float) -> float:
+    """Return milliseconds as seconds."""
+    return amount / MS_PER_S
