--- a/ringseam/control/founding.py
+++ b/ringseam/control/founding.py
@@ -60,6 +60,11 @@
         self.may_found = own['may_found']
         self.known = set(self.first)
 
+    def add_seeds(self, settings: Settings) -> None:
+        """Learn of further replicas."""
+        own = settings.own
+        self.known.update(cluster_addresses(own['seeds'], own['cluster_ports']))
+
     def addresses(self) -> list[str]:
         """Return all known addresses of replicas but this one's."""
         return sorted(self.known - {self.node.address})
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -211,6 +211,11 @@
         if own['http']:
             await self._open_follow()
 
+    def reload(self, settings: Settings) -> None:
+        """Take over other seeds."""
+        super().reload(settings)
+        self.introduction.add_seeds(settings)
+
     async def drain(self) -> None:
         """Hand leadership over before leaving."""
         for _ in range(_HAND_OVER_TRIES):
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -165,7 +165,7 @@
                 break
             if server.instance in piece.avoid and len(piece.avoid) < len(servers):
                 continue
-            if piece.job.result_bytes > room and self.kept_bytes.get(server.instance, 0):
+            if piece.job.result_bytes > room and (picked or room < spec.room_bytes):
                 continue
             picked.append(piece)
             room -= piece.job.result_bytes
--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -69,6 +69,10 @@
         """Return whether requests can be served."""
         return self.table.number > 0 and bool(self.view.backends)
 
+    def add_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Learn of further control hosts."""
+        self.addresses.extend(one for one in addresses if one not in self.addresses)
+
     async def run(self) -> None:
         """Follow whoever leads."""
         turn = 0
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -153,6 +153,8 @@
     async def _forward(self, work: Work, stages: StageRun | None) -> None:
         """Send until an answer is passed on or nothing more may be sent."""
         relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
+        if stages is not None:
+            relay.on_first = stages.release
         outcome: TryOutcome = NotRun(detail='no server')
         unsent = 0
         while True:  # noqa: WPS457 - ends when nothing more may be sent
--- a/ringseam/gateway/relay.py
+++ b/ringseam/gateway/relay.py
@@ -13,6 +13,8 @@
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.clock import Clock
     from ringseam.gateway.work import Answered, Work
     from ringseam.web.bodies import Headers
@@ -63,6 +65,8 @@
     first_at: float = 0
     rest: bytes = b''
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    #: Called once, when the first event shows that a server has all it needs.
+    on_first: Callable[[], None] = lambda: None  # noqa: E731
 
     async def pass_on(self, answered: Answered) -> StreamEnd:
         """Pass one server's events on until they end."""
@@ -100,6 +104,8 @@
             passed.append(event.raw)
         if passed:
             self.events += len(passed)
-            self.first_at = self.first_at or self.clock.now()
+            if not self.first_at:
+                self.first_at = self.clock.now()
+                self.on_first()
             await self.work.exchange.send(b''.join(passed))
         return True
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -97,6 +97,12 @@
         self.spawn(self.follower.run())
         self.spawn(self._sweep_always())
 
+    def reload(self, settings: Settings) -> None:
+        """Take over other seeds."""
+        super().reload(settings)
+        own = settings.own
+        self.follower.add_addresses(cluster_addresses(own['seeds'], own['cluster_ports']))
+
     async def drain(self) -> None:
         """Let the balancer turn away, then finish what was read."""
         loop = asyncio.get_running_loop()
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -37,10 +37,12 @@
     table: RouteTable
     zone: str
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    finished: set[int] = field(default_factory=set)
 
     async def run(self) -> StageFault | None:
         """Make all results; None when they are there."""
         for _ in range(_GRAPH_TRIES):
+            self.finished.clear()
             fault = await self._run_once()
             if fault is None:
                 return None
@@ -67,10 +69,8 @@
 
     def release(self) -> None:
         """Give all results up."""
-        for number, handles in self.handles.items():
-            if handles:
-                self.works.release(self.work.route.stages[number].service, handles)
-        self.handles = {}
+        for number in list(self.handles):
+            self._release_stage(number)
 
     async def _run_once(self) -> PieceFault | None:
         stages = self.work.route.stages
@@ -100,7 +100,28 @@
         )
         made = await self.works.make(self._job(number, stage, count, inputs))
         self.handles[number] = tuple(result.handle for result in made if result.handle)
-        return _first_fault(made)
+        fault = _first_fault(made)
+        if fault is None:
+            self.finished.add(number)
+            self._release_used()
+        return fault
+
+    def _release_used(self) -> None:
+        """Give up results that all following stages have used."""
+        stages = self.work.route.stages
+        for number in list(self.handles):
+            users = {
+                later
+                for later, stage in enumerate(stages)
+                if number in stage.after and self._pieces_of(later)
+            }
+            if users and users <= self.finished:
+                self._release_stage(number)
+
+    def _release_stage(self, number: int) -> None:
+        handles = self.handles.pop(number, ())
+        if handles:
+            self.works.release(self.work.route.stages[number].service, handles)
 
     def _job(
         self,
