--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import types
 from dataclasses import dataclass, field
 from typing import NewType
 
@@ -53,15 +54,20 @@
     change: int
 
 
+#: A server only ever moves on in this order.
+_PROGRESS = types.MappingProxyType(
+    {BackendState.ready: 0, BackendState.draining: 1, BackendState.gone: 2},
+)
+
+
 def supersedes(report: BackendReport, known: BackendReport) -> bool:
     """Return whether a report is newer than a known one of the same server.
 
     Reports may be seconds late; one that says less than a later one is
     ignored, and a server that has begun to leave doesn't come back.
     """
-    if known.state is not BackendState.ready and report.state is BackendState.ready:
-        return False
-    return report.sequence > known.sequence or report.state is BackendState.gone
+    progress = _PROGRESS[report.state] - _PROGRESS[known.state]
+    return progress > 0 or (progress == 0 and report.sequence > known.sequence)
 
 
 def shows_change(report: BackendReport, known: BackendReport) -> bool:
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -19,6 +19,13 @@
     from ringseam.routes import BatchSpec, ServiceName
 
 
+#: Results are a little larger than the routes say; measured: one of 60,000 bytes
+#: more than fits by its name doesn't fit in the last twentieth of the room.
+_SIZE_MARGIN = 1.05
+#: A server that has said that it is full is left alone this long, seconds.
+FULL_S = 0.06
+
+
 @dataclass(frozen=True, kw_only=True)
 class PieceJob:
     """Pieces of one stage of one request; times are absolute seconds."""
@@ -67,6 +74,8 @@
     calls: dict[BackendId, int] = field(default_factory=dict)
     #: Bytes of results that each server keeps or is about to make.
     kept_bytes: dict[BackendId, int] = field(default_factory=dict)
+    #: Until when servers that said so are full.
+    full_until: dict[BackendId, float] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
     def add(self, job: PieceJob) -> list[Piece]:
@@ -81,6 +90,11 @@
         piece.avoid.add(server)
         self.waiting.append(piece)
 
+    def found_full(self, piece: Piece, server: BackendId, now: float) -> None:
+        """Let a piece wait that a server had no room for."""
+        self.full_until[server] = now + FULL_S
+        self.waiting.append(piece)
+
     def cancel(self, pieces: Collection[Piece]) -> None:
         """Drop pieces that nobody waits for."""
         self.waiting = [piece for piece in self.waiting if piece not in pieces]
@@ -131,7 +145,10 @@
         now: float,
     ) -> list[BackendReport]:
         idle = [
-            server for server in servers if self.calls.get(server.instance, 0) < spec.slots
+            server
+            for server in servers
+            if self.calls.get(server.instance, 0) < spec.slots
+            and self.full_until.get(server.instance, 0) <= now
         ]
         sound = [
             server
@@ -158,14 +175,15 @@
         spec: BatchSpec,
         now: float,
     ) -> list[Piece]:
-        room = spec.room_bytes - self.kept_bytes.get(server.instance, 0)
+        whole = spec.room_bytes / _SIZE_MARGIN
+        room = whole - self.kept_bytes.get(server.instance, 0)
         picked: list[Piece] = []
         for piece in sorted(self.waiting, key=lambda waiting: _urgency(waiting, now)):
             if len(picked) == spec.batch:
                 break
             if server.instance in piece.avoid and len(piece.avoid) < len(servers):
                 continue
-            if piece.job.result_bytes > room and (picked or room < spec.room_bytes):
+            if piece.job.result_bytes > room and (picked or room < whole):
                 continue
             picked.append(piece)
             room -= piece.job.result_bytes
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -13,7 +13,6 @@
 from ringseam.gateway.stagegraph import StageRun, has_stages
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Work
 from ringseam.platform.requests import attempt_header, decode_request, retry_after
-from ringseam.platform.stages import PieceFault
 from ringseam.routes import RequestKind
 from ringseam.web.client import ChannelError
 
@@ -137,8 +136,6 @@
             if fault is None:
                 work.inputs = stages.inputs()
                 await self._forward(work, stages)
-            elif fault.fault is PieceFault.late:
-                await self._fail(work, _GATEWAY_TIMEOUT, 'stages took too long')
             else:
                 await self._refuse(
                     work.exchange,
@@ -161,6 +158,8 @@
             server = self._choose(work)
             if server is None or work.deadline <= self.clock.now():
                 break
+            if stages is not None and not stages.is_held and not await self._remake(work, stages):
+                break
             work.tried.add(server.instance)
             outcome = await self._try(work, server, relay)
             if isinstance(outcome, Answered):
@@ -175,6 +174,12 @@
                 break
         await self._give_up(work, outcome, relay)
 
+    async def _remake(self, work: Work, stages: StageRun) -> bool:
+        """Make results again that were given up when the first event came."""
+        fault = await stages.run()
+        work.inputs = stages.inputs()
+        return fault is None
+
     def _may_repeat(self, work: Work, outcome: TryOutcome) -> bool:
         if isinstance(outcome, Lost):
             work.maybe_run += 1
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -18,7 +18,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
-from ringseam.gateway.batching import Batcher, PieceJob
+from ringseam.gateway.batching import FULL_S, Batcher, PieceJob
 from ringseam.gateway.choice import rendezvous
 from ringseam.messages import Empty, Message
 from ringseam.platform.stages import (
@@ -56,10 +56,10 @@
 _CALL_PATIENCE = 4.0
 _CALL_PATIENCE_S = 0.6
 _CONNECT_S = 0.4
-#: Results that were given up are named to their maker this often, seconds.
-_RELEASE_S = 0.03
-#: A server without room or queue is left alone this long, seconds.
-_FULL_S = 0.1
+#: Results that are given up within this time are named to their maker together,
+#: seconds; their room is missed while they wait.
+_RELEASE_S = 0.01
+_RELEASE_TIMEOUT_S = 1.0
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -222,12 +222,23 @@
             async with asyncio.timeout(max(0, job.deadline - self.node.clock.now())):
                 return list(await asyncio.gather(*futures))
         except asyncio.TimeoutError:
+            self._abandon(works, pieces)
             return [PieceResult(fault=PieceFault.late) for _ in pieces]
+        except asyncio.CancelledError:
+            self._abandon(works, pieces)
+            raise
         finally:
             works.batcher.cancel(set(pieces))
             for piece in pieces:
                 works.waiters.pop(piece, None)
 
+    def _abandon(self, works: ServicePieces, pieces: list[Piece]) -> None:
+        """Give up what was made for a job that nobody waits for any more."""
+        futures = [works.waiters[piece] for piece in pieces]
+        made = [waiter.result() for waiter in futures if waiter.done() and not waiter.cancelled()]
+        handles = tuple(result.handle for result in made if result.handle)
+        self.release_here(works.batcher.service, handles)
+
     def release_here(
         self,
         service: ServiceName,
@@ -237,12 +248,10 @@
         works = self._works(service)
         for handle in handles:
             maker = maker_of(handle)
-            works.forget(handle)
             if maker not in works.released:
                 works.released[maker] = []
                 self._spawn(self._release_soon(works, maker))
             works.released[maker].append(handle)
-        self._dispatch(service)
 
     def refresh(self) -> None:
         """Look again: servers, routes or gateways have changed."""
@@ -349,15 +358,33 @@
         results: list[PieceResult],
     ) -> None:
         instance = call.server.instance
+        faults = [made.fault.value for made in results if made.fault is not None]
+        if faults:
+            self.node.events.emit(
+                logger,
+                Event.pieces_refused,
+                backend=instance,
+                requests=sorted({piece.job.attempt_id for piece in call.pieces}),
+                faults=faults,
+                pieces=len(call.pieces),
+                kept_bytes=works.batcher.kept_bytes.get(instance, 0),
+            )
+        full = False
+        repeated: frozenset[str] = frozenset()
         for piece, made in zip(call.pieces, results, strict=True):
             if made.handle:
                 works.keep(made.handle, instance, piece.job.result_bytes)
                 self._expire_later(works, made.handle)
                 self._resolve(works, piece, made)
-            elif made.fault in {PieceFault.room, PieceFault.error}:
-                self._again(works, piece, call, made)
+            elif made.fault is PieceFault.room and piece in works.waiters:
+                works.batcher.found_full(piece, instance, self.node.clock.now())
+                full = True
+            elif made.fault is PieceFault.error:
+                repeated = self._again(works, piece, call, made, repeated)
             else:
                 self._resolve(works, piece, made)
+        if full:
+            asyncio.get_running_loop().call_later(FULL_S, self._dispatch, works.batcher.service)
 
     def _expire_later(self, works: ServicePieces, handle: str) -> None:
         spec = self._spec(works.batcher.service)
@@ -374,8 +401,10 @@
             requests=sorted({piece.job.attempt_id for piece in call.pieces}),
             detail=detail,
         )
+        repeated: frozenset[str] = frozenset()
         for piece in call.pieces:
-            self._again(works, piece, call, PieceResult(fault=PieceFault.error))
+            fault = PieceResult(fault=PieceFault.error)
+            repeated = self._again(works, piece, call, fault, repeated)
 
     def _again(
         self,
@@ -383,15 +412,23 @@
         piece: Piece,
         call: StageCall,
         made: PieceResult,
-    ) -> None:
+        repeated: frozenset[str],
+    ) -> frozenset[str]:
+        """Have a piece made once more, if the budget allows.
+
+        Return the requests that draw on the budget for this call: a request
+        draws once, whatever the number of its pieces.
+        """
         if piece not in works.waiters:
-            return
-        now = self.node.clock.now()
+            return repeated
+        request = piece.job.attempt_id
         service = works.batcher.service
-        if piece.tries + 1 >= _PIECE_TRIES or not self.budget.take(service, now):
+        allowed = request in repeated or self.budget.take(service, self.node.clock.now())
+        if piece.tries + 1 >= _PIECE_TRIES or not allowed:
             self._resolve(works, piece, made)
-        else:
-            works.batcher.again(piece, call.server.instance)
+            return repeated
+        works.batcher.again(piece, call.server.instance)
+        return repeated | {request}
 
     def _resolve(self, works: ServicePieces, piece: Piece, made: PieceResult) -> None:
         waiter = works.waiters.get(piece)
@@ -403,22 +440,29 @@
             self.release_here(works.batcher.service, handles)
 
     async def _release_soon(self, works: ServicePieces, maker: str) -> None:
+        """Give results up together; their room counts as free once that is done."""
         await asyncio.sleep(_RELEASE_S)
         handles = works.released.pop(maker, [])
         try:
-            channel = await self.pool.acquire(maker, timeout_s=_CONNECT_S)
-        except ChannelError as error:
+            async with asyncio.timeout(_RELEASE_TIMEOUT_S):
+                await self._call_release(maker, handles)
+        except (ChannelError, asyncio.TimeoutError) as error:
+            # The maker gives results up by itself after a while.
             logger.debug('results not released: %s', error)
             return
+        for handle in handles:
+            works.forget(handle)
+        self._dispatch(works.batcher.service)
+
+    async def _call_release(self, maker: str, handles: list[str]) -> None:
+        channel = await self.pool.acquire(maker, timeout_s=_CONNECT_S)
         try:
-            async with asyncio.timeout(1):
-                await channel.send('POST', FREE_PATH, stage_headers(''), encode_release(handles))
-                await channel.head()
-                await channel.whole_body()
-        except (ChannelError, asyncio.TimeoutError) as error:
-            logger.debug('results not released: %s', error)
+            await channel.send('POST', FREE_PATH, stage_headers(''), encode_release(handles))
+            await channel.head()
+            await channel.whole_body()
+        except BaseException:
             channel.close()
-            return
+            raise
         self.pool.release(channel)
 
     async def _ask_owner(self, owner: str, job: PieceJob) -> list[PieceResult] | None:
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -39,6 +39,11 @@
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
 
+    @property
+    def is_held(self) -> bool:
+        """Return whether the results are still there."""
+        return bool(self.handles)
+
     async def run(self) -> StageFault | None:
         """Make all results; None when they are there."""
         for _ in range(_GRAPH_TRIES):
