--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -86,6 +86,8 @@
 
     backends: dict[BackendId, BackendReport] = field(default_factory=dict)
     by_service: dict[ServiceName, list[BackendReport]] = field(default_factory=dict)
+    #: Availability zones by address.
+    zones: dict[str, str] = field(default_factory=dict)
     #: Servers that have left; a late report doesn't bring them back.
     left: dict[BackendId, None] = field(default_factory=dict)
 
@@ -126,6 +128,7 @@
 
     def _index(self) -> None:
         self.by_service = {}
+        self.zones = {report.address: report.zone for report in self.backends.values()}
         for report in self.backends.values():
             if report.state is BackendState.ready:
                 self.by_service.setdefault(report.service, []).append(report)
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -22,6 +22,9 @@
 #: Results are a little larger than the routes say; measured: one of 60,000 bytes
 #: more than fits by its name doesn't fit in the last twentieth of the room.
 _SIZE_MARGIN = 1.05
+#: A piece goes to another zone when fewer whole calls than this fit before it
+#: is due.
+_PATIENCE_CALLS = 2.0
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
 
@@ -41,6 +44,7 @@
     deadline: float
     priority: int
     result_bytes: int
+    #: Where its inputs are or its result is wanted.
     zone: str = ''
 
 
@@ -178,6 +182,7 @@
         whole = spec.room_bytes / _SIZE_MARGIN
         room = whole - self.kept_bytes.get(server.instance, 0)
         picked: list[Piece] = []
+        zones = {other.zone for other in servers}
         for piece in sorted(self.waiting, key=lambda waiting: _urgency(waiting, now)):
             if len(picked) == spec.batch:
                 break
@@ -185,6 +190,8 @@
                 continue
             if piece.job.result_bytes > room and (picked or room < whole):
                 continue
+            if not _may_go(piece, server, zones, spec, now):
+                continue
             picked.append(piece)
             room -= piece.job.result_bytes
         return picked
@@ -201,6 +208,25 @@
         )
 
 
+def _may_go(
+    piece: Piece,
+    server: BackendReport,
+    zones: set[str],
+    spec: BatchSpec,
+    now: float,
+) -> bool:
+    """Return whether a piece may leave for this server's zone.
+
+    Results that cross zones are dear, so a piece waits for its own zone while
+    it has the time for one more call there.
+    """
+    job = piece.job
+    if job.zone not in zones or job.zone == server.zone or piece.avoid:
+        return True
+    spare = job.due - now - _PATIENCE_CALLS * (spec.call_s + spec.batch * spec.piece_s)
+    return spare < 0 < job.due - now
+
+
 def _urgency(piece: Piece, now: float) -> tuple[bool, int, float, str, int]:
     job = piece.job
     return (job.due < now, job.priority, job.due, job.attempt_id, piece.number)
--- a/ringseam/gateway/choice.py
+++ b/ringseam/gateway/choice.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.health import HealthBook, Standing
@@ -24,6 +24,10 @@
 #: A request in another availability zone costs this, seconds: the way there
 #: and back, and the price of its bytes.
 _OTHER_ZONE_S = 0.004
+#: A result's byte that comes from another zone costs this, seconds: by the
+#: prices of the users' sheets 3.6 MB cost a quarter of a mean request, which
+#: stands for a fifth of its objective here.
+_OTHER_ZONE_S_PER_BYTE = 0.05e-6
 #: A plain request takes this long where nothing was measured, seconds.
 _PLAIN_S = 0.02
 #: What a server has told of its load fades over this time, seconds.
@@ -41,6 +45,8 @@
 
     zone: str
     prompt_tokens: int = 0
+    #: Bytes of stage results by availability zone, which an engine fetches.
+    result_bytes: Mapping[str, int] = field(default_factory=dict)
     prefix: tuple[PromptPart, ...] = ()
 
 
@@ -151,7 +157,11 @@
         running = max(standing.in_flight, _told(standing, now))
         reading = (standing.tokens_waiting + unread) / READ_TOKENS_PER_S
         waiting = standing.told_waiting * _WAITING_S if _is_fresh(standing, now) else 0
-        return max(1, standing.slowness) * (reading + running * _RUNNING_S) + waiting
+        fetched = sum(
+            amount for zone, amount in need.result_bytes.items() if zone != server.zone
+        )
+        begin = max(1, standing.slowness) * (reading + running * _RUNNING_S)
+        return begin + waiting + fetched * _OTHER_ZONE_S_PER_BYTE
 
     def unread_tokens(self, instance: BackendId, need: Need, now: float) -> int:
         """Return how many prompt tokens a server would have to read."""
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
-from ringseam.gateway.choice import EngineChoice, Need, PlainChoice
+from ringseam.gateway.choice import EngineChoice, Need, PlainChoice, rendezvous
 from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.stagegraph import StageRun, has_stages
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Work
@@ -41,6 +41,9 @@
 _BAD_REQUEST = 400
 #: When a client should come back while nothing is known, seconds.
 _COME_BACK_S = 0.3
+#: A prompt with this many shared tokens is served where they are kept; fewer
+#: are read in under 50 ms.
+_LONG_PREFIX_TOKENS = 1500
 #: Connections that could not be made don't count as attempts; this many end it.
 _UNSENT_TRIES = 4
 
@@ -129,12 +132,14 @@
             work=work,
             works=self.works,
             table=self.follower.table,
-            zone=self.node.zone,
+            zone=self._stage_zone(work),
+            zones=self.follower.view.zones,
         )
         try:
             fault = await stages.run()
             if fault is None:
                 work.inputs = stages.inputs()
+                work.input_bytes = stages.input_bytes()
                 await self._forward(work, stages)
             else:
                 await self._refuse(
@@ -196,12 +201,37 @@
             if server.instance not in work.tried
         ]
         choice = self.engines if work.route.affinity else self.plain
-        need = Need(
+        return choice.choose(servers, self._need(work), self.clock.now())
+
+    def _need(self, work: Work) -> Need:
+        return Need(
             zone=self.node.zone,
             prompt_tokens=work.request.prompt_tokens,
             prefix=work.request.prefix,
+            result_bytes=work.input_bytes,
+        )
+
+    def _stage_zone(self, work: Work) -> str:
+        """Return the availability zone in which the stages should work.
+
+        A prompt whose shared parts are long goes where they are kept; others
+        are spread over the zones by the servers of their first stage.
+        """
+        shared = sum(part.tokens for part in work.request.prefix[:-1])
+        if shared >= _LONG_PREFIX_TOKENS:
+            engine = self._choose(work)
+            if engine is not None:
+                return engine.zone
+        first = next(
+            stage.service
+            for stage, count in zip(work.route.stages, work.request.pieces, strict=False)
+            if count
         )
-        return choice.choose(servers, need, self.clock.now())
+        servers = self.follower.view.serving(first)
+        if not servers:
+            return self.node.zone
+        name = rendezvous(work.request.attempt_id, [server.instance for server in servers])
+        return next(server.zone for server in servers if server.instance == name)
 
     async def _try(
         self,
@@ -214,11 +244,7 @@
         standing.in_flight += 1
         unread = 0
         if work.route.affinity:
-            need = Need(
-                zone=self.node.zone,
-                prompt_tokens=work.request.prompt_tokens,
-                prefix=work.request.prefix,
-            )
+            need = self._need(work)
             unread = self.engines.unread_tokens(server.instance, need, self.clock.now())
             self.engines.memory.note(server.instance, work.request.prefix, self.clock.now())
         standing.tokens_waiting += unread
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.batching import PieceJob
-from ringseam.platform.stages import PieceFault
+from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
     from ringseam.gateway.piecework import PieceWorks
@@ -17,6 +18,8 @@
 
 #: What an engine needs of the objective after the stages, seconds.
 _ENGINE_S = 0.4
+#: A stage takes this many times its call: pieces wait for a call under way.
+_WAIT_AND_CALL = 1.5
 #: A stage graph is run this often, when results are lost on the way.
 _GRAPH_TRIES = 2
 
@@ -35,7 +38,10 @@
     work: Work
     works: PieceWorks
     table: RouteTable
+    #: The availability zone that the request's results are wanted in.
     zone: str
+    #: Availability zones by the addresses of backend servers.
+    zones: dict[str, str]
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
 
@@ -72,6 +78,15 @@
             for handle in self.handles.get(number, ())
         )
 
+    def input_bytes(self) -> dict[str, int]:
+        """Return the bytes of :meth:`inputs` by availability zone."""
+        found: collections.Counter[str] = collections.Counter()
+        for number, handles in self.handles.items():
+            size = self.work.route.stages[number].result_bytes
+            for handle in handles:
+                found[self.zones.get(maker_of(handle), '')] += size
+        return dict(found)
+
     def release(self) -> None:
         """Give all results up."""
         for number in list(self.handles):
@@ -147,9 +162,15 @@
             deadline=work.deadline,
             priority=work.priority,
             result_bytes=stage.result_bytes,
-            zone=self.zone,
+            zone=self._zone_of(inputs),
         )
 
+    def _zone_of(self, inputs: tuple[str, ...]) -> str:
+        """Return where most inputs are, or where the request is at home."""
+        found = collections.Counter(self.zones.get(maker_of(handle), '') for handle in inputs)
+        found.pop('', None)
+        return found.most_common(1)[0][0] if found else self.zone
+
     def _later_s(self, number: int) -> float:
         """Return what the longest path after a stage will take."""
         longest = 0.0
@@ -163,7 +184,8 @@
         if service is None or service.batching is None:
             return 0
         spec = service.batching
-        return spec.call_s + spec.piece_s * min(spec.batch, self._pieces_of(number))
+        call = spec.call_s + spec.piece_s * min(spec.batch, self._pieces_of(number))
+        return _WAIT_AND_CALL * call
 
     def _pieces_of(self, number: int) -> int:
         pieces = self.work.request.pieces
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -37,6 +37,8 @@
     #: The client's time limit and the route's timeout, whichever is earlier.
     deadline: float
     inputs: tuple[str, ...] = ()
+    #: Bytes of the inputs by availability zone.
+    input_bytes: dict[str, int] = field(default_factory=dict)
     tried: set[BackendId] = field(default_factory=set)
     #: Sends that may have run.
     maybe_run: int = 0
