--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -7,8 +7,9 @@
 import random
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
 from ringseam.events import Event
-from ringseam.gateway.choice import EngineChoice, Need, PlainChoice, rendezvous
+from ringseam.gateway.choice import MeasuredChoice, rendezvous
 from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.stagegraph import StageRun, has_stages
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Work
@@ -22,6 +23,7 @@
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
     from ringseam.gateway.piecework import PieceWorks
+    from ringseam.gateway.placements import Placements
     from ringseam.gateway.tries import Sender
     from ringseam.gateway.work import TryOutcome
     from ringseam.metrics import Metrics
@@ -59,6 +61,7 @@
         sender: Sender,
         health: HealthBook,
         works: PieceWorks,
+        placements: Placements,
         budget: RetryBudget,
         metrics: Metrics,
     ) -> None:
@@ -69,10 +72,10 @@
         self.sender = sender
         self.health = health
         self.works = works
+        self.placements = placements
         self.budget = budget
         self.metrics = metrics
-        self.engines = EngineChoice(health=health)
-        self.plain = PlainChoice(health=health)
+        self.plain = MeasuredChoice(health=health, zone=node.zone)
         self.random = random.Random(node.incarnation)  # noqa: S311 - spreads load only
 
     async def handle(self, exchange: Exchange) -> None:
@@ -132,12 +135,13 @@
             work=work,
             works=self.works,
             table=self.follower.table,
-            zone=self._stage_zone(work),
+            zone=await self._stage_zone(work),
             zones=self.follower.view.zones,
         )
         try:
             fault = await stages.run()
             if fault is None:
+                work.stages_s = self.clock.now() - work.arrived
                 work.inputs = stages.inputs()
                 work.input_bytes = stages.input_bytes()
                 await self._forward(work, stages)
@@ -155,12 +159,11 @@
     async def _forward(self, work: Work, stages: StageRun | None) -> None:
         """Send until an answer is passed on or nothing more may be sent."""
         relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
-        if stages is not None:
-            relay.on_first = stages.release
+        relay.on_first = lambda: self._note_first(work, stages)
         outcome: TryOutcome = NotRun(detail='no server')
         unsent = 0
         while True:  # noqa: WPS457 - ends when nothing more may be sent
-            server = self._choose(work)
+            server = await self._choose(work)
             if server is None or work.deadline <= self.clock.now():
                 break
             if stages is not None and not stages.is_held and not await self._remake(work, stages):
@@ -179,6 +182,13 @@
                 break
         await self._give_up(work, outcome, relay)
 
+    def _note_first(self, work: Work, stages: StageRun | None) -> None:
+        """Hear that the first event has come: the server has its inputs."""
+        if stages is not None:
+            stages.release()
+        if work.route.affinity:
+            self.placements.began(work)
+
     async def _remake(self, work: Work, stages: StageRun) -> bool:
         """Make results again that were given up when the first event came."""
         fault = await stages.run()
@@ -194,24 +204,17 @@
             return False
         return self.budget.take(work.service, self.clock.now())
 
-    def _choose(self, work: Work) -> BackendReport | None:
+    async def _choose(self, work: Work) -> BackendReport | None:
+        if work.route.affinity:
+            return await self.placements.choose(work)
         servers = [
             server
             for server in self.follower.view.serving(work.service)
             if server.instance not in work.tried
         ]
-        choice = self.engines if work.route.affinity else self.plain
-        return choice.choose(servers, self._need(work), self.clock.now())
-
-    def _need(self, work: Work) -> Need:
-        return Need(
-            zone=self.node.zone,
-            prompt_tokens=work.request.prompt_tokens,
-            prefix=work.request.prefix,
-            result_bytes=work.input_bytes,
-        )
+        return self.plain.choose(servers, self.clock.now())
 
-    def _stage_zone(self, work: Work) -> str:
+    async def _stage_zone(self, work: Work) -> str:
         """Return the availability zone in which the stages should work.
 
         A prompt whose shared parts are long goes where they are kept; others
@@ -219,7 +222,7 @@
         """
         shared = sum(part.tokens for part in work.request.prefix[:-1])
         if shared >= _LONG_PREFIX_TOKENS:
-            engine = self._choose(work)
+            engine = await self.placements.choose(work, dry=True)
             if engine is not None:
                 return engine.zone
         first = next(
@@ -242,25 +245,18 @@
         """Send once; an :class:`Answered` has been passed on whole."""
         standing = self.health.of(server.instance)
         standing.in_flight += 1
-        unread = 0
-        if work.route.affinity:
-            need = self._need(work)
-            unread = self.engines.unread_tokens(server.instance, need, self.clock.now())
-            self.engines.memory.note(server.instance, work.request.prefix, self.clock.now())
-        standing.tokens_waiting += unread
         self._log(work, Event.request_sent, backend=server.instance, sends=work.sends)
         begun = self.clock.now()
         try:
             last = relay.last if relay.started else None
             outcome = await self.sender.send(work, server, last_event=last)
-            standing.tokens_waiting -= unread
-            unread = 0
             if isinstance(outcome, Answered):
                 return await self._pass_on(work, server, outcome, relay, begun)
             return outcome
         finally:
             standing.in_flight -= 1
-            standing.tokens_waiting -= unread
+            if work.route.affinity:
+                self.placements.ended(work)
 
     async def _pass_on(
         self,
@@ -310,7 +306,7 @@
             self.health.succeeded(server.instance, self.clock.now())
             self.health.took(server.instance, self.clock.now() - begun, 0)
         await work.exchange.respond(answered.head.status, client_headers(answered.head), body)
-        self._note_answer(work, answered.head.status)
+        self._note_answer(work, answered.head.status, self.clock.now())
         return answered
 
     async def _pass_stream(
@@ -324,7 +320,7 @@
         if end is StreamEnd.whole:
             self.health.succeeded(server.instance, self.clock.now())
             await work.exchange.finish()
-            self._note_answer(work, answered.head.status)
+            self._note_answer(work, answered.head.status, relay.first_at, relay.longest_gap)
             return answered
         self._count_failure(work, server)
         self._log(
@@ -380,11 +376,21 @@
     def _marks(self, request: ClientRequest) -> list[tuple[str, str]]:
         return [attempt_header(request.attempt_id)] if request.attempt_id else []
 
-    def _note_answer(self, work: Work, status: int) -> None:
-        took_ms = (self.clock.now() - work.arrived) * 1000
+    def _note_answer(self, work: Work, status: int, first_at: float, gap: float = 0) -> None:
+        took_ms = (self.clock.now() - work.arrived) * MS_PER_S
+        late = first_at > work.objective or gap > work.route.gap_objective_s > 0
         self.metrics.add('requests', status=str(status), route=work.route.name)
         self.metrics.record_ms('request', took_ms, route=work.route.name)
-        self._log(work, Event.request_answered, status=status, took_ms=round(took_ms))
+        self._log(
+            work,
+            Event.request_answered,
+            status=status,
+            took_ms=round(took_ms),
+            stages_ms=round(work.stages_s * MS_PER_S),
+            first_ms=round((first_at - work.arrived) * MS_PER_S),
+            gap_ms=round(gap * MS_PER_S),
+            late=late,
+        )
 
     def _log(self, work: Work, event: Event, **fields: object) -> None:
         self.node.events.emit(
--- a/ringseam/gateway/health.py
+++ b/ringseam/gateway/health.py
@@ -31,8 +31,6 @@
     ejected_until: float = float('-inf')
     ejections: int = 0
     in_flight: int = 0
-    #: Prompt tokens that were sent and whose first token hasn't come.
-    tokens_waiting: float = 0
     slowness: float = 1.0
     latency_s: float = 0
     told_running: int = 0
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -19,7 +19,6 @@
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
 from ringseam.gateway.batching import FULL_S, Batcher, PieceJob
-from ringseam.gateway.choice import rendezvous
 from ringseam.messages import Empty, Message
 from ringseam.platform.stages import (
     FREE_PATH,
@@ -43,6 +42,7 @@
     from ringseam.gateway.budget import RetryBudget
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.ownership import Ownership
     from ringseam.node import Node
     from ringseam.routes import BatchSpec
     from ringseam.rpc import CallClient, Received
@@ -133,6 +133,7 @@
         pool: ChannelPool,
         health: HealthBook,
         budget: RetryBudget,
+        ownership: Ownership,
     ) -> None:
         """Work with the servers that ``follower`` knows."""
         self.node = node
@@ -141,6 +142,7 @@
         self.pool = pool
         self.health = health
         self.budget = budget
+        self.ownership = ownership
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
         self.owners_changed = asyncio.Event()
@@ -149,7 +151,7 @@
 
     async def make(self, job: PieceJob) -> list[PieceResult]:
         """Return a result for each piece of a job."""
-        owner = self.owner_of(job.service)
+        owner = self.ownership.owner_of(job.service)
         if owner:
             reply = await self._ask_owner(owner, job)
             if reply is not None:
@@ -158,23 +160,13 @@
 
     def release(self, service: ServiceName, handles: tuple[str, ...]) -> None:
         """Give results up, without waiting."""
-        owner = self.owner_of(service)
+        owner = self.ownership.owner_of(service)
         if not owner:
             self.release_here(service, handles)
             return
         request = ReleaseRequest(service=service, handles=handles)
         self._spawn(self._tell_owner(owner, request))
 
-    def owner_of(self, service: ServiceName) -> str:
-        """Return the address of the gateway that forms batches; empty: here."""
-        staying = {
-            state.name: state.address for state in self.follower.gateways if not state.draining
-        }
-        if not staying:
-            return ''
-        name = rendezvous(service, sorted(staying))
-        return '' if name == self.node.name else staying[name]
-
     # -- calls of other gateways --------------------------------------------
 
     async def serve_pieces(self, received: Received) -> PieceReply:
@@ -485,7 +477,7 @@
             self.client.call(owner, PIECES, request, timeout_s=max(0, job.deadline - now)),
         )
         try:
-            while not call.done() and self.owner_of(job.service) == owner:
+            while not call.done() and self.ownership.owner_of(job.service) == owner:
                 changed = asyncio.ensure_future(self.owners_changed.wait())
                 await asyncio.wait({call, changed}, return_when=asyncio.FIRST_COMPLETED)
                 changed.cancel()
--- /dev/null
+++ b/ringseam/gateway/placement.py
@@ -0,0 +1,215 @@
+"""Placement of requests on model engines: a plain class, costs in one unit.
+
+Costs are shares of the worth of one request of the highest priority, so that
+lateness, prompts that are read again, streams that are disturbed and bytes
+that cross zones can be weighed against each other.
+"""
+
+from __future__ import annotations
+
+import collections
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.messages import Message
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.backends import BackendId, BackendReport
+    from ringseam.gateway.health import HealthBook
+
+#: Prompt tokens that an engine reads in a second, from the users' sheets.
+READ_TOKENS_PER_S = 32_400.0
+#: Attention over what was read before makes long prompts slower by about this.
+_LONG_READ = 1.3
+#: From a request's arrival at an idle engine to its first event, seconds.
+_FIRST_EVENT_S = 0.08
+#: Unread tokens beyond this take three steps or more to read, and an event of
+#: a running stream takes three steps: it comes later than half a second.
+_DISTURBING_TOKENS = 8192
+#: Each step of priority is worth this much less; the sheets' kinds of request
+#: are worth 5.1, 1.1 and 0.36.
+_WORTH_RATIO = 0.25
+#: A late answer loses this share of its worth.
+_LATE_LOSS = 0.85
+#: The first token is predicted this well, seconds: lateness becomes certain
+#: over this span.
+_SPREAD_S = 0.6
+#: A thousand shared tokens that are read again cost this; from the prices of a
+#: quiet day (119,000 tokens for 0.027 of the day's worth).
+_AGAIN_PER_TOKEN = 0.055e-3
+#: A byte that crosses zones costs this; from the same prices.
+_CROSSING_PER_BYTE = 0.016e-6
+#: A second of waiting costs this even where it makes nothing late.
+_PER_SECOND = 0.05
+#: An ejected engine is taken only when all are.
+_EJECTED = 1000.0
+#: A share of an engine's memory is left for the requests that run.
+_CACHE_SHARE = 0.7
+#: A request that nobody reported the end of is forgotten this long after its
+#: deadline, seconds.
+_FORGET_S = 1.0
+
+
+class PlacedPart(Message, frozen=True, kw_only=True):
+    """A part of a prompt, with its tokens."""
+
+    name: str
+    tokens: int
+
+
+class PlaceRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """What must be known to place a request; durations in milliseconds.
+
+    With ``dry`` nothing is remembered.
+    """
+
+    request: str
+    service: str
+    prompt_tokens: int
+    prefix: tuple[PlacedPart, ...] = ()
+    priority: int = 0
+    objective_ms: int = 0
+    left_ms: int = 0
+    result_bytes: dict[str, int] = {}
+    avoid: tuple[str, ...] = ()
+    dry: bool = False
+
+
+@dataclass(kw_only=True)
+class Placed:
+    """A request on an engine."""
+
+    instance: BackendId
+    unread: int
+    worth: float
+    until: float
+    running: bool = False
+
+
+@dataclass(kw_only=True)
+class EngineBook:
+    """What is believed of one engine's memory, least recently used first."""
+
+    parts: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
+    tokens: int = 0
+
+    def use(self, part: PlacedPart, capacity: float) -> None:
+        """Remember a part as the newest, dropping the oldest beyond the memory."""
+        self.tokens -= self.parts.pop(part.name, 0)
+        self.parts[part.name] = part.tokens
+        self.tokens += part.tokens
+        while self.tokens > capacity and len(self.parts) > 1:
+            self.tokens -= self.parts.popitem(last=False)[1]
+
+
+@dataclass(kw_only=True)
+class Placer:
+    """Place requests on the engines of one service."""
+
+    health: HealthBook
+    books: dict[BackendId, EngineBook] = field(default_factory=dict)
+    placed: dict[str, Placed] = field(default_factory=dict)
+
+    def place(
+        self,
+        ask: PlaceRequest,
+        engines: Collection[BackendReport],
+        cache_tokens: int,
+        now: float,
+    ) -> BackendReport | None:
+        """Return the engine with the least cost, and remember the request."""
+        self._forget(now)
+        candidates = [engine for engine in engines if engine.instance not in ask.avoid]
+        if not candidates:
+            return None
+        best = min(candidates, key=lambda engine: (self._cost(ask, engine, now), _tie(ask, engine)))
+        if not ask.dry:
+            self.note(ask, best.instance, cache_tokens, now)
+        return best
+
+    def note(self, ask: PlaceRequest, instance: BackendId, cache_tokens: int, now: float) -> None:
+        """Remember that a request was placed on an engine."""
+        self.placed[ask.request] = Placed(
+            instance=instance,
+            unread=self.unread(ask, instance),
+            worth=_worth(ask),
+            until=now + ask.left_ms / 1000 + _FORGET_S,
+        )
+        book = self.books.setdefault(instance, EngineBook())
+        for part in reversed(ask.prefix):
+            book.use(part, cache_tokens * _CACHE_SHARE)
+
+    def began(self, request: str) -> None:
+        """Hear that the first event has come."""
+        known = self.placed.get(request)
+        if known is not None:
+            known.running = True
+            known.unread = 0
+
+    def ended(self, request: str) -> None:
+        """Hear that a request is over."""
+        self.placed.pop(request, None)
+
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget engines that are gone."""
+        for instance in set(self.books) - instances:
+            self.books.pop(instance)
+
+    def unread(self, ask: PlaceRequest, instance: BackendId) -> int:
+        """Return how many prompt tokens an engine would have to read."""
+        return max(0, ask.prompt_tokens - self._cached(ask, instance))
+
+    # -- helpers ------------------------------------------------------------
+
+    def _cached(self, ask: PlaceRequest, instance: BackendId) -> int:
+        book = self.books.get(instance)
+        cached = 0
+        for part in ask.prefix:
+            if book is None or part.name not in book.parts:
+                break
+            cached += part.tokens
+        return cached
+
+    def _cost(self, ask: PlaceRequest, engine: BackendReport, now: float) -> float:
+        instance = engine.instance
+        standing = self.health.of(instance)
+        here = [placed for placed in self.placed.values() if placed.instance == instance]
+        unread = self.unread(ask, instance)
+        backlog = sum(placed.unread for placed in here)
+        first = _FIRST_EVENT_S + _LONG_READ * (backlog + unread) / READ_TOKENS_PER_S
+        first *= max(1, standing.slowness)
+        spare = ask.objective_ms / 1000 - first
+        late = min(1, max(0, 1 - spare / _SPREAD_S))
+        cost = late * _LATE_LOSS * _worth(ask) + first * _PER_SECOND
+        if backlog + unread > _DISTURBING_TOKENS:
+            cost += _LATE_LOSS * sum(placed.worth for placed in here if placed.running)
+        cost += self._again(ask, instance) * _AGAIN_PER_TOKEN
+        crossing = sum(
+            amount for zone, amount in ask.result_bytes.items() if zone != engine.zone
+        )
+        cost += crossing * _CROSSING_PER_BYTE
+        return cost + (_EJECTED if now < standing.ejected_until else 0)
+
+    def _again(self, ask: PlaceRequest, instance: BackendId) -> int:
+        """Return the tokens kept elsewhere that this engine would read anew."""
+        most = max((self._cached(ask, other) for other in self.books), default=0)
+        return max(0, most - self._cached(ask, instance))
+
+    def _forget(self, now: float) -> None:
+        for request, placed in list(self.placed.items()):
+            if placed.until < now:
+                self.placed.pop(request)
+
+
+def _worth(ask: PlaceRequest) -> float:
+    return _WORTH_RATIO**ask.priority
+
+
+def _tie(ask: PlaceRequest, engine: BackendReport) -> bytes:
+    """Order engines of equal cost alike at all gateways, by the shared parts."""
+    shared = ask.prefix[-2] if len(ask.prefix) > 1 else None
+    key = shared.name if shared else ask.request
+    return hashlib.blake2b(f'{key}/{engine.instance}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/ringseam/gateway/placements.py
@@ -0,0 +1,175 @@
+"""Asking the owner of an engine service where a request shall run."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Any, Optional
+
+from ringseam.errors import UnreachableError
+from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
+from ringseam.messages import Empty, Message
+from ringseam.routes import ServiceName
+from ringseam.rpc import Method
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
+    from ringseam.clock import Clock
+    from ringseam.gateway.follower import Follower
+    from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.ownership import Ownership
+    from ringseam.gateway.work import Work
+    from ringseam.rpc import CallClient, Received
+
+logger = logging.getLogger(__name__)
+
+#: The owner is milliseconds away; a request is placed here after this, seconds.
+_ASK_S = 0.06
+_TELL_S = 1.0
+
+
+class PlaceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """The chosen engine, if there is one."""
+
+    instance: str = ''
+
+
+class ProgressNote(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """A request's first event has come, or it is over."""
+
+    service: str
+    request: str
+    over: bool = False
+
+
+PLACE = Method('/ringseam.Gateway/Place', PlaceRequest, PlaceReply)
+PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty)
+
+
+class Placements:
+    """Place requests by the owner's view, or by this gateway's own."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        client: CallClient,
+        follower: Follower,
+        health: HealthBook,
+        ownership: Ownership,
+    ) -> None:
+        """Begin without a memory of prompts."""
+        self.clock = clock
+        self.client = client
+        self.follower = follower
+        self.health = health
+        self.ownership = ownership
+        self.placers: dict[str, Placer] = {}
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    async def choose(self, work: Work, *, dry: bool = False) -> BackendReport | None:
+        """Return where a request shall run; with ``dry``, where it would."""
+        ask = self._ask(work, dry=dry)
+        owner = self.ownership.owner_of(work.service)
+        if owner:
+            chosen = await self._ask_owner(owner, ask)
+            if chosen is not None:
+                if not dry:
+                    self._placer(work.service).note(
+                        ask,
+                        chosen.instance,
+                        self._cache_tokens(work.service),
+                        self.clock.now(),
+                    )
+                return chosen
+        return self._place_here(ask)
+
+    def began(self, work: Work) -> None:
+        """Tell that the first event has come."""
+        self._tell(work, over=False)
+
+    def ended(self, work: Work) -> None:
+        """Tell that the request is over."""
+        self._tell(work, over=True)
+
+    # -- calls of other gateways --------------------------------------------
+
+    async def serve_place(self, received: Received) -> PlaceReply:
+        """Place a request for another gateway."""
+        chosen = self._place_here(received.body)
+        return PlaceReply(instance=chosen.instance if chosen else '')
+
+    async def serve_progress(self, received: Received) -> Empty:
+        """Hear how a request of another gateway goes on."""
+        self._hear(received.body)
+        return Empty()
+
+    # -- helpers ------------------------------------------------------------
+
+    def _ask(self, work: Work, *, dry: bool) -> PlaceRequest:
+        now = self.clock.now()
+        return PlaceRequest(
+            request=work.request.attempt_id,
+            service=work.service,
+            prompt_tokens=work.request.prompt_tokens,
+            prefix=tuple(
+                PlacedPart(name=part.name, tokens=part.tokens) for part in work.request.prefix
+            ),
+            priority=work.priority,
+            objective_ms=int((work.objective - now) * 1000),
+            left_ms=int((work.deadline - now) * 1000),
+            result_bytes=work.input_bytes,
+            avoid=tuple(work.tried),
+            dry=dry,
+        )
+
+    def _place_here(self, ask: PlaceRequest) -> BackendReport | None:
+        service = ServiceName(ask.service)
+        return self._placer(service).place(
+            ask,
+            self.follower.view.serving(service),
+            self._cache_tokens(service),
+            self.clock.now(),
+        )
+
+    async def _ask_owner(self, owner: str, ask: PlaceRequest) -> Optional[BackendReport]:
+        try:
+            received = await self.client.call(owner, PLACE, ask, timeout_s=_ASK_S)
+        except UnreachableError as error:
+            logger.debug('placed here: %s', error)
+            self.ownership.avoid(owner)
+            return None
+        reply: PlaceReply = received.body
+        serving = self.follower.view.serving(ServiceName(ask.service))
+        return next((engine for engine in serving if engine.instance == reply.instance), None)
+
+    def _tell(self, work: Work, *, over: bool) -> None:
+        note = ProgressNote(service=work.service, request=work.request.attempt_id, over=over)
+        self._hear(note)
+        owner = self.ownership.owner_of(work.service)
+        if owner:
+            task = asyncio.get_running_loop().create_task(self._tell_owner(owner, note))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _tell_owner(self, owner: str, note: ProgressNote) -> None:
+        try:
+            await self.client.call(owner, PROGRESS, note, timeout_s=_TELL_S)
+        except UnreachableError as error:
+            logger.debug('progress not told: %s', error)
+
+    def _hear(self, note: ProgressNote) -> None:
+        placer = self._placer(note.service)
+        if note.over:
+            placer.ended(note.request)
+        else:
+            placer.began(note.request)
+
+    def _placer(self, service: str) -> Placer:
+        if service not in self.placers:
+            self.placers[service] = Placer(health=self.health)
+        return self.placers[service]
+
+    def _cache_tokens(self, service: ServiceName) -> int:
+        known = self.follower.table.services.get(service)
+        return known.engine.cache_tokens if known and known.engine else 0
--- a/ringseam/gateway/relay.py
+++ b/ringseam/gateway/relay.py
@@ -63,6 +63,9 @@
     started: bool = False
     events: int = 0
     first_at: float = 0
+    last_at: float = 0
+    #: The longest pause between two events, seconds.
+    longest_gap: float = 0
     rest: bytes = b''
     splitter: EventSplitter = field(default_factory=EventSplitter)
     #: Called once, when the first event shows that a server has all it needs.
@@ -92,6 +95,14 @@
             if not await self._take(chunk):
                 return StreamEnd.out_of_order
 
+    def _note_time(self, now: float) -> None:
+        if self.first_at:
+            self.longest_gap = max(self.longest_gap, now - self.last_at)
+        else:
+            self.first_at = now
+            self.on_first()
+        self.last_at = now
+
     async def _take(self, chunk: bytes) -> bool:
         passed = []
         for event in self.splitter.feed(chunk):
@@ -104,8 +115,6 @@
             passed.append(event.raw)
         if passed:
             self.events += len(passed)
-            if not self.first_at:
-                self.first_at = self.clock.now()
-                self.on_first()
+            self._note_time(self.clock.now())
             await self.work.exchange.send(b''.join(passed))
         return True
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -11,7 +11,9 @@
 from ringseam.gateway.follower import Follower
 from ringseam.gateway.forwarding import Forwarder
 from ringseam.gateway.health import HealthBook
+from ringseam.gateway.ownership import Ownership
 from ringseam.gateway.piecework import PIECES, RELEASE, PieceWorks
+from ringseam.gateway.placements import PLACE, PROGRESS, Placements
 from ringseam.gateway.tries import Sender
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
@@ -63,6 +65,18 @@
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._changed,
         )
+        self.ownership = Ownership(
+            follower=self.follower,
+            name=self.node.name,
+            clock=self.node.clock,
+        )
+        self.placements = Placements(
+            clock=self.node.clock,
+            client=self.client,
+            follower=self.follower,
+            health=self.health,
+            ownership=self.ownership,
+        )
         self.works = PieceWorks(
             node=self.node,
             client=self.client,
@@ -70,6 +84,7 @@
             pool=self.pool,
             health=self.health,
             budget=self.budget,
+            ownership=self.ownership,
         )
         self.forwarder = Forwarder(
             node=self.node,
@@ -77,6 +92,7 @@
             sender=Sender(pool=self.pool, health=self.health, clock=self.node.clock),
             health=self.health,
             works=self.works,
+            placements=self.placements,
             budget=self.budget,
             metrics=self.metrics,
         )
@@ -87,6 +103,8 @@
         """Listen, and follow control."""
         self.server.add(PIECES, self.works.serve_pieces)
         self.server.add(RELEASE, self.works.serve_release)
+        self.server.add(PLACE, self.placements.serve_place)
+        self.server.add(PROGRESS, self.placements.serve_progress)
         await self.server.start()
         self.stack.push_async_callback(self.server.close)
         self.stack.callback(self.pool.close)
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -43,6 +43,8 @@
     #: Sends that may have run.
     maybe_run: int = 0
     sends: int = 0
+    #: How long the stages took, seconds.
+    stages_s: float = 0
 
     @property
     def objective(self) -> float:
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -21,6 +21,8 @@
 # Prompt tokens and the most output tokens, separated by a comma.
 _TOKENS = 'Token-Counts'
 _PREFIX = 'Prompt-Prefix'
+# The client's estimate of the output tokens; right at the median, often far off.
+_LENGTH_HINT = 'Length-Hint'
 # How many pieces each stage has, in the order of the stages.
 _PIECES = 'Pieces'
 _PIECE_KEY = 'Piece-Key'
@@ -65,6 +67,7 @@
     time_left_s: float | None
     key: str
     prompt_tokens: int = 0
+    #: Tokens to be generated: the client's estimate, else the most.
     output_tokens: int = 0
     prefix: tuple[PromptPart, ...] = ()
     #: Pieces of each stage, and what marks the request's own pieces.
@@ -121,7 +124,7 @@
         time_left_s=None if left_ms is None else left_ms / MS_PER_S,
         key=key,
         prompt_tokens=tokens[0] if tokens else 0,
-        output_tokens=tokens[1] if len(tokens) > 1 else 0,
+        output_tokens=_number(request.header(_LENGTH_HINT)) or (*tokens, 0, 0)[1],
         prefix=_parts(request.header(_PREFIX)),
         pieces=_numbers(request.header(_PIECES)),
         piece_key=request.header(_PIECE_KEY),
