--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -46,6 +46,8 @@
     result_bytes: int
     #: Where its inputs are or its result is wanted.
     zone: str = ''
+    #: The service that made the inputs, when nothing else needs them after this.
+    inputs_of: str = ''
 
 
 @dataclass(kw_only=True, eq=False)
@@ -112,12 +114,34 @@
         """Return the next call, or None while it is better to wait."""
         if not self.waiting:
             return None
-        for server in sorted(self._idle(servers, spec, now), key=self._preference):
-            pieces = self._pick(server, servers, spec, now)
+        idle = sorted(self._idle(servers, spec, now), key=self._preference)
+        for server in idle:
+            elsewhere = frozenset(other.zone for other in idle if other is not server)
+            pieces = self._pick(server, servers, spec, now, elsewhere)
             if pieces:
                 return self._begin(server, pieces, spec)
         return None
 
+    def wait_s(
+        self,
+        servers: Collection[BackendReport],
+        spec: BatchSpec,
+        priority: int,
+        now: float,
+    ) -> float:
+        """Return how long a new piece of this priority would wait, seconds."""
+        if not servers:
+            return 0
+        ahead = sum(
+            1
+            for piece in self.waiting
+            if piece.job.priority <= priority and piece.job.due > now
+        )
+        busy = sum(1 for server in servers if self.calls.get(server.instance, 0) >= spec.slots)
+        call = spec.call_s + spec.batch * spec.piece_s
+        under_way = call / 2 if busy == len(servers) else 0
+        return under_way + call * ahead / (spec.batch * spec.slots * len(servers))
+
     def ended(self, call: StageCall) -> None:
         """Hear that a call is over; results that weren't made need no room."""
         instance = call.server.instance
@@ -178,22 +202,45 @@
         servers: Collection[BackendReport],
         spec: BatchSpec,
         now: float,
+        idle_zones: frozenset[str],
+    ) -> list[Piece]:
+        """Return the pieces of a call: those of its zone or in a hurry.
+
+        A server that would stay idle takes late pieces of other zones.
+        """
+        zones = {other.zone for other in servers}
+        ordered = sorted(self.waiting, key=lambda waiting: _urgency(waiting, now))
+        allowed = [
+            piece
+            for piece in ordered
+            if server.instance not in piece.avoid or len(piece.avoid) >= len(servers)
+        ]
+        near = [
+            piece
+            for piece in allowed
+            if piece.job.zone == server.zone
+            or piece.job.zone not in zones
+            or (piece.job.zone not in idle_zones and _may_leave(piece, spec, now))
+        ]
+        late = [piece for piece in allowed if piece.job.due <= now]
+        return self._fit(near, server, spec) or self._fit(late, server, spec)
+
+    def _fit(
+        self,
+        pieces: list[Piece],
+        server: BackendReport,
+        spec: BatchSpec,
     ) -> list[Piece]:
+        """Return the first pieces that a call and the server's room take."""
         whole = spec.room_bytes / _SIZE_MARGIN
         room = whole - self.kept_bytes.get(server.instance, 0)
         picked: list[Piece] = []
-        zones = {other.zone for other in servers}
-        for piece in sorted(self.waiting, key=lambda waiting: _urgency(waiting, now)):
+        for piece in pieces:
             if len(picked) == spec.batch:
                 break
-            if server.instance in piece.avoid and len(piece.avoid) < len(servers):
-                continue
-            if piece.job.result_bytes > room and (picked or room < whole):
-                continue
-            if not _may_go(piece, server, zones, spec, now):
-                continue
-            picked.append(piece)
-            room -= piece.job.result_bytes
+            if piece.job.result_bytes <= room or (not picked and room >= whole):
+                picked.append(piece)
+                room -= piece.job.result_bytes
         return picked
 
     def _begin(self, server: BackendReport, pieces: list[Piece], spec: BatchSpec) -> StageCall:
@@ -208,20 +255,14 @@
         )
 
 
-def _may_go(
-    piece: Piece,
-    server: BackendReport,
-    zones: set[str],
-    spec: BatchSpec,
-    now: float,
-) -> bool:
-    """Return whether a piece may leave for this server's zone.
+def _may_leave(piece: Piece, spec: BatchSpec, now: float) -> bool:
+    """Return whether a piece may leave its zone, whose server is busy.
 
     Results that cross zones are dear, so a piece waits for its own zone while
-    it has the time for one more call there.
+    it has the time for some more calls there; the dearest requests don't wait.
     """
     job = piece.job
-    if job.zone not in zones or job.zone == server.zone or piece.avoid:
+    if piece.avoid or job.priority == 0:
         return True
     spare = job.due - now - _PATIENCE_CALLS * (spec.call_s + spec.batch * spec.piece_s)
     return spare < 0 < job.due - now
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -43,6 +43,12 @@
 _BAD_REQUEST = 400
 #: When a client should come back while nothing is known, seconds.
 _COME_BACK_S = 0.3
+#: A refused client comes back after this long at the latest, seconds.
+_COME_BACK_MOST_S = 3.0
+#: What the last server of a staged request needs for its first event, seconds.
+_LAST_SERVER_S = 0.3
+#: A request is refused when it would be later than this, seconds.
+_SHED_MARGIN_S = 0.3
 #: A prompt with this many shared tokens is served where they are kept; fewer
 #: are read in under 50 ms.
 _LONG_PREFIX_TOKENS = 1500
@@ -138,6 +144,17 @@
             zone=await self._stage_zone(work),
             zones=self.follower.view.zones,
         )
+        predicted = stages.predicted_s()
+        objective_s = work.objective - self.clock.now()
+        if predicted + _LAST_SERVER_S > objective_s + _SHED_MARGIN_S:
+            excess = predicted + _LAST_SERVER_S - objective_s
+            await self._refuse(
+                work.exchange,
+                work.request,
+                f'stages would take {predicted:.2f} s',
+                come_back_s=min(_COME_BACK_MOST_S, max(_COME_BACK_S, excess)),
+            )
+            return
         try:
             fault = await stages.run()
             if fault is None:
@@ -360,7 +377,14 @@
         self.metrics.add('requests', status=str(status), route=work.route.name)
         await work.exchange.respond(status, self._marks(work.request))
 
-    async def _refuse(self, exchange: Exchange, request: ClientRequest, detail: str) -> None:
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        request: ClientRequest,
+        detail: str,
+        *,
+        come_back_s: float = _COME_BACK_S,
+    ) -> None:
         """Say that the request has not run, and when to come back."""
         self.node.events.emit(
             logger,
@@ -370,7 +394,7 @@
             detail=detail,
         )
         self.metrics.add('requests', status=str(_UNAVAILABLE), route='')
-        headers = [*self._marks(request), retry_after(_COME_BACK_S)]
+        headers = [*self._marks(request), retry_after(come_back_s)]
         await exchange.respond(_UNAVAILABLE, headers)
 
     def _marks(self, request: ClientRequest) -> list[tuple[str, str]]:
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -56,6 +56,11 @@
 _CALL_PATIENCE = 4.0
 _CALL_PATIENCE_S = 0.6
 _CONNECT_S = 0.4
+#: What an owner said of its waiting pieces is believed this long, seconds.
+_WAITS_S = 0.5
+#: A server has fetched the inputs of a call this long after it was sent,
+#: seconds: megabytes take milliseconds at the links' speed.
+_FETCH_S = 0.06
 #: Results that are given up within this time are named to their maker together,
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
@@ -78,6 +83,7 @@
     priority: int
     result_bytes: int
     zone: str
+    inputs_of: str = ''
 
 
 class PieceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -85,6 +91,8 @@
 
     handles: tuple[str, ...] = ()
     fault: str = ''
+    #: How long a new piece would wait now, in milliseconds, by priority.
+    waits_ms: dict[int, int] = {}
 
 
 class ReleaseRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -121,6 +129,14 @@
             self.batcher.freed(instance, amount)
 
 
+@dataclass(frozen=True, kw_only=True)
+class ToldWaits:
+    """How long new pieces wait at a service's owner, in ms, and when it said so."""
+
+    at: float
+    by_priority: dict[int, int]
+
+
 class PieceWorks:  # noqa: WPS214 - the driver of all batches
     """Form batches here or have them formed by the owner."""
 
@@ -145,6 +161,7 @@
         self.ownership = ownership
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.told_waits: dict[ServiceName, ToldWaits] = {}
         self.owners_changed = asyncio.Event()
 
     # -- for requests -------------------------------------------------------
@@ -167,6 +184,21 @@
         request = ReleaseRequest(service=service, handles=handles)
         self._spawn(self._tell_owner(owner, request))
 
+    def wait_s(self, service: ServiceName, priority: int) -> float:
+        """Return how long a new piece would wait, as far as is known, seconds."""
+        now = self.node.clock.now()
+        spec = self._spec(service)
+        if spec is None:
+            return 0
+        if not self.ownership.owner_of(service):
+            batcher = self._works(service).batcher
+            return batcher.wait_s(self._servers(service), spec, priority, now)
+        told = self.told_waits.get(service)
+        if told is None or now - told.at > _WAITS_S:
+            return 0
+        known = [wait for rank, wait in told.by_priority.items() if rank <= priority]
+        return max(known, default=0) / MS_PER_S
+
     # -- calls of other gateways --------------------------------------------
 
     async def serve_pieces(self, received: Received) -> PieceReply:
@@ -185,12 +217,14 @@
             priority=request.priority,
             result_bytes=request.result_bytes,
             zone=request.zone,
+            inputs_of=request.inputs_of,
         )
         outcome = await self.make_here(job)
         faults = [piece.fault for piece in outcome if piece.fault is not None]
         return PieceReply(
             handles=tuple(piece.handle for piece in outcome),
             fault=faults[0].value if faults else '',
+            waits_ms=self._waits_here(job.service),
         )
 
     async def serve_release(self, received: Received) -> Empty:
@@ -260,6 +294,18 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _waits_here(self, service: ServiceName) -> dict[int, int]:
+        spec = self._spec(service)
+        if spec is None:
+            return {}
+        batcher = self._works(service).batcher
+        now = self.node.clock.now()
+        servers = self._servers(service)
+        ranks = {piece.job.priority for piece in batcher.waiting} | {0}
+        return {
+            rank: int(MS_PER_S * batcher.wait_s(servers, spec, rank, now)) for rank in ranks
+        }
+
     def _works(self, service: ServiceName) -> ServicePieces:
         if service not in self.services:
             batcher = Batcher(service=service, health=self.health)
@@ -286,6 +332,17 @@
 
     async def _call(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         started = self.node.clock.now()
+        self.node.events.emit(
+            logger,
+            Event.pieces_sent,
+            backend=call.server.instance,
+            service=works.batcher.service,
+            requests=sorted({piece.job.attempt_id for piece in call.pieces}),
+            pieces=len(call.pieces),
+            waiting=len(works.batcher.waiting),
+            kept_bytes=works.batcher.kept_bytes.get(call.server.instance, 0),
+        )
+        fetched = asyncio.get_running_loop().call_later(_FETCH_S, self._inputs_fetched, call)
         # The last of the pieces' deadlines bounds the call.
         limit = min(
             call.expected_s * _CALL_PATIENCE + _CALL_PATIENCE_S,
@@ -299,6 +356,7 @@
         except (ChannelError, msgspec.MsgspecError, asyncio.TimeoutError) as error:
             detail = f'{type(error).__name__} {error}'
         now = self.node.clock.now()
+        fetched.cancel()
         works.batcher.ended(call)
         if results is None:
             self._call_failed(works, call, detail)
@@ -308,6 +366,17 @@
             self._call_answered(works, call, results)
         self._dispatch(works.batcher.service)
 
+    def _inputs_fetched(self, call: StageCall) -> None:
+        """Give up inputs once all pieces that need them have fetched them.
+
+        A call's inputs are fetched when its turn comes, and calls are sent to
+        idle servers only. A result that is missed is made again.
+        """
+        for job in {piece.job for piece in call.pieces}:
+            here = sum(1 for piece in call.pieces if piece.job is job)
+            if job.inputs_of and here == len(job.pieces):
+                self.release(ServiceName(job.inputs_of), job.inputs)
+
     async def _exchange(self, call: StageCall) -> list[PieceResult] | None:
         now = self.node.clock.now()
         orders = [
@@ -472,6 +541,7 @@
             priority=job.priority,
             result_bytes=job.result_bytes,
             zone=job.zone,
+            inputs_of=job.inputs_of,
         )
         call = asyncio.ensure_future(
             self.client.call(owner, PIECES, request, timeout_s=max(0, job.deadline - now)),
@@ -484,6 +554,10 @@
             if not call.done():
                 return None
             reply: PieceReply = call.result().body
+            self.told_waits[job.service] = ToldWaits(
+                at=self.node.clock.now(),
+                by_priority=reply.waits_ms,
+            )
         except UnreachableError as error:
             logger.debug('owner of %s: %s', job.service, error)
             return None
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -62,6 +62,18 @@
                 break
         return StageFault(fault=fault)
 
+    def predicted_s(self) -> float:
+        """Return how long the stages would take from now, with what waits there."""
+        stages = self.work.route.stages
+        ends: list[float] = []
+        for number, stage in enumerate(stages):
+            begin = max((ends[before] for before in stage.after), default=0.0)
+            if self._pieces_of(number):
+                begin += self.works.wait_s(stage.service, self.work.priority)
+                begin += self._stage_s(number) / _WAIT_AND_CALL
+            ends.append(begin)
+        return max(ends, default=0.0)
+
     def inputs(self) -> tuple[str, ...]:
         """Return the handles of the stages that no other stage follows."""
         stages = self.work.route.stages
@@ -163,8 +175,21 @@
             priority=work.priority,
             result_bytes=stage.result_bytes,
             zone=self._zone_of(inputs),
+            inputs_of=self._sole_maker(number, stage),
         )
 
+    def _sole_maker(self, number: int, stage: RouteStage) -> str:
+        """Return the service of a stage's inputs if only this stage needs them."""
+        stages = self.work.route.stages
+        if len(stage.after) != 1:
+            return ''
+        users = [
+            later
+            for later, other in enumerate(stages)
+            if stage.after[0] in other.after and self._pieces_of(later)
+        ]
+        return stages[stage.after[0]].service if users == [number] else ''
+
     def _zone_of(self, inputs: tuple[str, ...]) -> str:
         """Return where most inputs are, or where the request is at home."""
         found = collections.Counter(self.zones.get(maker_of(handle), '') for handle in inputs)
