--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.events import Event
 from ringseam.gateway.choice import MeasuredChoice, rendezvous
+from ringseam.gateway.piecework import FETCH_S
 from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.stagegraph import StageRun, has_stages
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Work
@@ -186,7 +187,9 @@
             if stages is not None and not stages.is_held and not await self._remake(work, stages):
                 break
             work.tried.add(server.instance)
+            fetched = self._release_when_fetched(stages)
             outcome = await self._try(work, server, relay)
+            fetched.cancel()
             if isinstance(outcome, Answered):
                 return
             if isinstance(outcome, NotRun) and not outcome.reached:
@@ -199,6 +202,12 @@
                 break
         await self._give_up(work, outcome, relay)
 
+    def _release_when_fetched(self, stages: StageRun | None) -> asyncio.TimerHandle:
+        """Give results up a while after the request was sent to its server."""
+        loop = asyncio.get_running_loop()
+        release = stages.release if stages is not None else _nothing
+        return loop.call_later(FETCH_S, release)
+
     def _note_first(self, work: Work, stages: StageRun | None) -> None:
         """Hear that the first event has come: the server has its inputs."""
         if stages is not None:
@@ -425,3 +434,7 @@
             number=self.follower.table.number,
             **fields,
         )
+
+
+def _nothing() -> None:
+    """Do nothing: a request without stages holds no results."""
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -60,7 +60,7 @@
 _WAITS_S = 0.5
 #: A server has fetched the inputs of a call this long after it was sent,
 #: seconds: megabytes take milliseconds at the links' speed.
-_FETCH_S = 0.06
+FETCH_S = 0.06
 #: Results that are given up within this time are named to their maker together,
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
@@ -342,7 +342,7 @@
             waiting=len(works.batcher.waiting),
             kept_bytes=works.batcher.kept_bytes.get(call.server.instance, 0),
         )
-        fetched = asyncio.get_running_loop().call_later(_FETCH_S, self._inputs_fetched, call)
+        fetched = asyncio.get_running_loop().call_later(FETCH_S, self._inputs_fetched, call)
         # The last of the pieces' deadlines bounds the call.
         limit = min(
             call.expected_s * _CALL_PATIENCE + _CALL_PATIENCE_S,
