--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -139,10 +139,6 @@
 
 def _leaving(report: BackendReport) -> BackendReport:
     return type(report)(
-        **{
-            name: getattr(report, name)
-            for name in report.__struct_fields__
-            if name != 'state'
-        },
+        **{name: getattr(report, name) for name in report.__struct_fields__ if name != 'state'},
         state=BackendState.draining,
     )
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from ringseam.backends import BackendId, BackendReport
+    from ringseam.backends import BackendReport
     from ringseam.following import Submit, WatchRequest
     from ringseam.node import Node
     from ringseam.rpc import Received
--- a/ringseam/control/replica.py
+++ b/ringseam/control/replica.py
@@ -155,7 +155,7 @@
     send: Callable[[str, Packet], None]
     files_changed: Callable[[StateMachine], None]
     failed: Callable[[str], None]
-    leadership_changed: Callable[[Leadership], None] = lambda leadership: None  # noqa: E731
+    leadership_changed: Callable[[Leadership], None] = lambda leadership: None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -13,8 +13,8 @@
 from ringseam import config
 from ringseam.clock import MS_PER_S
 from ringseam.control.directory import Directory
-from ringseam.control.founding import Introduction, wanted_voters
 from ringseam.control.follow import FollowService, HeldDocument
+from ringseam.control.founding import Introduction, wanted_voters
 from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
 from ringseam.control.raftlog import Packet
 from ringseam.control.replica import (
--- /dev/null
+++ b/ringseam/gateway/attempts.py
@@ -0,0 +1,255 @@
+"""The sends of one request, until an answer is passed on or nothing more may go."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.events import Event
+from ringseam.gateway.answers import BAD_GATEWAY, GATEWAY_TIMEOUT
+from ringseam.gateway.choice import MeasuredChoice
+from ringseam.gateway.piecework import FETCH_S
+from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
+from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
+from ringseam.web.client import ChannelError
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
+    from ringseam.gateway.answers import Answers
+    from ringseam.gateway.budget import RetryBudget
+    from ringseam.gateway.follower import Follower
+    from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.placements import Placements
+    from ringseam.gateway.stagegraph import StageRun
+    from ringseam.gateway.tries import Sender
+    from ringseam.gateway.work import TryOutcome, Work
+    from ringseam.node import Node
+
+logger = logging.getLogger(__name__)
+
+_BAD_REQUEST = 400
+_SERVER_ERROR = 500
+#: Connections that could not be made don't count as attempts; this many end it.
+_UNSENT_TRIES = 4
+
+
+class Attempts:  # noqa: WPS214 - the steps from choice to answer
+    """Send requests to backend servers and pass their answers on."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        follower: Follower,
+        sender: Sender,
+        health: HealthBook,
+        placements: Placements,
+        budget: RetryBudget,
+        answers: Answers,
+    ) -> None:
+        """Send through ``sender``."""
+        self.clock = node.clock
+        self.follower = follower
+        self.sender = sender
+        self.health = health
+        self.placements = placements
+        self.budget = budget
+        self.answers = answers
+        self.plain = MeasuredChoice(health=health, zone=node.zone)
+
+    async def run(self, work: Work, stages: StageRun | None) -> None:
+        """Send until an answer is passed on, else give the final answer."""
+        relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
+        relay.on_first = lambda: self._note_first(work, stages)
+        outcome: TryOutcome | None = NotRun(detail='no server')
+        repeat = True
+        while repeat:
+            sent = await self._next(work, stages, relay)
+            if sent is None:
+                break
+            outcome = sent
+            if isinstance(outcome, Answered):
+                return
+            repeat = self._may_repeat(work, outcome)
+        await self._give_up(work, outcome, relay)
+
+    async def _next(
+        self,
+        work: Work,
+        stages: StageRun | None,
+        relay: StreamRelay,
+    ) -> TryOutcome | None:
+        """Send to the next server; None when there is none or no time."""
+        server = await self._choose(work)
+        if server is None or work.deadline <= self.clock.now():
+            return None
+        if stages is not None and not stages.is_held and await stages.run() is not None:
+            return None
+        work.tried.add(server.instance)
+        if stages is None:
+            return await self._try(work, server, relay)
+        work.inputs = stages.inputs()
+        # By then the server has fetched what the stages have made.
+        fetched = asyncio.get_running_loop().call_later(FETCH_S, stages.release)
+        try:
+            return await self._try(work, server, relay)
+        finally:
+            fetched.cancel()
+
+    def _note_first(self, work: Work, stages: StageRun | None) -> None:
+        """Hear that the first event has come: the server has its inputs."""
+        if stages is not None:
+            stages.release()
+        if work.route.affinity:
+            self.placements.began(work)
+
+    def _may_repeat(self, work: Work, outcome: TryOutcome) -> bool:
+        if isinstance(outcome, NotRun) and not outcome.reached:
+            work.unsent += 1
+            return work.unsent < _UNSENT_TRIES
+        work.sends += 1
+        if isinstance(outcome, Lost):
+            work.maybe_run += 1
+            if not work.route.repeatable:
+                return False
+        if work.sends >= work.route.max_attempts:
+            return False
+        return self.budget.take(work.service, self.clock.now())
+
+    async def _choose(self, work: Work) -> BackendReport | None:
+        if work.route.affinity:
+            return await self.placements.choose(work)
+        servers = [
+            server
+            for server in self.follower.view.serving(work.service)
+            if server.instance not in work.tried
+        ]
+        return self.plain.choose(servers, self.clock.now())
+
+    async def _try(
+        self,
+        work: Work,
+        server: BackendReport,
+        relay: StreamRelay,
+    ) -> TryOutcome:
+        """Send once; an :class:`Answered` has been passed on whole."""
+        standing = self.health.of(server.instance)
+        standing.in_flight += 1
+        self.answers.log(
+            work,
+            Event.request_sent,
+            backend=server.instance,
+            sends=work.sends,
+            last=relay.last,
+        )
+        begun = self.clock.now()
+        try:
+            last = relay.last if relay.started else None
+            outcome = await self.sender.send(work, server, last_event=last)
+            if isinstance(outcome, Answered):
+                outcome = await self._pass_on(work, server, outcome, relay, begun)
+        finally:
+            standing.in_flight -= 1
+            if work.route.affinity:
+                self.placements.ended(work)
+        return outcome
+
+    async def _pass_on(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+        begun: float,
+    ) -> TryOutcome:
+        outcome: TryOutcome | None = None
+        try:
+            if is_stream(answered.head) and answered.head.status < _BAD_REQUEST:
+                outcome = await self._pass_stream(work, server, answered, relay)
+            else:
+                outcome = await self._pass_whole(work, server, answered, relay, begun)
+        finally:
+            if isinstance(outcome, Answered):
+                self.sender.pool.release(answered.channel)
+            else:
+                answered.channel.close()
+        return outcome
+
+    async def _pass_whole(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+        begun: float,
+    ) -> TryOutcome:
+        try:
+            async with asyncio.timeout(max(0, work.deadline - self.clock.now())):
+                body = await answered.channel.whole_body()
+        except (ChannelError, asyncio.TimeoutError) as error:
+            self._count_failure(work, server)
+            return Lost(cause=LossCause.not_whole, detail=f'{server.address}: {error}')
+        status = answered.head.status
+        if status >= _SERVER_ERROR:
+            self._count_failure(work, server)
+        else:
+            now = self.clock.now()
+            self.health.succeeded(server.instance, now)
+            self.health.took(server.instance, now - begun, 0)
+        if relay.started or (status >= _SERVER_ERROR and self._has_another_chance(work)):
+            return Lost(cause=LossCause.not_whole, detail=f'{server.address}: status {status}')
+        await work.exchange.respond(status, client_headers(answered.head), body)
+        self.answers.note(work, status, self.clock.now())
+        return answered
+
+    async def _pass_stream(
+        self,
+        work: Work,
+        server: BackendReport,
+        answered: Answered,
+        relay: StreamRelay,
+    ) -> TryOutcome:
+        end = await relay.pass_on(answered)
+        if end is StreamEnd.whole:
+            self.health.succeeded(server.instance, self.clock.now())
+            await work.exchange.finish()
+            self.answers.note(work, answered.head.status, relay.first_at, relay.longest_gap)
+            return answered
+        self._count_failure(work, server)
+        self.answers.log(
+            work,
+            Event.stream_broken,
+            backend=server.instance,
+            end=end.value,
+            last=relay.last,
+        )
+        cause = LossCause.timeout if end is StreamEnd.deadline else LossCause.gap
+        return Lost(cause=cause, detail=f'{server.address}: stream {end.value}')
+
+    def _has_another_chance(self, work: Work) -> bool:
+        """Return whether a failed request may be sent to another server."""
+        if not work.route.repeatable or work.sends + 1 >= work.route.max_attempts:
+            return False
+        serving = self.follower.view.serving(work.service)
+        return any(server.instance not in work.tried for server in serving)
+
+    def _count_failure(self, work: Work, server: BackendReport) -> None:
+        if self.health.failed(server.instance, self.clock.now()):
+            self.answers.log(work, Event.server_ejected, backend=server.instance)
+
+    async def _give_up(
+        self,
+        work: Work,
+        outcome: TryOutcome | None,
+        relay: StreamRelay,
+    ) -> None:
+        """Give the final answer at once."""
+        detail = outcome.detail if isinstance(outcome, (NotRun, Lost)) else ''
+        if relay.started:
+            self.answers.break_off(work, detail)
+        elif work.maybe_run:
+            late = self.clock.now() >= work.deadline
+            await self.answers.fail(work, GATEWAY_TIMEOUT if late else BAD_GATEWAY, detail)
+        else:
+            await self.answers.refuse(work.exchange, work.request, detail)
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -133,9 +133,7 @@
         if not servers:
             return 0
         ahead = sum(
-            1
-            for piece in self.waiting
-            if piece.job.priority <= priority and piece.job.due > now
+            1 for piece in self.waiting if piece.job.priority <= priority and piece.job.due > now
         )
         busy = sum(1 for server in servers if self.calls.get(server.instance, 0) >= spec.slots)
         call = spec.call_s + spec.batch * spec.piece_s
@@ -178,14 +176,8 @@
             if self.calls.get(server.instance, 0) < spec.slots
             and self.full_until.get(server.instance, 0) <= now
         ]
-        sound = [
-            server
-            for server in idle
-            if now >= self.health.of(server.instance).ejected_until
-        ]
-        all_ejected = all(
-            now < self.health.of(server.instance).ejected_until for server in servers
-        )
+        sound = [server for server in idle if now >= self.health.of(server.instance).ejected_until]
+        all_ejected = all(now < self.health.of(server.instance).ejected_until for server in servers)
         return idle if all_ejected else sound
 
     def _preference(self, server: BackendReport) -> tuple[float, int, str]:
--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -139,7 +139,7 @@
         try:
             table = decode_manifest(news.document)
         except FindingsError as error:
-            logger.error('accepted document can not be read: %s', error)  # noqa: TRY400
+            logger.error('accepted document can not be read: %s', error)
             return
         self.table = table
         self.node.events.emit(logger, Event.document_in_force, number=table.number)
--- /dev/null
+++ b/ringseam/gateway/piecemessages.py
@@ -0,0 +1,46 @@
+"""Messages by which gateways have pieces made by the owner of a service."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ringseam.messages import Empty, Message
+from ringseam.routes import ServiceName
+from ringseam.rpc import Method
+
+
+class PieceRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Ask the owner of a service for pieces; durations in milliseconds."""
+
+    attempt_id: str
+    service: ServiceName
+    stage: int
+    pieces: tuple[int, ...]
+    key: str = ''
+    inputs: tuple[str, ...] = ()
+    due_ms: int
+    left_ms: int
+    priority: int
+    result_bytes: int
+    zone: str
+    inputs_of: str = ''
+
+
+class PieceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Handles in the order of the pieces, or why there are none."""
+
+    handles: tuple[str, ...] = ()
+    fault: str = ''
+    #: How long a new piece would wait now, in milliseconds, by priority.
+    waits_ms: dict[int, int] = msgspec.field(default_factory=dict)
+
+
+class ReleaseRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Give results up."""
+
+    service: ServiceName
+    handles: tuple[str, ...]
+
+
+PIECES = Method('/ringseam.Gateway/Pieces', PieceRequest, PieceReply)
+RELEASE = Method('/ringseam.Gateway/Release', ReleaseRequest, Empty)
--- /dev/null
+++ b/ringseam/gateway/pieces.py
@@ -0,0 +1,201 @@
+"""Pieces of stages: one gateway forms the batches of a service for all.
+
+The owner of a service is chosen by rendezvous hashing over the gateways that
+control names; the others send it their pieces. Where it can't be reached, a
+gateway forms its own batches.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.errors import UnreachableError
+from ringseam.gateway.batching import PieceJob
+from ringseam.gateway.piecemessages import (
+    PIECES,
+    RELEASE,
+    PieceReply,
+    PieceRequest,
+    ReleaseRequest,
+)
+from ringseam.messages import Empty
+from ringseam.platform.stages import PieceFault, PieceResult
+from ringseam.util.tasks import TaskSet
+
+if TYPE_CHECKING:
+    from ringseam.clock import Clock
+    from ringseam.gateway.ownership import Ownership
+    from ringseam.gateway.piecework import PieceWorks
+    from ringseam.routes import ServiceName
+    from ringseam.rpc import CallClient, Received
+
+logger = logging.getLogger(__name__)
+
+#: What an owner said of its waiting pieces is believed this long, seconds.
+_WAITS_S = 0.5
+_RELEASE_S = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ToldWaits:
+    """How long new pieces wait at a service's owner, in ms, and when it said so."""
+
+    at: float
+    by_priority: dict[int, int]
+
+
+class Pieces:
+    """Have pieces made where batches of their service are formed."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        client: CallClient,
+        works: PieceWorks,
+        ownership: Ownership,
+    ) -> None:
+        """Use ``works`` for the services that this gateway owns."""
+        self.clock = clock
+        self.client = client
+        self.works = works
+        self.ownership = ownership
+        self.tasks = TaskSet()
+        self.told: dict[ServiceName, ToldWaits] = {}
+
+    async def make(self, job: PieceJob) -> list[PieceResult]:
+        """Return a result for each piece of a job."""
+        owner = self.ownership.owner_of(job.service)
+        if owner:
+            reply = await self._ask_owner(owner, job)
+            if reply is not None:
+                return reply
+        return await self.works.make(job)
+
+    def release(self, service: ServiceName, handles: tuple[str, ...]) -> None:
+        """Give results up, without waiting."""
+        owner = self.ownership.owner_of(service)
+        if owner:
+            self.tasks.spawn(self._tell_owner(owner, service, handles))
+        else:
+            self.works.release(service, handles)
+
+    def wait_s(self, service: ServiceName, priority: int) -> float:
+        """Return how long a new piece would wait, as far as is known, seconds."""
+        if not self.ownership.owner_of(service):
+            return self.works.wait_s(service, priority)
+        told = self.told.get(service)
+        if told is None or self.clock.now() - told.at > _WAITS_S:
+            return 0
+        known = [wait for rank, wait in told.by_priority.items() if rank <= priority]
+        return max(known, default=0) / MS_PER_S
+
+    # -- calls of other gateways --------------------------------------------
+
+    async def serve_pieces(self, received: Received) -> PieceReply:
+        """Make pieces for another gateway."""
+        request: PieceRequest = received.body
+        outcome = await self.works.make(_job_of(request, self.clock.now()))
+        faults = [piece.fault for piece in outcome if piece.fault is not None]
+        return PieceReply(
+            handles=tuple(piece.handle for piece in outcome),
+            fault=faults[0].value if faults else '',
+            waits_ms=self.works.waits_ms(request.service),
+        )
+
+    async def serve_release(self, received: Received) -> Empty:
+        """Give up results for another gateway."""
+        request: ReleaseRequest = received.body
+        self.works.release(request.service, request.handles)
+        return Empty()
+
+    # -- helpers ------------------------------------------------------------
+
+    async def _ask_owner(self, owner: str, job: PieceJob) -> list[PieceResult] | None:
+        """Return the owner's results; None when it can't be reached."""
+        now = self.clock.now()
+        limit = max(0, job.deadline - now)
+        request = _request_of(job, now)
+        call = asyncio.ensure_future(self.client.call(owner, PIECES, request, timeout_s=limit))
+        try:
+            await self._until_done(call, owner, job.service)
+            if not call.done():
+                return None
+            reply: PieceReply = call.result().body
+        except UnreachableError as error:
+            logger.debug('owner of %s: %s', job.service, error)
+            return None
+        finally:
+            call.cancel()
+        self.told[job.service] = ToldWaits(at=self.clock.now(), by_priority=reply.waits_ms)
+        return _results_of(reply)
+
+    async def _until_done(
+        self,
+        call: asyncio.Future[Received],
+        owner: str,
+        service: ServiceName,
+    ) -> None:
+        """Wait until the call is over or its service has another owner."""
+        while not call.done() and self.ownership.owner_of(service) == owner:
+            changed = asyncio.ensure_future(self.works.changed.wait())
+            try:
+                await asyncio.wait({call, changed}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                changed.cancel()
+
+    async def _tell_owner(
+        self,
+        owner: str,
+        service: ServiceName,
+        handles: tuple[str, ...],
+    ) -> None:
+        request = ReleaseRequest(service=service, handles=handles)
+        try:
+            await self.client.call(owner, RELEASE, request, timeout_s=_RELEASE_S)
+        except UnreachableError as error:
+            # Results give themselves up after a while.
+            logger.debug('owner of %s: %s', service, error)
+
+
+def _request_of(job: PieceJob, now: float) -> PieceRequest:
+    return PieceRequest(
+        attempt_id=job.attempt_id,
+        service=job.service,
+        stage=job.stage,
+        pieces=job.pieces,
+        key=job.key,
+        inputs=job.inputs,
+        due_ms=int((job.due - now) * MS_PER_S),
+        left_ms=max(0, int((job.deadline - now) * MS_PER_S)),
+        priority=job.priority,
+        result_bytes=job.result_bytes,
+        zone=job.zone,
+        inputs_of=job.inputs_of,
+    )
+
+
+def _job_of(request: PieceRequest, now: float) -> PieceJob:
+    return PieceJob(
+        attempt_id=request.attempt_id,
+        service=request.service,
+        stage=request.stage,
+        pieces=request.pieces,
+        key=request.key,
+        inputs=request.inputs,
+        due=now + request.due_ms / MS_PER_S,
+        deadline=now + request.left_ms / MS_PER_S,
+        priority=request.priority,
+        result_bytes=request.result_bytes,
+        zone=request.zone,
+        inputs_of=request.inputs_of,
+    )
+
+
+def _results_of(reply: PieceReply) -> list[PieceResult]:
+    fault = PieceFault(reply.fault) if reply.fault else None
+    return [PieceResult(handle=handle, fault=None if handle else fault) for handle in reply.handles]
--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/placement.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ringseam.messages import Message
 
 if TYPE_CHECKING:
@@ -73,7 +75,7 @@
     priority: int = 0
     objective_ms: int = 0
     left_ms: int = 0
-    result_bytes: dict[str, int] = {}
+    result_bytes: dict[str, int] = msgspec.field(default_factory=dict)
     avoid: tuple[str, ...] = ()
     dry: bool = False
 
@@ -187,9 +189,7 @@
         if backlog + unread > _DISTURBING_TOKENS:
             cost += _LATE_LOSS * sum(placed.worth for placed in here if placed.running)
         cost += self._again(ask, instance) * _AGAIN_PER_TOKEN
-        crossing = sum(
-            amount for zone, amount in ask.result_bytes.items() if zone != engine.zone
-        )
+        crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
         return cost + (_EJECTED if now < standing.ejected_until else 0)
 
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-from typing import TYPE_CHECKING, Any, Optional
+from typing import TYPE_CHECKING, Optional
 
 from ringseam.errors import UnreachableError
 from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
 from ringseam.rpc import Method
+from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -65,7 +65,7 @@
         self.health = health
         self.ownership = ownership
         self.placers: dict[str, Placer] = {}
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = TaskSet()
 
     async def choose(self, work: Work, *, dry: bool = False) -> BackendReport | None:
         """Return where a request shall run; with ``dry``, where it would."""
@@ -148,9 +148,7 @@
         self._hear(note)
         owner = self.ownership.owner_of(work.service)
         if owner:
-            task = asyncio.get_running_loop().create_task(self._tell_owner(owner, note))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self.tasks.spawn(self._tell_owner(owner, note))
 
     async def _tell_owner(self, owner: str, note: ProgressNote) -> None:
         try:
--- a/ringseam/gateway/relay.py
+++ b/ringseam/gateway/relay.py
@@ -69,7 +69,7 @@
     rest: bytes = b''
     splitter: EventSplitter = field(default_factory=EventSplitter)
     #: Called once, when the first event shows that a server has all it needs.
-    on_first: Callable[[], None] = lambda: None  # noqa: E731
+    on_first: Callable[[], None] = lambda: None
 
     async def pass_on(self, answered: Answered) -> StreamEnd:
         """Pass one server's events on until they end."""
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -7,12 +7,17 @@
 from typing import TYPE_CHECKING
 
 from ringseam.control.founding import cluster_addresses
+from ringseam.gateway.answers import Answers
+from ringseam.gateway.attempts import Attempts
 from ringseam.gateway.budget import RetryBudget
 from ringseam.gateway.follower import Follower
 from ringseam.gateway.forwarding import Forwarder
 from ringseam.gateway.health import HealthBook
 from ringseam.gateway.ownership import Ownership
-from ringseam.gateway.piecework import PIECES, RELEASE, PieceWorks
+from ringseam.gateway.piececalls import PieceCalls
+from ringseam.gateway.piecemessages import PIECES, RELEASE
+from ringseam.gateway.pieces import Pieces
+from ringseam.gateway.piecework import PieceWorks
 from ringseam.gateway.placements import PLACE, PROGRESS, Placements
 from ringseam.gateway.tries import Sender
 from ringseam.ids import split_address
@@ -79,30 +84,41 @@
         )
         self.works = PieceWorks(
             node=self.node,
-            client=self.client,
             follower=self.follower,
-            pool=self.pool,
+            calls=PieceCalls(pool=self.pool, clock=self.node.clock),
             health=self.health,
             budget=self.budget,
+        )
+        self.pieces = Pieces(
+            clock=self.node.clock,
+            client=self.client,
+            works=self.works,
             ownership=self.ownership,
         )
+        self.works.give_up = self.pieces.release
+        answers = Answers(node=self.node, metrics=self.metrics)
         self.forwarder = Forwarder(
             node=self.node,
             follower=self.follower,
-            sender=Sender(pool=self.pool, health=self.health, clock=self.node.clock),
-            health=self.health,
-            works=self.works,
-            placements=self.placements,
-            budget=self.budget,
-            metrics=self.metrics,
+            pieces=self.pieces,
+            attempts=Attempts(
+                node=self.node,
+                follower=self.follower,
+                sender=Sender(pool=self.pool, health=self.health, clock=self.node.clock),
+                health=self.health,
+                placements=self.placements,
+                budget=self.budget,
+                answers=answers,
+            ),
+            answers=answers,
         )
-        self.clients = HttpServer(handler=self.forwarder.handle, limits=HttpLimits())
+        self.clients = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
         self.probes = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
         """Listen, and follow control."""
-        self.server.add(PIECES, self.works.serve_pieces)
-        self.server.add(RELEASE, self.works.serve_release)
+        self.server.add(PIECES, self.pieces.serve_pieces)
+        self.server.add(RELEASE, self.pieces.serve_release)
         self.server.add(PLACE, self.placements.serve_place)
         self.server.add(PROGRESS, self.placements.serve_progress)
         await self.server.start()
@@ -142,7 +158,9 @@
             ready = self.follower.is_ready and not self.draining
             await exchange.respond(_OK if ready else _UNAVAILABLE, [])
         elif path == _METRICS_PATH:
-            await exchange.respond(_OK, [('Content-Type', 'text/plain')], self.metrics.render().encode())
+            await exchange.respond(
+                _OK, [('Content-Type', 'text/plain')], self.metrics.render().encode()
+            )
         else:
             await exchange.respond(_NOT_FOUND, [])
 
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -11,7 +11,7 @@
 from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
-    from ringseam.gateway.piecework import PieceWorks
+    from ringseam.gateway.pieces import Pieces
     from ringseam.gateway.work import Work
     from ringseam.platform.stages import PieceResult
     from ringseam.routes import Route, RouteStage, RouteTable
@@ -36,7 +36,7 @@
     """Results of one request's stages; owned until they are released."""
 
     work: Work
-    works: PieceWorks
+    pieces: Pieces
     table: RouteTable
     #: The availability zone that the request's results are wanted in.
     zone: str
@@ -67,12 +67,12 @@
         stages = self.work.route.stages
         ends: list[float] = []
         for number, stage in enumerate(stages):
-            begin = max((ends[before] for before in stage.after), default=0.0)
+            begin = max((ends[before] for before in stage.after), default=0)
             if self._pieces_of(number):
-                begin += self.works.wait_s(stage.service, self.work.priority)
+                begin += self.pieces.wait_s(stage.service, self.work.priority)
                 begin += self._stage_s(number) / _WAIT_AND_CALL
             ends.append(begin)
-        return max(ends, default=0.0)
+        return max(ends, default=0)
 
     def inputs(self) -> tuple[str, ...]:
         """Return the handles of the stages that no other stage follows."""
@@ -127,10 +127,8 @@
         count = self._pieces_of(number)
         if not count:
             return None
-        inputs = tuple(
-            handle for before in stage.after for handle in self.handles.get(before, ())
-        )
-        made = await self.works.make(self._job(number, stage, count, inputs))
+        inputs = tuple(handle for before in stage.after for handle in self.handles.get(before, ()))
+        made = await self.pieces.make(self._job(number, stage, count, inputs))
         self.handles[number] = tuple(result.handle for result in made if result.handle)
         fault = _first_fault(made)
         if fault is None:
@@ -153,7 +151,7 @@
     def _release_stage(self, number: int) -> None:
         handles = self.handles.pop(number, ())
         if handles:
-            self.works.release(self.work.route.stages[number].service, handles)
+            self.pieces.release(self.work.route.stages[number].service, handles)
 
     def _job(
         self,
@@ -198,7 +196,7 @@
 
     def _later_s(self, number: int) -> float:
         """Return what the longest path after a stage will take."""
-        longest = 0.0
+        longest: float = 0
         for later, stage in enumerate(self.work.route.stages):
             if number in stage.after and self._pieces_of(later):
                 longest = max(longest, self._stage_s(later) + self._later_s(later))
@@ -213,8 +211,8 @@
         return _WAIT_AND_CALL * call
 
     def _pieces_of(self, number: int) -> int:
-        pieces = self.work.request.pieces
-        return pieces[number] if number < len(pieces) else 0
+        counts = self.work.request.pieces
+        return counts[number] if number < len(counts) else 0
 
 
 def has_stages(route: Route, pieces: tuple[int, ...]) -> bool:
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -36,6 +36,8 @@
     arrived: float
     #: The client's time limit and the route's timeout, whichever is earlier.
     deadline: float
+    #: The number of the route table that the request is served by.
+    number: int = 0
     inputs: tuple[str, ...] = ()
     #: Bytes of the inputs by availability zone.
     input_bytes: dict[str, int] = field(default_factory=dict)
@@ -43,6 +45,8 @@
     #: Sends that may have run.
     maybe_run: int = 0
     sends: int = 0
+    #: Tries that could not be sent.
+    unsent: int = 0
     #: How long the stages took, seconds.
     stages_s: float = 0
 
--- a/ringseam/platform/manifest.py
+++ b/ringseam/platform/manifest.py
@@ -123,9 +123,7 @@
     return RouteTable(
         number=manifest.version,
         routes=tuple(_route(route) for route in manifest.routes),
-        services={
-            ServiceName(service.name): _service(service) for service in manifest.services
-        },
+        services={ServiceName(service.name): _service(service) for service in manifest.services},
         accounts=tuple(_account(tenant) for tenant in manifest.tenants),
         limits=EdgeLimits(
             head_bytes=manifest.limits.max_header_bytes,
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -40,9 +40,7 @@
 _RETRY_AFTER = 'Retry-After'
 _MISDIRECTED = 421
 #: Headers of an answer that are for the system alone.
-WITHHELD_FROM_CLIENTS = frozenset(
-    name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id')
-)
+WITHHELD_FROM_CLIENTS = frozenset(name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id'))
 _SET_BY_SYSTEM = frozenset(
     name.lower()
     for name in (_DEADLINE, _AUTHORIZATION, _TENANT, _EXPECT_INSTANCE, _URGENCY, _INPUTS)
