--- /dev/null
+++ b/ringseam/control/applying.py
@@ -0,0 +1,131 @@
+"""Operators' files: who may apply them, what is wrong with them, and the commit."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+from typing import TYPE_CHECKING, Any
+
+from ringseam import config
+from ringseam.control.replica import NotLeading
+from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
+from ringseam.errors import FindingsError
+from ringseam.events import Event
+from ringseam.messages import (
+    ApplyAccepted,
+    ApplyConflict,
+    ApplyFindings,
+    ApplyForbidden,
+    FindingLine,
+    Redirect,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ringseam.errors import Finding
+    from ringseam.holder import ConfigHolder
+    from ringseam.messages import ApplyRequest
+    from ringseam.node import Node
+
+logger = logging.getLogger(__name__)
+
+
+class Applying:
+    """Check files and commit them whole, or change nothing."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        holder: ConfigHolder,
+        bootstrap: dict[str, str],
+        was_accepted: Callable[[str, int, str], Awaitable[bool]],
+        commit: Callable[[ApplyFile], Awaitable[Any]],
+    ) -> None:
+        """Commit by ``commit``; ``bootstrap`` has digests by part."""
+        self.node = node
+        self.holder = holder
+        self.bootstrap = bootstrap
+        self.was_accepted = was_accepted
+        self.commit = commit
+
+    async def apply(self, request: ApplyRequest) -> Any:
+        """Return the reply to a request, at a host that leads for sure."""
+        if not self._is_operator(request):
+            return ApplyForbidden()
+        identity = config.apply_id(request.text, request.expect)
+        # A resend is answered as at first, also when it would be refused now.
+        if not await self.was_accepted(request.part, request.expect, identity):
+            findings = self._findings(request)
+            if findings:
+                return ApplyFindings(findings=findings)
+        outcome = await self.commit(
+            ApplyFile(
+                part=request.part,
+                text=request.text,
+                expect=request.expect,
+                apply_id=identity,
+            ),
+        )
+        return self._reply(request, outcome)
+
+    def _reply(self, request: ApplyRequest, outcome: Any) -> Any:
+        if isinstance(outcome, FileAccepted):
+            self.node.events.emit(
+                logger,
+                Event.apply_accepted,
+                part=request.part,
+                revision=outcome.revision,
+                resent=outcome.resent,
+            )
+            return ApplyAccepted(
+                revision=outcome.revision,
+                newest=outcome.newest,
+                resent=outcome.resent,
+            )
+        if isinstance(outcome, FileConflict):
+            self.node.events.emit(
+                logger,
+                Event.apply_refused,
+                part=request.part,
+                expected=request.expect,
+                revision=outcome.revision,
+            )
+            return ApplyConflict(revision=outcome.revision)
+        return redirected(outcome)
+
+    def _is_operator(self, request: ApplyRequest) -> bool:
+        part = self.holder.current.parts.get(request.part)
+        wanted = part.operator_token_sha256 if part else self.bootstrap.get(request.part, '')
+        shown = hashlib.sha256(request.operator_token.encode()).hexdigest()
+        return bool(wanted) and hmac.compare_digest(wanted, shown)
+
+    def _findings(self, request: ApplyRequest) -> tuple[FindingLine, ...]:
+        try:
+            part = config.read_part(request.text, path=request.path)
+        except FindingsError as error:
+            return _lines(error.findings)
+        findings = self.holder.current.foreign_findings(part, path=request.path)
+        if part.name != request.part:
+            findings.append(config.wrong_part(request.path, part.name, request.part))
+        return _lines(findings)
+
+
+def redirected(outcome: Any) -> Any:
+    """Return an outcome, or where the leader may be instead of "not leading"."""
+    return Redirect(leader=outcome.leader) if isinstance(outcome, NotLeading) else outcome
+
+
+def _lines(findings: list[Finding]) -> tuple[FindingLine, ...]:
+    return tuple(
+        FindingLine(
+            path=finding.path,
+            line=finding.line,
+            section=finding.section,
+            key=finding.key,
+            message=finding.message,
+        )
+        for finding in findings
+    )
--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -79,16 +79,12 @@
         """Answer one call."""
         request = exchange.request
         instance = instance_of(request.path)
-        if instance is not None:
+        if instance:
             await self._handle_instance(exchange, instance)
-        elif request.path != CONFIG_PATH:
-            await exchange.respond(_NOT_FOUND, [])
-        elif request.method == 'PUT':
-            await self._put_document(exchange)
-        elif request.method == 'GET':
-            await self._read_document(exchange)
+        elif request.path == CONFIG_PATH:
+            await self._handle_document(exchange)
         else:
-            await exchange.respond(_NOT_ALLOWED, [])
+            await exchange.respond(_NOT_FOUND, [])
 
     # -- backend servers ----------------------------------------------------
 
@@ -120,6 +116,14 @@
 
     # -- operators ----------------------------------------------------------
 
+    async def _handle_document(self, exchange: Exchange) -> None:
+        if exchange.request.method == 'PUT':
+            await self._put_document(exchange)
+        elif exchange.request.method == 'GET':
+            await self._read_document(exchange)
+        else:
+            await exchange.respond(_NOT_ALLOWED, [])
+
     async def _put_document(self, exchange: Exchange) -> None:
         document = exchange.request.body
         try:
--- /dev/null
+++ b/ringseam/control/peerlinks.py
@@ -0,0 +1,49 @@
+"""Streams of packets to the other replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.errors import UnreachableError
+from ringseam.services import PACKETS
+
+if TYPE_CHECKING:
+    from ringseam.control.raftlog import Packet
+    from ringseam.role import Role
+
+logger = logging.getLogger(__name__)
+
+#: Pause before a broken stream is opened again, seconds.
+_RECONNECT_S = 0.1
+#: Packets that wait for a slow peer; Raft sends again what is dropped.
+_PEER_QUEUE = 1024
+
+
+class PeerLinks:
+    """One ordered stream of packets to each peer; a full one drops packets."""
+
+    def __init__(self, *, role: Role) -> None:
+        """Send through the client of ``role``."""
+        self.role = role
+        self.queues: dict[str, asyncio.Queue[Packet]] = {}
+
+    def send(self, address: str, packet: Packet) -> None:
+        """Queue a packet; Raft sends again what is lost."""
+        if address not in self.queues:
+            self.queues[address] = asyncio.Queue(_PEER_QUEUE)
+            self.role.spawn(self._pass_on(address))
+        with contextlib.suppress(asyncio.QueueFull):
+            self.queues[address].put_nowait(packet)
+
+    async def _pass_on(self, address: str) -> None:
+        while True:  # noqa: WPS457 - ends with the role
+            try:
+                await self.role.client.stream(address, PACKETS, self.queues[address])
+            except UnreachableError as error:
+                logger.debug('peer link broke: %s', error)
+            await asyncio.sleep(_RECONNECT_S)
+            while not self.queues[address].empty():
+                self.queues[address].get_nowait()
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import hashlib
-import hmac
 import logging
 import zlib
 from typing import TYPE_CHECKING, Any
 
-from ringseam import config
 from ringseam.clock import MS_PER_S
+from ringseam.control.applying import Applying, redirected
 from ringseam.control.directory import Directory
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.founding import Introduction, wanted_voters
 from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
-from ringseam.control.raftlog import Packet
+from ringseam.control.peerlinks import PeerLinks
 from ringseam.control.replica import (
     BlankSeen,
     Deliver,
@@ -34,26 +31,18 @@
     ReplicaStatus,
     TimePassed,
 )
-from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.control.storage import DiskFiles, Storage
 from ringseam.controlclient import ControlClient
-from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import READ_DOCUMENT, REPORT_BACKEND, SUBMIT, WATCH
 from ringseam.holder import ConfigHolder
 from ringseam.ids import split_address
 from ringseam.messages import (
     AcceptedFile,
-    ApplyAccepted,
-    ApplyConflict,
-    ApplyFindings,
-    ApplyForbidden,
     ApplyReply,
     ConfigFiles,
     ConfigReply,
     DeltaReply,
-    FindingLine,
-    Redirect,
     ReportReply,
     ShareLease,
     StatusReply,
@@ -81,9 +70,8 @@
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
+    from ringseam.control.raftlog import Packet
     from ringseam.control.state import StateMachine
-    from ringseam.errors import Finding
-    from ringseam.messages import ApplyRequest
     from ringseam.rpc import Received
     from ringseam.services import HelloRequest
     from ringseam.settings import Settings
@@ -91,39 +79,10 @@
 logger = logging.getLogger(__name__)
 
 _COMMIT_TIMEOUT_S = 5.0
-_RECONNECT_S = 0.1
-_PEER_QUEUE = 1024
 _EXPIRE_S = 0.2
 _HAND_OVER_TRIES = 20
 
 
-class PeerLinks:
-    """One ordered stream of packets to each peer; a full one drops packets."""
-
-    def __init__(self, *, role: Role) -> None:
-        """Send through the client of ``role``."""
-        self.role = role
-        self.queues: dict[str, asyncio.Queue[Packet]] = {}
-
-    def send(self, address: str, packet: Packet) -> None:
-        """Queue a packet; Raft sends again what is lost."""
-        if address not in self.queues:
-            self.queues[address] = asyncio.Queue(_PEER_QUEUE)
-            self.role.spawn(self._pass_on(address))
-        with contextlib.suppress(asyncio.QueueFull):
-            self.queues[address].put_nowait(packet)
-
-    async def _pass_on(self, address: str) -> None:
-        while True:  # noqa: WPS457 - ends with the role
-            try:
-                await self.role.client.stream(address, PACKETS, self.queues[address])
-            except UnreachableError as error:
-                logger.debug('peer link broke: %s', error)
-            await asyncio.sleep(_RECONNECT_S)
-            while not self.queues[address].empty():
-                self.queues[address].get_nowait()
-
-
 class ControlRole(Role):
     """Serve one replica of the control group."""
 
@@ -141,6 +100,15 @@
             started=self.node.clock.now(),
         )
         self.links = PeerLinks(role=self)
+        self.applying = Applying(
+            node=self.node,
+            holder=self.holder,
+            bootstrap=dict(
+                piece.partition('=')[::2] for piece in split_list(own['bootstrap_part_digests'])
+            ),
+            was_accepted=self._was_accepted,
+            commit=self._commit,
+        )
         self.follow = FollowService(
             node=self.node,
             submit=self._commit,
@@ -148,9 +116,6 @@
             voters_needed=wanted_voters(settings.own),
         )
         self.shares: ShareBook | None = None
-        self.bootstrap = dict(
-            piece.partition('=')[::2] for piece in split_list(own['bootstrap_part_digests'])
-        )
 
     async def open(self) -> None:
         """Load the replica, serve, and join or form the group."""
@@ -248,13 +213,13 @@
     async def command(self, received: Received) -> CommandReply:
         """Commit a ledger or token command."""
         outcome = await self._commit(received.body.command)
-        return CommandReply(reply=_redirected(outcome))
+        return CommandReply(reply=redirected(outcome))
 
     async def first_config(self, received: Received) -> FirstConfigReply:
         """Return the configuration at a linearizable read."""
         outcome = await self._ask_quorum(ReadBarrier())
         if isinstance(outcome, NotLeading):
-            return FirstConfigReply(reply=_redirected(outcome))
+            return FirstConfigReply(reply=redirected(outcome))
         held = self.holder.since(0)
         return FirstConfigReply(reply=ConfigFiles(revision=held.revision, files=held.files))
 
@@ -274,7 +239,7 @@
         """Grant shares of account limits, while this replica leads for sure."""
         barrier = await self._ask_quorum(ReadBarrier())
         if isinstance(barrier, NotLeading):
-            return LeaseReply(reply=_redirected(barrier))
+            return LeaseReply(reply=redirected(barrier))
         now = self.node.clock.now()
         if self.shares is None or self.shares.term != barrier.term:
             self.shares = ShareBook(term=barrier.term, leading_since=now)
@@ -304,28 +269,10 @@
 
     async def apply(self, received: Received) -> ApplyReply:
         """Check a part's file and commit it whole, or change nothing."""
-        request: ApplyRequest = received.body
         barrier = await self._ask_quorum(ReadBarrier())
         if isinstance(barrier, NotLeading):
-            return ApplyReply(reply=_redirected(barrier))
-        if not self._is_operator(request):
-            return ApplyReply(reply=ApplyForbidden())
-        identity = config.apply_id(request.text, request.expect)
-        # A resend is answered as at first, also when it would be refused now.
-        earlier = FindApply(part=request.part, expect=request.expect, apply_id=identity)
-        if not await ask(self.actor, earlier):
-            findings = self._findings(request)
-            if findings:
-                return ApplyReply(reply=ApplyFindings(findings=findings))
-        outcome = await self._commit(
-            ApplyFile(
-                part=request.part,
-                text=request.text,
-                expect=request.expect,
-                apply_id=identity,
-            ),
-        )
-        return ApplyReply(reply=self._apply_reply(request, outcome))
+            return ApplyReply(reply=redirected(barrier))
+        return ApplyReply(reply=await self.applying.apply(received.body))
 
     def _serve_methods(self) -> None:
         self.server.add_stream(PACKETS, self.take_packet)
@@ -345,46 +292,8 @@
 
     # -- applying -----------------------------------------------------------
 
-    def _apply_reply(self, request: ApplyRequest, outcome: Any) -> Any:
-        if isinstance(outcome, FileAccepted):
-            self.node.events.emit(
-                logger,
-                Event.apply_accepted,
-                part=request.part,
-                revision=outcome.revision,
-                resent=outcome.resent,
-            )
-            return ApplyAccepted(
-                revision=outcome.revision,
-                newest=outcome.newest,
-                resent=outcome.resent,
-            )
-        if isinstance(outcome, FileConflict):
-            self.node.events.emit(
-                logger,
-                Event.apply_refused,
-                part=request.part,
-                expected=request.expect,
-                revision=outcome.revision,
-            )
-            return ApplyConflict(revision=outcome.revision)
-        return _redirected(outcome)
-
-    def _is_operator(self, request: ApplyRequest) -> bool:
-        part = self.holder.current.parts.get(request.part)
-        wanted = part.operator_token_sha256 if part else self.bootstrap.get(request.part, '')
-        shown = hashlib.sha256(request.operator_token.encode()).hexdigest()
-        return bool(wanted) and hmac.compare_digest(wanted, shown)
-
-    def _findings(self, request: ApplyRequest) -> tuple[FindingLine, ...]:
-        try:
-            part = config.read_part(request.text, path=request.path)
-        except FindingsError as error:
-            return _lines(error.findings)
-        findings = self.holder.current.foreign_findings(part, path=request.path)
-        if part.name != request.part:
-            findings.append(config.wrong_part(request.path, part.name, request.part))
-        return _lines(findings)
+    async def _was_accepted(self, part: str, expect: int, apply_id: str) -> bool:
+        return await ask(self.actor, FindApply(part=part, expect=expect, apply_id=apply_id))
 
     def _may_join(self, greeting: HelloRequest) -> bool:
         if greeting.group and greeting.group != self.node.group:
@@ -435,20 +344,3 @@
     def _fail(self, detail: str) -> None:
         self.failure = detail
         self.stopping.set()
-
-
-def _redirected(outcome: Any) -> Any:
-    return Redirect(leader=outcome.leader) if isinstance(outcome, NotLeading) else outcome
-
-
-def _lines(findings: list[Finding]) -> tuple[FindingLine, ...]:
-    return tuple(
-        FindingLine(
-            path=finding.path,
-            line=finding.line,
-            section=finding.section,
-            key=finding.key,
-            message=finding.message,
-        )
-        for finding in findings
-    )
--- a/ringseam/gateway/budget.py
+++ b/ringseam/gateway/budget.py
@@ -42,13 +42,13 @@
         """Count a request for a service."""
         self._use(service, now).firsts.append(now)
 
-    def take(self, service: ServiceName, now: float, amount: int = 1) -> bool:
-        """Take repeats from the budget; False when it is used up."""
+    def take(self, service: ServiceName, now: float) -> bool:
+        """Take a repeat from the budget; False when it is used up."""
         use = self._use(service, now)
         allowed = self.ratio * len(use.firsts) + self.slack / max(1, self.gateways)
-        if len(use.repeats) + amount > allowed:
+        if len(use.repeats) + 1 > allowed:
             return False
-        use.repeats.extend([now] * amount)
+        use.repeats.append(now)
         return True
 
     def _use(self, service: ServiceName, now: float) -> ServiceUse:
--- a/ringseam/gateway/choice.py
+++ b/ringseam/gateway/choice.py
@@ -55,7 +55,9 @@
         cost = (standing.latency_s or _UNMEASURED_S) * (1 + crowd) + load * _PER_REQUEST_S
         if server.zone != self.zone:
             cost += _OTHER_ZONE_S
-        return cost + (_EJECTED_S if now < standing.ejected_until else 0)
+        if now < standing.ejected_until:
+            cost += _EJECTED_S
+        return cost
 
 
 class FirstChoice(Choice):
--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -84,6 +84,22 @@
             if not await self._watch(address):
                 await asyncio.sleep(_PAUSE_S)
 
+    def take(self, news: WatchNews) -> None:
+        """Take in what is newer."""
+        self._take_document(news)
+        for report in news.reports:
+            self.view.take(report)
+        for instance in news.silent:
+            self.view.lose(instance)
+        self.epoch = news.epoch
+        self.since = news.upto
+        if news.warm and self.pruned != news.epoch:
+            self._prune(news)
+        self.gateways = news.gateways
+        if news.control:
+            self.addresses = list(news.control)
+        self.on_change()
+
     async def _watch(self, address: str) -> bool:
         request = WatchRequest(
             gateway=self.state,
@@ -109,22 +125,6 @@
         self.leader = reply.leader
         return bool(reply.leader)
 
-    def take(self, news: WatchNews) -> None:
-        """Take in what is newer."""
-        self._take_document(news)
-        for report in news.reports:
-            self.view.take(report)
-        for instance in news.silent:
-            self.view.lose(instance)
-        self.epoch = news.epoch
-        self.since = news.upto
-        if news.warm and self.pruned != news.epoch:
-            self._prune(news)
-        self.gateways = news.gateways
-        if news.control:
-            self.addresses = list(news.control)
-        self.on_change()
-
     def _prune(self, news: WatchNews) -> None:
         """Drop what a directory that is complete doesn't have."""
         if news.whole:
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -207,7 +207,8 @@
         A call's inputs are fetched when its turn comes, and calls are sent to
         idle servers only. A result that is missed is made again.
         """
-        for job in {piece.job for piece in call.pieces}:
+        jobs = {piece.job for piece in call.pieces}
+        for job in jobs:
             here = sum(1 for piece in call.pieces if piece.job is job)
             if job.inputs_of and here == len(job.pieces):
                 self.give_up(ServiceName(job.inputs_of), job.inputs)
--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/placement.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ringseam.clock import MS_PER_S
 from ringseam.messages import Message
 
 if TYPE_CHECKING:
@@ -138,7 +139,7 @@
             instance=instance,
             unread=self.unread(ask, instance),
             worth=_worth(ask),
-            until=now + ask.left_ms / 1000 + _FORGET_S,
+            until=now + ask.left_ms / MS_PER_S + _FORGET_S,
         )
         book = self.books.setdefault(instance, EngineBook())
         for part in reversed(ask.prefix):
@@ -176,22 +177,25 @@
         return cached
 
     def _cost(self, ask: PlaceRequest, engine: BackendReport, now: float) -> float:
-        instance = engine.instance
-        standing = self.health.of(instance)
-        here = [placed for placed in self.placed.values() if placed.instance == instance]
-        unread = self.unread(ask, instance)
-        backlog = sum(placed.unread for placed in here)
-        first = _FIRST_EVENT_S + _LONG_READ * (backlog + unread) / READ_TOKENS_PER_S
-        first *= max(1, standing.slowness)
-        spare = ask.objective_ms / 1000 - first
-        late = min(1, max(0, 1 - spare / _SPREAD_S))
-        cost = late * _LATE_LOSS * _worth(ask) + first * _PER_SECOND
-        if backlog + unread > _DISTURBING_TOKENS:
+        here = [placed for placed in self.placed.values() if placed.instance == engine.instance]
+        tokens = self.unread(ask, engine.instance) + sum(placed.unread for placed in here)
+        cost = self._lateness(ask, engine.instance, tokens)
+        if tokens > _DISTURBING_TOKENS:
             cost += _LATE_LOSS * sum(placed.worth for placed in here if placed.running)
-        cost += self._again(ask, instance) * _AGAIN_PER_TOKEN
+        cost += self._again(ask, engine.instance) * _AGAIN_PER_TOKEN
         crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
-        return cost + (_EJECTED if now < standing.ejected_until else 0)
+        if now < self.health.of(engine.instance).ejected_until:
+            cost += _EJECTED
+        return cost
+
+    def _lateness(self, ask: PlaceRequest, instance: BackendId, tokens: int) -> float:
+        """Return the expected loss by the time that reading ``tokens`` takes."""
+        first = _FIRST_EVENT_S + _LONG_READ * tokens / READ_TOKENS_PER_S
+        first *= max(1, self.health.of(instance).slowness)
+        spare = ask.objective_ms / MS_PER_S - first
+        late = min(1, max(0, 1 - spare / _SPREAD_S))
+        return late * _LATE_LOSS * _worth(ask) + first * _PER_SECOND
 
     def _again(self, ask: PlaceRequest, instance: BackendId) -> int:
         """Return the tokens kept elsewhere that this engine would read anew."""
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Optional
 
+from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
 from ringseam.messages import Empty, Message
@@ -116,8 +117,8 @@
                 PlacedPart(name=part.name, tokens=part.tokens) for part in work.request.prefix
             ),
             priority=work.priority,
-            objective_ms=int((work.objective - now) * 1000),
-            left_ms=int((work.deadline - now) * 1000),
+            objective_ms=int((work.objective - now) * MS_PER_S),
+            left_ms=int((work.deadline - now) * MS_PER_S),
             result_bytes=work.input_bytes,
             avoid=tuple(work.tried),
             dry=dry,
--- a/ringseam/gateway/relay.py
+++ b/ringseam/gateway/relay.py
@@ -18,7 +18,7 @@
     from ringseam.clock import Clock
     from ringseam.gateway.work import Answered, Work
     from ringseam.web.bodies import Headers
-    from ringseam.web.client import ResponseHead
+    from ringseam.web.client import Channel, ResponseHead
 
 logger = logging.getLogger(__name__)
 
@@ -77,19 +77,20 @@
         if not self.started:
             self.started = True
             self.work.exchange.start(answered.head.status, client_headers(answered.head))
+        try:
+            return await self._pass_all(answered.channel)
+        except asyncio.TimeoutError:
+            late = self.clock.now() >= self.work.deadline
+            return StreamEnd.deadline if late else StreamEnd.silent
+        except ChannelError as error:
+            logger.debug('stream broke: %s', error)
+            return StreamEnd.broken
+
+    async def _pass_all(self, channel: Channel) -> StreamEnd:
         while True:  # noqa: WPS457 - ends with the stream
-            left = self.work.deadline - self.clock.now()
-            if left <= 0:
-                return StreamEnd.deadline
-            try:
-                async with asyncio.timeout(min(left, STREAM_GAP_S)):
-                    chunk = await answered.channel.chunk()
-            except asyncio.TimeoutError:
-                late = self.clock.now() >= self.work.deadline
-                return StreamEnd.deadline if late else StreamEnd.silent
-            except ChannelError as error:
-                logger.debug('stream broke: %s', error)
-                return StreamEnd.broken
+            left = max(0, self.work.deadline - self.clock.now())
+            async with asyncio.timeout(min(left, STREAM_GAP_S)):
+                chunk = await channel.chunk()
             if chunk is None:
                 return StreamEnd.broken if self.splitter.rest else StreamEnd.whole
             if not await self._take(chunk):
@@ -104,17 +105,24 @@
         self.last_at = now
 
     async def _take(self, chunk: bytes) -> bool:
+        """Pass on the whole events of ``chunk``; False when one is missing."""
         passed = []
+        in_order = True
         for event in self.splitter.feed(chunk):
-            if event.number is not None:
-                if self.last is not None and event.number <= self.last:
-                    continue
-                if self.last is not None and event.number != self.last + 1:
-                    return False
-                self.last = event.number
-            passed.append(event.raw)
+            in_order = self._is_next(event.number)
+            if not in_order:
+                break
+            if event.number is None or event.number != self.last:
+                passed.append(event.raw)
+                self.last = self.last if event.number is None else event.number
         if passed:
             self.events += len(passed)
             self._note_time(self.clock.now())
             await self.work.exchange.send(b''.join(passed))
-        return True
+        return in_order
+
+    def _is_next(self, number: int | None) -> bool:
+        """Return whether an event is the next one, or the last once more."""
+        if number is None or self.last is None:
+            return True
+        return self.last <= number <= self.last + 1
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -45,6 +45,11 @@
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
 
+    @property
+    def stages(self) -> tuple[RouteStage, ...]:
+        """Return the stages of the request's route."""
+        return self.work.route.stages
+
     @property
     def is_held(self) -> bool:
         """Return whether the results are still there."""
@@ -64,7 +69,7 @@
 
     def predicted_s(self) -> float:
         """Return how long the stages would take from now, with what waits there."""
-        stages = self.work.route.stages
+        stages = self.stages
         ends: list[float] = []
         for number, stage in enumerate(stages):
             begin = max((ends[before] for before in stage.after), default=0)
@@ -76,7 +81,7 @@
 
     def inputs(self) -> tuple[str, ...]:
         """Return the handles of the stages that no other stage follows."""
-        stages = self.work.route.stages
+        stages = self.stages
         followed = {
             earlier
             for number, stage in enumerate(stages)
@@ -94,7 +99,7 @@
         """Return the bytes of :meth:`inputs` by availability zone."""
         found: collections.Counter[str] = collections.Counter()
         for number, handles in self.handles.items():
-            size = self.work.route.stages[number].result_bytes
+            size = self.stages[number].result_bytes
             for handle in handles:
                 found[self.zones.get(maker_of(handle), '')] += size
         return dict(found)
@@ -105,7 +110,7 @@
             self._release_stage(number)
 
     async def _run_once(self) -> PieceFault | None:
-        stages = self.work.route.stages
+        stages = self.stages
         tasks: dict[int, asyncio.Task[PieceFault | None]] = {}
         async with asyncio.TaskGroup() as group:
             for number, stage in enumerate(stages):
@@ -138,7 +143,7 @@
 
     def _release_used(self) -> None:
         """Give up results that all following stages have used."""
-        stages = self.work.route.stages
+        stages = self.stages
         for number in list(self.handles):
             users = {
                 later
@@ -151,7 +156,7 @@
     def _release_stage(self, number: int) -> None:
         handles = self.handles.pop(number, ())
         if handles:
-            self.pieces.release(self.work.route.stages[number].service, handles)
+            self.pieces.release(self.stages[number].service, handles)
 
     def _job(
         self,
@@ -178,7 +183,7 @@
 
     def _sole_maker(self, number: int, stage: RouteStage) -> str:
         """Return the service of a stage's inputs if only this stage needs them."""
-        stages = self.work.route.stages
+        stages = self.stages
         if len(stage.after) != 1:
             return ''
         users = [
@@ -197,13 +202,13 @@
     def _later_s(self, number: int) -> float:
         """Return what the longest path after a stage will take."""
         longest: float = 0
-        for later, stage in enumerate(self.work.route.stages):
+        for later, stage in enumerate(self.stages):
             if number in stage.after and self._pieces_of(later):
                 longest = max(longest, self._stage_s(later) + self._later_s(later))
         return longest
 
     def _stage_s(self, number: int) -> float:
-        service = self.table.services.get(self.work.route.stages[number].service)
+        service = self.table.services.get(self.stages[number].service)
         if service is None or service.batching is None:
             return 0
         spec = service.batching
--- a/ringseam/platform/stages.py
+++ b/ringseam/platform/stages.py
@@ -43,7 +43,7 @@
     fault: PieceFault | None = None
 
 
-class _Item(msgspec.Struct, omit_defaults=True):
+class _Order(msgspec.Struct, omit_defaults=True):
     id: str  # the client's Attempt-Id
     stage: int
     piece: int
@@ -52,8 +52,8 @@
     inputs: tuple[str, ...] = ()
 
 
-class _Items(msgspec.Struct):
-    items: list[_Item]
+class _Orders(msgspec.Struct):
+    orders: list[_Order] = msgspec.field(name='items')
 
 
 class _Outcome(msgspec.Struct):
@@ -62,7 +62,7 @@
 
 
 class _Outcomes(msgspec.Struct):
-    items: list[_Outcome]
+    outcomes: list[_Outcome] = msgspec.field(name='items')
 
 
 class _Handles(msgspec.Struct):
@@ -75,9 +75,9 @@
 def encode_orders(orders: list[PieceOrder]) -> bytes:
     """Return the body of a call for pieces."""
     return msgspec.json.encode(
-        _Items(
-            items=[
-                _Item(
+        _Orders(
+            orders=[
+                _Order(
                     id=order.attempt_id,
                     stage=order.stage,
                     piece=order.piece,
@@ -96,7 +96,7 @@
 
     :raises msgspec.MsgspecError: when they can't be read or are not as many.
     """
-    outcomes = _DECODER.decode(body).items
+    outcomes = _DECODER.decode(body).outcomes
     if len(outcomes) != expected:
         raise msgspec.ValidationError(f'{len(outcomes)} results for {expected} pieces')
     return [
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -218,16 +218,13 @@
             self.close()
 
     def _pump(self) -> None:
-        while True:  # noqa: WPS457 - ends when more bytes are needed
-            event = self.parser.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                break
-            if isinstance(event, h11.ConnectionClosed):
-                break
+        event = self.parser.next_event()
+        while isinstance(event, _ANSWER_EVENTS):
             self.events.append(event)
             self.arrived.set()
             if isinstance(event, h11.EndOfMessage):
                 break
+            event = self.parser.next_event()
 
     async def _next(self) -> object:
         while not self.events:
@@ -264,6 +261,9 @@
 )
 
 
+_ANSWER_EVENTS = (h11.InformationalResponse, h11.Response, h11.Data, h11.EndOfMessage)
+
+
 @dataclass(kw_only=True)
 class Parked:
     """An idle connection and until when it may be used."""
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -14,7 +14,6 @@
 
 import h11
 
-from ringseam.clock import MS_PER_S
 from ringseam.web.bodies import Headers, find_header
 
 if TYPE_CHECKING:
@@ -184,16 +183,50 @@
         """Let senders go on."""
         self.writable.set()
 
-    # -- reading ------------------------------------------------------------
-
     def pump(self) -> None:
         """Take in parsed events until more bytes are needed."""
         try:
-            while self._take(self.parser.next_event()):
-                continue
+            more = self._take(self.parser.next_event())
+            while more:
+                more = self._take(self.parser.next_event())
         except h11.RemoteProtocolError as error:
             self._refuse(error.error_status_hint)
 
+    # -- what the exchange calls --------------------------------------------
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self.server.closing:
+            headers = [*headers, ('Connection', 'close')]
+        self.send_event(h11.Response(status_code=status, headers=headers))
+
+    def send_event(self, event: h11.Event) -> None:
+        """Write one event of an answer."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        encoded = self.parser.send(event)
+        if encoded:
+            self.transport.write(encoded)
+
+    def close(self) -> None:
+        """Close after what was written."""
+        self._clear_timer()
+        if self.transport is not None:
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Break the connection."""
+        self._clear_timer()
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is being read or answered."""
+        if self.task is None and not self.incoming.begun:
+            self.close()
+
+    # -- reading ------------------------------------------------------------
+
     def _take(self, event: object) -> bool:
         if isinstance(event, h11.Request):
             self.incoming.head = event
@@ -273,39 +306,6 @@
             self._set_timer(self.server.limits.head_s, self._on_slow_head)
         self.pump()
 
-    # -- writing ------------------------------------------------------------
-
-    def send_head(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer."""
-        if self.server.closing:
-            headers = [*headers, ('Connection', 'close')]
-        self.send_event(h11.Response(status_code=status, headers=headers))
-
-    def send_event(self, event: h11.Event) -> None:
-        """Write one event of an answer."""
-        if self.transport is None or self.transport.is_closing():
-            return
-        encoded = self.parser.send(event)
-        if encoded:
-            self.transport.write(encoded)
-
-    def close(self) -> None:
-        """Close after what was written."""
-        self._clear_timer()
-        if self.transport is not None:
-            self.transport.close()
-
-    def abort(self) -> None:
-        """Break the connection."""
-        self._clear_timer()
-        if self.transport is not None:
-            self.transport.abort()
-
-    def close_if_idle(self) -> None:
-        """Close unless a request is being read or answered."""
-        if self.task is None and not self.incoming.begun:
-            self.close()
-
     def _refuse(self, status: int) -> None:
         """Answer a request that can't be read, and close."""
         self._clear_timer()
@@ -376,8 +376,3 @@
         self.stop_listening()
         for connection in list(self.connections):
             connection.close()
-
-
-def milliseconds(amount: float) -> float:
-    """Return milliseconds as seconds."""
-    return amount / MS_PER_S
