--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,238 @@
+"""A gateway in the test's own loop, scripted backend servers and a raw client."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from ringseam.backends import BackendId, BackendReport, GatewayState
+from ringseam.gateway.role import GatewayRole
+from ringseam.platform.manifest import decode_manifest
+from ringseam.routes import ServiceName
+from ringseam.settings import read_settings
+
+SETTINGS = """\
+[process]
+name = g1
+address = 127.0.0.1:0
+zone = a
+key_file = {key}
+
+[gateway]
+http = 127.0.0.1:0
+ready = 127.0.0.1:0
+seeds = 127.0.0.1:1
+cluster_ports = 1, 2
+retry_slack = 100
+"""
+#: A step of a scripted server: gets the request's head and the writer.
+Script = Callable[['Asked', asyncio.StreamWriter], Awaitable[None]]
+
+
+class Asked:
+    """A request as a scripted server got it."""
+
+    def __init__(self, head: bytes, reader: asyncio.StreamReader) -> None:
+        self.lines = head.decode('latin-1').split('\r\n')
+        self.reader = reader
+        self.body = b''
+
+    def header(self, name: str) -> str:
+        for line in self.lines[1:]:
+            key, _, text = line.partition(':')
+            if key.lower() == name.lower():
+                return text.strip()
+        return ''
+
+    @property
+    def attempt(self) -> str:
+        return self.header('Attempt-Id')
+
+
+class ScriptedServer:
+    """A backend server that follows one script for every request."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.asked: list[Asked] = []
+        self.connections = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        return f'127.0.0.1:{self.server.sockets[0].getsockname()[1]}'
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = (await reader.readuntil(b'\r\n\r\n'))[:-4]
+                asked = Asked(head, reader)
+                length = int(asked.header('Content-Length') or 0)
+                asked.body = await reader.readexactly(length)
+                self.asked.append(asked)
+                await self.script(asked, writer)
+                await writer.drain()
+        writer.close()
+
+
+def answer(
+    asked: Asked,
+    body: bytes = b'ok',
+    status: str = '200 OK',
+    *,
+    attempt: str | None = None,
+    extra: str = '',
+) -> bytes:
+    """Return a whole answer of a backend server."""
+    return (
+        f'HTTP/1.1 {status}\r\nAttempt-Id: {asked.attempt if attempt is None else attempt}\r\n'
+        f'Server-Seal: seal\r\nKeep-Alive: timeout=5\r\n{extra}Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it."""
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+    writer.transport.abort()
+
+
+def event(number: int) -> bytes:
+    return b'id: %d\ndata: t%d\n\n' % (number, number)
+
+
+def stream_head(asked: Asked) -> bytes:
+    return (
+        f'HTTP/1.1 200 OK\r\nAttempt-Id: {asked.attempt}\r\nServer-Seal: seal\r\n'
+        'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(body: bytes) -> bytes:
+    return b'%x\r\n%s\r\n' % (len(body), body)
+
+
+def manifest(**fields) -> bytes:
+    """Return a document with one route for each kind of request."""
+
+    def route(name: str, kind: str, **more) -> dict:
+        return {
+            'name': name,
+            'host': 'h.example',
+            'path_prefix': f'/{name}/',
+            'kind': kind,
+            'timeout_ms': 3000,
+            'slo_ms': 1500,
+            'service': 'plain',
+            'max_attempts': 2,
+            **more,
+        }
+
+    return json.dumps(
+        {
+            'version': 1,
+            'routes': [
+                route('idem', 'idempotent'),
+                route('once', 'non_idempotent'),
+                route('flow', 'stream', resumable=True),
+                route('cut', 'stream'),
+                route('short', 'idempotent', timeout_ms=200),
+                route('open', 'idempotent', public=True),
+                route(
+                    'staged',
+                    'stream',
+                    stages=[{'service': 'crops', 'after': [], 'bytes': 1000}],
+                ),
+            ],
+            'services': [
+                {'name': 'plain', 'max_conns': 10},
+                {
+                    'name': 'crops',
+                    'pieces': {
+                        'slots': 1,
+                        'batch': 4,
+                        'call_ms': 10,
+                        'item_ms': 1,
+                        'room_mb': 1,
+                        'handle_s': 4,
+                    },
+                },
+            ],
+            'tenants': [{'name': 'acme', 'api_keys': ['key-1']}],
+            **fields,
+        },
+    ).encode()
+
+
+class LocalGateway:
+    """A gateway that was told its routes and servers, without control."""
+
+    def __init__(self, key_file) -> None:
+        text = SETTINGS.format(key=key_file)
+        self.role = GatewayRole(settings=read_settings('gateway', text, path='g.ini'))
+
+    async def __aenter__(self) -> LocalGateway:
+        role = self.role
+        await role.server.start()
+        role.stack.push_async_callback(role.server.close)
+        role.stack.callback(role.pool.close)
+        role.stack.callback(role.client.close)
+        role.stack.push_async_callback(role.clients.close)
+        role.stack.push_async_callback(role.probes.close)
+        self.port = await role.clients.start('127.0.0.1', 0)
+        self.ready_port = await role.probes.start('127.0.0.1', 0)
+        self.apply(manifest())
+        return self
+
+    async def __aexit__(self, *failure) -> None:
+        await self.role.stack.aclose()
+
+    def apply(self, document: bytes) -> None:
+        self.role.follower.table = decode_manifest(document)
+        self.role._changed()
+
+    def add(self, address: str, service: str = 'plain', name: str = '', zone: str = 'a') -> None:
+        self.role.follower.view.take(
+            BackendReport(
+                instance=BackendId(name or address),
+                service=ServiceName(service),
+                address=address,
+                zone=zone,
+                sequence=1,
+                slots=4,
+            ),
+        )
+        self.role.works.refresh()
+
+    def know_gateways(self, *states: GatewayState) -> None:
+        self.role.follower.gateways = states
+
+    async def ask(self, path: str, *, read_s: float = 4, **headers: str) -> tuple[int, bytes]:
+        """Return the status and all bytes of the answer until its end."""
+        reader, writer = await self.open(path, **headers)
+        async with asyncio.timeout(read_s):
+            raw = await reader.read()
+        writer.close()
+        return (int(raw.split(b' ')[1]) if raw else 0), raw
+
+    async def open(self, path: str, **headers: str):
+        """Send a request on a connection of its own."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        sent = {
+            'Host': 'h.example',
+            'Attempt-Id': 'r1',
+            'Deadline-Ms': '2500',
+            'Authorization': 'Bearer key-1',
+            'Connection': 'close',
+            'Content-Length': '4',
+        }
+        sent.update({name.replace('_', '-'): text for name, text in headers.items()})
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in sent.items() if text)
+        writer.write(f'POST {path} HTTP/1.1\r\n{lines}\r\nbody'.encode())
+        await writer.drain()
+        return reader, writer
--- /dev/null
+++ b/tests/test_backends/test_backends_view.py
@@ -0,0 +1,69 @@
+"""Reports of backend servers: which is newer, and what a view believes."""
+
+from __future__ import annotations
+
+import pytest
+
+from ringseam.backends import BackendId, BackendReport, BackendState, BackendView, supersedes
+from ringseam.routes import ServiceName
+
+READY = BackendState.ready
+DRAINING = BackendState.draining
+GONE = BackendState.gone
+
+
+def report(state=READY, sequence=1, instance='a', **fields):
+    known = {'service': ServiceName('s'), 'address': '10.0.0.1:80', 'zone': 'z', **fields}
+    return BackendReport(instance=BackendId(instance), sequence=sequence, state=state, **known)
+
+
+@pytest.mark.parametrize(
+    ('known', 'new', 'expected'),
+    [
+        (report(READY, 3), report(READY, 4), True),
+        (report(READY, 3), report(READY, 3), False),
+        (report(READY, 3), report(READY, 2), False),
+        # A server that begins to leave is believed whatever its number: the
+        # directory marks it under the number of its last report.
+        (report(READY, 3), report(DRAINING, 3), True),
+        (report(READY, 3), report(DRAINING, 1), True),
+        (report(DRAINING, 3), report(READY, 9), False),
+        (report(DRAINING, 3), report(DRAINING, 4), True),
+        (report(DRAINING, 3), report(GONE, 0), True),
+        (report(GONE, 3), report(READY, 9), False),
+    ],
+)
+def test_which_report_is_newer(known, new, expected):
+    assert supersedes(new, known) is expected
+
+
+def test_late_report_does_not_bring_a_server_back():
+    view = BackendView()
+    view.take(report(READY, 1))
+    view.take(report(GONE, 2))
+    assert not view.take(report(READY, 9))
+    assert view.serving(ServiceName('s')) == []
+
+
+def test_draining_server_takes_no_new_work_but_stays_known():
+    view = BackendView()
+    view.take(report(READY, 5))
+    view.take(report(DRAINING, 5))
+    assert view.serving(ServiceName('s')) == []
+    assert BackendId('a') in view.backends
+
+
+def test_silent_server_may_come_back():
+    view = BackendView()
+    view.take(report(READY, 5))
+    view.lose(BackendId('a'))
+    assert view.take(report(READY, 6))
+    assert len(view.serving(ServiceName('s'))) == 1
+
+
+def test_keep_only_forgets_the_others():
+    view = BackendView()
+    view.take(report(instance='a'))
+    view.take(report(instance='b', address='10.0.0.2:80', zone='y'))
+    view.keep_only({BackendId('b')})
+    assert view.zones == {'10.0.0.2:80': 'y'}
--- /dev/null
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -0,0 +1,184 @@
+"""Batches of pieces: fullness, order, zones, room and waits."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ringseam.backends import BackendId, BackendReport
+from ringseam.gateway.batching import FULL_S, Batcher, PieceJob
+from ringseam.gateway.health import HealthBook
+from ringseam.routes import BatchSpec, ServiceName
+
+SERVICE = ServiceName('crops')
+SPEC = BatchSpec(
+    slots=1, queue=2, batch=4, call_s=0.2, piece_s=0.05, room_bytes=1_000_000, keep_s=4
+)
+
+
+def server(name, zone='a'):
+    return BackendReport(
+        instance=BackendId(name), service=SERVICE, address=f'{name}:1', zone=zone, sequence=1
+    )
+
+
+def job(request='r', pieces=1, *, due=10.0, priority=1, size=1000, zone='', **fields):
+    return PieceJob(
+        attempt_id=request,
+        service=SERVICE,
+        stage=0,
+        pieces=tuple(range(pieces)),
+        key='k',
+        inputs=(),
+        due=due,
+        deadline=due + 5,
+        priority=priority,
+        result_bytes=size,
+        zone=zone,
+        **fields,
+    )
+
+
+def batcher():
+    return Batcher(service=SERVICE, health=HealthBook())
+
+
+def requests_of(call):
+    return [piece.job.attempt_id for piece in call.pieces]
+
+
+def test_pieces_wait_while_all_are_busy_and_leave_in_a_full_call():
+    works = batcher()
+    works.add(job('first'))
+    busy = works.next_call([server('s')], SPEC, 0)
+    works.add(job('second', pieces=3))
+    works.add(job('third', pieces=3))
+    assert works.next_call([server('s')], SPEC, 0) is None
+    works.ended(busy)
+    call = works.next_call([server('s')], SPEC, 0)
+    assert requests_of(call) == ['second', 'second', 'second', 'third']
+
+
+def test_urgent_request_goes_first_and_a_late_one_last():
+    works = batcher()
+    works.add(job('late', due=-1, priority=0))
+    works.add(job('plain', priority=1))
+    works.add(job('dear', priority=0))
+    call = works.next_call([server('s')], SPEC, 0)
+    assert requests_of(call) == ['dear', 'plain', 'late']
+
+
+def test_piece_waits_for_its_zone_while_it_has_the_time():
+    works = batcher()
+    near, far = server('near', 'a'), server('far', 'b')
+    works.calls[near.instance] = 1
+    works.add(job('r', zone='a', due=100))
+    assert works.next_call([near, far], SPEC, 0) is None
+    call = works.next_call([near, far], SPEC, 99.5)
+    assert call.server is far
+
+
+def test_dear_piece_leaves_a_busy_zone_at_once_but_not_an_idle_one():
+    works = batcher()
+    near, far = server('near', 'a'), server('far', 'b')
+    works.add(job('r', zone='a', due=100, priority=0))
+    assert works.next_call([near, far], SPEC, 0).server is near
+    works.add(job('q', zone='a', due=100, priority=0))
+    assert works.next_call([near, far], SPEC, 0).server is far
+
+
+def test_late_piece_does_not_starve_in_a_busy_zone():
+    works = batcher()
+    near, far = server('near', 'a'), server('far', 'b')
+    works.calls[near.instance] = 1
+    works.add(job('r', zone='a', due=1))
+    assert works.next_call([near, far], SPEC, 2).server is far
+
+
+def test_room_bounds_a_call():
+    works = batcher()
+    works.add(job('r', pieces=4, size=400_000))
+    call = works.next_call([server('s')], SPEC, 0)
+    assert len(call.pieces) == 2
+
+
+def test_kept_results_take_room_until_they_are_freed():
+    works = batcher()
+    works.kept(BackendId('s'), 900_000)
+    works.add(job('r', size=400_000))
+    assert works.next_call([server('s')], SPEC, 0) is None
+    works.freed(BackendId('s'), 900_000)
+    assert works.next_call([server('s')], SPEC, 0) is not None
+
+
+def test_result_larger_than_the_room_is_tried_alone():
+    works = batcher()
+    works.add(job('r', pieces=2, size=2_000_000))
+    assert len(works.next_call([server('s')], SPEC, 0).pieces) == 1
+
+
+def test_full_server_is_left_alone_for_a_while():
+    works = batcher()
+    works.add(job('r'))
+    call = works.next_call([server('s')], SPEC, 0)
+    works.ended(call)
+    works.found_full(call.pieces[0], BackendId('s'), 0)
+    assert works.next_call([server('s')], SPEC, FULL_S / 2) is None
+    assert works.next_call([server('s')], SPEC, FULL_S * 2) is not None
+
+
+def test_piece_tries_another_server_after_a_failure():
+    works = batcher()
+    first, second = server('first'), server('second')
+    works.add(job('r'))
+    call = works.next_call([first, second], SPEC, 0)
+    works.ended(call)
+    works.again(call.pieces[0], call.server.instance)
+    again = works.next_call([first, second], SPEC, 0)
+    assert again.server is not call.server
+
+
+def test_wait_counts_what_is_ahead_by_priority():
+    works = batcher()
+    works.calls[BackendId('s')] = 1
+    works.add(job('dear', pieces=8, priority=0))
+    works.add(job('cheap', pieces=8, priority=2))
+    servers = [server('s')]
+    dear = works.wait_s(servers, SPEC, 0, 0)
+    cheap = works.wait_s(servers, SPEC, 2, 0)
+    assert dear == 0.2 + 0.4 * 2
+    assert cheap == 0.2 + 0.4 * 4
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 6),
+            st.integers(0, 2),
+            st.sampled_from(['a', 'b', '']),
+            st.integers(1, 500_000),
+        ),
+        max_size=12,
+    ),
+)
+def test_every_piece_leaves_exactly_once(arrivals):
+    """Against the naive statement: all that came leaves, in calls that fit."""
+    works = batcher()
+    servers = [server('x', 'a'), server('y', 'b')]
+    expected = []
+    for number, (pieces, priority, zone, size) in enumerate(arrivals):
+        works.add(job(f'r{number}', pieces, priority=priority, zone=zone, size=size))
+        expected.extend((f'r{number}', piece) for piece in range(pieces))
+    seen = []
+    now = 0.0
+    for _ in range(200):
+        call = works.next_call(servers, SPEC, now)
+        if call is None:
+            now += 1
+            continue
+        assert len(call.pieces) <= SPEC.batch
+        assert sum(piece.job.result_bytes for piece in call.pieces) <= SPEC.room_bytes
+        seen.extend((piece.job.attempt_id, piece.number) for piece in call.pieces)
+        works.ended(call)
+    assert sorted(seen) == sorted(expected)
+    assert not any(works.kept_bytes.values())
--- /dev/null
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -0,0 +1,456 @@
+"""Contract of a gateway towards clients, for each fault of a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from tests.gateways import (
+    LocalGateway,
+    ScriptedServer,
+    answer,
+    chunk,
+    event,
+    reset,
+    stream_head,
+)
+
+
+@pytest.fixture(name='key_file')
+def make_key_file(tmp_path):
+    path = tmp_path / 'key'
+    path.write_text('0123456789abcdef')
+    return path
+
+
+async def good(asked, writer):
+    writer.write(answer(asked))
+
+
+async def failing(asked, writer):
+    writer.write(answer(asked, b'broken', '500 Oops'))
+
+
+async def full(asked, writer):
+    writer.write(b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n')
+
+
+async def other_instance(asked, writer):
+    writer.write(b'HTTP/1.1 421 Other\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n')
+
+
+async def resetting(asked, writer):
+    reset(writer)
+
+
+async def closing(asked, writer):
+    writer.close()
+
+
+async def truncated(asked, writer):
+    writer.write(answer(asked, b'0123456789')[:-5])
+    writer.close()
+
+
+async def garbage(asked, writer):
+    writer.write(b'\x00\x01 this is no answer\r\n\r\n')
+
+
+async def without_seal(asked, writer):
+    writer.write(answer(asked).replace(b'Server-Seal: seal\r\n', b''))
+
+
+async def encoded(asked, writer):
+    writer.write(answer(asked, extra='Content-Encoding: gzip\r\n'))
+
+
+async def foreign(asked, writer):
+    for _ in range(4):
+        writer.write(answer(asked, b'not yours', attempt='another'))
+
+
+async def stray_then_good(asked, writer):
+    writer.write(answer(asked, b'not yours', attempt='another') + answer(asked))
+
+
+async def good_and_more(asked, writer):
+    writer.write(answer(asked) + answer(asked, b'surplus', attempt='another'))
+
+
+async def unframed(asked, writer):
+    head = f'HTTP/1.1 200 OK\r\nAttempt-Id: {asked.attempt}\r\nServer-Seal: seal\r\n\r\nok'
+    writer.write(head.encode())
+    await writer.drain()
+    writer.close()
+
+
+async def unframed_reset(asked, writer):
+    head = f'HTTP/1.1 200 OK\r\nAttempt-Id: {asked.attempt}\r\nServer-Seal: seal\r\n\r\nok'
+    writer.write(head.encode())
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+async def mute(asked, writer):
+    await asyncio.sleep(30)
+
+
+#: Script, status for a request that runs at most once, status for one that may
+#: be repeated and has a good second server, and sends of the first kind.
+FAULTS = [
+    (good, 200, 200),
+    (failing, 500, 200),
+    (full, 503, 200),
+    (other_instance, 503, 200),
+    (resetting, 502, 200),
+    (closing, 502, 200),
+    (truncated, 502, 200),
+    (garbage, 502, 200),
+    (without_seal, 502, 200),
+    (encoded, 502, 200),
+    (foreign, 502, 200),
+    (stray_then_good, 200, 200),
+    (good_and_more, 200, 200),
+    (unframed, 200, 200),
+    (unframed_reset, 502, 200),
+]
+
+
+@pytest.mark.parametrize(('script', 'status'), [(row[0], row[1]) for row in FAULTS])
+def test_request_that_may_not_be_repeated(key_file, script, status):
+    """One server alone: it is sent once, and 503 only with a proof of not run."""
+
+    async def run():
+        server = ScriptedServer(script)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            found, raw = await gateway.ask('/once/x')
+        assert found == status
+        assert len(server.asked) == 1
+        if status == 200:
+            assert raw.endswith(b'ok')
+        if status == 503:
+            assert b'retry-after' in raw.lower()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(('script', 'status'), [(row[0], row[2]) for row in FAULTS])
+def test_request_that_may_be_repeated_is_served_by_the_second_server(key_file, script, status):
+    async def run():
+        bad, second = ScriptedServer(script), ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            # The name decides between servers of equal cost.
+            gateway.add(await bad.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            found, raw = await gateway.ask('/idem/x')
+        assert found == status
+        assert raw.endswith(b'ok')
+        assert len(bad.asked) == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('script', [failing, resetting, garbage, mute])
+def test_request_that_may_not_be_repeated_never_reaches_a_second_server(key_file, script):
+    async def run():
+        bad, second = ScriptedServer(script), ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await bad.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            found, _ = await gateway.ask('/once/x', Deadline_Ms='400')
+        assert found in {500, 502, 504}
+        assert not second.asked
+
+    asyncio.run(run())
+
+
+def test_refused_request_may_reach_a_second_server(key_file):
+    async def run():
+        bad, second = ScriptedServer(full), ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await bad.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            found, _ = await gateway.ask('/once/x')
+        assert found == 200
+        assert len(second.asked) == 1
+
+    asyncio.run(run())
+
+
+def test_connection_that_gave_surplus_bytes_is_not_used_again(key_file):
+    async def run():
+        server = ScriptedServer(good_and_more)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            for number in range(3):
+                found, raw = await gateway.ask('/once/x', Attempt_Id=f'r{number}')
+                assert found == 200
+                assert raw.endswith(b'ok')
+        assert server.connections == 3
+
+    asyncio.run(run())
+
+
+def test_sound_connection_is_kept(key_file):
+    async def run():
+        server = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            for number in range(3):
+                await gateway.ask('/once/x', Attempt_Id=f'r{number}')
+        assert server.connections == 1
+
+    asyncio.run(run())
+
+
+def test_no_server_is_a_refusal_at_once(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            found, raw = await gateway.ask('/once/x', read_s=0.5)
+        assert found == 503
+        assert b'retry-after' in raw.lower()
+
+    asyncio.run(run())
+
+
+def test_time_limit_of_the_route_ends_a_request(key_file):
+    async def run():
+        server = ScriptedServer(mute)
+        loop = asyncio.get_running_loop()
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            begun = loop.time()
+            found, _ = await gateway.ask('/short/x')
+            assert found == 504
+            assert 0.15 < loop.time() - begun < 0.6
+        assert int(server.asked[0].header('Deadline-Ms')) <= 200
+
+    asyncio.run(run())
+
+
+def test_client_that_leaves_closes_the_servers_connection(key_file):
+    async def run():
+        gone = asyncio.Event()
+
+        async def watching(asked, writer):
+            await asked.reader.read()
+            gone.set()
+
+        server = ScriptedServer(watching)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            _, writer = await gateway.open('/once/x')
+            while not server.asked:
+                await asyncio.sleep(0.01)
+            writer.close()
+            async with asyncio.timeout(0.5):
+                await gone.wait()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/nowhere/x', 'Bearer key-1', 404),
+        ('/once/x', 'Bearer wrong', 401),
+        ('/once/x', '', 401),
+        ('/open/x', '', 200),
+        ('/once/x', 'Bearer key-1', 200),
+    ],
+)
+def test_routes_and_keys(key_file, path, key, status):
+    async def run():
+        server = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            found, _ = await gateway.ask(path, Authorization=key, Tenant='forged')
+        assert found == status
+        if status == 200:
+            asked = server.asked[0]
+            assert asked.header('Authorization') == ''
+            assert asked.header('Tenant') == ('' if path == '/open/x' else 'acme')
+            assert asked.body == b'body'
+
+    asyncio.run(run())
+
+
+def test_gateway_without_routes_promises_that_nothing_ran(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            gateway.role.follower.table = type(gateway.role.follower.table)()
+            found, _ = await gateway.ask('/nowhere/x', Authorization='')
+        assert found == 503
+
+    asyncio.run(run())
+
+
+# -- streams ------------------------------------------------------------------
+
+
+def streaming(first, last, *, end=True):
+    async def script(asked, writer):
+        after = int(asked.header('Last-Event-Id') or 0)
+        writer.write(stream_head(asked))
+        for number in range(max(first, after + 1), last + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+        if end:
+            writer.write(b'0\r\n\r\n')
+        else:
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+    return script
+
+
+def events_of(raw):
+    return [int(line[3:]) for line in raw.split(b'\n') if line.startswith(b'id:')]
+
+
+def test_stream_is_passed_on_whole(key_file):
+    async def run():
+        server = ScriptedServer(streaming(1, 6))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            found, raw = await gateway.ask('/flow/x')
+        assert found == 200
+        assert events_of(raw) == [1, 2, 3, 4, 5, 6]
+        assert raw.endswith(b'0\r\n\r\n')
+
+    asyncio.run(run())
+
+
+def test_broken_stream_goes_on_at_another_server_in_the_same_answer(key_file):
+    async def run():
+        broken, second = ScriptedServer(streaming(1, 3, end=False)), ScriptedServer(streaming(1, 6))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await broken.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            found, raw = await gateway.ask('/flow/x')
+        assert found == 200
+        assert events_of(raw) == [1, 2, 3, 4, 5, 6]
+        assert raw.endswith(b'0\r\n\r\n')
+        assert second.asked[0].header('Last-Event-Id') == '3'
+
+    asyncio.run(run())
+
+
+def test_broken_stream_that_may_not_go_on_does_not_look_complete(key_file):
+    async def run():
+        broken, second = ScriptedServer(streaming(1, 3, end=False)), ScriptedServer(streaming(1, 6))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await broken.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            reader, _ = await gateway.open('/cut/x')
+            raw = b''
+            try:
+                raw = await reader.read(65536)
+                raw += await reader.read()
+            except ConnectionResetError:
+                pass
+        assert not raw.endswith(b'0\r\n\r\n')
+        assert not second.asked
+
+    asyncio.run(run())
+
+
+def test_events_that_come_twice_or_skip_one_are_not_passed_on(key_file):
+    async def odd(asked, writer):
+        writer.write(stream_head(asked))
+        for number in (1, 2, 2, 3, 5):
+            writer.write(chunk(event(number)))
+        writer.write(b'0\r\n\r\n')
+
+    async def run():
+        first, second = ScriptedServer(odd), ScriptedServer(streaming(1, 5))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await first.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            _, raw = await gateway.ask('/flow/x')
+        assert events_of(raw) == [1, 2, 3, 4, 5]
+
+    asyncio.run(run())
+
+
+def test_event_that_was_cut_in_the_middle_is_made_again(key_file):
+    async def cut(asked, writer):
+        writer.write(stream_head(asked) + chunk(event(1)) + chunk(event(2)[:7]))
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    async def run():
+        first, second = ScriptedServer(cut), ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await first.start(), name='a-first')
+            gateway.add(await second.start(), name='b-second')
+            _, raw = await gateway.ask('/flow/x')
+        assert events_of(raw) == [1, 2, 3]
+        assert raw.count(b'data: t2\n') == 1
+
+    asyncio.run(run())
+
+
+# -- stages -------------------------------------------------------------------
+
+
+def piece_worker(address_of, *, fault_first=''):
+    calls = []
+
+    async def script(asked, writer):
+        if 'stage-free' in asked.lines[0]:
+            calls.append(('free', json.loads(asked.body)['handles']))
+            writer.write(answer(asked, b'{}'))
+            return
+        items = json.loads(asked.body)['items']
+        calls.append(('run', items))
+        made = [
+            {'handle': f'{address_of()}/{item["id"]}-{item["stage"]}-{item["piece"]}'}
+            for item in items
+        ]
+        if fault_first and sum(1 for kind, _ in calls if kind == 'run') == 1:
+            made[0] = {'why': fault_first}
+        writer.write(answer(asked, json.dumps({'items': made}).encode()))
+
+    return script, calls
+
+
+@pytest.mark.parametrize('fault', ['', 'error', 'room', 'gone'])
+def test_staged_stream_gets_the_handles_of_its_own_pieces(key_file, fault):
+    async def run():
+        place = {}
+        script, calls = piece_worker(lambda: place['crops'], fault_first=fault)
+        crops, engine = ScriptedServer(script), ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            place['crops'] = await crops.start()
+            gateway.add(place['crops'], service='crops')
+            gateway.add(await engine.start())
+            found, raw = await gateway.ask('/staged/x', Pieces='3', Piece_Key='pk')
+            await asyncio.sleep(0.1)
+        assert found == 200
+        assert events_of(raw) == [1, 2, 3]
+        inputs = engine.asked[0].header('Inputs').split(',')
+        assert [handle.split('/')[1] for handle in inputs] == ['r1-0-0', 'r1-0-1', 'r1-0-2']
+        freed = [handle for kind, handles in calls if kind == 'free' for handle in handles]
+        assert set(inputs) <= set(freed)
+        ran = [item for kind, items in calls if kind == 'run' for item in items]
+        assert all(item['key'] == 'pk' and 'inputs' not in item for item in ran)
+
+    asyncio.run(run())
+
+
+def test_request_whose_stage_has_no_server_is_refused_within_its_time(key_file):
+    async def run():
+        engine = ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await engine.start())
+            found, _ = await gateway.ask('/staged/x', Pieces='1', Piece_Key='k', Deadline_Ms='300')
+        assert found == 503
+        assert not engine.asked
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_platform/test_platform_manifest.py
@@ -0,0 +1,127 @@
+"""Documents of routes: what is read, and each fault as a finding."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ringseam.errors import FindingsError
+from ringseam.platform.manifest import decode_manifest
+from ringseam.routes import RequestKind
+
+
+def route(**fields):
+    return {
+        'name': 'r',
+        'host': 'a.example',
+        'path_prefix': '/x/',
+        'kind': 'stream',
+        'timeout_ms': 6000,
+        'slo_ms': 1600,
+        'service': 'llm',
+        'max_attempts': 2,
+        'stages': [
+            {'service': 'crops', 'after': [], 'bytes': 8000},
+            {'service': 'crops', 'after': [0], 'bytes': 10},
+        ],
+        'sticky': True,
+        'resumable': True,
+        'gap_aim_ms': 500,
+        **fields,
+    }
+
+
+def manifest(**fields):
+    return {
+        'version': 7,
+        'routes': [route()],
+        'services': [
+            {'name': 'llm', 'max_conns': 9, 'engine': {'slots': 128, 'kv_tokens': 1000}},
+            {'name': 'crops', 'pieces': {'slots': 1, 'batch': 5, 'call_ms': 200, 'room_mb': 1.5}},
+        ],
+        'tenants': [{'name': 't', 'api_keys': ['k1', 'k2'], 'priority': 1}],
+        **fields,
+    }
+
+
+def decode(document):
+    return decode_manifest(json.dumps(document).encode())
+
+
+def test_whole_document_is_read():
+    table = decode(manifest())
+    found = table.match('a.example', '/x/y')
+    assert table.number == 7
+    assert found.kind is RequestKind.stream
+    assert found.repeatable
+    assert found.objective_s == 1.6
+    assert found.stages[1].after == (0,)
+    assert table.services['crops'].batching.room_bytes == 1_500_000
+    assert table.services['llm'].engine.cache_tokens == 1000
+    assert table.account_of('k2').name == 't'
+    assert table.account_of('k3') is None
+
+
+def test_longest_prefix_of_the_host_wins():
+    routes = [
+        route(name='short', path_prefix='/x/'),
+        route(name='long', path_prefix='/x/y/'),
+        route(name='other', host='b.example', path_prefix='/x/y/z/'),
+    ]
+    table = decode(manifest(routes=routes))
+    assert table.match('a.example', '/x/y/z/1').name == 'long'
+    assert table.match('a.example', '/x/z').name == 'short'
+    assert table.match('a.example', '/y/') is None
+    assert table.match('c.example', '/x/') is None
+
+
+@pytest.mark.parametrize(
+    ('fields', 'text'),
+    [
+        ({'routes': [route(service='nobody')]}, 'unknown service'),
+        ({'routes': [route(stages=[{'service': 'nobody'}])]}, 'unknown service'),
+        ({'routes': [route(), route(name='q')]}, 'those of another route'),
+        ({'routes': [route(timeout_ms=0)]}, 'timeout is 0'),
+        ({'routes': [route(split=[{'service': 'llm', 'weight': 0}])]}, 'add up to 0'),
+        ({'routes': [route(stages=[{'service': 'crops', 'after': [0]}])]}, 'not before it'),
+        (
+            {'tenants': [{'name': 't', 'api_keys': ['k']}, {'name': 'u', 'api_keys': ['k']}]},
+            'shares a key',
+        ),
+        ({'version': 'seven'}, 'int'),
+        ({'version': -1}, '>= 0'),
+        ({'routes': [route(kind='other')]}, 'kind'),
+    ],
+)
+def test_faults_are_findings(fields, text):
+    with pytest.raises(FindingsError, match=text):
+        decode(manifest(**fields))
+
+
+def test_all_faults_are_reported_together():
+    faulty = manifest(routes=[route(timeout_ms=0), route(name='q', service='nobody')])
+    with pytest.raises(FindingsError) as raised:
+        decode(faulty)
+    assert len(raised.value.findings) == 3
+
+
+@pytest.mark.parametrize('share', [0, 0.01, 0.3, 0.7, 0.99])
+def test_document_that_is_cut_short_is_refused(share):
+    whole = json.dumps(manifest()).encode()
+    with pytest.raises(FindingsError):
+        decode_manifest(whole[: int(share * len(whole))])
+
+
+@given(st.binary(max_size=200))
+def test_random_bytes_are_findings_and_nothing_else(body):
+    with pytest.raises(FindingsError):
+        decode_manifest(body)
+
+
+def test_split_routes_keep_their_weights():
+    split = [{'service': 'llm', 'weight': 90}, {'service': 'crops', 'weight': 0}]
+    table = decode(manifest(routes=[route(split=split)]))
+    assert [target.service for target in table.routes[0].targets] == ['llm']
--- /dev/null
+++ b/tests/test_platform/test_platform_requests.py
@@ -0,0 +1,157 @@
+"""Headers of requests, calls and answers."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ringseam.backends import BackendId, BackendState
+from ringseam.platform.registration import decode_report, instance_of
+from ringseam.platform.requests import (
+    CallHeaders,
+    decode_marks,
+    decode_request,
+    encode_call,
+)
+from ringseam.platform.stages import (
+    PieceFault,
+    PieceOrder,
+    decode_results,
+    encode_orders,
+    maker_of,
+)
+from ringseam.web.bodies import find_header
+from ringseam.web.client import ResponseHead
+from ringseam.web.server import Request
+
+HEADERS = [
+    ('Host', 'A.example:80'),
+    ('Attempt-Id', 'r1'),
+    ('Deadline-Ms', '1500'),
+    ('Authorization', 'Bearer secret'),
+    ('Token-Counts', '1460,80'),
+    ('Prompt-Prefix', 'aa:800,bb:410'),
+    ('Pieces', '2,0,3'),
+    ('Piece-Key', 'pk'),
+    ('Last-Event-Id', '12'),
+    ('Tenant', 'forged'),
+    ('Expect-Instance', 'forged'),
+    ('X-Other', 'kept'),
+]
+
+
+def request(headers):
+    return Request(method='POST', target='/x/y?z=1', headers=headers, body=b'', arrived=0)
+
+
+def test_request_is_decoded():
+    decoded = decode_request(request(HEADERS))
+    assert decoded.host == 'a.example'
+    assert decoded.path == '/x/y'
+    assert decoded.time_left_s == 1.5
+    assert decoded.key == 'secret'
+    assert (decoded.prompt_tokens, decoded.output_tokens) == (1460, 80)
+    assert [part.tokens for part in decoded.prefix] == [800, 410]
+    assert decoded.pieces == (2, 0, 3)
+    assert decoded.last_event == 12
+
+
+@given(st.lists(st.tuples(st.sampled_from([name for name, _ in HEADERS]), st.text(max_size=12))))
+def test_headers_of_any_text_are_read(headers):
+    decode_request(request(headers))
+
+
+def test_call_says_what_the_system_decides_and_not_what_the_client_claims():
+    call = CallHeaders(
+        instance='i-1', time_left_s=0.75, account='t', inputs=('h1', 'h2'), last_event=20
+    )
+    sent = encode_call(HEADERS, call)
+    names = [name for name, _ in sent]
+    assert find_header(sent, 'Deadline-Ms') == '750'
+    assert find_header(sent, 'Expect-Instance') == 'i-1'
+    assert find_header(sent, 'Tenant') == 't'
+    assert find_header(sent, 'Inputs') == 'h1,h2'
+    assert find_header(sent, 'Last-Event-Id') == '20'
+    assert find_header(sent, 'X-Other') == 'kept'
+    assert find_header(sent, 'Attempt-Id') == 'r1'
+    assert 'Authorization' not in names
+    assert len(names) == len(set(names))
+
+
+def test_clients_own_last_event_is_passed_on():
+    sent = encode_call(HEADERS, CallHeaders(instance='i', time_left_s=1))
+    assert find_header(sent, 'Last-Event-Id') == '12'
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'not_run'),
+    [
+        (200, [('Server-Seal', 's')], False),
+        (503, [('Not-Executed', '1')], True),
+        (503, [('Server-Seal', 's')], False),
+        (421, [('Instance-Id', 'i-2')], True),
+        (500, [], False),
+    ],
+)
+def test_proof_that_a_request_was_not_run(status, headers, not_run):
+    assert decode_marks(ResponseHead(status=status, headers=headers)).not_run is not_run
+
+
+@pytest.mark.parametrize('text', ['', '1,2', 'a,b,c', '1,2,3,4'])
+def test_load_that_is_not_three_numbers_is_none(text):
+    head = ResponseHead(status=200, headers=[('Worker-Load', text)])
+    assert decode_marks(head).load is None
+
+
+def test_report_is_decoded():
+    body = b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":4,"state":"draining","new":1}'
+    report = decode_report(BackendId('i'), body)
+    assert report.state is BackendState.draining
+    assert report.sequence == 4
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"service":1,"addr":"a","zone":"z","seq":1}',
+        b'{"service":"s","addr":"a","zone":"z","seq":-1}',
+        b'{"service":"s","addr":"a","zone":"z","seq":"1"}',
+        b'{"service":"s","addr":"a","zone":"z","seq":1,"state":"odd"}',
+        b'\xff\xfe',
+    ],
+)
+def test_report_with_wrong_types_is_refused(body):
+    with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
+        decode_report(BackendId('i'), body)
+
+
+@pytest.mark.parametrize(
+    ('path', 'name'),
+    [('/api/instances/i-1', 'i-1'), ('/api/instances/', None), ('/api/instances/a/b', None)],
+)
+def test_instance_of_a_path(path, name):
+    assert instance_of(path) == name
+
+
+def test_results_come_in_the_order_of_the_call():
+    body = b'{"items":[{"handle":"1.2.3.4:5/a"},{"why":"gone"},{}]}'
+    made = decode_results(body, 3)
+    assert maker_of(made[0].handle) == '1.2.3.4:5'
+    assert [outcome.fault for outcome in made] == [None, PieceFault.gone, PieceFault.error]
+
+
+@pytest.mark.parametrize('body', [b'{"items":[]}', b'{"items":[{"why":"odd"}]}', b'nothing'])
+def test_results_that_do_not_answer_the_call_are_refused(body):
+    with pytest.raises(msgspec.MsgspecError):
+        decode_results(body, 1)
+
+
+def test_order_without_inputs_names_its_key():
+    order = PieceOrder(attempt_id='r', stage=0, piece=2, time_left_s=0.9, key='k')
+    assert msgspec.json.decode(encode_orders([order])) == {
+        'items': [{'id': 'r', 'stage': 0, 'piece': 2, 'left_ms': 900, 'key': 'k'}],
+    }
