--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -102,16 +102,19 @@
 class Network:
     """Replicas over a network that delays, drops and cuts; seeded."""
 
-    def __init__(self, count=3, seed=1, snapshot_entries=20):
+    def __init__(self, count=3, seed=1, snapshot_entries=20, founders=0, wanted_voters=0):
         self.random = random.Random(seed)
         self.clock = PausedClock()
         self.settings = ReplicaSettings(
             election_s=0.6,
             heartbeat_s=0.1,
             snapshot_entries=snapshot_entries,
+            wanted_voters=wanted_voters,
         )
         self.hosts = {f'10.0.0.{number}:1': None for number in range(1, count + 1)}
         self.hosts = {address: Host(address=address) for address in self.hosts}
+        #: Hosts that may found the group; the others join it.
+        self.founders = sorted(self.hosts)[: founders or count]
         self.packets = []
         self.cuts = set()
         self.drop = 0.0
@@ -150,6 +153,11 @@
         self.hosts[address].files = MemoryFiles()
         self.start(address)
 
+    def add(self, address):
+        """Start a new host with a blank folder at a new address."""
+        self.hosts[address] = Host(address=address)
+        self.start(address)
+
     def running(self):
         return [host.replica for host in self.hosts.values() if host.replica is not None]
 
@@ -174,7 +182,8 @@
         packets, self.packets = self.packets, []
         self.random.shuffle(packets)
         for source, target, packet in packets:
-            replica = self.hosts[target].replica
+            host = self.hosts.get(target)
+            replica = host.replica if host is not None else None
             if replica is None or (source, target) in self.cuts:
                 continue
             if self.random.random() < self.drop:
@@ -192,7 +201,7 @@
     def _introduce(self):
         """Do what blank hosts do: introduce themselves; maybe found a group."""
         for address, host in self.hosts.items():
-            if host.replica is None or host.replica.identity.group:
+            if host.replica is None or _is_member(host.replica):
                 continue
             peers = [other for other in self.hosts.values() if other is not host]
             reached = [
@@ -203,11 +212,14 @@
             disk = host.replica.identity.disk
             for peer in reached:
                 peer.replica.receive(BlankSeen(disk=disk, address=address))
-            blank = [peer for peer in reached if not peer.replica.identity.group]
-            if len(blank) == len(peers) and address == min(self.hosts):
+            blank = {peer.address for peer in [host, *reached] if not peer.replica.identity.group}
+            if blank >= set(self.founders) and address == min(self.founders):
                 members = [
-                    Member(disk=peer.replica.identity.disk, address=peer.address)
-                    for peer in [host, *peers]
+                    Member(
+                        disk=self.hosts[founder].replica.identity.disk,
+                        address=founder,
+                    )
+                    for founder in self.founders
                 ]
                 host.replica.receive(FormGroup(members=tuple(members)))
 
@@ -261,4 +273,10 @@
         return None if isinstance(reply.sent, NotLeading) else self.leader().machine.state.revision
 
 
+def _is_member(replica):
+    """Return whether a replica knows itself to be in the group and hears it."""
+    known = replica.raft.membership.find(replica.identity.disk)
+    return bool(replica.identity.group and known and replica.raft.leader)
+
+
 __all__ = ('Host', 'MemoryFiles', 'Network', 'Reply')
--- /dev/null
+++ b/tests/test_control/test_control_follow.py
@@ -0,0 +1,246 @@
+"""What the leader tells gateways, and what it waits for before it acknowledges."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
+from ringseam.control.backenddirectory import BackendDirectory
+from ringseam.control.follow import FollowService, HeldDocument
+from ringseam.control.replica import Leadership, Linearizable, NotLeading
+from ringseam.control.state import BackendRetired, DocumentPut
+from ringseam.following import (
+    DocumentHeld,
+    NotYet,
+    ReportTaken,
+    Submit,
+    WatchNews,
+    WatchRequest,
+)
+from ringseam.gateway.follower import Follower
+from ringseam.messages import Redirect
+from ringseam.node import Node
+from ringseam.routes import ServiceName
+from ringseam.rpc import CallClient, Received
+
+GATEWAY = GatewayState(name='g1', address='1.1.1.1:1', zone='a')
+LEADS = Leadership(term=3, leader='c1', serves=True, voters=5, members=('c1', 'c2'))
+
+
+def report(name='i-1', sequence=1, state=BackendState.ready):
+    return BackendReport(
+        instance=BackendId(name),
+        service=ServiceName('s'),
+        address='2.2.2.2:2',
+        zone='a',
+        sequence=sequence,
+        state=state,
+    )
+
+
+def directory(epoch='e1'):
+    return BackendDirectory(epoch=epoch, started=0, silent_s=4, follower_s=2)
+
+
+def request(**fields):
+    return WatchRequest(gateway=GATEWAY, **fields)
+
+
+def test_news_are_what_changed_since():
+    book = directory()
+    book.report(report('i-1'), 0)
+    seen = book.news(request(), 0)
+    assert seen.whole
+    book.report(report('i-2'), 1)
+    later = book.news(request(epoch='e1', since=seen.upto), 1)
+    assert [row.instance for row in later.reports] == ['i-2']
+    assert not later.whole
+
+
+def test_repeated_report_is_no_news():
+    book = directory()
+    assert book.report(report(sequence=1), 0)
+    assert not book.report(report(sequence=2), 1)
+
+
+def test_server_that_falls_silent_is_dropped_and_told():
+    book = directory()
+    book.report(report(), 0)
+    upto = book.change
+    assert book.expire(10) == ['i-1']
+    assert book.news(request(epoch='e1', since=upto), 10).silent == ('i-1',)
+
+
+def test_confirmation_needs_every_gateway_that_is_heard():
+    book = directory()
+    book.follow(request(epoch='e1', since=5, number=2), 0)
+    other = GatewayState(name='g2', address='1.1.1.2:1', zone='b')
+    book.follow(WatchRequest(gateway=other, epoch='old', since=9, number=1), 0)
+    assert not book.is_confirmed(change=5)
+    assert not book.is_confirmed(number=2)
+    book.follow(WatchRequest(gateway=other, epoch='e1', since=6, number=2), 1)
+    assert book.is_confirmed(change=5, number=2)
+
+
+def test_gateway_that_fell_silent_is_not_waited_for():
+    book = directory()
+    book.follow(request(), 0)
+    book.expire(10)
+    assert book.is_confirmed(change=99, number=99)
+
+
+class Bench:
+    """A follow service whose log commits at once, or not at all."""
+
+    def __init__(self, *, leads=True, commits=True):
+        self.commits = commits
+        self.submitted = []
+        self.service = FollowService(
+            node=Node(name='c1', role='control', address='c1', secret=b'x'),
+            submit=self.submit,
+            confirm=self.confirm,
+            voters_needed=5,
+        )
+        if leads:
+            self.service.lead(LEADS)
+
+    async def submit(self, command):
+        self.submitted.append(command)
+        if not self.commits:
+            return NotLeading()
+        if hasattr(command, 'number'):
+            if command.number > self.service.held.number:
+                held = HeldDocument(number=command.number, document=command.document)
+                self.service.hold(held)
+            return DocumentPut(newest=self.service.held.number)
+        held = HeldDocument(
+            number=self.service.held.number,
+            document=self.service.held.document,
+            retired=(*self.service.held.retired, command.instance),
+        )
+        self.service.hold(held)
+        return BackendRetired(instance=command.instance)
+
+    async def confirm(self):
+        return Linearizable(term=3) if self.commits else NotLeading()
+
+
+def received(body):
+    return Received('g1', '1.1.1.1:1', '', 0, body)
+
+
+def test_host_that_does_not_lead_sends_elsewhere():
+    async def run():
+        bench = Bench(leads=False)
+        assert isinstance(await bench.service.take_report(report()), Redirect)
+        assert isinstance(await bench.service.accept(Submit(number=1, document=b'')), Redirect)
+        assert isinstance(await bench.service.newest(), Redirect)
+        watched = await bench.service.watch(received(request()))
+        assert isinstance(watched.reply, Redirect)
+
+    asyncio.run(run())
+
+
+def test_leader_without_a_quorum_acknowledges_nothing():
+    async def run():
+        bench = Bench(commits=False)
+        leaving = report(state=BackendState.draining)
+        assert isinstance(await bench.service.take_report(leaving), Redirect)
+        assert isinstance(await bench.service.accept(Submit(number=1, document=b'')), Redirect)
+        assert isinstance(await bench.service.newest(), Redirect)
+
+    asyncio.run(run())
+
+
+def test_first_document_waits_for_enough_voters():
+    async def run():
+        bench = Bench()
+        few = Leadership(term=3, leader='c1', serves=True, voters=4)
+        bench.service.lead(few)
+        submit = Submit(number=1, document=b'd')
+        assert isinstance(await bench.service.accept(submit), NotYet)
+        assert not bench.submitted
+        bench.service.lead(LEADS)
+        assert isinstance(await bench.service.accept(submit), DocumentHeld)
+
+    asyncio.run(run())
+
+
+def test_leave_is_acknowledged_once_the_gateway_has_it():
+    async def run():
+        bench = Bench()
+        service = bench.service
+        await service.take_report(report())
+        first = await service.watch(received(request(number=0)))
+        news: WatchNews = first.reply
+        held = request(epoch=news.epoch, since=news.upto, number=0)
+        service.directory.follow(held, service.node.clock.now())
+        leave = asyncio.ensure_future(
+            service.take_report(report(sequence=2, state=BackendState.draining)),
+        )
+        await asyncio.sleep(0.05)
+        assert not leave.done()
+        told = (await service.watch(received(held))).reply
+        assert told.reports[0].state is BackendState.draining
+        confirmed = request(epoch=told.epoch, since=told.upto, number=0)
+        watching = asyncio.ensure_future(service.watch(received(confirmed)))
+        assert isinstance(await asyncio.wait_for(leave, 1), ReportTaken)
+        watching.cancel()
+
+    asyncio.run(run())
+
+
+def test_late_report_of_a_server_that_left_does_not_make_it_ready():
+    async def run():
+        bench = Bench()
+        await bench.service.take_report(report(sequence=5, state=BackendState.draining))
+        bench.service.lead(Leadership(term=4, leader='c2'))
+        bench.service.lead(Leadership(term=5, leader='c1', serves=True, voters=5))
+        await bench.service.take_report(report(sequence=4))
+        news = bench.service.directory.news(request(), 0)
+        assert [row.state for row in news.reports] == [BackendState.draining]
+
+    asyncio.run(run())
+
+
+# -- the gateway's side -------------------------------------------------------
+
+
+def follower():
+    node = Node(name='g1', role='gateway', address='1.1.1.1:1', secret=b'x')
+    return Follower(
+        node=node,
+        client=CallClient(node=node),
+        addresses=('c1',),
+        on_change=lambda: None,
+    )
+
+
+def news(epoch='e1', upto=1, *, whole=True, warm=True, reports=(), silent=()):
+    return WatchNews(epoch=epoch, upto=upto, whole=whole, warm=warm, reports=reports, silent=silent)
+
+
+def test_new_leader_that_has_not_heard_all_takes_nobody_away():
+    gateway = follower()
+    gateway.take(news(reports=(report('i-1'), report('i-2'))))
+    gateway.take(news('e2', warm=False, reports=(report('i-1', 2),)))
+    assert len(gateway.view.serving(ServiceName('s'))) == 2
+
+
+def test_complete_directory_drops_who_is_missing_after_asking_for_all():
+    gateway = follower()
+    gateway.take(news(reports=(report('i-1'), report('i-2'))))
+    gateway.take(news('e2', warm=False, reports=(report('i-1', 2),)))
+    gateway.take(news('e2', upto=2, whole=False))
+    assert gateway.epoch == ''
+    gateway.take(news('e2', upto=2, reports=(report('i-1', 2),)))
+    assert [row.instance for row in gateway.view.serving(ServiceName('s'))] == ['i-1']
+    assert gateway.epoch == 'e2'
+
+
+def test_directory_marks_a_server_under_the_number_that_the_gateway_has():
+    """Seen on the bench: a restarted gateway kept sending to a server that left."""
+    gateway = follower()
+    gateway.take(news(reports=(report('i-1', 7),)))
+    gateway.take(news(upto=2, whole=False, reports=(report('i-1', 7, BackendState.draining),)))
+    assert gateway.view.serving(ServiceName('s')) == []
--- /dev/null
+++ b/tests/test_control/test_control_membership.py
@@ -0,0 +1,139 @@
+"""A group that grows from its founders and repairs itself at other addresses."""
+
+from __future__ import annotations
+
+import pytest
+
+from ringseam.control.replica import Propose
+from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
+from tests.fakes import Network
+
+FIRST = [f'10.0.0.{number}:1' for number in range(1, 6)]
+
+
+def grown(seed=1):
+    network = Network(count=5, seed=seed, founders=3, wanted_voters=5)
+    network.run_until(lambda: len(voters(network)) == 5)
+    return network
+
+
+def voters(network):
+    leader = network.leader()
+    if leader is None:
+        return []
+    members = leader.raft.membership.members
+    return sorted(member.address for member in members if member.voter)
+
+
+def put(network, number, document=b'x'):
+    """Put a document in force, through whoever leads until it is acknowledged."""
+    outcome = []
+
+    def acknowledged():
+        if not outcome or not isinstance(outcome[-1].sent, (DocumentPut, type(None))):
+            leader = network.leader()
+            if leader is not None:
+                command = PutDocument(number=number, document=document)
+                outcome.append(network.ask(leader, Propose(command=command)))
+        return outcome and isinstance(outcome[-1].sent, DocumentPut)
+
+    network.run_until(acknowledged)
+    return outcome[-1].sent
+
+
+def held(network):
+    state = network.await_leader().machine.state
+    return state.number, state.document
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_group_of_three_founders_grows_to_five(seed):
+    network = grown(seed)
+    assert voters(network) == FIRST
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_host_that_is_gone_for_good_is_replaced_at_another_address(seed):
+    network = grown(seed)
+    put(network, 1)
+    gone = FIRST[seed % 5]
+    network.crash(gone)
+    network.hosts.pop(gone)
+    network.run(1)
+    network.add('10.0.0.9:1')
+    begun = network.clock.now()
+    network.run_until(lambda: '10.0.0.9:1' in voters(network))
+    assert network.clock.now() - begun < 4
+    assert len(voters(network)) == 5
+    assert gone not in voters(network)
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_two_disks_lost_right_after_a_repair(seed):
+    network = grown(seed)
+    network.crash(FIRST[4])
+    network.hosts.pop(FIRST[4])
+    network.add('10.0.0.9:1')
+    network.run_until(lambda: '10.0.0.9:1' in voters(network))
+    put(network, 5, b'kept')
+    lost = [replica.node.address for replica in network.running()][:2]
+    for address in list(network.hosts):
+        network.crash(address)
+    for address in network.hosts:
+        if address in lost:
+            network.lose_disk(address)
+        else:
+            network.start(address)
+    assert held(network) == (5, b'kept')
+    network.run_until(lambda: len(voters(network)) == 5)
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_voter_that_was_replaced_comes_back_as_a_learner(seed):
+    network = grown(seed)
+    network.add('10.0.0.9:1')
+    network.run(2)
+    assert '10.0.0.9:1' not in voters(network)
+    away = next(address for address in FIRST if network.leader().node.address != address)
+    network.isolate(away)
+    network.run_until(lambda: '10.0.0.9:1' in voters(network))
+    term = network.leader().raft.term
+    network.cuts.clear()
+    network.run(5)
+    members = network.leader().raft.membership.members
+    assert {member.address for member in members if not member.voter} == {away}
+    assert network.leader().raft.term == term
+    put(network, 3, b'later')
+    network.run(2)
+    assert network.hosts[away].replica.machine.state.number == 3
+
+
+def test_learner_that_is_gone_does_not_block_another():
+    network = grown()
+    for address in ('10.0.0.8:1', '10.0.0.9:1'):
+        network.add(address)
+    network.run(2)
+    network.crash('10.0.0.8:1')
+    network.crash(FIRST[4])
+    network.run_until(lambda: '10.0.0.9:1' in voters(network))
+
+
+def test_highest_number_wins_and_a_lower_one_changes_nothing():
+    network = grown()
+    assert put(network, 4, b'four').newest == 4
+    assert put(network, 3, b'three').newest == 4
+    assert put(network, 4, b'other').newest == 4
+    assert held(network) == (4, b'four')
+    assert put(network, 9, b'nine').newest == 9
+
+
+def test_document_and_retired_servers_outlive_snapshots_and_restarts():
+    network = grown()
+    for number in range(1, 60):
+        put(network, number, b'%d' % number)
+    network.ask(network.leader(), Propose(command=RetireBackend(instance='i-1')))
+    network.run(1)
+    for address in list(network.hosts):
+        network.restart(address)
+    assert held(network) == (59, b'59')
+    assert 'i-1' in network.leader().machine.state.retired
