--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
-from ringseam.gateway.answers import COME_BACK_S, NOT_FOUND, UNAUTHORIZED
+from ringseam.gateway.admission import LAST_SERVER_S, Admission
+from ringseam.gateway.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.choice import rendezvous
 from ringseam.gateway.stagegraph import StageRun, has_stages
 from ringseam.gateway.work import Work
@@ -23,12 +24,9 @@
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.server import Exchange
 
-#: A refused client comes back after this long at the latest, seconds.
-_COME_BACK_MOST_S = 3.0
-#: What the last server of a staged request needs for its first event, seconds.
-_LAST_SERVER_S = 0.3
-#: A request is refused when it would be later than this, seconds.
-_SHED_MARGIN_S = 0.3
+#: A gateway without routes has them after this long, seconds: an election and
+#: the first answer of the leader.
+_NO_ROUTES_S = 1.5
 #: A prompt with this many shared tokens is served where they are kept; fewer
 #: are read in under 50 ms.
 _LONG_PREFIX_TOKENS = 1500
@@ -53,6 +51,7 @@
         self.pieces = pieces
         self.attempts = attempts
         self.answers = answers
+        self.admission = Admission(seed=node.incarnation)
         self.random = random.Random(node.incarnation)  # noqa: S311 - spreads load only
 
     async def serve(self, exchange: Exchange) -> None:
@@ -60,7 +59,12 @@
         request = decode_request(exchange.request)
         table = self.follower.table
         if not table.number:
-            await self.answers.refuse(exchange, request, 'no routes yet')
+            await self.answers.refuse(
+                exchange,
+                request,
+                'no routes yet',
+                come_back_s=_NO_ROUTES_S,
+            )
             return
         route = table.match(request.host, request.path)
         if route is None:
@@ -125,15 +129,15 @@
 
     async def _is_shed(self, work: Work, stages: StageRun) -> bool:
         """Refuse a request that would be late by far; it can come back."""
-        needed = stages.predicted_s() + _LAST_SERVER_S
-        excess = needed - (work.objective - self.clock.now())
-        if excess <= _SHED_MARGIN_S:
+        needed = stages.predicted_s() + LAST_SERVER_S
+        refusal = self.admission.refuses(work, needed, self.clock.now())
+        if refusal is None:
             return False
         await self.answers.refuse(
             work.exchange,
             work.request,
-            f'stages and server would take {needed:.2f} s',
-            come_back_s=min(_COME_BACK_MOST_S, max(COME_BACK_S, excess)),
+            f'stages and server would take {refusal.needed_s:.2f} s',
+            come_back_s=refusal.come_back_s,
         )
         return True
 
--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/placement.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
+from ringseam.gateway.worth import LATE_LOSS, worth_of
 from ringseam.messages import Message
 
 if TYPE_CHECKING:
@@ -32,11 +33,6 @@
 #: Unread tokens beyond this take three steps or more to read, and an event of
 #: a running stream takes three steps: it comes later than half a second.
 _DISTURBING_TOKENS = 8192
-#: Each step of priority is worth this much less; the sheets' kinds of request
-#: are worth 5.1, 1.1 and 0.36.
-_WORTH_RATIO = 0.25
-#: A late answer loses this share of its worth.
-_LATE_LOSS = 0.85
 #: The first token is predicted this well, seconds: lateness becomes certain
 #: over this span.
 _SPREAD_S = 0.6
@@ -138,7 +134,7 @@
         self.placed[ask.request] = Placed(
             instance=instance,
             unread=self.unread(ask, instance),
-            worth=_worth(ask),
+            worth=worth_of(ask.priority),
             until=now + ask.left_ms / MS_PER_S + _FORGET_S,
         )
         book = self.books.setdefault(instance, EngineBook())
@@ -181,7 +177,7 @@
         tokens = self.unread(ask, engine.instance) + sum(placed.unread for placed in here)
         cost = self._lateness(ask, engine.instance, tokens)
         if tokens > _DISTURBING_TOKENS:
-            cost += _LATE_LOSS * sum(placed.worth for placed in here if placed.running)
+            cost += LATE_LOSS * sum(placed.worth for placed in here if placed.running)
         cost += self._again(ask, engine.instance) * _AGAIN_PER_TOKEN
         crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
@@ -195,7 +191,7 @@
         first *= max(1, self.health.of(instance).slowness)
         spare = ask.objective_ms / MS_PER_S - first
         late = min(1, max(0, 1 - spare / _SPREAD_S))
-        return late * _LATE_LOSS * _worth(ask) + first * _PER_SECOND
+        return late * LATE_LOSS * worth_of(ask.priority) + first * _PER_SECOND
 
     def _again(self, ask: PlaceRequest, instance: BackendId) -> int:
         """Return the tokens kept elsewhere that this engine would read anew."""
@@ -208,10 +204,6 @@
                 self.placed.pop(request)
 
 
-def _worth(ask: PlaceRequest) -> float:
-    return _WORTH_RATIO**ask.priority
-
-
 def _tie(ask: PlaceRequest, engine: BackendReport) -> bytes:
     """Order engines of equal cost alike at all gateways, by the shared parts."""
     shared = ask.prefix[-2] if len(ask.prefix) > 1 else None
--- /dev/null
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -0,0 +1,70 @@
+"""Who is refused at once, and when to come back."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from ringseam.gateway.admission import Admission
+from ringseam.gateway.work import Work
+from ringseam.platform.requests import ClientRequest
+from ringseam.routes import RequestKind, Route, ServiceName, Target
+
+ROUTE = Route(
+    name='r',
+    host='h',
+    prefix='/',
+    kind=RequestKind.stream,
+    timeout_s=10,
+    objective_s=2,
+    targets=(Target(service=ServiceName('s')),),
+)
+
+
+def work(left_s=10.0, arrived=0.0):
+    request = ClientRequest(attempt_id='a', host='h', path='/', time_left_s=left_s, key='')
+    return Work(
+        exchange=SimpleNamespace(),
+        request=request,
+        route=ROUTE,
+        service=ServiceName('s'),
+        account=None,
+        arrived=arrived,
+        deadline=arrived + min(left_s or 10, 10),
+    )
+
+
+@pytest.mark.parametrize(('needed_s', 'refused'), [(0.5, False), (2.2, False), (2.5, True)])
+def test_first_try_is_refused_when_it_would_be_late_by_far(needed_s, refused):
+    admission = Admission(seed='x')
+    assert bool(admission.refuses(work(), needed_s, 0)) is refused
+
+
+def test_client_that_comes_back_is_taken_in():
+    admission = Admission(seed='x')
+    assert admission.refuses(work(), 4, 0)
+    assert admission.refuses(work(left_s=8.5, arrived=1.5), 4, 1.5) is None
+
+
+def test_client_without_a_chance_is_refused_again():
+    admission = Admission(seed='x')
+    admission.refuses(work(), 4, 0)
+    assert admission.refuses(work(left_s=3, arrived=7), 4, 7)
+
+
+def test_pause_stays_within_what_clients_honour():
+    admission = Admission(seed='x')
+    refusal = admission.refuses(work(), 60, 0)
+    assert 0 < refusal.come_back_s <= 10 / 3
+
+
+def test_usual_time_is_forgotten():
+    admission = Admission(seed='x')
+    assert admission.is_first(work(), 0)
+    assert not admission.is_first(work(left_s=5), 1)
+    assert admission.is_first(work(left_s=5), 100)
+
+
+def test_client_that_names_no_time_is_a_first_try():
+    assert Admission(seed='x').is_first(work(left_s=None), 0)
