Count how full calls are in the predicted wait

Cause: calls are bounded by the room for results, so pieces leave in calls of 6 where 10 were assumed, and waits were predicted too short.

--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -25,6 +25,8 @@
 #: A piece goes to another zone when fewer whole calls than this fit before it
 #: is due.
 _PATIENCE_CALLS = 2.0
+#: Weight of the newest call in the mean of how full calls are.
+_FILL_WEIGHT = 0.1
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
 
@@ -82,6 +84,8 @@
     kept_bytes: dict[BackendId, int] = field(default_factory=dict)
     #: Until when servers that said so are full.
     full_until: dict[BackendId, float] = field(default_factory=dict)
+    #: How full calls are that leave others waiting, as a share of a batch.
+    fill: float = 1
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
     def add(self, job: PieceJob) -> list[Piece]:
@@ -138,7 +142,7 @@
         busy = sum(1 for server in servers if self.calls.get(server.instance, 0) >= spec.slots)
         call = spec.call_s + spec.batch * spec.piece_s
         under_way = call / 2 if busy == len(servers) else 0
-        return under_way + call * ahead / (spec.batch * spec.slots * len(servers))
+        return under_way + call * ahead / (self.fill * spec.batch * spec.slots * len(servers))
 
     def ended(self, call: StageCall) -> None:
         """Hear that a call is over; results that weren't made need no room."""
@@ -238,6 +242,8 @@
     def _begin(self, server: BackendReport, pieces: list[Piece], spec: BatchSpec) -> StageCall:
         instance = server.instance
         self.waiting = [piece for piece in self.waiting if piece not in pieces]
+        if self.waiting:
+            self.fill += _FILL_WEIGHT * (len(pieces) / spec.batch - self.fill)
         self.calls[instance] = self.calls.get(instance, 0) + 1
         self.kept(instance, sum(piece.job.result_bytes for piece in pieces))
         return StageCall(
