Log to standard output through a bounded queue; metrics on the deploy file's port

Cause of one finding on the way: at exit the logging module waits for the lock of each handler, and the lock of a handler whose reader had stopped was never given back, so the process did not end. Seen once in a test run; the handler takes no lock now, and test_process_whose_reader_stopped_goes_on_and_ends shows it.

--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -113,14 +113,12 @@
             answers=answers,
         )
         self.clients = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
+        self.measures = HttpServer(handler=self._answer_probe, limits=HttpLimits())
         self.probes = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
         """Listen, and follow control."""
-        self.server.add(PIECES, self.pieces.serve_pieces)
-        self.server.add(RELEASE, self.pieces.serve_release)
-        self.server.add(PLACE, self.placements.serve_place)
-        self.server.add(PROGRESS, self.placements.serve_progress)
+        self._serve_methods()
         await self.server.start()
         self.stack.push_async_callback(self.server.close)
         self.stack.callback(self.pool.close)
@@ -128,6 +126,7 @@
         self.stack.push_async_callback(self.probes.close)
         await self.clients.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(self.clients.close)
+        await self._open_metrics()
         self.spawn(self.follower.run())
         self.spawn(self._sweep_always())
 
@@ -152,6 +151,18 @@
                 break
             await asyncio.sleep(_DRAIN_POLL_S)
 
+    def _serve_methods(self) -> None:
+        self.server.add(PIECES, self.pieces.serve_pieces)
+        self.server.add(RELEASE, self.pieces.serve_release)
+        self.server.add(PLACE, self.placements.serve_place)
+        self.server.add(PROGRESS, self.placements.serve_progress)
+
+    async def _open_metrics(self) -> None:
+        port = self.settings.own['metrics_port']
+        if port:
+            await self.measures.start(split_address(self.node.address)[0], port)
+            self.stack.push_async_callback(self.measures.close)
+
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path == READY_PATH:
--- /dev/null
+++ b/tests/test_util/test_util_logqueue.py
@@ -0,0 +1,61 @@
+"""Log lines never block: a reader that stops, and one that comes back."""
+
+from __future__ import annotations
+
+import logging
+import os
+import subprocess
+import sys
+import time
+
+from ringseam.util.logqueue import DescriptorHandler, drain, queued
+
+FLOOD = """
+import logging
+from ringseam.events import configure_logging
+configure_logging(level='INFO')
+for number in range(30000):
+    logging.getLogger('ringseam').warning({'message': 'x' * 200, 'number': number})
+"""
+
+
+def test_lines_that_do_not_fit_are_dropped_and_counted():
+    handler, listener = queued(logging.NullHandler(), size=4)
+    listener.stop()
+    told = []
+    handler.tell = told.append
+    logger = logging.Logger('test')
+    logger.addHandler(handler)
+    for _ in range(10):
+        logger.warning('x')
+    assert handler.dropped == 6
+    for _ in range(3):
+        handler.queue.get_nowait()
+    logger.warning('again')
+    assert told == [6]
+
+
+def test_process_whose_reader_stopped_goes_on_and_ends():
+    """Seen: the lock of a blocked handler kept a process from ending."""
+    begun = time.monotonic()
+    process = subprocess.Popen([sys.executable, '-c', FLOOD], stdout=subprocess.PIPE)
+    try:
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        process.stdout.close()
+    assert time.monotonic() - begun < 20
+
+
+def test_lines_are_written_whole_and_in_order():
+    reader, writer = os.pipe()
+    handler, listener = queued(DescriptorHandler(descriptor=writer))
+    logger = logging.Logger('test')
+    logger.addHandler(handler)
+    for number in range(100):
+        logger.warning('line %d', number)
+    drain(handler, within_s=2)
+    listener.stop()
+    os.close(writer)
+    with os.fdopen(reader) as stream:
+        assert stream.read().splitlines() == [f'line {number}' for number in range(100)]
