Do not send pieces out again when their time is over

Cause: a gateway whose question to a service's owner ended at the deadline formed batches of its own with no time left; the calls timed out at once and ejected sound servers.

--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -74,6 +74,9 @@
             reply = await self._ask_owner(owner, job)
             if reply is not None:
                 return reply
+        if job.deadline <= self.clock.now():
+            # The owner has used all the time; nothing can be made here either.
+            return [PieceResult(fault=PieceFault.late) for _ in job.pieces]
         return await self.works.make(job)
 
     def release(self, service: ServiceName, handles: tuple[str, ...]) -> None:
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -198,6 +198,10 @@
             self.health.took(call.server.instance, now - started, call.expected_s)
             self._take_results(works, call, made, spec)
         else:
+            # A call that ended with its pieces' time says nothing of its server.
+            if self.node.clock.now() < started + longest:
+                now = self.node.clock.now()
+                self.health.failed(call.server.instance, now, hard=True)
             self._take_failure(works, call, detail)
         self._dispatch(works.batcher.service)
 
@@ -238,7 +242,6 @@
         self._try_again(works, failed, call)
 
     def _take_failure(self, works: ServicePieces, call: StageCall, detail: str) -> None:
-        self.health.failed(call.server.instance, self.node.clock.now(), hard=True)
         self.node.events.emit(
             logger,
             Event.pieces_lost,
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ringseam.backends import BackendId, GatewayState
 from tests.gateways import (
     LocalGateway,
     ScriptedServer,
@@ -454,3 +455,26 @@
         assert not engine.asked
 
     asyncio.run(run())
+
+
+def test_owner_that_answers_too_late_costs_sound_servers_nothing(key_file):
+    """Seen on the bench: at the deadline, calls went out once more and were
+    counted against the servers that were to work on them."""
+
+    async def run():
+        script, calls = piece_worker(lambda: '')
+        crops, engine = ScriptedServer(script), ScriptedServer(streaming(1, 3))
+        silent = await asyncio.start_server(lambda reader, writer: None, '127.0.0.1', 0)
+        address = f'127.0.0.1:{silent.sockets[0].getsockname()[1]}'
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await crops.start(), service='crops', name='worker')
+            gateway.add(await engine.start())
+            gateway.know_gateways(GatewayState(name='owner', address=address, zone='a'))
+            found, _ = await gateway.ask('/staged/x', Pieces='1', Piece_Key='k', Deadline_Ms='300')
+            standing = gateway.role.health.of(BackendId('worker'))
+            assert found == 503
+            assert not calls
+            assert standing.ejected_until == float('-inf')
+        silent.close()
+
+    asyncio.run(run())
