--- /dev/null
+++ b/tests/test_system/test_system_platform.py
@@ -0,0 +1,246 @@
+"""The path on the users' platform over real processes, without the bench."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+
+import pytest
+
+from tests.gateways import ScriptedServer, answer, manifest
+
+pytestmark = pytest.mark.processes
+
+CONTROL = """\
+[process]
+name = c1
+address = 127.0.0.1:{cluster}
+key_file = {key}
+
+[control]
+data_dir = {folder}/data
+http = 127.0.0.1:{http}
+seeds = 127.0.0.1:{http}
+cluster_ports = {cluster}, {cluster}
+tolerated_losses = 0
+"""
+GATEWAY = """\
+[process]
+name = g1
+address = 127.0.0.1:{own}
+zone = a
+key_file = {key}
+
+[gateway]
+http = 127.0.0.1:{clients}
+ready = 127.0.0.1:{ready}
+seeds = 127.0.0.1:{http}
+cluster_ports = {cluster}, {cluster}
+grace_s = 8
+"""
+WAIT_S = 20
+
+
+def free_ports(count):
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(('127.0.0.1', 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+class Platform:
+    """One control host and one gateway, as processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        names = ('cluster', 'http', 'own', 'clients', 'ready')
+        self.ports = dict(zip(names, free_ports(len(names)), strict=True))
+        key = folder / 'key'
+        key.write_text('0123456789abcdef')
+        self.running = {}
+        for role, text in (('control', CONTROL), ('gateway', GATEWAY)):
+            settings = folder / f'{role}.ini'
+            settings.write_text(text.format(folder=folder, key=key, **self.ports))
+            self.start(role)
+
+    def start(self, role):
+        with (self.folder / f'{role}.log').open('ab') as log:
+            self.running[role] = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'ringseam',
+                    role,
+                    '--settings',
+                    str(self.folder / f'{role}.ini'),
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def end(self):
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+    async def call(self, port, method, path, body=b'', **headers):
+        """Return the status and the body of an answer; 0 when there is none."""
+        try:
+            reader, writer = await asyncio.open_connection('127.0.0.1', self.ports[port])
+        except OSError:
+            return 0, b''
+        sent = {
+            'Host': 'h.example',
+            'Connection': 'close',
+            'Content-Length': str(len(body)),
+            **{name.replace('_', '-'): text for name, text in headers.items()},
+        }
+        lines = ''.join(f'{name}: {text}\r\n' for name, text in sent.items())
+        writer.write(f'{method} {path} HTTP/1.1\r\n{lines}\r\n'.encode() + body)
+        raw = await reader.read()
+        writer.close()
+        head, _, rest = raw.partition(b'\r\n\r\n')
+        return (int(head.split(b' ')[1]) if head else 0), rest
+
+    async def until(self, status, *call, **headers):
+        begun = time.monotonic()
+        found = None
+        while time.monotonic() - begun < WAIT_S:
+            found = await self.call(*call, **headers)
+            if found[0] == status:
+                return found[1]
+            await asyncio.sleep(0.05)
+        raise AssertionError(f'{call}: {found}')
+
+    async def beat(self, address, sequence, state='ready', status=200):
+        body = {
+            'service': 'plain',
+            'addr': address,
+            'zone': 'a',
+            'seq': sequence,
+            'state': state,
+            'slots': 4,
+        }
+        path = '/api/instances/i-1'
+        await self.until(status, 'http', 'PUT', path, json.dumps(body).encode())
+
+    async def ask(self, attempt='r1'):
+        return await self.call(
+            'clients',
+            'POST',
+            '/once/x',
+            b'body',
+            Attempt_Id=attempt,
+            Deadline_Ms='5000',
+            Authorization='Bearer key-1',
+        )
+
+
+@pytest.fixture(name='platform')
+def make_platform(tmp_path):
+    platform = Platform(tmp_path)
+    yield platform
+    platform.end()
+
+
+async def good(asked, writer):
+    writer.write(answer(asked))
+
+
+def test_whole_path_from_the_first_document_to_a_leave(platform):
+    async def run():
+        server = ScriptedServer(good)
+        address = await server.start()
+        assert (await platform.call('ready', 'GET', '/api/ready'))[0] in {0, 503}
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=4))
+        await platform.beat(address, 1)
+        await platform.until(200, 'ready', 'GET', '/api/ready')
+        assert await platform.ask() == (200, b'ok')
+        assert server.asked[0].header('Expect-Instance') == 'i-1'
+        await platform.beat(address, 2, 'draining')
+        # The acknowledgement says that the gateway knows: no wait is needed.
+        assert (await platform.ask('r2'))[0] == 503
+        await platform.beat(address, 1, 'ready')
+        assert (await platform.ask('r3'))[0] == 503
+        assert len(server.asked) == 1
+
+    asyncio.run(run())
+
+
+def test_documents_over_http(platform):
+    async def run():
+        whole = manifest(version=4)
+        await platform.until(200, 'http', 'PUT', '/api/config', whole)
+        status, body = await platform.call('http', 'PUT', '/api/config', whole[:-9])
+        assert status == 400
+        assert json.loads(body)['findings']
+        assert (await platform.call('http', 'PUT', '/api/config', manifest(version=3)))[0] == 200
+        other = manifest(version=4, routes=[])
+        assert (await platform.call('http', 'PUT', '/api/config', other))[0] == 200
+        assert await platform.call('http', 'GET', '/api/config') == (200, whole)
+        platform.running['control'].kill()
+        platform.running['control'].wait()
+        platform.start('control')
+        assert await platform.until(200, 'http', 'GET', '/api/config') == whole
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('body', [b'', b'{}', b'[1]', b'\xff', b'{"service":3}'])
+def test_reports_that_can_not_be_read(platform, body):
+    async def run():
+        await platform.until(400, 'http', 'PUT', '/api/instances/i-1', body)
+
+    asyncio.run(run())
+
+
+def test_planned_stop_of_a_gateway_cuts_nothing(platform):
+    async def run():
+        async def slow(asked, writer):
+            await asyncio.sleep(1.5)
+            writer.write(answer(asked))
+
+        server = ScriptedServer(slow)
+        address = await server.start()
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=1))
+        await platform.beat(address, 1)
+        await platform.until(200, 'ready', 'GET', '/api/ready')
+        asked = asyncio.ensure_future(platform.ask())
+        while not server.asked:
+            await asyncio.sleep(0.01)
+        platform.running['gateway'].send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        assert (await platform.call('ready', 'GET', '/api/ready'))[0] == 503
+        assert await asked == (200, b'ok')
+        loop = asyncio.get_running_loop()
+        assert await loop.run_in_executor(None, platform.running['gateway'].wait, 8) == 0
+
+    asyncio.run(run())
+
+
+def test_settings_file_that_changes_is_read_again(platform):
+    async def run():
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=1))
+        gateway = platform.folder / 'gateway.ini'
+        log = platform.folder / 'gateway.log'
+        text = gateway.read_text()
+        gateway.write_text(text.replace('grace_s = 8', 'grace_s = 9'))
+        platform.running['gateway'].send_signal(signal.SIGHUP)
+        begun = time.monotonic()
+        while b'settings_reloaded' not in log.read_bytes():
+            assert time.monotonic() - begun < WAIT_S
+            await asyncio.sleep(0.05)
+        gateway.write_text('[process]\n')
+        while b'settings_refused' not in log.read_bytes():
+            assert time.monotonic() - begun < WAIT_S
+            await asyncio.sleep(0.05)
+        assert platform.running['gateway'].poll() is None
+
+    asyncio.run(run())
