--- a/ringseam/gateway/ownership.py
+++ b/ringseam/gateway/ownership.py
@@ -28,6 +28,10 @@
         """Decide here for a while what the gateway at ``address`` would."""
         self.avoided[address] = self.clock.now() + _AVOID_S
 
+    def is_present(self, address: str) -> bool:
+        """Return whether a gateway is still there, be it on its way out."""
+        return any(state.address == address for state in self.follower.gateways)
+
     def owner_of(self, service: str) -> str:
         """Return the address of the deciding gateway; empty: this one."""
         staying = {
--- a/ringseam/gateway/piececalls.py
+++ b/ringseam/gateway/piececalls.py
@@ -25,6 +25,11 @@
 #: A new connection that isn't made after this long won't be, seconds.
 _CONNECT_S = 0.4
 _OK = 200
+_UNAVAILABLE = 503
+
+
+class FullError(ChannelError):
+    """A server refused a call: it works on others, and its queue is full."""
 
 
 class PieceCalls:
@@ -38,6 +43,7 @@
     async def run(self, call: StageCall) -> list[PieceResult]:
         """Return the results of a call, in the order of its pieces.
 
+        :raises FullError: when the server refused the call.
         :raises ChannelError: when there are none.
         :raises msgspec.MsgspecError: when they can't be read.
         """
@@ -75,6 +81,8 @@
             raise
         self.pool.release(channel)
         if head.status != _OK:
-            not_run = decode_marks(head).not_run
-            raise ChannelError(f'{address}: status {head.status}', sent=not not_run)
+            detail = f'{address}: status {head.status}'
+            if head.status == _UNAVAILABLE and decode_marks(head).not_run:
+                raise FullError(detail, sent=False)
+            raise ChannelError(detail, sent=True)
         return answer
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -69,11 +69,14 @@
 
     async def make(self, job: PieceJob) -> list[PieceResult]:
         """Return a result for each piece of a job."""
+        asked: set[str] = set()
         owner = self.ownership.owner_of(job.service)
-        if owner:
+        while owner and owner not in asked:
+            asked.add(owner)
             reply = await self._ask_owner(owner, job)
             if reply is not None:
                 return reply
+            owner = self.ownership.owner_of(job.service)
         if job.deadline <= self.clock.now():
             # The owner has used all the time; nothing can be made here either.
             return [PieceResult(fault=PieceFault.late) for _ in job.pieces]
@@ -125,7 +128,7 @@
         request = _request_of(job, now)
         call = asyncio.ensure_future(self.client.call(owner, PIECES, request, timeout_s=limit))
         try:
-            await self._until_done(call, owner, job.service)
+            await self._until_done(call, owner)
             if not call.done():
                 return None
             reply: PieceReply = call.result().body
@@ -141,10 +144,12 @@
         self,
         call: asyncio.Future[Received],
         owner: str,
-        service: ServiceName,
     ) -> None:
-        """Wait until the call is over or its service has another owner."""
-        while not call.done() and self.ownership.owner_of(service) == owner:
+        """Wait until the call is over or its owner is gone.
+
+        An owner that is stopping finishes what it was asked for.
+        """
+        while not call.done() and self.ownership.is_present(owner):
             changed = asyncio.ensure_future(self.works.changed.wait())
             try:
                 await asyncio.wait({call, changed}, return_when=asyncio.FIRST_COMPLETED)
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -12,6 +12,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.events import Event
 from ringseam.gateway.batching import FULL_S, Batcher
+from ringseam.gateway.piececalls import FullError
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.routes import ServiceName
 from ringseam.util.tasks import TaskSet
@@ -185,9 +186,13 @@
         limit = min(call.expected_s * _CALL_PATIENCE + _CALL_PATIENCE_S, longest)
         made: list[PieceResult] = []
         detail = ''
+        full = False
         try:
             async with asyncio.timeout(max(0, limit)):
                 made = await self.calls.run(call)
+        except FullError as error:
+            full = True
+            detail = str(error)
         except (ChannelError, msgspec.MsgspecError, asyncio.TimeoutError) as error:
             detail = f'{type(error).__name__} {error}'
         fetched.cancel()
@@ -198,9 +203,12 @@
             self.health.took(call.server.instance, now - started, call.expected_s)
             self._take_results(works, call, made, spec)
         else:
-            # A call that ended with its pieces' time says nothing of its server.
-            if self.node.clock.now() < started + longest:
-                now = self.node.clock.now()
+            # A call that ended with its pieces' time says nothing of its server,
+            # nor does one that came while another gateway's was under way.
+            now = self.node.clock.now()
+            if full:
+                works.batcher.full_until[call.server.instance] = now + FULL_S
+            elif now < started + longest:
                 self.health.failed(call.server.instance, now, hard=True)
             self._take_failure(works, call, detail)
         self._dispatch(works.batcher.service)
@@ -250,6 +258,8 @@
             detail=detail,
         )
         self._try_again(works, call.pieces, call)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FULL_S, self._dispatch, works.batcher.service)
 
     def _try_again(self, works: ServicePieces, pieces: list[Piece], call: StageCall) -> None:
         """Have pieces made once more, if the budget allows.
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -478,3 +478,61 @@
         silent.close()
 
     asyncio.run(run())
+
+
+def test_server_that_is_full_of_other_work_is_not_ejected(key_file):
+    """Seen in the incident of Voltara: while gateways were replaced, two of them
+    called the same servers and each took the others' work for failures."""
+
+    async def run():
+        place = {}
+        script, _ = piece_worker(lambda: place['crops'])
+        refusals = []
+
+        async def busy_once(asked, writer):
+            if 'stage-run' in asked.lines[0] and not refusals:
+                refusals.append(asked)
+                await full(asked, writer)
+            else:
+                await script(asked, writer)
+
+        crops, engine = ScriptedServer(busy_once), ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            place['crops'] = await crops.start()
+            gateway.add(place['crops'], service='crops', name='worker')
+            gateway.add(await engine.start())
+            found, _ = await gateway.ask('/staged/x', Pieces='1', Piece_Key='k')
+            standing = gateway.role.health.of(BackendId('worker'))
+        assert found == 200
+        assert refusals
+        assert standing.ejected_until == float('-inf')
+
+    asyncio.run(run())
+
+
+def test_owner_that_is_stopping_is_waited_for(key_file):
+    async def run():
+        script, calls = piece_worker(lambda: '')
+        crops = ScriptedServer(script)
+        silent = await asyncio.start_server(lambda reader, writer: None, '127.0.0.1', 0)
+        address = f'127.0.0.1:{silent.sockets[0].getsockname()[1]}'
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await crops.start(), service='crops', name='worker')
+            gateway.know_gateways(GatewayState(name='owner', address=address, zone='a'))
+            asked = asyncio.ensure_future(
+                gateway.ask('/staged/x', Pieces='1', Piece_Key='k', Deadline_Ms='2000'),
+            )
+            await asyncio.sleep(0.2)
+            leaving = GatewayState(name='owner', address=address, zone='a', draining=True)
+            gateway.know_gateways(leaving)
+            gateway.role.works.refresh()
+            await asyncio.sleep(0.3)
+            assert not calls
+            gateway.know_gateways()
+            gateway.role.works.refresh()
+            await asyncio.sleep(0.3)
+            assert calls
+            asked.cancel()
+        silent.close()
+
+    asyncio.run(run())
