A test's cut waits until it is in force

Cause: each process reads its drill file again after up to 50 ms, and two applies passed before that. The test keeps its assertion; cut() now waits for twice that time.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -14,6 +14,7 @@
 import urllib3
 
 from ringseam.controlclient import ControlClient
+from ringseam.drill import REREAD_S
 from ringseam.layout import Layout
 from ringseam.messages import ApplyRequest, Empty
 from ringseam.node import Node
@@ -79,6 +80,9 @@
             for other in others:
                 path = self.layout.folder / f'{other}.drill'
                 path.write_text(planned[name].address)
+        # Each process reads its file again only now and then; before that, the
+        # cut is not in force and messages still pass.
+        time.sleep(2 * REREAD_S)
 
     def heal(self):
         for path in self.layout.folder.glob('*.drill'):
