--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -52,6 +52,14 @@
     inputs_of: str = ''
 
 
+@dataclass(kw_only=True, eq=False)
+class PieceGroup:
+    """The pieces of one job; their results are of use together only."""
+
+    #: Whether a piece has left, so that a result takes up room until all have.
+    begun: bool = False
+
+
 @dataclass(kw_only=True, eq=False)
 class Piece:
     """One piece that waits or is worked on."""
@@ -59,6 +67,7 @@
     job: PieceJob
     number: int
     order: int
+    group: PieceGroup = field(default_factory=PieceGroup)
     tries: int = 0
     avoid: set[BackendId] = field(default_factory=set)
 
@@ -90,7 +99,11 @@
 
     def add(self, job: PieceJob) -> list[Piece]:
         """Let the pieces of a job wait."""
-        pieces = [Piece(job=job, number=piece, order=next(self.numbers)) for piece in job.pieces]
+        group = PieceGroup()
+        pieces = [
+            Piece(job=job, number=piece, order=next(self.numbers), group=group)
+            for piece in job.pieces
+        ]
         self.waiting.extend(pieces)
         return pieces
 
@@ -246,6 +259,8 @@
             self.fill += _FILL_WEIGHT * (len(pieces) / spec.batch - self.fill)
         self.calls[instance] = self.calls.get(instance, 0) + 1
         self.kept(instance, sum(piece.job.result_bytes for piece in pieces))
+        for piece in pieces:
+            piece.group.begun = True
         return StageCall(
             server=server,
             pieces=pieces,
@@ -266,6 +281,18 @@
     return spare < 0 < job.due - now
 
 
-def _urgency(piece: Piece, now: float) -> tuple[bool, int, float, str, int]:
+def _urgency(piece: Piece, now: float) -> tuple[bool, bool, int, float, str, int]:
+    """Order pieces: what is begun first, then what can be on time, by worth.
+
+    A job that is begun holds room for its results until its last piece is made;
+    begun jobs that wait for others would fill the room of all servers.
+    """
     job = piece.job
-    return (job.due < now, job.priority, job.due, job.attempt_id, piece.number)
+    return (
+        not piece.group.begun,
+        job.due < now,
+        job.priority,
+        job.due,
+        job.attempt_id,
+        piece.number,
+    )
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -69,6 +69,15 @@
     assert requests_of(call) == ['dear', 'plain', 'late and dear', 'late and cheap']
 
 
+def test_begun_job_goes_before_a_dearer_one_that_holds_no_room():
+    works = batcher()
+    works.add(job('begun', pieces=6, priority=2, due=-1))
+    works.ended(works.next_call([server('s')], SPEC, 0))
+    works.add(job('dear', pieces=4, priority=0))
+    call = works.next_call([server('s')], SPEC, 0)
+    assert requests_of(call) == ['begun', 'begun', 'dear', 'dear']
+
+
 def test_piece_waits_for_its_zone_while_it_has_the_time():
     works = batcher()
     near, far = server('near', 'a'), server('far', 'b')
