--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -27,6 +27,10 @@
 #: The owner is milliseconds away; a request is placed here after this, seconds.
 _ASK_S = 0.06
 _TELL_S = 1.0
+#: An owner that didn't answer in time isn't asked for places again for this
+#: long, seconds. Pieces still go to it: two gateways that form batches for the
+#: same servers get in each other's way, two that place requests hardly do.
+_AVOID_S = 1.0
 
 
 class PlaceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -67,12 +71,14 @@
         self.ownership = ownership
         self.placers: dict[str, Placer] = {}
         self.tasks = TaskSet()
+        #: Until when owners that didn't answer are not asked, by address.
+        self.avoided: dict[str, float] = {}
 
     async def choose(self, work: Work, *, dry: bool = False) -> BackendReport | None:
         """Return where a request shall run; with ``dry``, where it would."""
         ask = self._ask(work, dry=dry)
         owner = self.ownership.owner_of(work.service)
-        if owner:
+        if owner and self.avoided.get(owner, 0) <= self.clock.now():
             chosen = await self._ask_owner(owner, ask)
             if chosen is not None:
                 if not dry:
@@ -138,7 +144,7 @@
             received = await self.client.call(owner, PLACE, ask, timeout_s=_ASK_S)
         except UnreachableError as error:
             logger.debug('placed here: %s', error)
-            self.ownership.avoid(owner)
+            self.avoided[owner] = self.clock.now() + _AVOID_S
             return None
         reply: PlaceReply = received.body
         serving = self.follower.view.serving(ServiceName(ask.service))
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -70,11 +70,7 @@
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._changed,
         )
-        self.ownership = Ownership(
-            follower=self.follower,
-            name=self.node.name,
-            clock=self.node.clock,
-        )
+        self.ownership = Ownership(follower=self.follower, name=self.node.name)
         self.placements = Placements(
             clock=self.node.clock,
             client=self.client,
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -141,6 +141,7 @@
                 route('once', 'non_idempotent'),
                 route('flow', 'stream', resumable=True),
                 route('cut', 'stream'),
+                route('sticky', 'stream', resumable=True, sticky=True),
                 route('short', 'idempotent', timeout_ms=200),
                 route('open', 'idempotent', public=True),
                 route(
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -536,3 +536,26 @@
         silent.close()
 
     asyncio.run(run())
+
+
+def test_owner_that_places_too_late_still_forms_the_batches(key_file):
+    """Seen on the bench: links that lost packets delayed places by an owner, and
+    each gateway then formed batches for the same servers for a second."""
+
+    async def run():
+        script, calls = piece_worker(lambda: '')
+        crops, engine = ScriptedServer(script), ScriptedServer(streaming(1, 3))
+        silent = await asyncio.start_server(lambda reader, writer: None, '127.0.0.1', 0)
+        address = f'127.0.0.1:{silent.sockets[0].getsockname()[1]}'
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await crops.start(), service='crops', name='worker')
+            gateway.add(await engine.start())
+            gateway.know_gateways(GatewayState(name='owner', address=address, zone='a'))
+            found, _ = await gateway.ask('/sticky/x', Prompt_Prefix='a:100', Token_Counts='100,9')
+            assert found == 200
+            found, _ = await gateway.ask('/staged/x', Pieces='1', Piece_Key='k', Deadline_Ms='300')
+            assert found == 503
+            assert not calls
+        silent.close()
+
+    asyncio.run(run())
