Short branches of a stage graph begin late

Cause: a request's large results (1.5 MB) were made at once and kept until the three stages of the other branch were done, up to 2 s in a room of 7 results a server. Ruled out: slow fetches by engines (results are given up 60 ms after the send).

Change: a branch without inputs begins when the longest branch has 1.3 times the branch's own time left.

--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -20,6 +20,10 @@
 _ENGINE_S = 0.4
 #: A stage takes this many times its call: pieces wait for a call under way.
 _WAIT_AND_CALL = 1.5
+#: A branch of the graph begins when the longest one has this many times the
+#: branch's own time left. Results that are ready early take up room at their
+#: maker until the slowest stage is done.
+_BRANCH_LEAD = 1.3
 #: A stage graph is run this often, when results are lost on the way.
 _GRAPH_TRIES = 2
 
@@ -114,8 +118,7 @@
         tasks: dict[int, asyncio.Task[PieceFault | None]] = {}
         async with asyncio.TaskGroup() as group:
             for number, stage in enumerate(stages):
-                earlier = [tasks[before] for before in stage.after]
-                tasks[number] = group.create_task(self._stage(number, stage, earlier))
+                tasks[number] = group.create_task(self._stage(number, stage, tasks))
         faults = [task.result() for task in tasks.values()]
         return next((fault for fault in faults if fault is not None), None)
 
@@ -123,13 +126,14 @@
         self,
         number: int,
         stage: RouteStage,
-        earlier: list[asyncio.Task[PieceFault | None]],
+        tasks: dict[int, asyncio.Task[PieceFault | None]],
     ) -> PieceFault | None:
-        for task in earlier:
-            fault = await task
+        count = self._pieces_of(number)
+        paced = self._paced_by(number) if count else ()
+        for before in (*stage.after, *paced):
+            fault = await tasks[before]
             if fault is not None:
                 return fault
-        count = self._pieces_of(number)
         if not count:
             return None
         inputs = tuple(handle for before in stage.after for handle in self.handles.get(before, ()))
@@ -141,6 +145,38 @@
             self._release_used()
         return fault
 
+    def _paced_by(self, number: int) -> tuple[int, ...]:
+        """Return the stages whose end a stage without inputs waits for.
+
+        Only a branch that is shorter than the longest one waits; its results
+        would else be kept until the longest branch is done.
+        """
+        if self.stages[number].after:
+            return ()
+        needed = _BRANCH_LEAD * self._path_s(number)
+        slowest = max(range(len(self.stages)), key=self._path_s)
+        paced: tuple[int, ...] = ()
+        following = self._next_on_path(slowest)
+        while following is not None and self._path_s(following) >= needed:
+            paced = (slowest,)
+            slowest, following = following, self._next_on_path(following)
+        return paced
+
+    def _next_on_path(self, number: int) -> int | None:
+        """Return the stage after ``number`` that takes longest to the end."""
+        followers = [
+            later
+            for later, stage in enumerate(self.stages)
+            if number in stage.after and self._pieces_of(later)
+        ]
+        return max(followers, key=self._path_s, default=None)
+
+    def _path_s(self, number: int) -> float:
+        """Return what a stage and the longest path after it take, seconds."""
+        if not self._pieces_of(number):
+            return 0
+        return self._stage_s(number) + self._later_s(number)
+
     def _release_used(self) -> None:
         """Give up results that all following stages have used."""
         stages = self.stages
--- /dev/null
+++ b/tests/test_gateway/test_gateway_stagegraph.py
@@ -0,0 +1,94 @@
+"""Stages of one request: their order, and when short branches begin."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ringseam.gateway.stagegraph import StageRun
+from ringseam.platform.stages import PieceFault, PieceResult
+from ringseam.routes import BackendService, BatchSpec, RouteStage, RouteTable, ServiceName
+
+SPEC = BatchSpec(slots=1, queue=2, batch=4, call_s=0.2, piece_s=0.02, room_bytes=10**7, keep_s=4)
+CROPS = ServiceName('crops')
+
+
+class RecordedPieces:
+    """Makes pieces at once, and notes the order in which stages began."""
+
+    def __init__(self, fault_at=None):
+        self.begun = []
+        self.ended = []
+        self.fault_at = fault_at
+
+    async def make(self, job):
+        self.begun.append((job.stage, tuple(self.ended)))
+        await asyncio.sleep(0)
+        self.ended.append(job.stage)
+        if job.stage == self.fault_at:
+            return [PieceResult(fault=PieceFault.error) for _ in job.pieces]
+        return [PieceResult(handle=f'a:1/{job.stage}-{piece}') for piece in job.pieces]
+
+    def release(self, service, handles):
+        """Take no note."""
+
+    def wait_s(self, service, priority):
+        return 0
+
+
+def stage(*after, size=1000):
+    return RouteStage(service=CROPS, after=after, result_bytes=size)
+
+
+def run_of(stages, counts, pieces):
+    request = SimpleNamespace(attempt_id='r', pieces=tuple(counts), piece_key='k')
+    work = SimpleNamespace(
+        route=SimpleNamespace(stages=tuple(stages)),
+        request=request,
+        objective=10,
+        deadline=20,
+        priority=1,
+    )
+    table = RouteTable(services={CROPS: BackendService(
+        name=CROPS, health_path='/', max_connections=9, batching=SPEC,
+    )})
+    return StageRun(work=work, pieces=pieces, table=table, zone='a', zones={})
+
+
+def begun(stages, counts):
+    pieces = RecordedPieces()
+    run = run_of(stages, counts, pieces)
+    assert asyncio.run(run.run()) is None
+    return dict(pieces.begun), run
+
+
+def test_short_branch_begins_with_the_last_stages_of_the_long_one():
+    """Seen on the bench: large results waited for three further stages and filled
+    the room of their makers."""
+    order, run = begun([stage(), stage(), stage(1), stage(2)], [1, 1, 1, 1])
+    assert order[0] == (1,)
+    assert run.inputs() == ('a:1/0-0', 'a:1/3-0')
+
+
+@pytest.mark.parametrize(
+    ('counts', 'ended'),
+    [([1, 1, 1, 0], ()), ([1, 0, 0, 0], ()), ([8, 1, 1, 1], (1,)), ([1, 1, 1, 1], (1,))],
+)
+def test_branch_waits_only_for_a_longer_one(counts, ended):
+    order, _ = begun([stage(), stage(), stage(1), stage(2)], counts)
+    assert order[0] == ended
+
+
+def test_branch_that_feeds_the_longest_one_begins_at_once():
+    order, _ = begun([stage(), stage(), stage(0, 1)], [1, 4, 1])
+    assert order[0] == ()
+    assert order[1] == ()
+
+
+def test_fault_of_the_long_branch_ends_the_short_one():
+    pieces = RecordedPieces(fault_at=1)
+    run = run_of([stage(), stage(), stage(1), stage(2)], [1, 1, 1, 1], pieces)
+    assert asyncio.run(run.run()).fault is PieceFault.error
+    assert [number for number, _ in pieces.begun] == [1]
