Owners are asked for their waits before a request is taken in

Ruled out: wrong waits at the owner itself.

Change: word older than 0.15 s is asked for anew, 0.05 s at most.

--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -128,8 +128,9 @@
 
     async def _is_shed(self, work: Work, stages: StageRun) -> bool:
         """Refuse a request that would be late by far; it can come back."""
-        needed = stages.predicted_s() + LAST_SERVER_S
-        refusal = self.admission.refuses(work, needed, self.clock.now())
+        await self.pieces.ask_waits(stages.services())
+        work.predicted_s = stages.predicted_s() + LAST_SERVER_S
+        refusal = self.admission.refuses(work, work.predicted_s, self.clock.now())
         if refusal is None:
             return False
         await self.answers.refuse(
--- a/ringseam/gateway/piecemessages.py
+++ b/ringseam/gateway/piecemessages.py
@@ -42,5 +42,18 @@
     handles: tuple[str, ...]
 
 
+class WaitsRequest(Message, frozen=True, kw_only=True):
+    """Ask the owner of some services how long new pieces would wait."""
+
+    services: tuple[ServiceName, ...]
+
+
+class WaitsReply(Message, frozen=True, kw_only=True):
+    """Waits in milliseconds, by service and priority."""
+
+    waits_ms: dict[ServiceName, dict[int, int]]
+
+
 PIECES = Method('/ringseam.Gateway/Pieces', PieceRequest, PieceReply)
 RELEASE = Method('/ringseam.Gateway/Release', ReleaseRequest, Empty)
+WAITS = Method('/ringseam.Gateway/Waits', WaitsRequest, WaitsReply)
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -18,15 +18,20 @@
 from ringseam.gateway.piecemessages import (
     PIECES,
     RELEASE,
+    WAITS,
     PieceReply,
     PieceRequest,
     ReleaseRequest,
+    WaitsReply,
+    WaitsRequest,
 )
 from ringseam.messages import Empty
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ringseam.clock import Clock
     from ringseam.gateway.ownership import Ownership
     from ringseam.gateway.piecework import PieceWorks
@@ -35,8 +40,14 @@
 
 logger = logging.getLogger(__name__)
 
-#: What an owner said of its waiting pieces is believed this long, seconds.
+#: What an owner said of its waiting pieces is believed this long, seconds: a
+#: call of a stage server takes 0.2 s and more.
 _WAITS_S = 0.5
+#: An owner whose word is older than this is asked anew before a request is
+#: taken in, seconds. Under load its answers come late, when they matter most.
+_WAITS_FRESH_S = 0.15
+#: An owner is milliseconds away; its answer is not waited for longer, seconds.
+_WAITS_ASK_S = 0.05
 _RELEASE_S = 1.0
 
 
@@ -100,8 +111,28 @@
         known = [wait for rank, wait in told.by_priority.items() if rank <= priority]
         return max(known, default=0) / MS_PER_S
 
+    async def ask_waits(self, services: Collection[ServiceName]) -> None:
+        """Ask owners whose word on some services is old."""
+        oldest = self.clock.now() - _WAITS_FRESH_S
+        asked: dict[str, list[ServiceName]] = {}
+        for service in sorted(services):
+            owner = self.ownership.owner_of(service)
+            told = self.told.get(service)
+            if owner and (told is None or told.at < oldest):
+                asked.setdefault(owner, []).append(service)
+        await asyncio.gather(
+            *(self._ask_owner_waits(owner, tuple(names)) for owner, names in asked.items()),
+        )
+
     # -- calls of other gateways --------------------------------------------
 
+    async def serve_waits(self, received: Received) -> WaitsReply:
+        """Tell another gateway how long new pieces would wait here."""
+        request: WaitsRequest = received.body
+        return WaitsReply(
+            waits_ms={service: self.works.waits_ms(service) for service in request.services},
+        )
+
     async def serve_pieces(self, received: Received) -> PieceReply:
         """Make pieces for another gateway."""
         request: PieceRequest = received.body
@@ -140,6 +171,17 @@
         self.told[job.service] = ToldWaits(at=self.clock.now(), by_priority=reply.waits_ms)
         return _results_of(reply)
 
+    async def _ask_owner_waits(self, owner: str, services: tuple[ServiceName, ...]) -> None:
+        request = WaitsRequest(services=services)
+        try:
+            received = await self.client.call(owner, WAITS, request, timeout_s=_WAITS_ASK_S)
+        except UnreachableError as error:
+            logger.debug('waits not told: %s', error)
+            return
+        reply: WaitsReply = received.body
+        for service, waits in reply.waits_ms.items():
+            self.told[service] = ToldWaits(at=self.clock.now(), by_priority=waits)
+
     async def _until_done(
         self,
         call: asyncio.Future[Received],
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -15,7 +15,7 @@
 from ringseam.gateway.health import HealthBook
 from ringseam.gateway.ownership import Ownership
 from ringseam.gateway.piececalls import PieceCalls
-from ringseam.gateway.piecemessages import PIECES, RELEASE
+from ringseam.gateway.piecemessages import PIECES, RELEASE, WAITS
 from ringseam.gateway.pieces import Pieces
 from ringseam.gateway.piecework import PieceWorks
 from ringseam.gateway.placements import PLACE, PROGRESS, Placements
@@ -149,6 +149,7 @@
 
     def _serve_methods(self) -> None:
         self.server.add(PIECES, self.pieces.serve_pieces)
+        self.server.add(WAITS, self.pieces.serve_waits)
         self.server.add(RELEASE, self.pieces.serve_release)
         self.server.add(PLACE, self.placements.serve_place)
         self.server.add(PROGRESS, self.placements.serve_progress)
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -14,7 +14,7 @@
     from ringseam.gateway.pieces import Pieces
     from ringseam.gateway.work import Work
     from ringseam.platform.stages import PieceResult
-    from ringseam.routes import Route, RouteStage, RouteTable
+    from ringseam.routes import Route, RouteStage, RouteTable, ServiceName
 
 #: What an engine needs of the objective after the stages, seconds.
 _ENGINE_S = 0.4
@@ -86,6 +86,12 @@
             ends.append(begin)
         return max(ends, default=0)
 
+    def services(self) -> set[ServiceName]:
+        """Return the services that the request needs pieces of."""
+        return {
+            stage.service for number, stage in enumerate(self.stages) if self._pieces_of(number)
+        }
+
     def inputs(self) -> tuple[str, ...]:
         """Return the handles of the stages that no other stage follows."""
         stages = self.stages
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -49,6 +49,8 @@
     unsent: int = 0
     #: How long the stages took, seconds.
     stages_s: float = 0
+    #: How long stages and server were predicted to take, seconds.
+    predicted_s: float = 0
 
     @property
     def objective(self) -> float:
--- /dev/null
+++ b/tests/test_gateway/test_gateway_pieces.py
@@ -0,0 +1,64 @@
+"""What a gateway knows of the waits at the owners of stage services."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ringseam.clock import PausedClock
+from ringseam.errors import UnreachableError
+from ringseam.gateway.piecemessages import WAITS, WaitsReply
+from ringseam.gateway.pieces import Pieces, ToldWaits
+from ringseam.routes import ServiceName
+
+CROPS = ServiceName('crops')
+
+
+class Owner:
+    """Answers how long pieces wait, or can't be reached."""
+
+    def __init__(self, waits=None):
+        self.waits = waits
+        self.asked = []
+
+    async def call(self, address, method, request, *, timeout_s):
+        assert method is WAITS
+        self.asked.append((address, request.services))
+        if self.waits is None:
+            raise UnreachableError('cut off')
+        return SimpleNamespace(body=WaitsReply(waits_ms={CROPS: self.waits}))
+
+
+def pieces_of(owner, address='o:1'):
+    ownership = SimpleNamespace(owner_of=lambda service: address)
+    works = SimpleNamespace(wait_s=lambda service, priority: 7)
+    return Pieces(clock=PausedClock(), client=owner, works=works, ownership=ownership)
+
+
+@pytest.mark.parametrize(('age_s', 'asked'), [(0.1, 0), (0.2, 1), (None, 1)])
+def test_owner_is_asked_when_its_word_is_old(age_s, asked):
+    owner = Owner({0: 300, 1: 900})
+    pieces = pieces_of(owner)
+    if age_s is not None:
+        at = pieces.clock.now() - age_s
+        pieces.told[CROPS] = ToldWaits(at=at, by_priority={0: 300, 1: 900})
+    asyncio.run(pieces.ask_waits({CROPS}))
+    assert len(owner.asked) == asked
+    assert pieces.wait_s(CROPS, 0) == 0.3
+    assert pieces.wait_s(CROPS, 2) == 0.9
+
+
+def test_owner_out_of_reach_leaves_the_wait_unknown():
+    pieces = pieces_of(Owner())
+    asyncio.run(pieces.ask_waits({CROPS}))
+    assert pieces.wait_s(CROPS, 0) == 0
+
+
+def test_own_batches_are_not_asked_for():
+    owner = Owner({})
+    pieces = pieces_of(owner, address='')
+    asyncio.run(pieces.ask_waits({CROPS}))
+    assert not owner.asked
+    assert pieces.wait_s(CROPS, 0) == 7
