The demo shows gateways, staged streams and a server that leaves

A stand-in that reports itself and is called directly answers plain requests, streams and calls for pieces; the demo sends one of each through a gateway and lets a server leave. What a backend server says on the wire is encoded in ringseam/platform.

--- a/ringseam/platform/registration.py
+++ b/ringseam/platform/registration.py
@@ -73,3 +73,23 @@
 def encode_accepted(report_to: str) -> bytes:
     """Return the reply to a report; ``report_to`` is where to report next."""
     return msgspec.json.encode(_BeatReply(heartbeat_addr=report_to))
+
+
+def report_path(instance: BackendId) -> str:
+    """Return where a backend server reports itself."""
+    return _INSTANCES + instance
+
+
+def encode_report(report: BackendReport) -> bytes:
+    """Return a backend server's report as it sends it."""
+    return msgspec.json.encode(
+        _Beat(
+            service=report.service,
+            addr=report.address,
+            zone=report.zone,
+            seq=report.sequence,
+            state=_State.ready if report.state is BackendState.ready else _State.draining,
+            version=report.software,
+            slots=report.slots,
+        ),
+    )
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -181,6 +181,26 @@
     return (_ATTEMPT_ID, attempt_id)
 
 
+def encode_request(request: ClientRequest) -> Headers:
+    """Return the headers of a request as its client sends them."""
+    headers = [
+        ('Host', request.host),
+        (_ATTEMPT_ID, request.attempt_id),
+        (_AUTHORIZATION, f'Bearer {request.key}'),
+    ]
+    if request.time_left_s is not None:
+        headers.append((_DEADLINE, str(int(request.time_left_s * MS_PER_S))))
+    if request.pieces:
+        headers.append((_PIECES, ','.join(map(str, request.pieces))))
+        headers.append((_PIECE_KEY, request.piece_key))
+    return headers
+
+
+def answer_marks(attempt_id: str) -> Headers:
+    """Return the marks by which a backend server's answer is known as its own."""
+    return [(_ATTEMPT_ID, attempt_id), (_SEAL, 'stand-in')]
+
+
 def _number(text: str) -> int | None:
     return int(text) if text.isascii() and text.isdigit() else None
 
--- a/ringseam/platform/stages.py
+++ b/ringseam/platform/stages.py
@@ -70,6 +70,7 @@
 
 
 _DECODER = msgspec.json.Decoder(_Outcomes)
+_ORDERS = msgspec.json.Decoder(_Orders)
 
 
 def encode_orders(orders: list[PieceOrder]) -> bytes:
@@ -108,6 +109,33 @@
     ]
 
 
+def decode_orders(body: bytes) -> list[PieceOrder]:
+    """Return what a call for pieces asks for, as a backend server sees it.
+
+    :raises msgspec.MsgspecError: when it can't be read.
+    """
+    return [
+        PieceOrder(
+            attempt_id=order.id,
+            stage=order.stage,
+            piece=order.piece,
+            time_left_s=order.left_ms / MS_PER_S,
+            key=order.key,
+            inputs=order.inputs,
+        )
+        for order in _ORDERS.decode(body).orders
+    ]
+
+
+def encode_results(made: list[PieceResult]) -> bytes:
+    """Return the answer of a backend server to a call for pieces."""
+    return msgspec.json.encode(
+        _Outcomes(
+            outcomes=[_Outcome(handle=result.handle, why=result.fault) for result in made],
+        ),
+    )
+
+
 def encode_release(handles: list[str]) -> bytes:
     """Return the body of a call that gives results up."""
     return msgspec.json.encode(_Handles(handles=handles))
--- /dev/null
+++ b/ringseam/standin/direct.py
@@ -0,0 +1,118 @@
+"""A stand-in backend server that gateways call directly and that reports itself."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+import urllib3
+
+from ringseam.backends import BackendId, BackendReport, BackendState
+from ringseam.platform.registration import encode_report, report_path
+from ringseam.platform.requests import answer_marks, decode_request
+from ringseam.platform.stages import (
+    FREE_PATH,
+    RUN_PATH,
+    PieceResult,
+    decode_orders,
+    encode_results,
+)
+from ringseam.web.server import HttpLimits, HttpServer
+
+if TYPE_CHECKING:
+    from ringseam.routes import ServiceName
+    from ringseam.web.server import Exchange
+
+logger = logging.getLogger(__name__)
+
+_OK = 200
+_BAD_REQUEST = 400
+_REPORT_S = 3.0
+_PIECE_S = 0.005
+_EVENT_S = 0.01
+_EVENTS = 5
+
+
+class DirectServer:
+    """Answer plain requests, streams and calls for pieces of one service."""
+
+    def __init__(self, *, instance: BackendId, service: ServiceName, control: str) -> None:
+        """Report to the HTTP address of a control host."""
+        self.instance = instance
+        self.service = service
+        self.control = control
+        self.address = ''
+        self.sequence = 0
+        #: Identities of the requests and pieces that ran here, in order.
+        self.ran: list[str] = []
+        self.http = HttpServer(handler=self.serve, limits=HttpLimits())
+        self.connections = urllib3.PoolManager(retries=False)
+
+    async def start(self, host: str) -> None:
+        """Serve on a free port of ``host``."""
+        port = await self.http.start(host, 0)
+        self.address = f'{host}:{port}'
+
+    async def report(self, state: BackendState = BackendState.ready) -> bool:
+        """Report to control; True when it was acknowledged."""
+        self.sequence += 1
+        report = BackendReport(
+            instance=self.instance,
+            service=self.service,
+            address=self.address,
+            zone='zone-1',
+            sequence=self.sequence,
+            slots=4,
+            state=state,
+        )
+        reply = await asyncio.to_thread(
+            self.connections.request,
+            'PUT',
+            f'http://{self.control}{report_path(self.instance)}',
+            body=encode_report(report),
+            timeout=_REPORT_S,
+        )
+        return reply.status == _OK
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one call of a gateway."""
+        path = exchange.request.path
+        if path == RUN_PATH:
+            await self._make_pieces(exchange)
+        elif path == FREE_PATH:
+            await exchange.respond(_OK, [], b'{}')
+        elif exchange.request.header('Accept') == 'text/event-stream':
+            await self._stream(exchange)
+        else:
+            await self._answer(exchange)
+
+    async def _answer(self, exchange: Exchange) -> None:
+        request = decode_request(exchange.request)
+        self.ran.append(request.attempt_id)
+        body = f'{self.instance} answers {len(exchange.request.body)} bytes\n'
+        await exchange.respond(_OK, answer_marks(request.attempt_id), body.encode())
+
+    async def _stream(self, exchange: Exchange) -> None:
+        request = decode_request(exchange.request)
+        self.ran.append(request.attempt_id)
+        marks = answer_marks(request.attempt_id)
+        exchange.start(_OK, [*marks, ('Content-Type', 'text/event-stream')])
+        for number in range((request.last_event or 0) + 1, _EVENTS + 1):
+            await asyncio.sleep(_EVENT_S)
+            await exchange.send(f'id: {number}\ndata: token {number}\n\n'.encode())
+        await exchange.finish()
+
+    async def _make_pieces(self, exchange: Exchange) -> None:
+        try:
+            orders = decode_orders(exchange.request.body)
+        except msgspec.MsgspecError as error:
+            logger.warning('call for pieces: %s', error)
+            await exchange.respond(_BAD_REQUEST, [])
+            return
+        await asyncio.sleep(_PIECE_S * len(orders))
+        names = [f'{order.attempt_id}-{order.stage}-{order.piece}' for order in orders]
+        self.ran.extend(names)
+        made = [PieceResult(handle=f'{self.address}/{name}') for name in names]
+        await exchange.respond(_OK, [], encode_results(made))
--- a/tests/test_system/test_system_platform.py
+++ b/tests/test_system/test_system_platform.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from ringseam.cmd.demogateway import GatewayDemo
 from tests.gateways import ScriptedServer, answer, manifest
 
 pytestmark = pytest.mark.processes
@@ -244,3 +245,11 @@
         assert platform.running['gateway'].poll() is None
 
     asyncio.run(run())
+
+
+def test_demo_shows_whole_answers_and_a_leave(tmp_path, capsys):
+    assert asyncio.run(GatewayDemo(folder=tmp_path).run())
+    shown = capsys.readouterr().out.splitlines()
+    assert shown[0].startswith('plain request: 200')
+    assert shown[1] == 'staged stream: 200, 5 events after 3 pieces'
+    assert 'acknowledged True; then 503' in shown[2]
