--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -41,7 +41,7 @@
     ),
     Mutation(
         'leader serves reads without asking a quorum',
-        'ringseam/control/raft.py',
+        'ringseam/control/raftreplication.py',
         'self.reads[0].round_number <= agreed',
         'self.reads[0].round_number <= self.read_round',
         CONTROL,
--- a/ringseam/agent/server.py
+++ b/ringseam/agent/server.py
@@ -5,7 +5,6 @@
 import logging
 from collections import defaultdict
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import pykka
@@ -22,6 +21,16 @@
     execution_key,
 )
 from ringseam.agent.queue import Job, StageQueue
+from ringseam.agent.servermessages import (
+    Abandon,
+    Concluded,
+    Drain,
+    GetServer,
+    Offer,
+    PrefixesKnown,
+    Reconfigured,
+    Tick,
+)
 from ringseam.agent.standing import (
     Announcement,
     ServerEstimates,
@@ -43,67 +52,11 @@
 from ringseam.util.actors import Ask, ReplyTo
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from ringseam.config import Configuration
     from ringseam.node import Node
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, kw_only=True)
-class Offer:
-    """A dispatch with the configuration revision its sender holds."""
-
-    dispatch: Dispatch
-    revision: int
-    on_text: Callable[[str], None] | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class Abandon:
-    """Nobody waits for this dispatch any more."""
-
-    dispatch: Dispatch
-
-
-@dataclass(frozen=True, kw_only=True)
-class Concluded:
-    """A worker thread carried out an execution."""
-
-    job: Job
-    reply: StageReply
-
-
-@dataclass(frozen=True, kw_only=True)
-class Reconfigured:
-    """A newer configuration is in force."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, kw_only=True)
-class PrefixesKnown:
-    """What the engine has cached, as far as its events are trusted."""
-
-    prefixes: tuple[int, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class Tick:
-    """Time passed; expire, forget and report."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class GetServer:
-    """Ask for the latest :class:`Announcement`, or None."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class Drain:
-    """A planned stop began: take nothing new."""
-
-
 class ServerActor(pykka.ThreadingActor):
     """Own the queue and the execution table of one backend server."""
 
--- a/ringseam/control/applying.py
+++ b/ringseam/control/applying.py
@@ -8,7 +8,9 @@
 from typing import TYPE_CHECKING, Any
 
 from ringseam import config
-from ringseam.control.replica import NotLeading
+from ringseam.control.replicamessages import (
+    NotLeading,
+)
 from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.errors import FindingsError
 from ringseam.events import Event
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -11,7 +11,10 @@
 
 from ringseam.backends import BackendState
 from ringseam.control.backenddirectory import BackendDirectory
-from ringseam.control.replica import Leadership, NotLeading
+from ringseam.control.replicamessages import (
+    Leadership,
+    NotLeading,
+)
 from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
 from ringseam.events import Event
 from ringseam.following import (
--- a/ringseam/control/founding.py
+++ b/ringseam/control/founding.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING, Any
 
 from ringseam.control.raftlog import Member
-from ringseam.control.replica import FormGroup, GetReplicaStatus, ReplicaStatus
+from ringseam.control.replicamessages import (
+    FormGroup,
+    GetReplicaStatus,
+    ReplicaStatus,
+)
 from ringseam.errors import UnreachableError
 from ringseam.ids import split_address
 from ringseam.services import HELLO, HelloReply, HelloRequest
--- /dev/null
+++ b/ringseam/control/raftreplication.py
@@ -0,0 +1,206 @@
+"""Replication of the log: the leader's side and the followers'."""
+
+from __future__ import annotations
+
+from ringseam.control.raftlog import (
+    AppendReply,
+    AppendRequest,
+    EntryKind,
+    InstallRequest,
+    LogEntry,
+    TimeoutNow,
+)
+from ringseam.control.raftstate import Progress, RaftState
+
+#: Most entries in one message, and most that a follower may be behind what was sent.
+_BATCH_ENTRIES = 256
+_WINDOW_ENTRIES = 4096
+#: A snapshot that was not confirmed is sent again after this long, seconds.
+_SNAPSHOT_AGAIN_S = 2.0
+
+
+class Replication(RaftState):  # noqa: WPS214 - many small rules
+    """Send entries and snapshots, take them in, and count what is held."""
+
+    def _track(self, now: float) -> None:
+        members = {member.disk for member in self.membership.members} - {self.disk}
+        for disk in members - set(self.progress):
+            self.progress[disk] = Progress(next_index=self.log.last_index + 1, heard=now)
+        for disk in set(self.progress) - members:
+            self.progress.pop(disk)
+
+    def _append(self, kind: EntryKind, payload: bytes) -> int:
+        entry = LogEntry(self.log.last_index + 1, self.term, kind, payload)
+        self._store(entry)
+        return entry.index
+
+    def _replicate(self, now: float) -> None:
+        self._track(now)
+        for disk, progress in self.progress.items():
+            self._replicate_to(disk, progress, now)
+
+    def _replicate_to(self, disk: str, progress: Progress, now: float) -> None:
+        due = now - progress.sent_at >= self.heartbeat_s
+        if not due and (progress.probing or not self._has_news(progress)):
+            return
+        if self.log.term_at(progress.next_index - 1) is None:
+            self._send_snapshot(disk, progress, now)
+            return
+        window = progress.match + _WINDOW_ENTRIES
+        self._send_entries(disk, progress, now)
+        while progress.next_index <= min(self.log.last_index, window) and not progress.probing:
+            self._send_entries(disk, progress, now)
+
+    def _has_news(self, progress: Progress) -> bool:
+        if progress.next_index <= self.log.last_index:
+            return True
+        return bool(self.reads) and progress.read_round < self.read_round
+
+    def _send_entries(self, disk: str, progress: Progress, now: float) -> None:
+        first = progress.next_index
+        entries = self.log.between(first, first + _BATCH_ENTRIES - 1)
+        self._send(
+            disk,
+            AppendRequest(
+                term=self.term,
+                prev_index=first - 1,
+                prev_term=self.log.term_at(first - 1) or 0,
+                commit=self.commit,
+                read_round=self.read_round,
+                entries=tuple(entries),
+            ),
+        )
+        progress.sent_at = now
+        if entries and not progress.probing:
+            progress.next_index = entries[-1].index + 1
+
+    def _send_snapshot(self, disk: str, progress: Progress, now: float) -> None:
+        progress.sent_at = now
+        if now < progress.snapshot_due:
+            # The follower is busy taking it: a heartbeat that any log accepts.
+            self._send(
+                disk,
+                AppendRequest(
+                    term=self.term,
+                    prev_index=0,
+                    prev_term=0,
+                    commit=0,
+                    read_round=self.read_round,
+                ),
+            )
+            return
+        progress.snapshot_due = now + _SNAPSHOT_AGAIN_S
+        self._send(
+            disk,
+            InstallRequest(
+                term=self.term,
+                snapshot=self.log.snapshot,
+                read_round=self.read_round,
+            ),
+        )
+
+    def _on_append_reply(self, source: str, reply: AppendReply, now: float) -> None:
+        progress = self.progress.get(source)
+        if not self.is_leader or progress is None or reply.term != self.term:
+            return
+        progress.heard = now
+        progress.read_round = max(progress.read_round, reply.read_round)
+        if reply.accepted:
+            progress.match = max(progress.match, reply.match)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            progress.probing = False
+            self._advance_commit()
+            self._try_hand_over(now)
+        else:
+            progress.next_index = max(1, min(progress.next_index - 1, reply.match + 1))
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            progress.probing = True
+            progress.sent_at = float('-inf')
+
+    def _advance_commit(self) -> None:
+        matches = sorted(self._match_of(disk) for disk in self.membership.voters)
+        agreed = matches[-self.membership.quorum]
+        if agreed > self.commit and self.log.term_at(agreed) == self.term:
+            self.commit = agreed
+
+    def _match_of(self, disk: str) -> int:
+        if disk == self.disk:
+            return self.stable
+        progress = self.progress.get(disk)
+        return progress.match if progress else 0
+
+    def _release_reads(self) -> None:
+        voters = self.membership.voters
+        rounds = sorted(
+            self.read_round if disk == self.disk else self._round_of(disk) for disk in voters
+        )
+        agreed = rounds[-self.membership.quorum]
+        while self.reads and self.reads[0].round_number <= agreed:
+            self.ready.reads.append(self.reads.pop(0).token)
+
+    def _round_of(self, disk: str) -> int:
+        progress = self.progress.get(disk)
+        return progress.read_round if progress else 0
+
+    def _try_hand_over(self, now: float) -> None:
+        if self.handing_over and self._match_of(self.handing_over) == self.log.last_index:
+            self._send(self.handing_over, TimeoutNow(term=self.term))
+            self._postpone(now)
+
+    def _on_append(self, source: str, request: AppendRequest) -> None:
+        if request.prev_index < self.log.snapshot.index:
+            self._reply_append(source, request, accepted=True, match=self.log.snapshot.index)
+            return
+        if self.log.term_at(request.prev_index) != request.prev_term:
+            hint = min(self.log.last_index, request.prev_index - 1)
+            self._reply_append(source, request, accepted=False, match=max(hint, self.commit))
+            return
+        for entry in request.entries:
+            self._take_entry(entry)
+        match = request.prev_index + len(request.entries)
+        self.commit = max(self.commit, min(request.commit, match))
+        self._reply_append(source, request, accepted=True, match=match)
+
+    def _take_entry(self, entry: LogEntry) -> None:
+        held = self.log.term_at(entry.index)
+        if held == entry.term:
+            return
+        if held is not None:
+            self.log.truncate(entry.index)
+            self._forget_from(entry.index)
+        self._store(entry)
+
+    def _forget_from(self, index: int) -> None:
+        earliest = self.ready.truncate_from
+        self.ready.truncate_from = index if earliest is None else min(index, earliest)
+        self.ready.entries = [kept for kept in self.ready.entries if kept.index < index]
+        self.history = [known for known in self.history if known[0] < index]
+        self.stable = min(self.stable, index - 1)
+
+    def _reply_append(
+        self,
+        source: str,
+        request: AppendRequest | InstallRequest,
+        *,
+        accepted: bool,
+        match: int,
+    ) -> None:
+        reply = AppendReply(
+            term=self.term,
+            accepted=accepted,
+            match=match,
+            read_round=request.read_round,
+        )
+        self._send(source, reply)
+
+    def _on_install(self, source: str, request: InstallRequest) -> None:
+        snapshot = request.snapshot
+        if snapshot.index > self.commit:
+            self.compacted(snapshot)
+            self.commit = snapshot.index
+            self.applied = snapshot.index
+            self.ready.snapshot = snapshot
+            self.ready.entries = [
+                kept for kept in self.ready.entries if kept.index > snapshot.index
+            ]
+        self._reply_append(source, request, accepted=True, match=self.commit)
--- /dev/null
+++ b/ringseam/control/raftstate.py
@@ -0,0 +1,148 @@
+"""What a replica remembers of the agreement, and what it must do next."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.control.raftlog import (
+    EntryKind,
+    HardState,
+    Log,
+    LogEntry,
+    Membership,
+    RaftMessage,
+    Snapshot,
+    decode_membership,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+#: A replica that has just started, or was not elected, asks for votes after this
+#: share of the usual time: asking first (pre-vote) disturbs no leader.
+FIRST_ELECTION = 0.4
+
+
+class RaftRole(enum.Enum):
+    """What a replica does in its term."""
+
+    follower = 'follower'
+    pre_candidate = 'pre-candidate'
+    candidate = 'candidate'
+    leader = 'leader'
+
+
+@dataclass(kw_only=True)
+class Progress:
+    """What the leader knows of one peer."""
+
+    next_index: int
+    match: int = 0
+    heard: float = 0
+    read_round: int = 0
+    sent_at: float = float('-inf')
+    snapshot_due: float = float('-inf')
+    probing: bool = True
+
+
+@dataclass(kw_only=True)
+class Ready:
+    """What must be done now, in this order: save, send, apply."""
+
+    hard: HardState | None = None
+    truncate_from: int | None = None
+    entries: list[LogEntry] = field(default_factory=list)
+    snapshot: Snapshot | None = None
+    messages: list[tuple[str, RaftMessage]] = field(default_factory=list)
+    committed: list[LogEntry] = field(default_factory=list)
+    reads: list[int] = field(default_factory=list)
+
+    @property
+    def must_save(self) -> bool:
+        """Return whether anything must be synced before sending."""
+        changed = self.hard is not None or self.truncate_from is not None
+        return changed or bool(self.entries) or self.snapshot is not None
+
+
+@dataclass(kw_only=True)
+class PendingRead:
+    """A read that waits for a round of heartbeats."""
+
+    token: int
+    index: int
+    round_number: int
+
+
+class RaftState:
+    """One replica's term, log and view of its peers."""
+
+    def __init__(
+        self,
+        *,
+        disk: str,
+        log: Log,
+        hard: HardState,
+        election_s: float,
+        heartbeat_s: float,
+        seed: int,
+        now: float,
+    ) -> None:
+        """Begin as a follower with what the data folder holds."""
+        self.disk = disk
+        self.log = log
+        self.term = hard.term
+        self.voted_for = hard.voted_for
+        self.election_s = election_s
+        self.heartbeat_s = heartbeat_s
+        self.random = random.Random(seed)  # noqa: S311 - spreads elections only
+        self.role = RaftRole.follower
+        self.leader = ''
+        self.leader_heard = float('-inf')
+        self.commit = log.snapshot.index
+        self.applied = log.snapshot.index
+        self.stable = log.last_index
+        self.history = log.memberships()
+        self.votes: dict[str, bool] = {}
+        self.progress: dict[str, Progress] = {}
+        self.reads: list[PendingRead] = []
+        self.read_round = 0
+        self.ready = Ready()
+        self.saved_hard = hard
+        self.handing_over = ''
+        self._postpone(now, share=FIRST_ELECTION)
+
+    @property
+    def membership(self) -> Membership:
+        """Return the latest membership in the log, committed or not."""
+        return self.history[-1][1]
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        return self.role is RaftRole.leader
+
+    def compacted(self, snapshot: Snapshot) -> None:
+        """Hear that entries up to the snapshot's index were replaced by it."""
+        self.log.compact(snapshot)
+        self.history = self.log.memberships()
+
+    def _is_voter(self) -> bool:
+        return self.disk in self.membership.voters
+
+    def _peers(self) -> Iterable[str]:
+        return (disk for disk in self.membership.voters if disk != self.disk)
+
+    def _send(self, target: str, message: RaftMessage) -> None:
+        self.ready.messages.append((target, message))
+
+    def _postpone(self, now: float, *, share: float = 1) -> None:
+        self.election_due = now + share * self.election_s * (1 + self.random.random())
+
+    def _store(self, entry: LogEntry) -> None:
+        self.log.append(entry)
+        self.ready.entries.append(entry)
+        if entry.kind is EntryKind.membership:
+            self.history.append((entry.index, decode_membership(entry.payload)))
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -15,6 +15,12 @@
 from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
 from ringseam.control.peerlinks import PeerLinks
 from ringseam.control.replica import (
+    Replica,
+)
+from ringseam.control.replicaactor import (
+    ReplicaActor,
+)
+from ringseam.control.replicamessages import (
     BlankSeen,
     Deliver,
     FindApply,
@@ -25,8 +31,6 @@
     Outlets,
     Propose,
     ReadBarrier,
-    Replica,
-    ReplicaActor,
     ReplicaSettings,
     ReplicaStatus,
     TimePassed,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,9 @@
 from ringseam.clock import PausedClock
 from ringseam.control.raftlog import Member
 from ringseam.control.replica import (
+    Replica,
+)
+from ringseam.control.replicamessages import (
     BlankSeen,
     Deliver,
     FormGroup,
@@ -15,7 +18,6 @@
     Outlets,
     Propose,
     ReadBarrier,
-    Replica,
     ReplicaSettings,
     TimePassed,
 )
--- a/tests/test_agent/test_agent_standing.py
+++ b/tests/test_agent/test_agent_standing.py
@@ -9,7 +9,14 @@
 
 from ringseam.agent.adapters import Adapter
 from ringseam.agent.queue import FairQueue
-from ringseam.agent.server import Drain, Offer, Reconfigured, ServerActor
+from ringseam.agent.server import (
+    ServerActor,
+)
+from ringseam.agent.servermessages import (
+    Drain,
+    Offer,
+    Reconfigured,
+)
 from ringseam.agent.standing import (
     Announcement,
     ServerEstimates,
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -7,7 +7,11 @@
 from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.follow import FollowService, HeldDocument
-from ringseam.control.replica import Leadership, Linearizable, NotLeading
+from ringseam.control.replicamessages import (
+    Leadership,
+    Linearizable,
+    NotLeading,
+)
 from ringseam.control.state import BackendRetired, DocumentPut
 from ringseam.following import (
     DocumentHeld,
--- a/tests/test_control/test_control_membership.py
+++ b/tests/test_control/test_control_membership.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from ringseam.control.replica import Propose
+from ringseam.control.replicamessages import (
+    Propose,
+)
 from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
 from tests.fakes import Network
 
--- a/tests/test_control/test_control_replica.py
+++ b/tests/test_control/test_control_replica.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from ringseam.control.replica import Linearizable, NotLeading, Propose, ReadBarrier
+from ringseam.control.replicamessages import (
+    Linearizable,
+    NotLeading,
+    Propose,
+    ReadBarrier,
+)
 from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.errors import DamagedLogError, StorageError
 from tests.fakes import Network
