Among accounts of equal priority the route's priority decides

Cause: a client account's priority replaced the route's. Ruled out: the order of pieces itself (due times, begun jobs).

Change: requests are ranked by the account's priority, then the route's; worth goes by the route's. Engines get both in their ten urgencies.

--- a/ringseam/gateway/answers.py
+++ b/ringseam/gateway/answers.py
@@ -92,7 +92,7 @@
             work,
             Event.request_answered,
             status=status,
-            priority=work.priority,
+            rank=work.rank,
             took_ms=round(took_ms),
             predicted_ms=round(work.predicted_s * MS_PER_S),
             stages_ms=round(work.stages_s * MS_PER_S),
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.gateway.worth import priority_of
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -53,7 +55,8 @@
     #: When the whole request stops earning its full worth, less later work.
     due: float
     deadline: float
-    priority: int
+    #: Who goes first, 0 before all; see :func:`ringseam.gateway.worth.rank_of`.
+    rank: int
     result_bytes: int
     #: Where its inputs are or its result is wanted.
     zone: str = ''
@@ -172,15 +175,13 @@
         self,
         servers: Collection[BackendReport],
         spec: BatchSpec,
-        priority: int,
+        rank: int,
         now: float,
     ) -> float:
-        """Return how long a new piece of this priority would wait, seconds."""
+        """Return how long a new piece of this rank would wait, seconds."""
         if not servers:
             return 0
-        ahead = sum(
-            1 for piece in self.waiting if piece.job.priority <= priority and piece.job.due > now
-        )
+        ahead = sum(1 for piece in self.waiting if piece.job.rank <= rank and piece.job.due > now)
         busy = sum(1 for server in servers if self.calls.get(server.instance, 0) >= spec.slots)
         call = spec.call_s + spec.batch * spec.piece_s
         under_way = call / 2 if busy == len(servers) else 0
@@ -338,7 +339,7 @@
     it has the time for some more calls there; the dearest requests don't wait.
     """
     job = piece.job
-    if piece.avoid or job.priority == 0:
+    if piece.avoid or priority_of(job.rank) == 0:
         return True
     spare = job.due - now - _PATIENCE_CALLS * (spec.call_s + spec.batch * spec.piece_s)
     return spare < 0 < job.due - now
@@ -354,7 +355,7 @@
     return (
         not piece.group.begun,
         job.due < now,
-        job.priority,
+        job.rank,
         job.due,
         (job.attempt_id, piece.number),
     )
--- a/ringseam/gateway/piecemessages.py
+++ b/ringseam/gateway/piecemessages.py
@@ -20,7 +20,7 @@
     inputs: tuple[str, ...] = ()
     due_ms: int
     left_ms: int
-    priority: int
+    rank: int
     result_bytes: int
     zone: str
     inputs_of: str = ''
@@ -31,7 +31,7 @@
 
     handles: tuple[str, ...] = ()
     fault: str = ''
-    #: How long a new piece would wait now, in milliseconds, by priority.
+    #: How long a new piece would wait now, in milliseconds, by rank.
     waits_ms: dict[int, int] = msgspec.field(default_factory=dict)
 
 
@@ -49,7 +49,7 @@
 
 
 class WaitsReply(Message, frozen=True, kw_only=True):
-    """Waits in milliseconds, by service and priority."""
+    """Waits in milliseconds, by service and rank."""
 
     waits_ms: dict[ServiceName, dict[int, int]]
 
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -56,7 +56,7 @@
     """How long new pieces wait at a service's owner, in ms, and when it said so."""
 
     at: float
-    by_priority: dict[int, int]
+    by_rank: dict[int, int]
 
 
 class Pieces:
@@ -101,14 +101,14 @@
         else:
             self.works.release(service, handles)
 
-    def wait_s(self, service: ServiceName, priority: int) -> float:
+    def wait_s(self, service: ServiceName, rank: int) -> float:
         """Return how long a new piece would wait, as far as is known, seconds."""
         if not self.ownership.owner_of(service):
-            return self.works.wait_s(service, priority)
+            return self.works.wait_s(service, rank)
         told = self.told.get(service)
         if told is None or self.clock.now() - told.at > _WAITS_S:
             return 0
-        known = [wait for rank, wait in told.by_priority.items() if rank <= priority]
+        known = [wait for other, wait in told.by_rank.items() if other <= rank]
         return max(known, default=0) / MS_PER_S
 
     async def ask_waits(self, services: Collection[ServiceName]) -> None:
@@ -168,7 +168,7 @@
             return None
         finally:
             call.cancel()
-        self.told[job.service] = ToldWaits(at=self.clock.now(), by_priority=reply.waits_ms)
+        self.told[job.service] = ToldWaits(at=self.clock.now(), by_rank=reply.waits_ms)
         return _results_of(reply)
 
     async def _ask_owner_waits(self, owner: str, services: tuple[ServiceName, ...]) -> None:
@@ -180,7 +180,7 @@
             return
         reply: WaitsReply = received.body
         for service, waits in reply.waits_ms.items():
-            self.told[service] = ToldWaits(at=self.clock.now(), by_priority=waits)
+            self.told[service] = ToldWaits(at=self.clock.now(), by_rank=waits)
 
     async def _until_done(
         self,
@@ -222,7 +222,7 @@
         inputs=job.inputs,
         due_ms=int((job.due - now) * MS_PER_S),
         left_ms=max(0, int((job.deadline - now) * MS_PER_S)),
-        priority=job.priority,
+        rank=job.rank,
         result_bytes=job.result_bytes,
         zone=job.zone,
         inputs_of=job.inputs_of,
@@ -239,7 +239,7 @@
         inputs=request.inputs,
         due=now + request.due_ms / MS_PER_S,
         deadline=now + request.left_ms / MS_PER_S,
-        priority=request.priority,
+        rank=request.rank,
         result_bytes=request.result_bytes,
         zone=request.zone,
         inputs_of=request.inputs_of,
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -160,18 +160,18 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def wait_s(self, service: ServiceName, priority: int) -> float:
+    def wait_s(self, service: ServiceName, rank: int) -> float:
         """Return how long a new piece would wait here, seconds."""
         spec = self._spec(service)
         if spec is None:
             return 0
         batcher = self._works(service).batcher
-        return batcher.wait_s(self._servers(service), spec, priority, self.node.clock.now())
+        return batcher.wait_s(self._servers(service), spec, rank, self.node.clock.now())
 
     def waits_ms(self, service: ServiceName) -> dict[int, int]:
-        """Return how long new pieces would wait, in ms, by priority."""
+        """Return how long new pieces would wait, in ms, by rank."""
         waiting = self._works(service).batcher.waiting
-        ranks = {piece.job.priority for piece in waiting} | {0}
+        ranks = {piece.job.rank for piece in waiting} | {0}
         return {rank: int(MS_PER_S * self.wait_s(service, rank)) for rank in ranks}
 
     @property
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -128,7 +128,7 @@
             prefix=tuple(
                 PlacedPart(name=part.name, tokens=part.tokens) for part in work.request.prefix
             ),
-            priority=work.priority,
+            priority=work.route.priority,
             objective_ms=int((work.objective - now) * MS_PER_S),
             left_ms=int((work.deadline - now) * MS_PER_S),
             result_bytes=work.input_bytes,
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -30,8 +30,8 @@
 #: Pieces that wait longer than this show that a service has no time or room to
 #: spare, seconds: half of the shortest call of the sheets.
 _SCARCE_WAIT_S = 0.1
-#: Waits are asked for with this priority to count all that wait.
-_LOWEST_PRIORITY = 9
+#: Waits are asked for with this rank to count all that wait.
+_LAST_RANK = 2**31
 #: A stage graph is run this often, when results are lost on the way.
 _GRAPH_TRIES = 2
 
@@ -86,7 +86,7 @@
         for number, stage in enumerate(stages):
             begin = max((ends[before] for before in stage.after), default=0)
             if self._pieces_of(number):
-                begin += self.pieces.wait_s(stage.service, self.work.priority)
+                begin += self.pieces.wait_s(stage.service, self.work.rank)
                 begin += self._stage_s(number) / _WAIT_AND_CALL
             ends.append(begin)
         return max(ends, default=0)
@@ -129,9 +129,8 @@
 
     def release_scarce(self) -> None:
         """Give up the results of services where pieces wait: room may be short."""
-        lowest = max(self.work.priority, _LOWEST_PRIORITY)
         for number in list(self.handles):
-            if self.pieces.wait_s(self.stages[number].service, lowest) > _SCARCE_WAIT_S:
+            if self.pieces.wait_s(self.stages[number].service, _LAST_RANK) > _SCARCE_WAIT_S:
                 self._release_stage(number)
 
     async def _run_once(self) -> PieceFault | None:
@@ -232,7 +231,7 @@
             inputs=inputs,
             due=work.objective - _ENGINE_S - self._later_s(number),
             deadline=work.deadline,
-            priority=work.priority,
+            rank=work.rank,
             result_bytes=stage.result_bytes,
             zone=self._zone_for(number, inputs),
             inputs_of=self._sole_maker(number, stage),
--- a/ringseam/gateway/tries.py
+++ b/ringseam/gateway/tries.py
@@ -8,6 +8,7 @@
 
 from ringseam.gateway.silence import OpenAnswer
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
+from ringseam.gateway.worth import urgency_of
 from ringseam.platform.requests import CallHeaders, decode_marks, encode_call
 from ringseam.web.bodies import end_to_end
 from ringseam.web.client import ChannelError
@@ -27,8 +28,6 @@
 CONNECT_S = 0.4
 #: Answers for other requests that are skipped on one connection.
 _STRAY_ANSWERS = 2
-#: Urgency of priority 0; further priorities follow.
-_URGENCY_LAST = 9
 
 
 class Sender:
@@ -90,7 +89,7 @@
                 instance=server.instance,
                 time_left_s=work.deadline - self.clock.now(),
                 account=work.account.name if work.account else '',
-                urgency=min(work.priority, _URGENCY_LAST) if work.route.affinity else None,
+                urgency=urgency_of(work.rank) if work.route.affinity else None,
                 inputs=work.inputs,
                 last_event=last_event,
             ),
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Union
 
+from ringseam.gateway.worth import rank_of
+
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
     from ringseam.platform.requests import AnswerMarks, ClientRequest
@@ -63,11 +65,10 @@
         return self.route.repeatable and self.sends + 1 < self.route.max_attempts
 
     @property
-    def priority(self) -> int:
-        """Return the rank; 0 is first."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
+    def rank(self) -> int:
+        """Return the rank among all requests; 0 is first."""
+        account = None if self.account is None else self.account.priority
+        return rank_of(self.route.priority, account)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/gateway/worth.py
+++ b/ringseam/gateway/worth.py
@@ -1,4 +1,4 @@
-"""What an answer is worth, by priority and by whether it is on time."""
+"""Who goes first, and what an answer is worth."""
 
 from __future__ import annotations
 
@@ -8,6 +8,33 @@
 #: A late answer loses this share of its worth, by the same sheets.
 LATE_LOSS = 0.85
 
+#: Ranks of the requests of one client account; priorities of routes are below.
+_RANKS = 100
+#: Engines know ten urgencies: three of routes for each of three accounts'.
+_ROUTE_URGENCIES = 3
+_LAST_URGENCY = 9
+
+
+def rank_of(route: int, account: int | None) -> int:
+    """Return the rank of a request; 0 is first.
+
+    A client account's priority goes first. Among accounts of equal priority,
+    which is the usual case, the route's decides.
+    """
+    first = route if account is None else account
+    return first * _RANKS + min(route, _RANKS - 1)
+
+
+def priority_of(rank: int) -> int:
+    """Return the route's priority, which tells the worth of an answer."""
+    return rank % _RANKS
+
+
+def urgency_of(rank: int) -> int:
+    """Return a rank as engines take it, from 0, which is first, to 9."""
+    route = min(rank % _RANKS, _ROUTE_URGENCIES - 1)
+    return min(_LAST_URGENCY, rank // _RANKS * _ROUTE_URGENCIES + route)
+
 
 def worth_of(priority: int, *, late: bool = False) -> float:
     """Return the worth against one of the highest priority that is on time."""
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -22,7 +22,7 @@
     )
 
 
-def job(request='r', pieces=1, *, due=10.0, priority=1, size=1000, zone='', **fields):
+def job(request='r', pieces=1, *, due=10.0, rank=1, size=1000, zone='', **fields):
     return PieceJob(
         attempt_id=request,
         service=SERVICE,
@@ -32,7 +32,7 @@
         inputs=(),
         due=due,
         deadline=due + 5,
-        priority=priority,
+        rank=rank,
         result_bytes=size,
         zone=zone,
         **fields,
@@ -61,19 +61,19 @@
 
 def test_urgent_request_goes_first_and_a_late_one_last():
     works = batcher()
-    works.add(job('late and cheap', due=-1, priority=1))
-    works.add(job('late and dear', due=-1, priority=0))
-    works.add(job('plain', priority=1))
-    works.add(job('dear', priority=0))
+    works.add(job('late and cheap', due=-1, rank=1))
+    works.add(job('late and dear', due=-1, rank=0))
+    works.add(job('plain', rank=1))
+    works.add(job('dear', rank=0))
     call = works.next_call([server('s')], SPEC, 0)
     assert requests_of(call) == ['dear', 'plain', 'late and dear', 'late and cheap']
 
 
 def test_begun_job_goes_before_a_dearer_one_that_holds_no_room():
     works = batcher()
-    works.add(job('begun', pieces=6, priority=2, due=-1))
+    works.add(job('begun', pieces=6, rank=2, due=-1))
     works.ended(works.next_call([server('s')], SPEC, 0))
-    works.add(job('dear', pieces=4, priority=0))
+    works.add(job('dear', pieces=4, rank=0))
     call = works.next_call([server('s')], SPEC, 0)
     assert requests_of(call) == ['begun', 'begun', 'dear', 'dear']
 
@@ -112,9 +112,9 @@
 def test_dear_piece_leaves_a_busy_zone_at_once_but_not_an_idle_one():
     works = batcher()
     near, far = server('near', 'a'), server('far', 'b')
-    works.add(job('r', zone='a', due=100, priority=0))
+    works.add(job('r', zone='a', due=100, rank=0))
     assert works.next_call([near, far], SPEC, 0).server is near
-    works.add(job('q', zone='a', due=100, priority=0))
+    works.add(job('q', zone='a', due=100, rank=0))
     assert works.next_call([near, far], SPEC, 0).server is far
 
 
@@ -188,8 +188,8 @@
 def test_wait_counts_what_is_ahead_by_priority():
     works = batcher()
     works.calls[BackendId('s')] = 1
-    works.add(job('dear', pieces=8, priority=0))
-    works.add(job('cheap', pieces=8, priority=2))
+    works.add(job('dear', pieces=8, rank=0))
+    works.add(job('cheap', pieces=8, rank=2))
     servers = [server('s')]
     dear = works.wait_s(servers, SPEC, 0, 0)
     cheap = works.wait_s(servers, SPEC, 2, 0)
@@ -214,7 +214,7 @@
     servers = [server('x', 'a'), server('y', 'b')]
     expected = []
     for number, (pieces, priority, zone, size) in enumerate(arrivals):
-        works.add(job(f'r{number}', pieces, priority=priority, zone=zone, size=size))
+        works.add(job(f'r{number}', pieces, rank=priority, zone=zone, size=size))
         expected.extend((f'r{number}', piece) for piece in range(pieces))
     seen = []
     now = 0.0
--- a/tests/test_gateway/test_gateway_pieces.py
+++ b/tests/test_gateway/test_gateway_pieces.py
@@ -33,7 +33,7 @@
 
 def pieces_of(owner, address='o:1'):
     ownership = SimpleNamespace(owner_of=lambda service: address)
-    works = SimpleNamespace(wait_s=lambda service, priority: 7)
+    works = SimpleNamespace(wait_s=lambda service, rank: 7)
     return Pieces(clock=PausedClock(), client=owner, works=works, ownership=ownership)
 
 
@@ -43,7 +43,7 @@
     pieces = pieces_of(owner)
     if age_s is not None:
         at = pieces.clock.now() - age_s
-        pieces.told[CROPS] = ToldWaits(at=at, by_priority={0: 300, 1: 900})
+        pieces.told[CROPS] = ToldWaits(at=at, by_rank={0: 300, 1: 900})
     asyncio.run(pieces.ask_waits({CROPS}))
     assert len(owner.asked) == asked
     assert pieces.wait_s(CROPS, 0) == 0.3
--- a/tests/test_gateway/test_gateway_stagegraph.py
+++ b/tests/test_gateway/test_gateway_stagegraph.py
@@ -51,7 +51,7 @@
         request=request,
         objective=10,
         deadline=20,
-        priority=1,
+        rank=1,
     )
     table = RouteTable(
         services={
