Search for the leader passes over hosts that don't answer

Cause: a gateway that looks for the leader gave each address 1.5 s; after all hosts lost their power, three of five gateways had routes 0.4 s after the others. Ruled out: the election itself (35.66 s; the first gateways 35.76 s, the last 36.08 s).

Change: 0.4 s a host while searching, and no epoch, so that a leader answers at once.

--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -23,6 +23,9 @@
 
 #: A watch is held for a second; later its host counts as lost, seconds.
 _WATCH_TIMEOUT_S = 1.5
+#: While the leader is looked for, a host answers at once or is passed over after
+#: this long, seconds: one without power would hold the search up.
+_SEARCH_TIMEOUT_S = 0.4
 #: Pause after a host that couldn't tell the leader, seconds.
 _PAUSE_S = 0.1
 
@@ -101,19 +104,17 @@
         self.on_change()
 
     async def _watch(self, address: str) -> bool:
+        followed = self.in_touch and address == self.leader
         request = WatchRequest(
             gateway=self.state,
-            epoch=self.epoch,
-            since=self.since,
+            # Without an epoch the leader answers at once.
+            epoch=self.epoch if followed else '',
+            since=self.since if followed else 0,
             number=self.table.number,
         )
+        limit_s = _WATCH_TIMEOUT_S if followed else _SEARCH_TIMEOUT_S
         try:
-            received = await self.client.call(
-                address,
-                WATCH,
-                request,
-                timeout_s=_WATCH_TIMEOUT_S,
-            )
+            received = await self.client.call(address, WATCH, request, timeout_s=limit_s)
         except UnreachableError as error:
             self._lose(address, str(error))
             return False
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -13,12 +13,14 @@
     NotLeading,
 )
 from ringseam.control.state import BackendRetired, DocumentPut
+from ringseam.errors import UnreachableError
 from ringseam.following import (
     DocumentHeld,
     NotYet,
     ReportTaken,
     Submit,
     WatchNews,
+    WatchReply,
     WatchRequest,
 )
 from ringseam.gateway.follower import Follower
@@ -248,3 +250,36 @@
     gateway.take(news(reports=(report('i-1', 7),)))
     gateway.take(news(upto=2, whole=False, reports=(report('i-1', 7, BackendState.draining),)))
     assert gateway.view.serving(ServiceName('s')) == []
+
+
+class RecordedHost:
+    """A leader that answers watches, and notes how long it was given."""
+
+    def __init__(self, reply):
+        self.reply = reply
+        self.calls = []
+
+    async def call(self, address, method, request, *, timeout_s):
+        self.calls.append((address, request.epoch, request.since, timeout_s))
+        if self.reply is None:
+            raise UnreachableError('no power')
+        body = WatchReply(reply=self.reply)
+        return Received(sender='c', address=address, group='g', revision=0, body=body)
+
+
+def test_host_without_power_does_not_hold_up_the_search_for_the_leader():
+    """Seen on the bench: after all hosts had lost their power, gateways waited
+    for those that were still down while another one led."""
+
+    async def run():
+        gateway = follower()
+        gateway.client = RecordedHost(None)
+        assert not await gateway._watch('down')
+        gateway.client = RecordedHost(news(upto=3))
+        assert await gateway._watch('c1')
+        assert await gateway._watch('c1')
+        searched, followed = gateway.client.calls
+        assert searched == ('c1', '', 0, 0.4)
+        assert followed == ('c1', 'e1', 3, 1.5)
+
+    asyncio.run(run())
