--- a/ringseam/gateway/answers.py
+++ b/ringseam/gateway/answers.py
@@ -82,6 +82,10 @@
         self.log(work, Event.request_failed, status=status, detail=detail)
         self.metrics.add('requests', status=str(status), route=work.route.name)
 
+    def note_passed(self, passed_s: float) -> None:
+        """Record how long a stream's event took through this process."""
+        self.metrics.record_ms('event_pass', passed_s * MS_PER_S)
+
     def note(self, work: Work, status: int, first_at: float, gap: float = 0) -> None:
         """Record a server's answer; ``gap`` is its longest pause, seconds."""
         took_ms = (self.node.clock.now() - work.arrived) * MS_PER_S
--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -61,6 +61,7 @@
     async def run(self, work: Work, stages: StageRun | None) -> None:
         """Send until an answer is passed on, else give the final answer."""
         relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
+        relay.on_passed = self.answers.note_passed
         relay.on_first = lambda: self._note_first(work, stages)
         outcome: TryOutcome | None = NotRun(detail='no server')
         repeat = True
--- a/ringseam/gateway/relay.py
+++ b/ringseam/gateway/relay.py
@@ -72,6 +72,8 @@
     on_first: Callable[[], None] = lambda: None
     #: Called for all bytes of a stream.
     on_chunk: Callable[[], None] = lambda: None
+    #: Told how long events took from their arrival to the client's connection.
+    on_passed: Callable[[float], None] = lambda passed_s: None
 
     async def pass_on(self, answered: Answered) -> StreamEnd:
         """Pass one server's events on until they end."""
@@ -96,7 +98,9 @@
             self.on_chunk()
             if chunk is None:
                 return StreamEnd.broken if self.splitter.rest else StreamEnd.whole
-            if not await self._take(chunk):
+            whole = await self._take(chunk)
+            self.on_passed(asyncio.get_running_loop().time() - channel.heard_at)
+            if not whole:
                 return StreamEnd.out_of_order
 
     def _note_time(self, now: float) -> None:
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -77,6 +77,8 @@
         self.uses = 0
         self.idle_until = float('inf')
         self.reusable = True
+        #: When bytes came last, by the loop's clock.
+        self.heard_at: float = 0
 
     # -- the transport's calls ----------------------------------------------
 
@@ -90,6 +92,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse what has arrived."""
+        self.heard_at = asyncio.get_running_loop().time()
         if not self.sent:
             # Bytes that nobody asked for: this connection can't be trusted.
             self._fail('bytes without a request')
