Jobs whose inputs are soon lost go first; no stages that can't be in time

Pieces also waited until the request's own deadline, when nothing that follows could be done any more. Ruled out: engines that refuse (7 of 900).

Change: a piece whose inputs are given up within 1.2 s goes first; a stage's deadline leaves the time for what follows; stages are run again only if there is the time.

--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -31,6 +31,9 @@
 #: Room that was found taken by unknown results is believed taken this long,
 #: seconds; they are kept for 4 s at most, and a try costs a call of 0.2 s.
 UNKNOWN_S = 0.5
+#: A piece whose inputs are given up within this time goes first, seconds: a call
+#: under way and one of its own.
+_EXPIRY_S = 1.2
 #: A server that takes this many times longer than expected counts as slow.
 _SLOW = 1.8
 #: A piece goes to another zone when fewer whole calls than this fit before it
@@ -58,6 +61,8 @@
     #: Who goes first, 0 before all; see :func:`ringseam.gateway.worth.rank_of`.
     rank: int
     result_bytes: int
+    #: When the first of its inputs is given up by its maker.
+    expires: float = float('inf')
     #: Where its inputs are or its result is wanted.
     zone: str = ''
     #: The service that made the inputs, when nothing else needs them after this.
@@ -345,15 +350,21 @@
     return spare < 0 < job.due - now
 
 
+def _holds_room(piece: Piece, now: float) -> bool:
+    """Return whether a piece goes first: results wait for it, or are soon lost."""
+    return piece.group.begun or piece.job.expires - now < _EXPIRY_S
+
+
 def _urgency(piece: Piece, now: float) -> tuple[bool, bool, int, float, tuple[str, int]]:
     """Order pieces: what is begun first, then what can be on time, by worth.
 
     A job that is begun holds room for its results until its last piece is made;
-    begun jobs that wait for others would fill the room of all servers.
+    begun jobs that wait for others would fill the room of all servers. A job
+    whose inputs are soon given up would have all its stages run again.
     """
     job = piece.job
     return (
-        not piece.group.begun,
+        not _holds_room(piece, now),
         job.due < now,
         job.rank,
         job.due,
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -115,6 +115,7 @@
         stages = StageRun(
             work=work,
             pieces=self.pieces,
+            clock=self.clock,
             table=self.follower.table,
             zone=await self._stage_zone(work),
             zones=self.follower.view.zones,
--- a/ringseam/gateway/piecemessages.py
+++ b/ringseam/gateway/piecemessages.py
@@ -23,6 +23,8 @@
     rank: int
     result_bytes: int
     zone: str
+    #: Until the first input is given up, in milliseconds; negative: never.
+    expires_ms: int = -1
     inputs_of: str = ''
 
 
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -225,6 +226,7 @@
         rank=job.rank,
         result_bytes=job.result_bytes,
         zone=job.zone,
+        expires_ms=-1 if math.isinf(job.expires) else max(0, int((job.expires - now) * MS_PER_S)),
         inputs_of=job.inputs_of,
     )
 
@@ -242,6 +244,7 @@
         rank=request.rank,
         result_bytes=request.result_bytes,
         zone=request.zone,
+        expires=math.inf if request.expires_ms < 0 else now + request.expires_ms / MS_PER_S,
         inputs_of=request.inputs_of,
     )
 
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
+    from ringseam.clock import Clock
     from ringseam.gateway.pieces import Pieces
     from ringseam.gateway.work import Work
     from ringseam.platform.stages import PieceResult
@@ -18,6 +20,8 @@
 
 #: What an engine needs of the objective after the stages, seconds.
 _ENGINE_S = 0.4
+#: From a request's arrival at an idle engine to its first event, seconds.
+_FIRST_EVENT_S = 0.1
 #: A stage takes this many times its call: pieces wait for a call under way.
 _WAIT_AND_CALL = 1.5
 #: A branch of the graph begins when the longest one has this many times the
@@ -49,6 +53,7 @@
 
     work: Work
     pieces: Pieces
+    clock: Clock
     table: RouteTable
     #: The availability zone that the last server will be in; empty: any.
     zone: str
@@ -56,6 +61,8 @@
     zones: dict[str, str]
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
     finished: set[int] = field(default_factory=set)
+    #: When the results of each stage were there.
+    made_at: dict[int, float] = field(default_factory=dict)
 
     @property
     def stages(self) -> tuple[RouteStage, ...]:
@@ -82,7 +89,7 @@
             if fault is None:
                 return None
             self.release()
-            if fault is not PieceFault.gone:
+            if fault is not PieceFault.gone or not self._is_in_time():
                 break
         return StageFault(fault=fault)
 
@@ -130,6 +137,10 @@
             if self.pieces.wait_s(self.stages[number].service, _LAST_RANK) > _SCARCE_WAIT_S:
                 self._release_stage(number)
 
+    def _is_in_time(self) -> bool:
+        """Return whether the stages could be run from the beginning."""
+        return self.clock.now() + self.predicted_s() + _FIRST_EVENT_S < self.work.deadline
+
     async def _run_once(self) -> PieceFault | None:
         stages = self.stages
         tasks: dict[int, asyncio.Task[PieceFault | None]] = {}
@@ -159,6 +170,7 @@
         fault = _first_fault(made)
         if fault is None:
             self.finished.add(number)
+            self.made_at[number] = self.clock.now()
             self._release_used()
         return fault
 
@@ -235,9 +247,10 @@
             key='' if inputs else work.request.piece_key,
             inputs=inputs,
             due=work.objective - _ENGINE_S - self._later_s(number),
-            deadline=work.deadline,
+            deadline=work.deadline - self._least_s(number),
             rank=work.rank,
             result_bytes=stage.result_bytes,
+            expires=min(map(self._expiry_of, stage.after), default=math.inf),
             zone=self._zone_for(number, inputs),
             inputs_of=self._sole_maker(number, stage),
         )
@@ -276,6 +289,18 @@
         found.pop('', None)
         return found.most_common(1)[0][0] if found else ''
 
+    def _least_s(self, number: int) -> float:
+        """Return what the rest of a request takes after a stage without waiting."""
+        return self._later_s(number) / _WAIT_AND_CALL + _FIRST_EVENT_S
+
+    def _expiry_of(self, number: int) -> float:
+        """Return when the first result of a stage is given up by its maker."""
+        service = self.table.services.get(self.stages[number].service)
+        if number not in self.made_at or service is None or service.batching is None:
+            return math.inf
+        # The first of its pieces may have been made a call before the last.
+        return self.made_at[number] + service.batching.keep_s - service.batching.call_s
+
     def _later_s(self, number: int) -> float:
         """Return what the longest path after a stage will take."""
         longest: float = 0
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -78,6 +78,17 @@
     assert requests_of(call) == ['begun', 'begun', 'dear', 'dear']
 
 
+def test_job_whose_inputs_are_soon_lost_goes_first():
+    """Seen on the bench: cheaper requests waited in the middle of their stages
+    until their inputs were given up, and began anew."""
+    works = batcher()
+    works.add(job('dear', pieces=4, rank=0))
+    works.add(job('expiring', pieces=2, rank=2, expires=1.0))
+    works.add(job('waiting', pieces=2, rank=2, expires=9.0))
+    call = works.next_call([server('s')], SPEC, 0)
+    assert requests_of(call) == ['expiring', 'expiring', 'dear', 'dear']
+
+
 def test_slow_server_takes_only_what_the_others_would_do_later():
     works = batcher()
     slow, fast = server('slow'), server('fast')
--- a/tests/test_gateway/test_gateway_stagegraph.py
+++ b/tests/test_gateway/test_gateway_stagegraph.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ringseam.clock import PausedClock
 from ringseam.gateway.stagegraph import StageRun
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.routes import BackendService, BatchSpec, RouteStage, RouteTable, ServiceName
@@ -25,15 +26,18 @@
         self.ended = []
         self.zones = {}
         self.waits = {}
+        self.jobs = {}
+        self.fault = PieceFault.error
         self.fault_at = fault_at
 
     async def make(self, job):
         self.begun.append((job.stage, tuple(self.ended)))
         self.zones[job.stage] = job.zone
+        self.jobs[job.stage] = job
         await asyncio.sleep(0)
         self.ended.append(job.stage)
         if job.stage == self.fault_at:
-            return [PieceResult(fault=PieceFault.error) for _ in job.pieces]
+            return [PieceResult(fault=self.fault) for _ in job.pieces]
         return [PieceResult(handle=f'a:1/{job.stage}-{piece}') for piece in job.pieces]
 
     def release(self, service, handles):
@@ -66,7 +70,14 @@
             )
         }
     )
-    return StageRun(work=work, pieces=pieces, table=table, zone='home', zones={'a:1': 'away'})
+    return StageRun(
+        work=work,
+        pieces=pieces,
+        clock=PausedClock(),
+        table=table,
+        zone='home',
+        zones={'a:1': 'away'},
+    )
 
 
 def begun(stages, counts):
@@ -158,3 +169,23 @@
     for number in lost:
         run.handles.pop(number, None)
     assert run.is_held == (not wanted & lost)
+
+
+def test_stages_leave_the_time_for_what_follows():
+    pieces = RecordedPieces()
+    run = run_of([stage(), stage(0), stage(1)], [4, 4, 4], pieces)
+    assert asyncio.run(run.run()) is None
+    call = SPEC.call_s + 4 * SPEC.piece_s
+    deadlines = [pieces.jobs[number].deadline for number in range(3)]
+    assert deadlines == pytest.approx([20 - 0.1 - 2 * call, 20 - 0.1 - call, 20 - 0.1])
+    assert pieces.jobs[0].expires == float('inf')
+    assert pieces.jobs[1].expires == SPEC.keep_s - SPEC.call_s
+
+
+def test_stages_are_not_run_again_without_the_time():
+    pieces = RecordedPieces(fault_at=0)
+    pieces.fault = PieceFault.gone
+    run = run_of([stage()], [1], pieces)
+    run.clock.advance(run.work.deadline - 0.2)
+    assert asyncio.run(run.run()).fault is PieceFault.gone
+    assert len(pieces.begun) == 1
