Control hosts serve metrics

Counters and latency histograms of the calls of backend servers and operators, on the port of the settings, as gateways do; one page class for both.

--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ringseam.backends import BackendReport, BackendState
+from ringseam.clock import MS_PER_S
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import (
@@ -34,6 +35,7 @@
     from ringseam.backends import BackendId
     from ringseam.control.follow import FollowService
     from ringseam.controlclient import ControlClient
+    from ringseam.metrics import Metrics
     from ringseam.node import Node
     from ringseam.rpc import Method
     from ringseam.web.server import Exchange
@@ -68,15 +70,31 @@
         follow: FollowService,
         leader: ControlClient,
         addresses: Callable[[], list[str]],
+        metrics: Metrics,
     ) -> None:
         """Answer here when this replica leads, else through the leader."""
         self.node = node
         self.follow = follow
         self.leader = leader
         self.addresses = addresses
+        self.metrics = metrics
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one call."""
+        """Answer one call, and measure it."""
+        begun = self.node.clock.now()
+        try:
+            await self._handle(exchange)
+        finally:
+            self._measure(exchange, self.node.clock.now() - begun)
+
+    def _measure(self, exchange: Exchange, took_s: float) -> None:
+        request = exchange.request
+        subject = 'backend' if instance_of(request.path) else 'document'
+        call = f'{request.method} {subject}'
+        self.metrics.record_ms('call', took_s * MS_PER_S, call=call)
+        self.metrics.add('calls', call=call, status=str(exchange.status))
+
+    async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         instance = instance_of(request.path)
         if instance:
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -51,6 +51,7 @@
     ShareLease,
     StatusReply,
 )
+from ringseam.metrics import Metrics
 from ringseam.role import Role
 from ringseam.services import (
     APPLY,
@@ -71,6 +72,7 @@
 from ringseam.shares import LEASE_S, ShareBook
 from ringseam.util.actors import ask
 from ringseam.util.ini import split_list
+from ringseam.web.metricspage import MetricsPage
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
@@ -120,6 +122,7 @@
             voters_needed=wanted_voters(settings.own),
         )
         self.shares: ShareBook | None = None
+        self.metrics = Metrics()
 
     async def open(self) -> None:
         """Load the replica, serve, and join or form the group."""
@@ -313,11 +316,17 @@
             follow=self.follow,
             leader=leader,
             addresses=self.introduction.addresses,
+            metrics=self.metrics,
         )
         web = HttpServer(handler=interface.handle, limits=HttpLimits(body_bytes=DOCUMENT_BYTES))
         await web.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(web.close)
         self.spawn(self.follow.expire_always())
+        port = self.settings.own['metrics_port']
+        if port:
+            page = MetricsPage(metrics=self.metrics)
+            await page.start(split_address(self.node.address)[0], port)
+            self.stack.push_async_callback(page.close)
 
     # -- background ---------------------------------------------------------
 
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -27,6 +27,7 @@
 from ringseam.platform.registration import READY_PATH
 from ringseam.role import Role
 from ringseam.web.client import ChannelPool
+from ringseam.web.metricspage import MetricsPage
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
@@ -38,7 +39,6 @@
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
-_METRICS_PATH = '/metrics'
 _SWEEP_S = 0.5
 #: How often engines are looked at for silence, seconds.
 _LISTEN_S = 0.1
@@ -119,7 +119,7 @@
             answers=answers,
         )
         self.clients = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
-        self.measures = HttpServer(handler=self._answer_probe, limits=HttpLimits())
+        self.page = MetricsPage(metrics=self.metrics)
         self.probes = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
@@ -179,18 +179,14 @@
     async def _open_metrics(self) -> None:
         port = self.settings.own['metrics_port']
         if port:
-            await self.measures.start(split_address(self.node.address)[0], port)
-            self.stack.push_async_callback(self.measures.close)
+            await self.page.start(split_address(self.node.address)[0], port)
+            self.stack.push_async_callback(self.page.close)
 
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path == READY_PATH:
             ready = self.follower.is_ready and not self.draining
             await exchange.respond(_OK if ready else _UNAVAILABLE, [])
-        elif path == _METRICS_PATH:
-            await exchange.respond(
-                _OK, [('Content-Type', 'text/plain')], self.metrics.render().encode()
-            )
         else:
             await exchange.respond(_NOT_FOUND, [])
 
--- /dev/null
+++ b/ringseam/web/metricspage.py
@@ -0,0 +1,40 @@
+"""The page of a process's metrics, on a port of its own."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ringseam.web.server import HttpLimits, HttpServer
+
+if TYPE_CHECKING:
+    from ringseam.metrics import Metrics
+    from ringseam.web.server import Exchange
+
+METRICS_PATH = '/metrics'
+_OK = 200
+_NOT_FOUND = 404
+
+
+class MetricsPage:
+    """Serve counters and histograms as text."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        """Show what ``metrics`` holds when asked."""
+        self.metrics = metrics
+        self.server = HttpServer(handler=self.answer, limits=HttpLimits())
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port that was taken."""
+        return await self.server.start(host, port)
+
+    async def close(self) -> None:
+        """Listen no more."""
+        await self.server.close()
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.request.path != METRICS_PATH:
+            await exchange.respond(_NOT_FOUND, [])
+            return
+        headers = [('Content-Type', 'text/plain; version=0.0.4')]
+        await exchange.respond(_OK, headers, self.metrics.render().encode())
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -77,6 +77,8 @@
         self.connection = connection
         self.started = False
         self.finished = False
+        #: The status that was sent; 0 while there is none.
+        self.status = 0
 
     async def respond(self, status: int, headers: Headers, body: bytes = b'') -> None:
         """Send a whole answer."""
@@ -91,6 +93,7 @@
     def start(self, status: int, headers: Headers) -> None:
         """Send the head; without a length the body goes in chunks."""
         self.started = True
+        self.status = status
         self.connection.send_head(status, headers)
 
     async def send(self, chunk: bytes) -> None:
--- a/tests/test_system/test_system_platform.py
+++ b/tests/test_system/test_system_platform.py
@@ -30,6 +30,7 @@
 seeds = 127.0.0.1:{http}
 cluster_ports = {cluster}, {cluster}
 tolerated_losses = 0
+metrics_port = {metrics}
 """
 GATEWAY = """\
 [process]
@@ -44,6 +45,7 @@
 seeds = 127.0.0.1:{http}
 cluster_ports = {cluster}, {cluster}
 grace_s = 8
+metrics_port = {measures}
 """
 WAIT_S = 20
 
@@ -61,7 +63,7 @@
 
     def __init__(self, folder):
         self.folder = folder
-        names = ('cluster', 'http', 'own', 'clients', 'ready')
+        names = ('cluster', 'http', 'own', 'clients', 'ready', 'metrics', 'measures')
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         key = folder / 'key'
         key.write_text('0123456789abcdef')
@@ -175,6 +177,25 @@
     asyncio.run(run())
 
 
+def test_both_roles_serve_their_metrics(platform):
+    async def run():
+        server = ScriptedServer(good)
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=4))
+        await platform.beat(await server.start(), 1)
+        await platform.until(200, 'ready', 'GET', '/api/ready')
+        assert await platform.ask() == (200, b'ok')
+        status, page = await platform.call('metrics', 'GET', '/metrics')
+        assert status == 200
+        assert b'ringseam_calls{call="PUT backend",status="200"} 1' in page
+        assert b'ringseam_call_seconds{call="PUT document",quantile="0.99"}' in page
+        status, page = await platform.call('measures', 'GET', '/metrics')
+        assert status == 200
+        assert b'ringseam_requests{route="once",status="200"} 1' in page
+        assert (await platform.call('metrics', 'GET', '/other'))[0] == 404
+
+    asyncio.run(run())
+
+
 def test_documents_over_http(platform):
     async def run():
         whole = manifest(version=4)
