--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,464 @@
+"""A seeded fault soak of gateways: ``python -m bench.soak --seed 1 --seconds 30``.
+
+Real processes (three control hosts, two gateways) are killed, frozen, stopped
+and started by signals; backend servers of this process sit behind a proxy that
+delays, resets and silences their connections, cut off streams and leave. What
+callers and servers see is checked while it runs.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import json
+import random
+import signal
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ringseam.backends import BackendId, BackendState
+from ringseam.layout import Layout, free_address
+from ringseam.platform.example import (
+    ENGINE_SERVICE,
+    HOST,
+    KEY,
+    PLAIN_PATH,
+    PLAIN_SERVICE,
+    STAGE_SERVICE,
+    STAGED_PATH,
+    example_document,
+)
+from ringseam.platform.registration import CONFIG_PATH
+from ringseam.platform.requests import ClientRequest, encode_request
+from ringseam.routes import ServiceName
+from ringseam.standin.direct import DirectServer
+from tests.processes import System
+
+CONTROL = ('control-1', 'control-2', 'control-3')
+GATEWAYS = ('gateway-1', 'gateway-2')
+SERVICES = (PLAIN_SERVICE, STAGE_SERVICE, ENGINE_SERVICE)
+CLIENTS = 6
+REPORT_S = 0.4
+EVENTS = 5
+#: A server that has left gets nothing later than this, seconds.
+DRAIN_S = 2.0
+LEFT_S = 4.0
+
+
+@dataclass
+class Book:
+    """What was asked, what ran and what was told."""
+
+    told: collections.Counter = field(default_factory=collections.Counter)
+    broken: list = field(default_factory=list)
+    accepted: int = 0
+    refused: list = field(default_factory=list)
+
+    def check(self, holds, detail):
+        if not holds:
+            self.broken.append(detail)
+
+
+class Proxy:
+    """Pass bytes on to one server, or do what its fault says."""
+
+    def __init__(self, dice):
+        self.dice = dice
+        self.target = ()
+        self.fault = ''
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.pass_on, '127.0.0.1', 0)
+        return f'127.0.0.1:{self.server.sockets[0].getsockname()[1]}'
+
+    async def pass_on(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, far_writer}
+        await asyncio.gather(
+            self.copy(reader, far_writer, 'there'),
+            self.copy(far_reader, writer, 'back'),
+        )
+        self.writers -= {writer, far_writer}
+
+    async def copy(self, reader, writer, way):
+        with contextlib.suppress(OSError):
+            chunk = await reader.read(4096)
+            while chunk:
+                await self.suffer(way)
+                writer.write(chunk)
+                await writer.drain()
+                chunk = await reader.read(4096)
+        writer.close()
+
+    async def suffer(self, way):
+        if self.fault == 'delay':
+            await asyncio.sleep(self.dice.uniform(0.01, 0.3))
+        while self.fault == 'silence' or self.fault == f'silence-{way}':
+            await asyncio.sleep(0.02)
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def close(self):
+        self.server.close()
+        self.reset()
+
+
+class Server(DirectServer):
+    """A stand-in that tells the book what it runs, and is cut off at times."""
+
+    def __init__(self, *, book, dice, **known):
+        super().__init__(**known)
+        self.book = book
+        self.dice = dice
+        self.left_at = None
+        self.proxy = Proxy(dice)
+
+    async def begin(self):
+        await self.start('127.0.0.1')
+        host, _, port = self.address.rpartition(':')
+        self.proxy.target = (host, int(port))
+        self.address = await self.proxy.start()
+
+    async def serve(self, exchange):
+        late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
+        if late and exchange.request.path != '/api/stage-free':
+            self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
+        await super().serve(exchange)
+
+    async def _answer(self, exchange):
+        asked = exchange.request.header('Attempt-Id')
+        self.book.check(exchange.request.body == asked.encode(), f'UNASKED body of {asked}')
+        await asyncio.sleep(self.dice.uniform(0, 0.05))
+        await super()._answer(exchange)
+
+    async def _stream(self, exchange):
+        asked = exchange.request.header('Attempt-Id')
+        given = exchange.request.header('Inputs').split(',')
+        wanted = {f'{asked}-0-{piece}' for piece in range(3)}
+        found = [handle.rpartition('/')[2] for handle in given]
+        self.book.check(
+            set(found) == wanted and len(found) == 3, f'MIXED inputs of {asked}: {given}'
+        )
+        await super()._stream(exchange)
+
+
+def settings(layout):
+    """Plan three control hosts and two gateways on loopback addresses."""
+    cluster, http = (free_address().rpartition(':')[2] for _ in range(2))
+    hosts = [f'127.0.1.{number}' for number in (1, 2, 3)]
+    seeds = ', '.join(f'{host}:{http}' for host in hosts)
+    shared = {'seeds': seeds, 'cluster_ports': f'{cluster}, {cluster}'}
+    for name, host in zip(CONTROL, hosts, strict=True):
+        layout.add(
+            'control',
+            name,
+            address=f'{host}:{cluster}',
+            http=f'{host}:{http}',
+            data_dir=str(layout.folder / name),
+            tolerated_losses=1,
+            **shared,
+        )
+    for name in GATEWAYS:
+        layout.add(
+            'gateway', name, http=free_address(), ready=free_address(), retry_slack=1000, **shared
+        )
+
+
+class Soak:
+    """One run: processes, servers, clients, an operator and faults."""
+
+    def __init__(self, *, folder, seed):
+        self.dice = random.Random(seed)
+        self.system = System(layout=Layout(folder=folder))
+        settings(self.system.layout)
+        self.book = Book()
+        self.servers = []
+        self.number = 0
+        self.ending = False
+        self.faults = collections.Counter()
+
+    def http_of(self, name):
+        return self.system.layout.planned[name].http
+
+    def address(self, name):
+        host, _, port = self.http_of(name).rpartition(':')
+        return host, int(port)
+
+    async def run(self, seconds):
+        self.system.start()
+        try:
+            for service in SERVICES:
+                for _ in range(3):
+                    await self.add_server(service)
+            await self.submit(1)
+            tasks = [asyncio.create_task(self.report_always())]
+            await asyncio.sleep(2)
+            tasks += [asyncio.create_task(self.ask_always(number)) for number in range(CLIENTS)]
+            tasks.append(asyncio.create_task(self.operate_always()))
+            await self.disturb(seconds)
+            self.ending = True
+            await asyncio.gather(*tasks[1:])
+            tasks[0].cancel()
+            await self.check_end()
+        finally:
+            for name in list(self.system.running):
+                self.system.kill(name)
+            for server in self.servers:
+                server.proxy.close()
+                await server.http.close()
+        return self.book
+
+    async def add_server(self, service):
+        self.number += 1
+        server = Server(
+            book=self.book,
+            dice=self.dice,
+            instance=BackendId(f'i-{service}-{self.number}'),
+            service=ServiceName(service),
+            control=self.http_of(CONTROL[0]),
+        )
+        await server.begin()
+        self.servers.append(server)
+
+    async def report_always(self):
+        while True:
+            staying = [server for server in self.servers if server.left_at is None]
+            for server in staying:
+                await self.report(server, BackendState.ready)
+            await asyncio.sleep(REPORT_S)
+
+    async def report(self, server, state):
+        server.control = self.http_of(self.dice.choice(CONTROL))
+        try:
+            return await server.report(state)
+        except Exception:  # noqa: BLE001 - control is killed and frozen here
+            return False
+
+    # -- the operator ---------------------------------------------------------
+
+    async def submit(self, version):
+        """Send a version until it is acknowledged."""
+        document = json.loads(example_document())
+        document['version'] = version
+        for _ in range(200):
+            host = self.address(self.dice.choice(CONTROL))
+            status, _ = await call(host, 'PUT', CONFIG_PATH, json.dumps(document).encode(), [])
+            self.book.check(not 400 <= status < 500, f'CONFIG {version} refused with {status}')
+            if status == 200:
+                self.book.accepted = version
+                return
+            await asyncio.sleep(0.1)
+        self.book.check(False, f'CONFIG {version} was never acknowledged')
+
+    async def operate_always(self):
+        version = 1
+        while not self.ending:
+            version += self.dice.randint(1, 3)
+            await self.submit(version)
+            await self.read_back()
+            await asyncio.sleep(0.3)
+
+    async def read_back(self):
+        accepted = self.book.accepted
+        host = self.address(self.dice.choice(CONTROL))
+        status, body = await call(host, 'GET', CONFIG_PATH, b'', [])
+        if status == 200:
+            found = json.loads(body)['version']
+            self.book.check(found >= accepted, f'CONFIG read {found}, accepted {accepted}')
+
+    # -- clients --------------------------------------------------------------
+
+    async def ask_always(self, number):
+        sent = 0
+        while not self.ending:
+            sent += 1
+            await self.ask(f'{number:x}{sent:06x}', staged=bool(self.dice.randrange(3)))
+            await asyncio.sleep(self.dice.uniform(0, 0.05))
+
+    async def ask(self, name, *, staged):
+        request = ClientRequest(
+            attempt_id=name,
+            host=HOST,
+            path=STAGED_PATH if staged else PLAIN_PATH,
+            time_left_s=3,
+            key=KEY,
+            pieces=(3,) if staged else (),
+            piece_key=name,
+        )
+        headers = encode_request(request)
+        if staged:
+            headers.append(('Accept', 'text/event-stream'))
+        host = self.address(self.dice.choice(GATEWAYS))
+        status, body = await call(host, 'POST', request.path, name.encode(), headers)
+        self.book.told[status] += 1
+        if status == 200 and staged:
+            ids = [int(line[3:]) for line in body.split(b'\n') if line.startswith(b'id:')]
+            self.book.check(ids == list(range(1, EVENTS + 1)), f'ORDER {name}: {ids}')
+        elif status == 200:
+            self.book.check(f' {name}\n'.encode() in body, f'MIXED {name}: {body}')
+        elif status in {429, 503}:
+            self.book.refused.append(name)
+        else:
+            self.book.check(status in {0, 502, 504}, f'{name}: status {status}')
+
+    # -- faults ---------------------------------------------------------------
+
+    async def disturb(self, seconds):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            kind = self.dice.choice(
+                ('kill', 'stop', 'freeze', 'leave', 'delay', 'silence', 'reset', 'both')
+            )
+            self.faults[kind] += 1
+            await self.inject(kind)
+            await asyncio.sleep(self.dice.uniform(0.2, 1))
+
+    async def inject(self, kind):
+        name = self.dice.choice((*CONTROL, *GATEWAYS))
+        if kind == 'both':
+            await asyncio.gather(self.inject('kill'), self.inject('silence'))
+        elif kind == 'kill':
+            await self.restart(name, signal.SIGKILL)
+        elif kind == 'stop':
+            await self.restart(name, signal.SIGTERM)
+        elif kind == 'freeze':
+            self.system.send(name, signal.SIGSTOP)
+            await asyncio.sleep(self.dice.uniform(0.3, 1.5))
+            self.system.send(name, signal.SIGCONT)
+        elif kind == 'leave':
+            await self.leave()
+        else:
+            await self.harm(kind)
+
+    async def restart(self, name, number):
+        process = self.system.running[name]
+        process.send_signal(number)
+        await asyncio.to_thread(process.wait, 20)
+        await asyncio.sleep(self.dice.uniform(0, 0.5))
+        self.system.start(name)
+
+    async def leave(self):
+        staying = [server for server in self.servers if server.left_at is None]
+        server = self.dice.choice(staying)
+        await self.add_server(server.service)
+        await self.report(self.servers[-1], BackendState.ready)
+        for _ in range(50):
+            if await self.report(server, BackendState.draining):
+                server.left_at = time.monotonic()
+                return
+            await asyncio.sleep(0.1)
+
+    async def harm(self, kind):
+        proxy = self.dice.choice(self.servers).proxy
+        if kind == 'reset':
+            proxy.reset()
+            return
+        proxy.fault = kind + self.dice.choice(('', '-there', '-back')) * (kind == 'silence')
+        await asyncio.sleep(self.dice.uniform(0.3, 1.5))
+        proxy.fault = ''
+
+    # -- the end --------------------------------------------------------------
+
+    async def check_end(self):
+        await asyncio.sleep(LEFT_S)
+        ran = collections.Counter(name for server in self.servers for name in server.ran)
+        plain = {
+            name
+            for server in self.servers
+            if server.service == PLAIN_SERVICE
+            for name in server.ran
+        }
+        for name in plain:
+            self.book.check(ran[name] == 1, f'TWICE {name}: {ran[name]}')
+        for name in self.book.refused:
+            self.book.check(not ran[name], f'REFUSED {name} and it ran')
+        until = time.monotonic() + 10
+        found = 0
+        while time.monotonic() < until and found < self.book.accepted:
+            status, body = await call(self.address(CONTROL[1]), 'GET', CONFIG_PATH, b'', [])
+            found = json.loads(body)['version'] if status == 200 else 0
+            await asyncio.sleep(0.1)
+        self.book.check(found >= self.book.accepted, f'LOST {self.book.accepted}, read {found}')
+
+
+async def call(host, method, path, body, headers):
+    """Return the status and body of one call; 0 when it has no whole answer."""
+    lines = [*headers, ('Content-Length', str(len(body))), ('Connection', 'close')]
+    if not headers:
+        lines.append(('Host', 'control'))
+    head = ''.join(f'{name}: {text}\r\n' for name, text in lines)
+    try:
+        async with asyncio.timeout(5):
+            reader, writer = await asyncio.open_connection(*host)
+            writer.write(f'{method} {path} HTTP/1.1\r\n{head}\r\n'.encode() + body)
+            raw = await reader.read()
+            writer.close()
+    except (OSError, asyncio.TimeoutError):
+        return 0, b''
+    return parse(raw)
+
+
+def parse(raw):
+    """Return the status and the whole body of an answer, else 0."""
+    head, _, rest = raw.partition(b'\r\n\r\n')
+    if not head.startswith(b'HTTP/1.1 '):
+        return 0, b''
+    status = int(head.split(b' ')[1])
+    fields = head.lower()
+    if b'transfer-encoding: chunked' in fields:
+        return (status, unchunked(rest)) if rest.endswith(b'0\r\n\r\n') else (0, b'')
+    length = next(
+        (int(line[15:]) for line in fields.split(b'\r\n') if line.startswith(b'content-length:')), 0
+    )
+    return (status, rest) if len(rest) == length else (0, b'')
+
+
+def unchunked(rest):
+    whole = b''
+    while rest:
+        size, _, rest = rest.partition(b'\r\n')
+        length = int(size, 16)
+        whole, rest = whole + rest[:length], rest[length + 2 :]
+    return whole
+
+
+def soak(seed, seconds, folder):
+    """Return the book and the faults of one run."""
+    run = Soak(folder=Path(folder), seed=seed)
+    return asyncio.run(run.run(seconds)), run.faults
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=30)
+    parser.add_argument('--keep', default='', help='keep logs and data below this folder')
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        with contextlib.ExitStack() as stack:
+            folder = f'{options.keep}/{seed}' if options.keep else None
+            folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
+            book, faults = soak(seed, options.seconds, folder)
+            shown = dict(sorted(book.told.items()))
+            print(f'seed {seed}: told {shown}, version {book.accepted}, faults {dict(faults)}')
+            for broken in book.broken[:10]:
+                print(f'  BROKEN {broken}')
+            failed += bool(book.broken)
+    raise SystemExit(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/speed.py
+++ b/bench/speed.py
@@ -34,7 +34,7 @@
 
 
 def send(system, count, callers):
-    """Send ``count`` requests; return durations of whole answers, and other statuses."""
+    """Send ``count`` requests; return durations of whole answers, and why others failed."""
     url = f'http://{system.layout.planned["entry"].http}/v1/pipelines/two'
     connections = urllib3.PoolManager(maxsize=callers, retries=False)
     numbers = iter(range(count))
@@ -53,7 +53,7 @@
             if reply.status == 200:
                 spent.append(time.perf_counter() - began)
             else:
-                failed.append(reply.status)
+                failed.append(reason_of(reply))
 
     threads = [threading.Thread(target=call_always) for _ in range(callers)]
     for thread in threads:
@@ -63,6 +63,12 @@
     return spent, collections.Counter(failed)
 
 
+def reason_of(reply):
+    """Return the status of a refusal and why, as the caller is told."""
+    told = reply.json()
+    return f'{reply.status} {told.get("reason") or told.get("detail") or told.get("title")}'
+
+
 def measure(system, count, callers):
     before = {name: usage(process.pid)[0] for name, process in system.running.items()}
     began = time.perf_counter()
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -91,7 +91,7 @@
     async def _answer(self, exchange: Exchange) -> None:
         request = decode_request(exchange.request)
         self.ran.append(request.attempt_id)
-        body = f'{self.instance} answers {len(exchange.request.body)} bytes\n'
+        body = f'{self.instance} answers {request.attempt_id}\n'
         await exchange.respond(_OK, answer_marks(request.attempt_id), body.encode())
 
     async def _stream(self, exchange: Exchange) -> None:
--- /dev/null
+++ b/tests/test_system/test_system_soak.py
@@ -0,0 +1,41 @@
+"""A short seeded run of the fault soak; see ``bench/soak.py`` for longer ones."""
+
+from __future__ import annotations
+
+import pytest
+
+from bench.soak import parse, soak, unchunked
+
+pytestmark = pytest.mark.processes
+
+#: Seeds that ever failed join this list, with a line on the cause.
+SEEDS = (1,)
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path):
+    book, faults = soak(seed, 6, tmp_path)
+    assert book.broken == []
+    assert sum(faults.values()) >= 3
+    assert book.told[200] >= 50
+
+
+@pytest.mark.parametrize(
+    ('raw', 'found'),
+    [
+        (b'', (0, b'')),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok', (200, b'ok')),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok', (0, b'')),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n',
+            (200, b'ok'),
+        ),
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n', (0, b'')),
+    ],
+)
+def test_only_whole_answers_count(raw, found):
+    assert parse(raw) == found
+
+
+def test_chunks_are_joined():
+    assert unchunked(b'2\r\nab\r\n1\r\nc\r\n0\r\n\r\n') == b'abc'
