Split batches, stage graphs and piece works by job

Turns are an enum. Code is moved, not changed, but for the time of a call, which no longer goes by way of the usual wait.

--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -7,18 +7,19 @@
 
 from __future__ import annotations
 
-import collections
 import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.worth import priority_of
+from ringseam.gateway.piecejobs import Piece, PieceGroup, StageCall
+from ringseam.gateway.pieceorder import beyond_next_calls, may_leave, urgency
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.piecejobs import PieceJob
     from ringseam.routes import BatchSpec, ServiceName
 
 
@@ -32,78 +33,14 @@
 #: Room that was found taken by unknown results is believed taken this long,
 #: seconds; they are kept for 4 s at most, and a try costs a call of 0.2 s.
 UNKNOWN_S = 0.5
-#: A piece whose inputs are given up within this time goes first, seconds: a call
-#: under way and one of its own.
-_EXPIRY_S = 1.2
 #: A server that takes this many times longer than expected counts as slow.
 _SLOW = 1.8
-#: A piece goes to another zone when fewer whole calls than this fit before it
-#: is due.
-_PATIENCE_CALLS = 2.0
 #: Weight of the newest call in the mean of how full calls are.
 _FILL_WEIGHT = 0.1
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
 
 
-#: Turns in which pieces go: what is begun or about to lose its inputs, what can be
-#: in time, and what is late, again before it loses its inputs or not.
-_FIRST_TURN, _TURN_IN_TIME, _TURN_LATE_AND_EXPIRING, _LAST_TURN = range(4)
-
-
-@dataclass(frozen=True, kw_only=True)
-class PieceJob:
-    """Pieces of one stage of one request; times are absolute seconds."""
-
-    attempt_id: str
-    service: ServiceName
-    stage: int
-    pieces: tuple[int, ...]
-    key: str
-    inputs: tuple[str, ...]
-    #: When the whole request stops earning its full worth, less later work.
-    due: float
-    deadline: float
-    #: Who goes first, 0 before all; see :func:`ringseam.gateway.worth.rank_of`.
-    rank: int
-    result_bytes: int
-    #: When the first of its inputs is given up by its maker.
-    expires: float = float('inf')
-    #: Where its inputs are or its result is wanted.
-    zone: str = ''
-    #: The service that made the inputs, when nothing else needs them after this.
-    inputs_of: str = ''
-
-
-@dataclass(kw_only=True, eq=False)
-class PieceGroup:
-    """The pieces of one job; their results are of use together only."""
-
-    #: Whether a piece has left, so that a result takes up room until all have.
-    begun: bool = False
-
-
-@dataclass(kw_only=True, eq=False)
-class Piece:
-    """One piece that waits or is worked on."""
-
-    job: PieceJob
-    number: int
-    order: int
-    group: PieceGroup = field(default_factory=PieceGroup)
-    tries: int = 0
-    avoid: set[BackendId] = field(default_factory=set)
-
-
-@dataclass(kw_only=True, eq=False)
-class StageCall:
-    """Pieces that leave together for one server."""
-
-    server: BackendReport
-    pieces: list[Piece]
-    expected_s: float
-
-
 @dataclass(frozen=True, kw_only=True)
 class UnknownRoom:
     """Bytes of a server's room that others' results take, and until when to believe it."""
@@ -288,45 +225,25 @@
         A server that would stay idle takes late pieces of other zones.
         """
         zones = {other.zone for other in servers}
-        ordered = sorted(self.waiting, key=lambda waiting: _urgency(waiting, now))
+        ordered = sorted(self.waiting, key=lambda waiting: urgency(waiting, now))
         ordered = ordered[self._spared(server, servers, spec, now) :]
         allowed = [
             piece
             for piece in ordered
             if server.instance not in piece.avoid or len(piece.avoid) >= len(servers)
         ]
-        beyond = self._beyond_next_calls(ordered, servers, spec)
+        beyond = beyond_next_calls(ordered, servers, spec)
         near = [
             piece
             for piece in allowed
             if piece.job.zone == server.zone
             or piece.job.zone not in zones
             or piece in beyond
-            or (piece.job.zone not in idle_zones and _may_leave(piece, spec, now))
+            or (piece.job.zone not in idle_zones and may_leave(piece, spec, now))
         ]
         late = [piece for piece in allowed if piece.job.due <= now]
         return self._fit(near, server, spec, now) or self._fit(late, server, spec, now)
 
-    def _beyond_next_calls(
-        self,
-        ordered: list[Piece],
-        servers: Collection[BackendReport],
-        spec: BatchSpec,
-    ) -> set[Piece]:
-        """Return the pieces that the next calls of their zones' servers don't reach.
-
-        They fill calls of other zones: a call takes its time whatever its size.
-        """
-        reached = collections.Counter(server.zone for server in servers)
-        left = {zone: count * spec.slots * spec.batch for zone, count in reached.items()}
-        beyond = set()
-        for piece in ordered:
-            if left.get(piece.job.zone, 1) > 0:
-                left[piece.job.zone] = left.get(piece.job.zone, 1) - 1
-            else:
-                beyond.add(piece)
-        return beyond
-
     def _fit(
         self,
         pieces: list[Piece],
@@ -363,40 +280,3 @@
             pieces=pieces,
             expected_s=spec.call_s + spec.piece_s * len(pieces),
         )
-
-
-def _may_leave(piece: Piece, spec: BatchSpec, now: float) -> bool:
-    """Return whether a piece may leave its zone, whose server is busy.
-
-    Results that cross zones are dear, so a piece waits for its own zone while
-    it has the time for some more calls there; the dearest requests don't wait.
-    """
-    job = piece.job
-    if piece.avoid or priority_of(job.rank) == 0:
-        return True
-    spare = job.due - now - _PATIENCE_CALLS * (spec.call_s + spec.batch * spec.piece_s)
-    return spare < 0 < job.due - now
-
-
-def _urgency(piece: Piece, now: float) -> tuple[int, int, float, str, int]:
-    """Order pieces: what is begun first, then what can be on time, by worth.
-
-    A job that is begun holds room for its results until its last piece is made;
-    begun jobs that wait for others would fill the room of all servers. A job
-    whose inputs are soon given up would have all its stages run again; one that
-    is late anyway is not worth making another one late.
-    """
-    job = piece.job
-    return (_turn_of(piece, now), job.rank, job.due, job.attempt_id, piece.number)
-
-
-def _turn_of(piece: Piece, now: float) -> int:
-    """Return in which turn a piece goes, whatever its rank."""
-    job = piece.job
-    late = job.due < now
-    expiring = job.expires - now < _EXPIRY_S
-    if piece.group.begun or (expiring and not late):
-        return _FIRST_TURN
-    if not late:
-        return _TURN_IN_TIME
-    return _TURN_LATE_AND_EXPIRING if expiring else _LAST_TURN
--- a/ringseam/gateway/piececalls.py
+++ b/ringseam/gateway/piececalls.py
@@ -18,7 +18,9 @@
 
 if TYPE_CHECKING:
     from ringseam.clock import Clock
-    from ringseam.gateway.batching import StageCall
+    from ringseam.gateway.piecejobs import (
+        StageCall,
+    )
     from ringseam.web.bodies import Headers
     from ringseam.web.client import ChannelPool
 
--- /dev/null
+++ b/ringseam/gateway/piecejobs.py
@@ -0,0 +1,63 @@
+"""Pieces that wait or are worked on, and the calls in which they leave."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendId, BackendReport
+    from ringseam.routes import ServiceName
+
+
+@dataclass(frozen=True, kw_only=True)
+class PieceJob:
+    """Pieces of one stage of one request; times are absolute seconds."""
+
+    attempt_id: str
+    service: ServiceName
+    stage: int
+    pieces: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    #: When the whole request stops earning its full worth, less later work.
+    due: float
+    deadline: float
+    #: Who goes first, 0 before all; see :func:`ringseam.gateway.worth.rank_of`.
+    rank: int
+    result_bytes: int
+    #: When the first of its inputs is given up by its maker.
+    expires: float = float('inf')
+    #: Where its inputs are or its result is wanted.
+    zone: str = ''
+    #: The service that made the inputs, when nothing else needs them after this.
+    inputs_of: str = ''
+
+
+@dataclass(kw_only=True, eq=False)
+class PieceGroup:
+    """The pieces of one job; their results are of use together only."""
+
+    #: Whether a piece has left, so that a result takes up room until all have.
+    begun: bool = False
+
+
+@dataclass(kw_only=True, eq=False)
+class Piece:
+    """One piece that waits or is worked on."""
+
+    job: PieceJob
+    number: int
+    order: int
+    group: PieceGroup = field(default_factory=PieceGroup)
+    tries: int = 0
+    avoid: set[BackendId] = field(default_factory=set)
+
+
+@dataclass(kw_only=True, eq=False)
+class StageCall:
+    """Pieces that leave together for one server."""
+
+    server: BackendReport
+    pieces: list[Piece]
+    expected_s: float
--- /dev/null
+++ b/ringseam/gateway/pieceorder.py
@@ -0,0 +1,93 @@
+"""In which order pieces leave, and which may leave their zone; plain functions."""
+
+from __future__ import annotations
+
+import collections
+import enum
+from typing import TYPE_CHECKING
+
+from ringseam.gateway.worth import priority_of
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.backends import BackendReport
+    from ringseam.gateway.piecejobs import Piece
+    from ringseam.routes import BatchSpec
+
+#: A piece whose inputs are given up within this time goes first, seconds: a call
+#: under way and one of its own.
+_EXPIRY_S = 1.2
+#: A piece goes to another zone when fewer whole calls than this fit before it
+#: is due.
+_PATIENCE_CALLS = 2.0
+
+
+class Turn(enum.IntEnum):
+    """In which turn a piece goes, whatever its rank."""
+
+    #: It is begun, or about to lose its inputs.
+    first = 0
+    in_time = 1
+    late_and_expiring = 2
+    late = 3
+
+
+def beyond_next_calls(
+    ordered: list[Piece],
+    servers: Collection[BackendReport],
+    spec: BatchSpec,
+) -> set[Piece]:
+    """Return the pieces that the next calls of their zones' servers don't reach.
+
+    They fill calls of other zones: a call takes its time whatever its size.
+    """
+    reached = collections.Counter(server.zone for server in servers)
+    left = {zone: count * spec.slots * spec.batch for zone, count in reached.items()}
+    beyond = set()
+    for piece in ordered:
+        zone = piece.job.zone
+        if zone not in left:
+            continue
+        if left[zone] > 0:
+            left[zone] -= 1
+        else:
+            beyond.add(piece)
+    return beyond
+
+
+def may_leave(piece: Piece, spec: BatchSpec, now: float) -> bool:
+    """Return whether a piece may leave its zone, whose server is busy.
+
+    Results that cross zones are dear, so a piece waits for its own zone while
+    it has the time for some more calls there; the dearest requests don't wait.
+    """
+    job = piece.job
+    if piece.avoid or priority_of(job.rank) == 0:
+        return True
+    spare = job.due - now - _PATIENCE_CALLS * (spec.call_s + spec.batch * spec.piece_s)
+    return spare < 0 < job.due - now
+
+
+def urgency(piece: Piece, now: float) -> tuple[int, int, float, str, int]:
+    """Order pieces: what is begun first, then what can be on time, by worth.
+
+    A job that is begun holds room for its results until its last piece is made;
+    begun jobs that wait for others would fill the room of all servers. A job
+    whose inputs are soon given up would have all its stages run again; one that
+    is late anyway is not worth making another one late.
+    """
+    job = piece.job
+    return (turn_of(piece, now), job.rank, job.due, job.attempt_id, piece.number)
+
+
+def turn_of(piece: Piece, now: float) -> Turn:
+    """Return in which turn a piece goes, whatever its rank."""
+    job = piece.job
+    late = job.due < now
+    expiring = job.expires - now < _EXPIRY_S
+    if piece.group.begun or (expiring and not late):
+        return Turn.first
+    if not late:
+        return Turn.in_time
+    return Turn.late_and_expiring if expiring else Turn.late
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -15,7 +15,9 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
-from ringseam.gateway.batching import PieceJob
+from ringseam.gateway.piecejobs import (
+    PieceJob,
+)
 from ringseam.gateway.piecemessages import (
     PIECES,
     RELEASE,
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,6 +12,7 @@
 from ringseam.events import Event
 from ringseam.gateway.batching import FULL_S, UNKNOWN_S, Batcher
 from ringseam.gateway.piececalls import FullError
+from ringseam.gateway.servicepieces import CallEnd, CallFailure, ServicePieces
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.routes import ServiceName
 from ringseam.util.tasks import TaskSet
@@ -22,12 +21,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ringseam.backends import BackendId, BackendReport
-    from ringseam.gateway.batching import Piece, PieceJob, StageCall
+    from ringseam.backends import BackendReport
     from ringseam.gateway.budget import RetryBudget
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
     from ringseam.gateway.piececalls import PieceCalls
+    from ringseam.gateway.piecejobs import (
+        Piece,
+        PieceJob,
+        StageCall,
+    )
     from ringseam.node import Node
     from ringseam.routes import BatchSpec
 
@@ -47,53 +50,6 @@
 _RELEASE_TIMEOUT_S = 1.0
 
 
-class CallEnd(enum.Enum):
-    """How a call without results ended."""
-
-    full = 'full'
-    unsent = 'unsent'
-    broken = 'broken'
-
-
-@dataclass(frozen=True, kw_only=True)
-class CallFailure:
-    """A call that made nothing."""
-
-    end: CallEnd
-    detail: str
-
-
-@dataclass(kw_only=True)
-class ServicePieces:
-    """One service's batches here, and who waits for each piece."""
-
-    batcher: Batcher
-    waiters: dict[Piece, asyncio.Future[PieceResult]] = field(default_factory=dict)
-    #: Handles that their makers have not yet been told of.
-    released: dict[str, list[str]] = field(default_factory=dict)
-    #: Results that take up room: the server and the bytes of each.
-    kept: dict[str, tuple[BackendId, int]] = field(default_factory=dict)
-
-    def keep(self, handle: str, instance: BackendId, amount: int) -> None:
-        """Count a result's room."""
-        self.kept[handle] = (instance, amount)
-        self.batcher.kept(instance, amount)
-
-    def forget(self, handle: str) -> None:
-        """Count a result's room no more."""
-        instance, amount = self.kept.pop(handle, ('', 0))
-        if instance:
-            self.batcher.freed(instance, amount)
-
-    def resolve(self, piece: Piece, made: PieceResult) -> bool:
-        """Give a result to who waits for it; False when nobody does."""
-        waiter = self.waiters.get(piece)
-        if waiter is None or waiter.done():
-            return False
-        waiter.set_result(made)
-        return True
-
-
 class PieceWorks:  # noqa: WPS214 - the driver of all batches
     """Form batches here, for this gateway and for others."""
 
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.batching import PieceJob
+from ringseam.gateway.piecejobs import PieceJob
+from ringseam.gateway.stageplan import FIRST_EVENT_S, StagePlan
 from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
@@ -20,15 +21,6 @@
 
 #: What an engine needs of the objective after the stages, seconds.
 _ENGINE_S = 0.4
-#: From a request's arrival at an idle engine to its first event, seconds.
-_FIRST_EVENT_S = 0.1
-#: A stage takes this many times its call: pieces wait for a call under way.
-_WAIT_AND_CALL = 1.5
-#: A branch of the graph begins when the longest one has this many times the
-#: branch's own time left. Results that are ready early take up room at their
-#: maker until the slowest stage is done, and are lost when that takes seconds;
-#: so it may rather be a little late.
-_BRANCH_LEAD = 0.75
 #: Results of fewer bytes than this may cross zones: the sheets price a gigabyte
 #: at 77, a request at 0.36 and more, so this much at 0.008.
 _DEAR_BYTES = 100_000
@@ -64,6 +56,15 @@
     finished: set[int] = field(default_factory=set)
     #: When the results of each stage were there.
     made_at: dict[int, float] = field(default_factory=dict)
+    plan: StagePlan = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Plan the stages that have pieces."""
+        self.plan = StagePlan(
+            stages=self.stages,
+            counts=self.work.request.pieces,
+            services=self.table.services,
+        )
 
     @property
     def stages(self) -> tuple[RouteStage, ...]:
@@ -77,8 +78,8 @@
         A server runs a request with too few inputs, so each of them counts.
         """
         return all(
-            len(self.handles.get(number, ())) == self._pieces_of(number)
-            for number in self._last_stages()
+            len(self.handles.get(number, ())) == self.plan.pieces_of(number)
+            for number in self.plan.last_stages()
         )
 
     async def run(self) -> StageFault | None:
@@ -100,22 +101,22 @@
         ends: list[float] = []
         for number, stage in enumerate(stages):
             begin = max((ends[before] for before in stage.after), default=0)
-            if self._pieces_of(number):
+            if self.plan.pieces_of(number):
                 begin += self.pieces.wait_s(stage.service, self.work.rank)
-                begin += self._stage_s(number) / _WAIT_AND_CALL
+                begin += self.plan.call_s(number)
             ends.append(begin)
         return max(ends, default=0)
 
     def services(self) -> set[ServiceName]:
         """Return the services that the request needs pieces of."""
         return {
-            stage.service for number, stage in enumerate(self.stages) if self._pieces_of(number)
+            stage.service for number, stage in enumerate(self.stages) if self.plan.pieces_of(number)
         }
 
     def inputs(self) -> tuple[str, ...]:
         """Return the handles of the stages that no other stage follows."""
         return tuple(
-            handle for number in self._last_stages() for handle in self.handles.get(number, ())
+            handle for number in self.plan.last_stages() for handle in self.handles.get(number, ())
         )
 
     def input_bytes(self) -> dict[str, int]:
@@ -140,7 +141,7 @@
 
     def _is_in_time(self) -> bool:
         """Return whether the stages could be run from the beginning."""
-        return self.clock.now() + self.predicted_s() + _FIRST_EVENT_S < self.work.deadline
+        return self.clock.now() + self.predicted_s() + FIRST_EVENT_S < self.work.deadline
 
     async def _run_once(self) -> PieceFault | None:
         stages = self.stages
@@ -157,8 +158,8 @@
         stage: RouteStage,
         tasks: dict[int, asyncio.Task[PieceFault | None]],
     ) -> PieceFault | None:
-        count = self._pieces_of(number)
-        paced = self._paced_by(number) if count else ()
+        count = self.plan.pieces_of(number)
+        paced = self.plan.paced_by(number) if count else ()
         for before in (*stage.after, *paced):
             fault = await tasks[before]
             if fault is not None:
@@ -175,46 +176,6 @@
             self._release_used()
         return fault
 
-    def _paced_by(self, number: int) -> tuple[int, ...]:
-        """Return the stages whose end a stage without inputs waits for.
-
-        Only a branch that is shorter than the longest one waits; its results
-        would else be kept until the longest branch is done.
-        """
-        if self.stages[number].after:
-            return ()
-        needed = _BRANCH_LEAD * self._path_s(number)
-        slowest = max(range(len(self.stages)), key=self._path_s)
-        paced: tuple[int, ...] = ()
-        following = self._next_on_path(slowest)
-        while following is not None and self._path_s(following) >= needed:
-            paced = (slowest,)
-            slowest, following = following, self._next_on_path(following)
-        return paced
-
-    def _last_stages(self) -> list[int]:
-        """Return the stages with pieces that no other such stage follows."""
-        return [
-            number
-            for number in range(len(self.stages))
-            if self._pieces_of(number) and self._next_on_path(number) is None
-        ]
-
-    def _next_on_path(self, number: int) -> int | None:
-        """Return the stage after ``number`` that takes longest to the end."""
-        followers = [
-            later
-            for later, stage in enumerate(self.stages)
-            if number in stage.after and self._pieces_of(later)
-        ]
-        return max(followers, key=self._path_s, default=None)
-
-    def _path_s(self, number: int) -> float:
-        """Return what a stage and the longest path after it take, seconds."""
-        if not self._pieces_of(number):
-            return 0
-        return self._stage_s(number) + self._later_s(number)
-
     def _release_used(self) -> None:
         """Give up results that all following stages have used."""
         stages = self.stages
@@ -222,7 +183,7 @@
             users = {
                 later
                 for later, stage in enumerate(stages)
-                if number in stage.after and self._pieces_of(later)
+                if number in stage.after and self.plan.pieces_of(later)
             }
             if users and users <= self.finished:
                 self._release_stage(number)
@@ -247,27 +208,15 @@
             pieces=tuple(range(count)),
             key='' if inputs else work.request.piece_key,
             inputs=inputs,
-            due=work.objective - _ENGINE_S - self._later_s(number),
-            deadline=work.deadline - self._least_s(number),
+            due=work.objective - _ENGINE_S - self.plan.later_s(number),
+            deadline=work.deadline - self.plan.least_s(number),
             rank=work.rank,
             result_bytes=stage.result_bytes,
             expires=self._expiry_of_inputs(stage),
             zone=self._zone_for(number, inputs),
-            inputs_of=self._sole_maker(number, stage),
+            inputs_of=self.plan.sole_maker(number),
         )
 
-    def _sole_maker(self, number: int, stage: RouteStage) -> str:
-        """Return the service of a stage's inputs if only this stage needs them."""
-        stages = self.stages
-        if len(stage.after) != 1:
-            return ''
-        users = [
-            later
-            for later, other in enumerate(stages)
-            if stage.after[0] in other.after and self._pieces_of(later)
-        ]
-        return stages[stage.after[0]].service if users == [number] else ''
-
     def _zone_for(self, number: int, inputs: tuple[str, ...]) -> str:
         """Return where a stage should work; empty where it makes no difference.
 
@@ -275,14 +224,10 @@
         reads much of it.
         """
         stage = self.stages[number]
-        if sum(map(self._bytes_of, stage.after)) >= _DEAR_BYTES:
+        if sum(map(self.plan.bytes_of, stage.after)) >= _DEAR_BYTES:
             return self._zone_of(inputs)
-        is_last = self._next_on_path(number) is None
-        return self.zone if is_last and self._bytes_of(number) >= _DEAR_BYTES else ''
-
-    def _bytes_of(self, number: int) -> int:
-        """Return the bytes of all results of a stage."""
-        return self.stages[number].result_bytes * self._pieces_of(number)
+        is_last = self.plan.next_on_path(number) is None
+        return self.zone if is_last and self.plan.bytes_of(number) >= _DEAR_BYTES else ''
 
     def _zone_of(self, inputs: tuple[str, ...]) -> str:
         """Return where most inputs are."""
@@ -290,13 +235,9 @@
         found.pop('', None)
         return found.most_common(1)[0][0] if found else ''
 
-    def _least_s(self, number: int) -> float:
-        """Return what the rest of a request takes after a stage without waiting."""
-        return self._later_s(number) / _WAIT_AND_CALL + _FIRST_EVENT_S
-
     def _expiry_of_inputs(self, stage: RouteStage) -> float:
         """Return when inputs that are dear to make again are given up."""
-        if sum(map(self._bytes_of, stage.after)) < _DEAR_BYTES:
+        if sum(map(self.plan.bytes_of, stage.after)) < _DEAR_BYTES:
             return math.inf
         return min(map(self._expiry_of, stage.after))
 
@@ -308,26 +249,6 @@
         # The first of its pieces may have been made a call before the last.
         return self.made_at[number] + service.batching.keep_s - service.batching.call_s
 
-    def _later_s(self, number: int) -> float:
-        """Return what the longest path after a stage will take."""
-        longest: float = 0
-        for later, stage in enumerate(self.stages):
-            if number in stage.after and self._pieces_of(later):
-                longest = max(longest, self._stage_s(later) + self._later_s(later))
-        return longest
-
-    def _stage_s(self, number: int) -> float:
-        service = self.table.services.get(self.stages[number].service)
-        if service is None or service.batching is None:
-            return 0
-        spec = service.batching
-        call = spec.call_s + spec.piece_s * min(spec.batch, self._pieces_of(number))
-        return _WAIT_AND_CALL * call
-
-    def _pieces_of(self, number: int) -> int:
-        counts = self.work.request.pieces
-        return counts[number] if number < len(counts) else 0
-
 
 def has_stages(route: Route, pieces: tuple[int, ...]) -> bool:
     """Return whether a request needs any stage."""
--- /dev/null
+++ b/ringseam/gateway/stageplan.py
@@ -0,0 +1,115 @@
+"""How long the stages of a request take, and which wait for which; a plain class."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ringseam.routes import BackendService, RouteStage, ServiceName
+
+#: From a request's arrival at an idle engine to its first event, seconds.
+FIRST_EVENT_S = 0.1
+#: A stage takes this many times its call: pieces wait for a call under way.
+_WAIT_AND_CALL = 1.5
+#: A branch of the graph begins when the longest one has this many times the
+#: branch's own time left. Results that are ready early take up room at their
+#: maker until the slowest stage is done, and are lost when that takes seconds;
+#: so it may rather be a little late.
+_BRANCH_LEAD = 0.75
+
+
+@dataclass(frozen=True, kw_only=True)
+class StagePlan:  # noqa: WPS214 - short questions on one graph
+    """The graph of one request's stages; a stage without pieces is left out."""
+
+    stages: tuple[RouteStage, ...]
+    #: Pieces of each stage.
+    counts: tuple[int, ...]
+    services: dict[ServiceName, BackendService]
+
+    def pieces_of(self, number: int) -> int:
+        """Return how many pieces a stage has."""
+        counts = self.counts
+        return counts[number] if number < len(counts) else 0
+
+    def bytes_of(self, number: int) -> int:
+        """Return the bytes of all results of a stage."""
+        return self.stages[number].result_bytes * self.pieces_of(number)
+
+    def call_s(self, number: int) -> float:
+        """Return how long a stage's call takes, seconds."""
+        service = self.services.get(self.stages[number].service)
+        if service is None or service.batching is None:
+            return 0
+        spec = service.batching
+        return spec.call_s + spec.piece_s * min(spec.batch, self.pieces_of(number))
+
+    def stage_s(self, number: int) -> float:
+        """Return how long a stage takes with the usual wait, seconds."""
+        return _WAIT_AND_CALL * self.call_s(number)
+
+    def later_s(self, number: int) -> float:
+        """Return what the longest path after a stage will take."""
+        longest: float = 0
+        for later, stage in enumerate(self.stages):
+            if number in stage.after and self.pieces_of(later):
+                longest = max(longest, self.stage_s(later) + self.later_s(later))
+        return longest
+
+    def path_s(self, number: int) -> float:
+        """Return what a stage and the longest path after it take, seconds."""
+        if not self.pieces_of(number):
+            return 0
+        return self.stage_s(number) + self.later_s(number)
+
+    def least_s(self, number: int) -> float:
+        """Return what the rest of a request takes after a stage without waiting."""
+        return self.later_s(number) / _WAIT_AND_CALL + FIRST_EVENT_S
+
+    def next_on_path(self, number: int) -> int | None:
+        """Return the stage after ``number`` that takes longest to the end."""
+        followers = [
+            later
+            for later, stage in enumerate(self.stages)
+            if number in stage.after and self.pieces_of(later)
+        ]
+        return max(followers, key=self.path_s, default=None)
+
+    def last_stages(self) -> list[int]:
+        """Return the stages with pieces that no other such stage follows."""
+        return [
+            number
+            for number in range(len(self.stages))
+            if self.pieces_of(number) and self.next_on_path(number) is None
+        ]
+
+    def paced_by(self, number: int) -> tuple[int, ...]:
+        """Return the stages whose end a stage without inputs waits for.
+
+        Only a branch that is shorter than the longest one waits; its results
+        would else be kept until the longest branch is done.
+        """
+        if self.stages[number].after:
+            return ()
+        needed = _BRANCH_LEAD * self.path_s(number)
+        slowest = max(range(len(self.stages)), key=self.path_s)
+        paced: tuple[int, ...] = ()
+        following = self.next_on_path(slowest)
+        while following is not None and self.path_s(following) >= needed:
+            paced = (slowest,)
+            slowest, following = following, self.next_on_path(following)
+        return paced
+
+    def sole_maker(self, number: int) -> str:
+        """Return the service of a stage's inputs if only this stage needs them."""
+        stages = self.stages
+        stage = stages[number]
+        if len(stage.after) != 1:
+            return ''
+        users = [
+            later
+            for later, other in enumerate(stages)
+            if stage.after[0] in other.after and self.pieces_of(later)
+        ]
+        return stages[stage.after[0]].service if users == [number] else ''
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -6,8 +6,16 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.batching import FULL_S, UNKNOWN_S, Batcher, PieceJob, StageCall
+from ringseam.gateway.batching import (
+    FULL_S,
+    UNKNOWN_S,
+    Batcher,
+)
 from ringseam.gateway.health import HealthBook
+from ringseam.gateway.piecejobs import (
+    PieceJob,
+    StageCall,
+)
 from ringseam.routes import BatchSpec, ServiceName
 
 SERVICE = ServiceName('crops')
