Inputs stay while another gateway may call the same servers

Ruled out: lost or full servers (none at that time), results that expired after 4 s (most calls failed whole, within a second).

Change: inputs are kept until the call is answered while a gateway is stopping, and for 2 s after the set of gateways has changed.

--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -19,9 +19,9 @@
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
-    from ringseam.backends import BackendReport
+    from ringseam.backends import BackendReport, GatewayState
     from ringseam.gateway.budget import RetryBudget
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
@@ -44,6 +44,9 @@
 #: A server has fetched the inputs of a call this long after it was sent,
 #: seconds: megabytes take milliseconds at the links' speed.
 FETCH_S = 0.06
+#: A gateway that was an owner may have calls under way for this long after
+#: another took its place, seconds: two calls that wait at a server and their like.
+_SETTLING_S = 2.0
 #: Results that are given up within this time are named to their maker together,
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
@@ -70,6 +73,9 @@
         self.budget = budget
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks = TaskSet()
+        self.gateways: set[GatewayState] = set()
+        #: Until when another gateway may still call servers of services owned here.
+        self.unsettled_until = float('-inf')
         #: Set, and replaced, whenever servers, routes or gateways change.
         self.changed = asyncio.Event()
         #: Gives up inputs; the facade over all gateways knows their owners.
@@ -108,6 +114,12 @@
                 self.tasks.spawn(self._release_soon(works, maker))
             works.released[maker].append(handle)
 
+    def see_gateways(self, gateways: Collection[GatewayState]) -> None:
+        """Hear which gateways there are; owners change with them."""
+        if set(gateways) != self.gateways:
+            self.gateways = set(gateways)
+            self.unsettled_until = self.node.clock.now() + _SETTLING_S
+
     def refresh(self) -> None:
         """Look again: servers, routes or gateways have changed."""
         for service, works in self.services.items():
@@ -201,14 +213,21 @@
             hard = end is CallEnd.unsent
             self.health.failed(call.server.instance, now, hard=hard)
 
+    def _owns_alone(self) -> bool:
+        """Return whether no other gateway calls the servers of services owned here."""
+        if any(state.draining for state in self.gateways):
+            return False
+        return self.node.clock.now() >= self.unsettled_until
+
     def _inputs_fetched(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         """Give up inputs once all pieces that need them have fetched them.
 
         A call's inputs are fetched when its turn comes, and calls are sent to
-        idle servers only. A server that is nearly full may refuse some pieces;
-        those are sent once more and need their inputs until then.
+        idle servers only. But while gateways come and go, two of them call the
+        same servers, and a server that is nearly full may refuse some pieces;
+        then inputs are kept until the call has been answered.
         """
-        if not works.batcher.has_ample_room(call.server, spec):
+        if not self._owns_alone() or not works.batcher.has_ample_room(call.server, spec):
             return
         jobs = {piece.job for piece in call.pieces}
         for job in jobs:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -197,6 +197,7 @@
         self.clients.limits.head_s = limits.head_s
         self.clients.limits.idle_s = limits.idle_s
         self.budget.gateways = max(1, len(self.follower.gateways))
+        self.works.see_gateways(self.follower.gateways)
         self.works.refresh()
 
     async def _sweep_always(self) -> None:
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -628,6 +628,41 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(('draining', 'kept'), [(False, False), (True, True)])
+def test_inputs_are_kept_while_another_gateway_may_call_the_same_servers(key_file, draining, kept):
+    """Seen in an incident of Thies: gateways were restarted in turn, calls waited
+    at servers behind another gateway's, and 750 inputs were gone by their turn."""
+
+    async def run():
+        place, freed, seen = {}, [], []
+
+        async def crops(asked, writer):
+            if 'stage-free' in asked.lines[0]:
+                freed.extend(json.loads(asked.body)['handles'])
+                writer.write(answer(asked, b'{}'))
+                return
+            items = json.loads(asked.body)['items']
+            if items[0]['stage'] == 1:
+                await asyncio.sleep(0.3)
+                seen.append(not freed)
+            made = [{'handle': f'{place["crops"]}/{item["id"]}-{item["stage"]}'} for item in items]
+            writer.write(answer(asked, json.dumps({'items': made}).encode()))
+
+        worker, engine = ScriptedServer(crops), ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            gateway.apply(manifest(version=2, routes=[two_stages(size=100)]))
+            place['crops'] = await worker.start()
+            gateway.add(place['crops'], service='crops', name='worker')
+            gateway.add(await engine.start())
+            other = GatewayState(name='old', address='127.0.0.1:1', zone='a', draining=True)
+            gateway.role.works.see_gateways([other] if draining else [])
+            found, _ = await gateway.ask('/staged/x', Pieces='1,1', Piece_Key='k')
+        assert found == 200
+        assert seen == [kept]
+
+    asyncio.run(run())
+
+
 def two_stages(size):
     """Return a route with a large second stage."""
     return {
