--- a/bench/soak.py
+++ b/bench/soak.py
@@ -33,7 +33,8 @@
     example_document,
 )
 from ringseam.platform.registration import CONFIG_PATH
-from ringseam.platform.requests import ClientRequest, encode_request
+from ringseam.platform.requests import ClientRequest, decode_request, encode_request
+from ringseam.platform.stages import FREE_PATH
 from ringseam.routes import ServiceName
 from ringseam.standin.direct import DirectServer
 from tests.processes import System
@@ -132,18 +133,18 @@
 
     async def serve(self, exchange):
         late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
-        if late and exchange.request.path != '/api/stage-free':
+        if late and exchange.request.path != FREE_PATH:
             self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
         await super().serve(exchange)
 
     async def _answer(self, exchange):
-        asked = exchange.request.header('Attempt-Id')
+        asked = decode_request(exchange.request).attempt_id
         self.book.check(exchange.request.body == asked.encode(), f'UNASKED body of {asked}')
         await asyncio.sleep(self.dice.uniform(0, 0.05))
         await super()._answer(exchange)
 
     async def _stream(self, exchange):
-        asked = exchange.request.header('Attempt-Id')
+        asked = decode_request(exchange.request).attempt_id
         given = exchange.request.header('Inputs').split(',')
         wanted = {f'{asked}-0-{piece}' for piece in range(3)}
         found = [handle.rpartition('/')[2] for handle in given]
