Choose the server after stages have run again, not before

Cause: a stream's engine crashed; the next one was chosen, then the stages ran again for 13 s, and the chosen engine had left by then. Ruled out: the gateway's view (it had the leave at once, and acknowledged it).

Change: stages first, then the choice. The test fails without it.

--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -82,11 +82,12 @@
         relay: StreamRelay,
     ) -> TryOutcome | None:
         """Send to the next server; None when there is none or no time."""
+        # Stages that must run again take seconds; who serves is chosen after them.
+        if stages is not None and not stages.is_held and await stages.run() is not None:
+            return None
         server = await self._choose(work)
         if server is None or work.deadline <= self.clock.now():
             return None
-        if stages is not None and not stages.is_held and await stages.run() is not None:
-            return None
         work.tried.add(server.instance)
         if stages is None:
             return await self._try(work, server, relay)
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -663,6 +663,57 @@
     asyncio.run(run())
 
 
+def test_server_that_leaves_while_stages_run_again_is_not_sent_to(key_file):
+    """Broke DRAIN in a hunt of Thies: the second engine was chosen before the
+    stages ran again, which took 13 s, and had left by then."""
+
+    async def run():
+        place, runs, asked_names = {}, [], []
+        again, go_on = asyncio.Event(), asyncio.Event()
+
+        async def crops(asked, writer):
+            items = json.loads(asked.body).get('items', [])
+            if items:
+                runs.append(items)
+                if len(runs) == 2:
+                    again.set()
+                    await go_on.wait()
+            made = [{'handle': f'{place["crops"]}/{len(runs)}'} for _ in items]
+            writer.write(answer(asked, json.dumps({'items': made}).encode()))
+
+        def engine(name):
+            async def script(asked, writer):
+                asked_names.append(name)
+                first = len(asked_names) == 1
+                await streaming(1 if first else 2, 1 if first else 3, end=not first)(asked, writer)
+                if first:
+                    reset(writer)
+
+            return ScriptedServer(script)
+
+        worker = ScriptedServer(crops)
+        async with LocalGateway(key_file) as gateway:
+            route = {**two_stages(size=100), 'resumable': True, 'max_attempts': 2}
+            route['stages'] = route['stages'][:1]
+            gateway.apply(manifest(version=2, routes=[route]))
+            place['crops'] = await worker.start()
+            gateway.add(place['crops'], service='crops', name='worker')
+            addresses = {name: await engine(name).start() for name in ('a', 'b', 'c')}
+            for name in ('a', 'b'):
+                gateway.add(addresses[name], name=name)
+            answered = asyncio.ensure_future(gateway.ask('/staged/x', Pieces='1', Piece_Key='k'))
+            await again.wait()
+            leaving = 'b' if asked_names == ['a'] else 'a'
+            gateway.role.follower.view.leave(BackendId(leaving))
+            gateway.add(addresses['c'], name='c')
+            go_on.set()
+            found, _ = await answered
+        assert found == 200
+        assert leaving not in asked_names
+
+    asyncio.run(run())
+
+
 def two_stages(size):
     """Return a route with a large second stage."""
     return {
