A connection that is lost as it is made is a tagged outcome

A process that is killed with the connection in its backlog resets it after the handshake; grpclib then drops the transport before the caller's task runs. Ruled out: the leader itself, load (the order of two callbacks decides). In a running gateway or control host the same error would have ended the task that called.

Change: such a connection counts as not made (NotSentError), nothing was sent. The test makes the order of events by hand and failed first with the same error.

--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -406,7 +406,10 @@
                 protocol = await channel.__connect__()
         except CALL_ERRORS as error:
             raise NotSentError(f'{address}: {type(error).__name__} {error}') from None
-        if address not in self.tuned or self.tuned[address] is not protocol:
+        if protocol.connection.is_closing():
+            # The peer reset it between the handshake and this step.
+            raise NotSentError(f'{address}: the connection was closed before it was used')
+        if self.tuned.get(address) is not protocol:
             self.tuned[address] = protocol
             detect_silence(protocol.connection._transport)  # noqa: WPS437 - no public way
         return channel
