--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -10,16 +10,13 @@
 from ringseam.clock import MS_PER_S
 from ringseam.control.applying import Applying, redirected
 from ringseam.control.directory import Directory
+from ringseam.control.diskwait import DiskWait
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.founding import Introduction, wanted_voters
 from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
 from ringseam.control.peerlinks import PeerLinks
-from ringseam.control.replica import (
-    Replica,
-)
-from ringseam.control.replicaactor import (
-    ReplicaActor,
-)
+from ringseam.control.replica import Replica
+from ringseam.control.replicaactor import ReplicaActor
 from ringseam.control.replicamessages import (
     BlankSeen,
     Deliver,
@@ -35,7 +32,6 @@
     ReplicaStatus,
     TimePassed,
 )
-from ringseam.control.storage import DiskFiles, Storage
 from ringseam.controlclient import ControlClient
 from ringseam.events import Event
 from ringseam.following import READ_DOCUMENT, REPORT_BACKEND, SUBMIT, WATCH
@@ -122,11 +118,14 @@
             voters_needed=wanted_voters(settings.own),
         )
         self.shares: ShareBook | None = None
+        self.actor: Any = None
         self.metrics = Metrics()
 
     async def open(self) -> None:
         """Load the replica, serve, and join or form the group."""
         loop = asyncio.get_running_loop()
+        disk = DiskWait(node=self.node, folder=self.settings.own['data_dir'])
+        await disk.wait(lambda: self.draining)
         self._serve_methods()
         await self.server.start()
         self.stack.push_async_callback(self.server.close)
@@ -154,7 +153,7 @@
         own = self.settings.own
         replica = Replica(
             node=self.node,
-            storage=Storage(files=DiskFiles(folder=own['data_dir'])),
+            storage=disk.storage,
             settings=ReplicaSettings(
                 election_s=self.settings.seconds('election_ms'),
                 heartbeat_s=self.settings.seconds('heartbeat_ms'),
@@ -190,6 +189,8 @@
 
     async def drain(self) -> None:
         """Hand leadership over before leaving."""
+        if self.actor is None:
+            return
         for _ in range(_HAND_OVER_TRIES):
             status: ReplicaStatus = await ask(self.actor, GetReplicaStatus())
             if status.leader != self.node.address:
--- /dev/null
+++ b/tests/test_control/test_control_diskwait.py
@@ -0,0 +1,74 @@
+"""A start on a disk that is full."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from ringseam.control import diskwait
+from ringseam.control.diskwait import DiskWait
+from ringseam.control.storage import Storage
+from ringseam.errors import StorageError
+from ringseam.node import Node
+from tests.fakes import MemoryFiles
+
+
+class DiskWithRoomLater(MemoryFiles):
+    """Full for the first few writes."""
+
+    def __init__(self, refusals):
+        super().__init__()
+        self.refusals = refusals
+
+    def append(self, name, chunk):
+        self.full = self.refusals > 0
+        self.refusals -= 1
+        super().append(name, chunk)
+
+
+@pytest.fixture
+def told():
+    return []
+
+
+@pytest.fixture
+def wait_for(told, monkeypatch, tmp_path):
+    """Return a wait for files that notes the events it logs."""
+    monkeypatch.setattr(diskwait, 'DISK_RETRY_S', 0)
+    node = Node(name='c1', role='control', address='c1', secret=b'x')
+    node.events.emit = lambda logger, event, **fields: told.append(event.name)
+
+    def make(files):
+        wait = DiskWait(node=node, folder=str(tmp_path))
+        wait.storage = Storage(files=files)
+        return wait
+
+    return make
+
+
+def test_probe_leaves_nothing_behind():
+    files = MemoryFiles()
+    storage = Storage(files=files)
+    assert storage.takes_bytes()
+    files.full = True
+    assert not storage.takes_bytes()
+    files.full = False
+    assert storage.takes_bytes()
+    assert files.names() == []
+
+
+def test_start_waits_until_the_disk_takes_bytes(wait_for, told):
+    """Seen on a played day: 14 starts that each ended with storage_failed."""
+    asyncio.run(wait_for(DiskWithRoomLater(3)).wait(lambda: False))
+    assert told == ['storage_waited_for', 'storage_regained']
+
+
+def test_start_on_a_sound_disk_says_nothing(wait_for, told):
+    asyncio.run(wait_for(MemoryFiles()).wait(lambda: False))
+    assert told == []
+
+
+def test_stop_ends_the_wait(wait_for):
+    with pytest.raises(StorageError, match='stopped'):
+        asyncio.run(wait_for(DiskWithRoomLater(10)).wait(lambda: True))
