--- a/bench/mixes.py
+++ b/bench/mixes.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 import subprocess
 import tomllib
@@ -26,7 +27,6 @@
 #: When an entry may begin, seconds after the start of traffic.
 FIRST_S = 0.5
 LAST_S = 29.0
-RULE_MARK = 'broken'
 
 
 @dataclass(kw_only=True)
@@ -66,20 +66,23 @@
 
 def play(bench: Path, site: Path, day: Path, *, charged: bool) -> str:
     """Play ``day``, keep its report beside it, and return its line."""
-    command = [str(bench), 'run', str(site), str(day), '--why', f'own mix {day.stem}']
+    report = day.with_suffix('.json')
+    command = [str(bench), 'run', str(site), str(day), '--report', str(report)]
+    command.extend(['--why', f'own mix {day.stem}'])
     if not charged:
         command.append('--no-cpu')
     done = subprocess.run(command, capture_output=True, text=True, check=False)
     day.with_suffix('.txt').write_text(done.stdout + done.stderr)
-    return f'{day.stem}: {summary(done.stdout) or done.stderr[-300:]}'
+    if not report.exists():
+        return f'{day.stem}: not played: {done.stderr[-300:]}'
+    return f'{day.stem}: {summary(json.loads(report.read_text()))}'
 
 
-def summary(report: str) -> str:
-    """Return the line of the day and what it broke."""
-    lines = report.splitlines()
-    row = [line for line in lines if line.startswith('mix-')][:1]
-    rules = [line for line in lines if RULE_MARK in line.lower()]
-    return '\n    '.join(row + rules)
+def summary(report: dict[str, Any]) -> str:
+    """Return the worth of a played day, the rules that it broke, and its faults."""
+    day = report['days'][0] if 'days' in report else report
+    found = {part: day[part] for part in ('breaks', 'fault', 'short', 'missed') if day.get(part)}
+    return f'worth {day.get("G", 0):.3f} served {day.get("served", 0):.3f} {found or ""}'
 
 
 def main(
