One abstract base class for the tries of a stage, through agents or not

Entries and gateways each had a loop over servers, a record of what was tried and a budget of retries, with the same rules written twice. Tries is the base class of both (AgentTries, DirectTries); TryRecord, a plain class, says what may follow a try; WindowRetries is a policy beside BudgetRetries and BlindRetries.

gateway/tries.py is gateway/sending.py now: it sends once.

--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -9,7 +9,7 @@
 from ringseam.events import Event
 from ringseam.gateway.answers import BAD_GATEWAY, GATEWAY_TIMEOUT
 from ringseam.gateway.choice import MeasuredChoice
-from ringseam.gateway.piecework import FETCH_S
+from ringseam.gateway.directtries import DirectTries
 from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
 from ringseam.web.client import ChannelError
@@ -17,21 +17,19 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.gateway.answers import Answers
-    from ringseam.gateway.budget import RetryBudget
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
     from ringseam.gateway.placements import Placements
+    from ringseam.gateway.sending import Sender
     from ringseam.gateway.stagegraph import StageRun
-    from ringseam.gateway.tries import Sender
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.node import Node
+    from ringseam.retries import RetryPolicy
 
 logger = logging.getLogger(__name__)
 
 _BAD_REQUEST = 400
 _SERVER_ERROR = 500
-#: Connections that could not be made don't count as attempts; this many end it.
-_UNSENT_TRIES = 4
 
 
 class Attempts:  # noqa: WPS214 - the steps from choice to answer
@@ -45,7 +43,7 @@
         sender: Sender,
         health: HealthBook,
         placements: Placements,
-        budget: RetryBudget,
+        retries: RetryPolicy,
         answers: Answers,
     ) -> None:
         """Send through ``sender``."""
@@ -54,7 +52,7 @@
         self.sender = sender
         self.health = health
         self.placements = placements
-        self.budget = budget
+        self.retries = retries
         self.answers = answers
         self.plain = MeasuredChoice(health=health, zone=node.zone)
 
@@ -63,74 +61,23 @@
         relay = StreamRelay(work=work, clock=self.clock, last=work.request.last_event)
         relay.on_passed = self.answers.note_passed
         relay.on_first = lambda: self._note_first(work, stages)
-        outcome: TryOutcome | None = NotRun(detail='no server')
-        repeat = True
-        while repeat:
-            sent = await self._next(work, stages, relay)
-            if sent is None:
-                break
-            outcome = sent
-            if isinstance(outcome, Answered):
-                return
-            repeat = self._may_repeat(work, outcome)
-        await self._give_up(work, outcome, relay)
-
-    async def _next(
-        self,
-        work: Work,
-        stages: StageRun | None,
-        relay: StreamRelay,
-    ) -> TryOutcome | None:
-        """Send to the next server; None when there is none or no time."""
-        # Stages that must run again take seconds; who serves is chosen after them.
-        if stages is not None and not stages.is_held and await stages.run() is not None:
-            return None
-        server = await self._choose(work)
-        if server is None or work.deadline <= self.clock.now():
-            return None
-        work.tried.add(server.instance)
-        if stages is None:
-            return await self._try(work, server, relay)
-        work.inputs = stages.inputs()
-        # By then the server has fetched what the stages have made. Where room is
-        # not scarce it stays until the first event, in case the server is lost.
-        fetched = asyncio.get_running_loop().call_later(FETCH_S, stages.release_scarce)
-        try:
-            return await self._try(work, server, relay)
-        finally:
-            fetched.cancel()
+        tries = DirectTries(attempts=self, work=work, stages=stages, relay=relay)
+        await tries.run()
+        if not isinstance(tries.outcome, Answered):
+            await self._give_up(work, tries.outcome, relay)
 
-    def _note_first(self, work: Work, stages: StageRun | None) -> None:
-        """Hear that the first event has come: the server has its inputs."""
-        if stages is not None:
-            stages.release()
-        if work.route.affinity:
-            self.placements.began(work)
-
-    def _may_repeat(self, work: Work, outcome: TryOutcome) -> bool:
-        if isinstance(outcome, NotRun) and not outcome.reached:
-            work.unsent += 1
-            return work.unsent < _UNSENT_TRIES
-        work.sends += 1
-        if isinstance(outcome, Lost):
-            work.maybe_run += 1
-            if not work.route.repeatable:
-                return False
-        if work.sends >= work.route.max_attempts:
-            return False
-        return self.budget.take(work.service, self.clock.now())
-
-    async def _choose(self, work: Work) -> BackendReport | None:
+    async def choose(self, work: Work) -> BackendReport | None:
+        """Return the server that is expected to answer first."""
         if work.route.affinity:
             return await self.placements.choose(work)
         servers = [
             server
             for server in self.follower.view.serving(work.service)
-            if server.instance not in work.tried
+            if server.instance not in work.tries.tried
         ]
         return self.plain.choose(servers, self.clock.now())
 
-    async def _try(
+    async def send_once(
         self,
         work: Work,
         server: BackendReport,
@@ -143,7 +90,7 @@
             work,
             Event.request_sent,
             backend=server.instance,
-            sends=work.sends,
+            sends=work.tries.sends,
             last=relay.last,
         )
         begun = self.clock.now()
@@ -159,6 +106,13 @@
                 self.placements.ended(work)
         return outcome
 
+    def _note_first(self, work: Work, stages: StageRun | None) -> None:
+        """Hear that the first event has come: the server has its inputs."""
+        if stages is not None:
+            stages.release()
+        if work.route.affinity:
+            self.placements.began(work)
+
     async def _pass_on(
         self,
         work: Work,
@@ -239,10 +193,10 @@
 
     def _has_another_chance(self, work: Work) -> bool:
         """Return whether a failed request may be sent to another server."""
-        if not work.may_repeat:
+        if not work.tries.may_repeat:
             return False
         serving = self.follower.view.serving(work.service)
-        return any(server.instance not in work.tried for server in serving)
+        return any(server.instance not in work.tries.tried for server in serving)
 
     def _count_failure(self, work: Work, server: BackendReport) -> None:
         if self.health.failed(server.instance, self.clock.now()):
@@ -258,7 +212,7 @@
         detail = outcome.detail if isinstance(outcome, (NotRun, Lost)) else ''
         if relay.started:
             self.answers.break_off(work, detail)
-        elif work.maybe_run:
+        elif work.tries.lost:
             late = self.clock.now() >= work.deadline
             await self.answers.fail(work, GATEWAY_TIMEOUT if late else BAD_GATEWAY, detail)
         else:
--- /dev/null
+++ b/ringseam/gateway/directtries.py
@@ -0,0 +1,87 @@
+"""The tries of one request at backend servers that a gateway calls directly."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ringseam.gateway.piecework import FETCH_S
+from ringseam.gateway.work import Answered, NotRun
+from ringseam.retries import Retry
+from ringseam.tries import Tries, TryEnd
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
+    from ringseam.gateway.attempts import Attempts
+    from ringseam.gateway.relay import StreamRelay
+    from ringseam.gateway.stagegraph import StageRun
+    from ringseam.gateway.work import TryOutcome, Work
+
+
+class DirectTries(Tries['BackendReport']):
+    """Send a request to one backend server after another, with what its stages made."""
+
+    def __init__(
+        self,
+        *,
+        attempts: Attempts,
+        work: Work,
+        stages: StageRun | None,
+        relay: StreamRelay,
+    ) -> None:
+        """Send by ``attempts``; answers are passed on through ``relay``."""
+        super().__init__(record=work.tries)
+        self.attempts = attempts
+        self.work = work
+        self.stages = stages
+        self.relay = relay
+        #: How the last try went; None when no stages could be had for one.
+        self.outcome: TryOutcome | None = NotRun(detail='no server')
+
+    async def choose(self) -> BackendReport | None:
+        """Return the next server, once the stages have made its inputs.
+
+        Stages that must run again take seconds, so the server is chosen after them.
+        """
+        if not await self._has_inputs():
+            return None
+        server = await self.attempts.choose(self.work)
+        if self.work.deadline <= self.attempts.clock.now():
+            return None
+        return server
+
+    def incarnation_of(self, server: BackendReport) -> str:
+        """Return the server's incarnation."""
+        return server.instance
+
+    async def send(self, server: BackendReport) -> TryEnd:
+        """Send once and pass the answer on, if there is one."""
+        self.outcome = await self._send_with_inputs(server)
+        if isinstance(self.outcome, Answered):
+            return TryEnd.final
+        if isinstance(self.outcome, NotRun):
+            return TryEnd.refused if self.outcome.reached else TryEnd.unsent
+        return TryEnd.lost
+
+    def draw(self) -> bool:
+        """Take a retry from the budget of the service."""
+        retry = Retry(service=self.work.service, now=self.attempts.clock.now())
+        return self.attempts.retries.may_retry(retry)
+
+    async def _has_inputs(self) -> bool:
+        if self.stages is None or self.stages.is_held:
+            return True
+        return await self.stages.run() is None
+
+    async def _send_with_inputs(self, server: BackendReport) -> TryOutcome:
+        if self.stages is None:
+            return await self.attempts.send_once(self.work, server, self.relay)
+        self.work.inputs = self.stages.inputs()
+        # By then the server has fetched what the stages have made. Where room is
+        # not scarce it stays until the first event, in case the server is lost.
+        loop = asyncio.get_running_loop()
+        fetched = loop.call_later(FETCH_S, self.stages.release_scarce)
+        try:
+            return await self.attempts.send_once(self.work, server, self.relay)
+        finally:
+            fetched.cancel()
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -108,7 +108,7 @@
         return self.random.choices(services, weights)[0]
 
     async def _serve(self, work: Work) -> None:
-        self.attempts.budget.request(work.service, self.clock.now())
+        self.attempts.retries.requested(work.service, self.clock.now())
         if not has_stages(work.route, work.request.pieces):
             await self.attempts.run(work, None)
             return
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -14,6 +14,7 @@
 from ringseam.gateway.piececalls import FullError
 from ringseam.gateway.servicepieces import CallEnd, CallFailure, ServicePieces
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
+from ringseam.retries import Retry
 from ringseam.routes import ServiceName
 from ringseam.util.tasks import TaskSet
 from ringseam.web.client import ChannelError
@@ -22,7 +23,6 @@
     from collections.abc import Callable, Collection
 
     from ringseam.backends import BackendReport, GatewayState
-    from ringseam.gateway.budget import RetryBudget
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
     from ringseam.gateway.piececalls import PieceCalls
@@ -32,6 +32,7 @@
         StageCall,
     )
     from ringseam.node import Node
+    from ringseam.retries import RetryPolicy
     from ringseam.routes import BatchSpec
 
 logger = logging.getLogger(__name__)
@@ -63,14 +64,14 @@
         follower: Follower,
         calls: PieceCalls,
         health: HealthBook,
-        budget: RetryBudget,
+        retries: RetryPolicy,
     ) -> None:
         """Work with the servers that ``follower`` knows."""
         self.node = node
         self.follower = follower
         self.calls = calls
         self.health = health
-        self.budget = budget
+        self.retries = retries
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks = TaskSet()
         self.gateways: set[GatewayState] = set()
@@ -88,7 +89,7 @@
         pieces = works.batcher.add(job)
         futures = [loop.create_future() for _ in pieces]
         works.waiters.update(zip(pieces, futures, strict=True))
-        self.budget.request(job.service, self.node.clock.now())
+        self.retries.requested(job.service, self.node.clock.now())
         self._dispatch(job.service)
         try:
             async with asyncio.timeout(max(0, job.deadline - self.node.clock.now())):
@@ -282,8 +283,8 @@
         for piece in pieces:
             request = piece.job.attempt_id
             if request not in allowed and piece in works.waiters:
-                now = self.node.clock.now()
-                allowed[request] = self.budget.take(works.batcher.service, now)
+                retry = Retry(service=works.batcher.service, now=self.node.clock.now())
+                allowed[request] = self.retries.may_retry(retry)
             if piece.tries + 1 < _PIECE_TRIES and allowed.get(request):
                 works.batcher.again(piece, call.server.instance)
             else:
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -132,7 +132,7 @@
             objective_ms=int((work.objective - now) * MS_PER_S),
             left_ms=int((work.deadline - now) * MS_PER_S),
             result_bytes=work.input_bytes,
-            avoid=tuple(work.tried),
+            avoid=tuple(work.tries.tried),
             dry=dry,
         )
 
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -10,7 +10,6 @@
 from ringseam.events import Event
 from ringseam.gateway.answers import Answers
 from ringseam.gateway.attempts import Attempts
-from ringseam.gateway.budget import RetryBudget
 from ringseam.gateway.follower import Follower
 from ringseam.gateway.forwarding import Forwarder
 from ringseam.gateway.health import HealthBook
@@ -20,11 +19,12 @@
 from ringseam.gateway.pieces import Pieces
 from ringseam.gateway.piecework import PieceWorks
 from ringseam.gateway.placements import PLACE, PROGRESS, Placements
+from ringseam.gateway.sending import Sender
 from ringseam.gateway.silence import SilenceBook
-from ringseam.gateway.tries import Sender
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
 from ringseam.platform.registration import READY_PATH
+from ringseam.retries import WindowRetries
 from ringseam.role import Role
 from ringseam.web.client import ChannelPool
 from ringseam.web.metricspage import MetricsPage
@@ -64,7 +64,7 @@
         self.health = HealthBook()
         self.silence = SilenceBook()
         self.pool = ChannelPool(clock=self.node.clock)
-        self.budget = RetryBudget(
+        self.retries = WindowRetries(
             ratio=own['retry_percent'] / 100,
             slack=own['retry_slack'],
             window_s=own['retry_window_s'],
@@ -88,7 +88,7 @@
             follower=self.follower,
             calls=PieceCalls(pool=self.pool, clock=self.node.clock),
             health=self.health,
-            budget=self.budget,
+            retries=self.retries,
         )
         self.pieces = Pieces(
             clock=self.node.clock,
@@ -113,7 +113,7 @@
                 ),
                 health=self.health,
                 placements=self.placements,
-                budget=self.budget,
+                retries=self.retries,
                 answers=answers,
             ),
             answers=answers,
@@ -196,7 +196,7 @@
         self.clients.limits.body_bytes = limits.body_bytes
         self.clients.limits.head_s = limits.head_s
         self.clients.limits.idle_s = limits.idle_s
-        self.budget.gateways = max(1, len(self.follower.gateways))
+        self.retries.processes = max(1, len(self.follower.gateways))
         self.works.see_gateways(self.follower.gateways)
         self.works.refresh()
 
--- a/ringseam/gateway/tries.py
+++ b/ringseam/gateway/sending.py
@@ -112,7 +112,7 @@
             answer = OpenAnswer(
                 channel=channel,
                 sent_at=self.clock.now(),
-                may_repeat=work.may_repeat,
+                may_repeat=work.tries.may_repeat,
             )
             self.silence.sent(server.instance, work.request.attempt_id, answer)
 
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING, Union
 
 from ringseam.gateway.worth import rank_of
+from ringseam.tries import TryRecord
 
 if TYPE_CHECKING:
-    from ringseam.backends import BackendId
     from ringseam.platform.requests import AnswerMarks, ClientRequest
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.client import Channel, ResponseHead
@@ -43,27 +43,21 @@
     inputs: tuple[str, ...] = ()
     #: Bytes of the inputs by availability zone.
     input_bytes: dict[str, int] = field(default_factory=dict)
-    tried: set[BackendId] = field(default_factory=set)
-    #: Sends that may have run.
-    maybe_run: int = 0
-    sends: int = 0
-    #: Tries that could not be sent.
-    unsent: int = 0
+    tries: TryRecord = field(init=False)
     #: How long the stages took, seconds.
     stages_s: float = 0
     #: How long stages and server were predicted to take, seconds.
     predicted_s: float = 0
 
+    def __post_init__(self) -> None:
+        """Begin without a try."""
+        self.tries = TryRecord(repeatable=self.route.repeatable, most=self.route.max_attempts)
+
     @property
     def objective(self) -> float:
         """Return when an answer stops earning its full worth."""
         return self.arrived + self.route.objective_s
 
-    @property
-    def may_repeat(self) -> bool:
-        """Return whether the request may be sent once more after this send."""
-        return self.route.repeatable and self.sends + 1 < self.route.max_attempts
-
     @property
     def rank(self) -> int:
         """Return the rank among all requests; 0 is first."""
--- a/tests/test_entry/test_entry_limits.py
+++ b/tests/test_entry/test_entry_limits.py
@@ -10,9 +10,10 @@
 from ringseam.config import Account, Stage
 from ringseam.limits import BURST_S, AccountLimits
 from ringseam.places import CLASS_SHARES, Places
-from ringseam.retries import BlindRetries, BudgetRetries
+from ringseam.retries import BlindRetries, BudgetRetries, Retry
 from ringseam.shares import LEASE_S, LEASED_PART, ShareBook
 
+RETRY = Retry(service='p/q', now=0, left_s=1, needed_s=0.01)
 ACCOUNT = Account(name='p/a', token_sha256='', rate_per_s=10, concurrency=4, weight=1)
 STAGE = Stage(
     name='p/s', pool='p/q', path='/', repeatable=True, expected_ms=20, model='', max_tries=3
@@ -77,18 +78,15 @@
 
 def test_outage_makes_no_retry_storm():
     budget, blind = BudgetRetries(), BlindRetries()
-    allowed = [
-        sum(policy.may_retry(left_ms=1000, est_ms=10) for _ in range(1000))
-        for policy in (budget, blind)
-    ]
+    allowed = [sum(policy.may_retry(RETRY) for _ in range(1000)) for policy in (budget, blind)]
     assert allowed == [10, 1000]
     for _ in range(100):
         budget.succeeded()
-    assert sum(budget.may_retry(left_ms=1000, est_ms=10) for _ in range(100)) in {9, 10}
+    assert sum(budget.may_retry(RETRY) for _ in range(100)) in {9, 10}
 
 
 def test_no_retry_without_time_for_it():
-    assert not BudgetRetries().may_retry(left_ms=5, est_ms=10)
+    assert not BudgetRetries().may_retry(Retry(service='s', now=0, left_s=0.005, needed_s=0.01))
 
 
 @pytest.mark.parametrize(
