Requests wait a little for the first routes of a gateway that has just started

Ruled out: the election (0.39 s after the start) and the search for the leader (0.03 s).

Change: a request waits for the first routes for a sixteenth of its client's time, 0.6 s at most; one that is refused is told to come back in 0.6 s.

--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -56,6 +56,8 @@
         self.leader = ''
         self.draining = False
         self.in_touch = False
+        #: Set, and replaced, with each news.
+        self.news_taken = asyncio.Event()
 
     @property
     def state(self) -> GatewayState:
@@ -102,6 +104,21 @@
         if news.control:
             self.addresses = list(news.control)
         self.on_change()
+        self.news_taken.set()
+        self.news_taken = asyncio.Event()
+
+    async def await_routes(self, limit_s: float) -> None:
+        """Return once there are routes, or after ``limit_s``.
+
+        A process that has just started has them within an election; a client
+        that is turned away comes back later than that.
+        """
+        try:
+            async with asyncio.timeout(limit_s):
+                while not self.table.number:
+                    await self.news_taken.wait()
+        except asyncio.TimeoutError:
+            logger.debug('no routes after %s s', limit_s)
 
     async def _watch(self, address: str) -> bool:
         followed = self.in_touch and address == self.leader
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -23,9 +23,14 @@
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.server import Exchange
 
-#: A gateway without routes has them after this long, seconds: an election and
-#: the first answer of the leader.
-_NO_ROUTES_S = 1.5
+#: A gateway that still has no routes has them after this long, seconds: an
+#: election takes 0.4 s after a start, and 1 s when the first one fails.
+_NO_ROUTES_S = 0.6
+#: A request waits for the first routes for this share of the time that its
+#: client gives it, and for this long at most, seconds. Objectives are a sixth to
+#: a half of the limits on the sheets, so it can still be in time afterwards.
+_ROUTES_WAIT_SHARE = 1 / 16
+_ROUTES_WAIT_S = 0.6
 #: A prompt with this many shared tokens is served where they are kept; fewer
 #: are read in under 50 ms.
 _LONG_PREFIX_TOKENS = 1500
@@ -56,6 +61,7 @@
     async def serve(self, exchange: Exchange) -> None:
         """Answer one client request."""
         request = decode_request(exchange.request)
+        await self._await_routes(request)
         table = self.follower.table
         if not table.number:
             await self.answers.refuse(
@@ -80,6 +86,15 @@
             self.answers.log(work, Event.request_left)
             raise
 
+    async def _await_routes(self, request: ClientRequest) -> None:
+        """Let a request wait a little for the first routes of this process."""
+        if self.follower.table.number:
+            return
+        limit_s = _ROUTES_WAIT_S
+        if request.time_left_s is not None:
+            limit_s = min(limit_s, _ROUTES_WAIT_SHARE * request.time_left_s)
+        await self.follower.await_routes(limit_s)
+
     def _work(
         self,
         exchange: Exchange,
