Engines: streams that pause, and what an engine has read meanwhile

Ruled out: slow or lost engines (none then), preemption (0 requests put back). The cost of a placement counted running streams only, not those that would begin while others' prompts are read, and a backlog counted whole until a prompt's first event.

Change: a stream that is yet to begin pauses for what is read after it; a backlog shrinks by what an engine reads in the time since it was last seen to be done with a prompt. Event 342 request_placed says what decided.

--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/placement.py
@@ -88,12 +88,28 @@
     running: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class Placement:
+    """Where a request shall run, and what decided it."""
+
+    engine: BackendReport
+    cost: float
+    #: Prompt tokens that the engine has to read for it.
+    unread: int
+    #: Prompt tokens that wait there before it.
+    backlog: int
+    #: Worth of the streams there that would pause for too long.
+    disturbed: float
+
+
 @dataclass(kw_only=True)
 class EngineBook:
     """What is believed of one engine's memory, least recently used first."""
 
     parts: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
     tokens: int = 0
+    #: When the engine was last seen to have read a prompt, or began to read one.
+    read_at: float = float('-inf')
 
     def use(self, part: PlacedPart, capacity: float) -> None:
         """Remember a part as the newest, dropping the oldest beyond the memory."""
@@ -118,35 +134,40 @@
         engines: Collection[BackendReport],
         cache_tokens: int,
         now: float,
-    ) -> BackendReport | None:
+    ) -> Placement | None:
         """Return the engine with the least cost, and remember the request."""
         self._forget(now)
-        candidates = [engine for engine in engines if engine.instance not in ask.avoid]
+        candidates = [
+            self._judge(ask, engine, now) for engine in engines if engine.instance not in ask.avoid
+        ]
         if not candidates:
             return None
-        best = min(candidates, key=lambda engine: (self._cost(ask, engine, now), _tie(ask, engine)))
+        best = min(candidates, key=lambda known: (known.cost, _tie(ask, known.engine)))
         if not ask.dry:
-            self.note(ask, best.instance, cache_tokens, now)
+            self.note(ask, best.engine.instance, cache_tokens, now)
         return best
 
     def note(self, ask: PlaceRequest, instance: BackendId, cache_tokens: int, now: float) -> None:
         """Remember that a request was placed on an engine."""
+        book = self._book(instance)
+        if not any(placed.unread for placed in self._here(instance)):
+            book.read_at = now
         self.placed[ask.request] = Placed(
             instance=instance,
             unread=self.unread(ask, instance),
             worth=worth_of(ask.priority),
             until=now + ask.left_ms / MS_PER_S + _FORGET_S,
         )
-        book = self.books.setdefault(instance, EngineBook())
         for part in reversed(ask.prefix):
             book.use(part, cache_tokens * _CACHE_SHARE)
 
-    def began(self, request: str) -> None:
+    def began(self, request: str, now: float) -> None:
         """Hear that the first event has come."""
         known = self.placed.get(request)
         if known is not None:
             known.running = True
             known.unread = 0
+            self._book(known.instance).read_at = now
 
     def ended(self, request: str) -> None:
         """Hear that a request is over."""
@@ -163,6 +184,9 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _book(self, instance: BackendId) -> EngineBook:
+        return self.books.setdefault(instance, EngineBook())
+
     def _cached(self, ask: PlaceRequest, instance: BackendId) -> int:
         book = self.books.get(instance)
         cached = 0
@@ -172,20 +196,44 @@
             cached += part.tokens
         return cached
 
-    def _cost(self, ask: PlaceRequest, engine: BackendReport, now: float) -> float:
-        here = [placed for placed in self.placed.values() if placed.instance == engine.instance]
-        tokens = self.unread(ask, engine.instance) + sum(placed.unread for placed in here)
-        cost = self._lateness(ask, engine.instance, tokens)
-        if tokens > _DISTURBING_TOKENS:
-            cost += LATE_LOSS * sum(placed.worth for placed in here if placed.running)
-        cost += self._again(ask, engine.instance) * _AGAIN_PER_TOKEN
+    def _judge(self, ask: PlaceRequest, engine: BackendReport, now: float) -> Placement:
+        instance = engine.instance
+        here = self._here(instance)
+        unread = self.unread(ask, instance)
+        backlog = self._backlog(instance, here, now)
+        disturbed = _disturbed(here, backlog + unread)
+        cost = self._lateness(ask, backlog + unread) + LATE_LOSS * disturbed
+        cost += self._again(ask, instance) * _AGAIN_PER_TOKEN
         crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
-        if now < self.health.of(engine.instance).ejected_until:
+        if now < self.health.of(instance).ejected_until:
             cost += _EJECTED
-        return cost
+        return Placement(
+            engine=engine,
+            cost=cost,
+            unread=unread,
+            backlog=backlog,
+            disturbed=disturbed,
+        )
+
+    def _here(self, instance: BackendId) -> list[Placed]:
+        """Return what was placed on an engine, first come first."""
+        return [placed for placed in self.placed.values() if placed.instance == instance]
 
-    def _lateness(self, ask: PlaceRequest, instance: BackendId, tokens: int) -> float:
+    def _backlog(self, instance: BackendId, here: list[Placed], now: float) -> int:
+        """Return the prompt tokens that an engine has yet to read.
+
+        What it has read since a prompt was last done is guessed from its usual
+        speed, and is never more than the longest prompt that waits.
+        """
+        waiting = [placed.unread for placed in here if placed.unread]
+        if not waiting:
+            return 0
+        since = now - self._book(instance).read_at
+        read = min(max(waiting), int(since * READ_TOKENS_PER_S / _LONG_READ))
+        return sum(waiting) - read
+
+    def _lateness(self, ask: PlaceRequest, tokens: int) -> float:
         """Return the expected loss by the time that reading ``tokens`` takes."""
         first = _FIRST_EVENT_S + _LONG_READ * tokens / READ_TOKENS_PER_S
         spare = ask.objective_ms / MS_PER_S - first
@@ -203,6 +251,20 @@
                 self.placed.pop(request)
 
 
+def _disturbed(here: list[Placed], tokens: int) -> float:
+    """Return the worth of streams that pause too long while ``tokens`` are read.
+
+    A running stream pauses for all of them; one that is yet to begin pauses for
+    those that are read after its own.
+    """
+    hurt: float = 0
+    for placed in here:
+        tokens -= placed.unread
+        if tokens > _DISTURBING_TOKENS:
+            hurt += placed.worth
+    return hurt
+
+
 def _tie(ask: PlaceRequest, engine: BackendReport) -> bytes:
     """Order engines of equal cost alike at all gateways, by the shared parts."""
     shared = ask.prefix[-2] if len(ask.prefix) > 1 else None
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -8,6 +8,7 @@
 from ringseam.backends import BackendId
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
+from ringseam.events import Event
 from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
@@ -16,11 +17,12 @@
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
-    from ringseam.clock import Clock
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
     from ringseam.gateway.ownership import Ownership
+    from ringseam.gateway.placement import Placement
     from ringseam.gateway.work import Work
+    from ringseam.node import Node
     from ringseam.rpc import CallClient, Received
 
 logger = logging.getLogger(__name__)
@@ -59,14 +61,15 @@
     def __init__(
         self,
         *,
-        clock: Clock,
+        node: Node,
         client: CallClient,
         follower: Follower,
         health: HealthBook,
         ownership: Ownership,
     ) -> None:
         """Begin without a memory of prompts."""
-        self.clock = clock
+        self.node = node
+        self.clock = node.clock
         self.client = client
         self.follower = follower
         self.health = health
@@ -138,12 +141,31 @@
 
     def _place_here(self, ask: PlaceRequest) -> BackendReport | None:
         service = ServiceName(ask.service)
-        return self._placer(service).place(
+        placement = self._placer(service).place(
             ask,
             self.follower.view.serving(service),
             self._cache_tokens(service),
             self.clock.now(),
         )
+        if placement is None:
+            return None
+        if not ask.dry:
+            self._log(ask, placement)
+        return placement.engine
+
+    def _log(self, ask: PlaceRequest, placement: Placement) -> None:
+        self.node.events.emit(
+            logger,
+            Event.request_placed,
+            request=ask.request,
+            backend=placement.engine.instance,
+            cost=round(placement.cost, 3),
+            unread=placement.unread,
+            backlog=placement.backlog,
+            disturbed=round(placement.disturbed, 3),
+            prompt=ask.prompt_tokens,
+            objective_ms=ask.objective_ms,
+        )
 
     async def _ask_owner(self, owner: str, ask: PlaceRequest) -> Optional[BackendReport]:
         try:
@@ -180,7 +202,7 @@
         elif note.over:
             placer.ended(note.request)
         else:
-            placer.began(note.request)
+            placer.began(note.request, self.clock.now())
 
     def _eject(self, instance: BackendId) -> None:
         now = self.clock.now()
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -77,7 +77,7 @@
         )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
         self.placements = Placements(
-            clock=self.node.clock,
+            node=self.node,
             client=self.client,
             follower=self.follower,
             health=self.health,
--- a/tests/test_gateway/test_gateway_placement.py
+++ b/tests/test_gateway/test_gateway_placement.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
+
 from ringseam.backends import BackendId, BackendReport
 from ringseam.gateway.health import HealthBook
-from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
+from ringseam.gateway.placement import Placed, PlacedPart, Placer, PlaceRequest
 from ringseam.routes import ServiceName
 
 CACHE = 100_000
@@ -38,55 +40,92 @@
     return Placer(health=HealthBook())
 
 
+def placed(works, request, cache=CACHE, now=0):
+    """Place a request and return its engine."""
+    placement = works.place(request, ENGINES, cache, now)
+    return placement and placement.engine
+
+
 def test_prompt_goes_where_its_shared_parts_are_kept():
     works = placer()
-    first = works.place(ask('r1'), ENGINES, CACHE, 0)
+    first = placed(works, ask('r1'))
     works.ended('r1')
-    assert works.place(ask('r2'), ENGINES, CACHE, 0) is first
+    assert placed(works, ask('r2')) is first
     assert works.unread(ask('r3'), first.instance) == 3000
 
 
 def test_all_gateways_begin_a_session_at_the_same_engine():
-    assert placer().place(ask('r1'), ENGINES, CACHE, 0) is placer().place(
-        ask('r2'), ENGINES, CACHE, 0
-    )
+    assert placed(placer(), ask('r1')) is placed(placer(), ask('r2'))
 
 
 def test_backlog_turns_requests_away_from_a_kept_prompt():
     works = placer()
-    first = works.place(ask('r0'), ENGINES, CACHE, 0)
+    first = placed(works, ask('r0'))
     for number in range(1, 12):
         works.note(ask(f'r{number}', 30_000), first.instance, CACHE, 0)
-    assert works.place(ask('r99'), ENGINES, CACHE, 0) is not first
+    assert placed(works, ask('r99')) is not first
 
 
 def test_long_prompt_is_kept_from_an_engine_with_a_dear_stream():
     works = placer()
-    first = works.place(ask('r0', session='t'), ENGINES, CACHE, 0)
-    works.began('r0')
+    first = placed(works, ask('r0', session='t'))
+    works.began('r0', 0)
     long = ask('r1', 14_000, session='t', objective_ms=8000)
     works.note(ask('r2', 9000, session='u'), first.instance, CACHE, 0)
-    assert works.place(long, ENGINES, CACHE, 0) is not first
+    assert placed(works, long) is not first
+
+
+def test_stream_that_is_yet_to_begin_counts_as_disturbed_by_what_follows():
+    works = placer()
+    engine_id = ENGINES[0].instance
+    works.note(ask('r0', 9000, session='t'), engine_id, CACHE, 0)
+    works.note(ask('r1', 9000, session='u'), engine_id, CACHE, 0)
+    found = works.place(ask('r2', 9000, session='v', avoid=('e2', 'e3')), ENGINES, CACHE, 0)
+    # r1 reads 6,500 tokens after r0, r2 as many after r1.
+    assert found.backlog == 9000 + 6500
+    assert found.disturbed == 1
+
+
+@pytest.mark.parametrize(
+    ('now', 'began', 'backlog'),
+    [
+        (0, False, 18_000),
+        # A tenth of a second of reading, as attention makes it slower.
+        (0.1, False, 18_000 - 2492),
+        # An engine that says nothing has read no more than one prompt.
+        (9, False, 9000),
+        (9, True, 9000),
+    ],
+)
+def test_backlog_is_what_was_not_read_since_a_prompt_was_done(now, began, backlog):
+    works = placer()
+    engine_id = ENGINES[0].instance
+    works.note(ask('r0', 9000, session='t', left_ms=60_000), engine_id, CACHE, 0)
+    works.placed['r1'] = Placed(instance=engine_id, unread=9000, worth=1, until=99)
+    if began:
+        works.began('r0', now)
+    found = works.place(ask('r2', avoid=('e2', 'e3'), dry=True), ENGINES, CACHE, now)
+    assert found.backlog == backlog
 
 
 def test_bytes_of_stage_results_draw_a_request_to_their_zone():
     works = placer()
-    chosen = works.place(ask('r', result_bytes={'b': 5_000_000}), ENGINES, CACHE, 0)
+    chosen = placed(works, ask('r', result_bytes={'b': 5_000_000}))
     assert chosen.zone == 'b'
 
 
 def test_tried_and_ejected_engines_are_avoided():
     works = placer()
-    chosen = works.place(ask('r', avoid=('e1', 'e2')), ENGINES, CACHE, 0)
+    chosen = placed(works, ask('r', avoid=('e1', 'e2')))
     assert chosen.instance == 'e3'
-    assert works.place(ask('r', avoid=('e1', 'e2', 'e3')), ENGINES, CACHE, 0) is None
+    assert placed(works, ask('r', avoid=('e1', 'e2', 'e3'))) is None
     works.health.failed(BackendId('e3'), 0, hard=True)
-    assert works.place(ask('q', avoid=('e2',)), ENGINES, CACHE, 0).instance == 'e1'
+    assert placed(works, ask('q', avoid=('e2',))).instance == 'e1'
 
 
 def test_dry_question_leaves_no_trace():
     works = placer()
-    works.place(ask('r', dry=True), ENGINES, CACHE, 0)
+    placed(works, ask('r', dry=True))
     assert not works.placed
     assert not works.books
 
@@ -102,6 +141,6 @@
 
 def test_request_whose_end_was_never_heard_of_is_forgotten():
     works = placer()
-    works.place(ask('r1'), ENGINES, CACHE, 0)
-    works.place(ask('r2'), ENGINES, CACHE, 100)
+    placed(works, ask('r1'))
+    placed(works, ask('r2'), now=100)
     assert set(works.placed) == {'r2'}
