--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,7 +23,8 @@
 from ringseam.messages import AcceptedFile, AgentState, DeltaReply, Frame, Piece
 from ringseam.node import Node
 from ringseam.routing import AgentView
-from ringseam.rpc import CallClient, CallServer, SealedCodec
+from ringseam.rpc import CallClient, CallServer
+from ringseam.sealing import SealedCodec
 from ringseam.services import DELTA, DISPATCH_STREAM, REPORT
 from tests.conftest import PART_FILE
 
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -33,7 +33,7 @@
     from ringseam.backends import BackendReport
     from ringseam.following import Submit, WatchRequest
     from ringseam.node import Node
-    from ringseam.rpc import Received
+    from ringseam.sealing import Received
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -74,7 +74,7 @@
 if TYPE_CHECKING:
     from ringseam.control.raftlog import Packet
     from ringseam.control.state import StateMachine
-    from ringseam.rpc import Received
+    from ringseam.sealing import Received
     from ringseam.services import HelloRequest
     from ringseam.settings import Settings
 
--- a/ringseam/gateway/answers.py
+++ b/ringseam/gateway/answers.py
@@ -55,13 +55,17 @@
         detail: str,
         *,
         come_back_s: float = COME_BACK_S,
+        route: str = '',
     ) -> None:
         """Say that the request has not run, and when to come back."""
+        waited_s = self.node.clock.now() - exchange.request.arrived
         self.node.events.emit(
             logger,
             Event.request_refused,
             request=request.attempt_id,
+            route=route,
             detail=detail,
+            waited_ms=round(waited_s * MS_PER_S),
             come_back_s=round(come_back_s, 2),
         )
         self.metrics.add('requests', status=str(UNAVAILABLE), route='')
--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -216,4 +216,5 @@
             late = self.clock.now() >= work.deadline
             await self.answers.fail(work, GATEWAY_TIMEOUT if late else BAD_GATEWAY, detail)
         else:
-            await self.answers.refuse(work.exchange, work.request, detail)
+            route = work.route.name
+            await self.answers.refuse(work.exchange, work.request, detail, route=route)
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -154,6 +154,7 @@
             work.request,
             f'stages and server would take {refusal.needed_s:.2f} s',
             come_back_s=refusal.come_back_s,
+            route=work.route.name,
         )
         return True
 
@@ -161,7 +162,8 @@
         fault = await stages.run()
         if fault is not None:
             detail = f'stages: {fault.fault.value}'
-            await self.answers.refuse(work.exchange, work.request, detail)
+            route = work.route.name
+            await self.answers.refuse(work.exchange, work.request, detail, route=route)
             return
         work.stages_s = self.clock.now() - work.arrived
         work.input_bytes = stages.input_bytes()
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -39,7 +39,8 @@
     from ringseam.gateway.ownership import Ownership
     from ringseam.gateway.piecework import PieceWorks
     from ringseam.routes import ServiceName
-    from ringseam.rpc import CallClient, Received
+    from ringseam.rpc import CallClient
+    from ringseam.sealing import Received
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -23,7 +23,8 @@
     from ringseam.gateway.placement import Placement
     from ringseam.gateway.work import Work
     from ringseam.node import Node
-    from ringseam.rpc import CallClient, Received
+    from ringseam.rpc import CallClient
+    from ringseam.sealing import Received
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -1,15 +1,8 @@
-"""Typed calls between processes: grpclib with sealed msgpack envelopes.
-
-Each message stands in an envelope that carries the sender, its group, its
-configuration revision and its causal stamp, and is authenticated with a keyed
-BLAKE2 digest under the cluster key (RFC 7693).
-"""
+"""Typed calls between processes: grpclib with sealed msgpack envelopes."""
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import hmac
 import logging
 import socket
 from typing import TYPE_CHECKING, Any, NoReturn
@@ -17,7 +10,6 @@
 import msgspec
 from grpclib.client import Channel, StreamUnaryMethod, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
@@ -25,6 +17,7 @@
 from ringseam.events import Event
 from ringseam.ids import split_address
 from ringseam.messages import Empty
+from ringseam.sealing import Received, SealedCodec
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -40,7 +33,6 @@
 
 logger = logging.getLogger(__name__)
 
-_DIGEST_BYTES = 16
 #: A connection that isn't made after this long won't be, seconds.
 CONNECT_S = 1.0
 #: Unacknowledged bytes break a connection after this long, ms (RFC 5482).
@@ -65,101 +57,6 @@
 )
 
 
-class Envelope(msgspec.Struct, frozen=True, array_like=True):
-    """What travels: header fields, the encoded body and the seal."""
-
-    sender: str
-    address: str
-    group: str
-    revision: int
-    wall: int
-    counter: int
-    body: bytes
-    seal: bytes = b''
-
-
-class Received(msgspec.Struct, frozen=True):
-    """A message that was opened, with its envelope's header."""
-
-    sender: str
-    address: str
-    group: str
-    revision: int
-    body: Any
-
-
-class SealedCodec(CodecBase):
-    """Encode messages into sealed envelopes and open them again."""
-
-    __content_subtype__ = 'ringseam'
-
-    def __init__(self, *, node: Node) -> None:
-        """Seal with the cluster key of ``node``."""
-        self.node = node
-        self.decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
-        self.envelopes = msgspec.msgpack.Decoder(Envelope)
-
-    def encode(self, message: Any, message_type: Any) -> bytes:
-        """Return the sealed envelope of ``message``."""
-        node = self.node
-        wall, counter = node.hybrid.tick()
-        body = msgspec.msgpack.encode(message)
-        head = (node.name, node.address, node.group, node.revision, wall, counter)
-        return msgspec.msgpack.encode(Envelope(*head, body, self.seal(head, body)))
-
-    def decode(self, raw: bytes, message_type: Any) -> Received:
-        """Open an envelope.
-
-        :raises StrangerError: when the seal or the shape is wrong.
-        """
-        try:
-            envelope = self.envelopes.decode(raw)
-            self._check(envelope)
-            body = self._decoder(message_type).decode(envelope.body)
-        except msgspec.MsgspecError as error:
-            raise StrangerError(f'malformed message: {error}') from None
-        self.node.hybrid.observe(envelope.wall, envelope.counter)
-        self._compare(envelope)
-        return Received(
-            envelope.sender,
-            envelope.address,
-            envelope.group,
-            envelope.revision,
-            body,
-        )
-
-    def seal(self, head: tuple[Any, ...], body: bytes) -> bytes:
-        """Return the keyed digest over header and body."""
-        digest = hashlib.blake2b(body, key=self.node.secret, digest_size=_DIGEST_BYTES)
-        digest.update(repr(head).encode())
-        return digest.digest()
-
-    def _check(self, envelope: Envelope) -> None:
-        head = (
-            envelope.sender,
-            envelope.address,
-            envelope.group,
-            envelope.revision,
-            envelope.wall,
-            envelope.counter,
-        )
-        if not hmac.compare_digest(envelope.seal, self.seal(head, envelope.body)):
-            raise StrangerError('wrong cluster key')
-        if envelope.group and self.node.group and envelope.group != self.node.group:
-            raise StrangerError(f'message of another group: {envelope.group}')
-
-    def _compare(self, envelope: Envelope) -> None:
-        if envelope.group and self.node.adopts_group and not self.node.group:
-            self.node.group = envelope.group
-        if envelope.revision > self.node.revision and self.node.on_newer:
-            self.node.on_newer(envelope.revision, envelope.address)
-
-    def _decoder(self, message_type: Any) -> msgspec.msgpack.Decoder[Any]:
-        if message_type not in self.decoders:
-            self.decoders[message_type] = msgspec.msgpack.Decoder(message_type)
-        return self.decoders[message_type]
-
-
 class Method(msgspec.Struct, frozen=True):
     """A unary method: its path and the types of both directions."""
 
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -27,7 +27,8 @@
 from ringseam.messages import Redirect
 from ringseam.node import Node
 from ringseam.routes import ServiceName
-from ringseam.rpc import CallClient, Received
+from ringseam.rpc import CallClient
+from ringseam.sealing import Received
 
 GATEWAY = GatewayState(name='g1', address='1.1.1.1:1', zone='a')
 LEADS = Leadership(term=3, leader='c1', serves=True, voters=5, members=('c1', 'c2'))
--- a/tests/test_entry/test_entry_claims.py
+++ b/tests/test_entry/test_entry_claims.py
@@ -35,7 +35,7 @@
 from ringseam.outcomes import outcome_name
 from ringseam.retries import BudgetRetries
 from ringseam.routing import AdaptiveRouter, AgentView
-from ringseam.rpc import Received
+from ringseam.sealing import Received
 from ringseam.services import DISPATCH, TOMBSTONE
 from tests.conftest import PART_FILE
 
