--- /dev/null
+++ b/ringseam/gateway/piecelog.py
@@ -0,0 +1,58 @@
+"""Log lines of the calls for pieces that a gateway makes."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.events import Event
+
+if TYPE_CHECKING:
+    from ringseam.gateway.batching import Batcher
+    from ringseam.gateway.piecejobs import StageCall
+    from ringseam.node import Node
+    from ringseam.platform.stages import PieceResult
+
+logger = logging.getLogger(__name__)
+
+
+class PieceLog:
+    """Say what was decided on calls, and by what."""
+
+    def __init__(self, *, node: Node) -> None:
+        """Log as ``node``."""
+        self.node = node
+
+    def sent(self, batcher: Batcher, call: StageCall) -> None:
+        """Say that a call leaves, and what waits behind it."""
+        self._emit(
+            Event.pieces_sent,
+            call,
+            service=batcher.service,
+            pieces=len(call.pieces),
+            waiting=len(batcher.waiting),
+            kept_bytes=batcher.kept_bytes.get(call.server.instance, 0),
+        )
+
+    def refused(self, batcher: Batcher, call: StageCall, made: list[PieceResult]) -> None:
+        """Say that a server did not make some pieces."""
+        self._emit(
+            Event.pieces_refused,
+            call,
+            faults=[outcome.fault.value for outcome in made if outcome.fault is not None],
+            pieces=len(call.pieces),
+            kept_bytes=batcher.kept_bytes.get(call.server.instance, 0),
+        )
+
+    def lost(self, call: StageCall, detail: str) -> None:
+        """Say that a call failed."""
+        self._emit(Event.pieces_lost, call, detail=detail)
+
+    def _emit(self, event: Event, call: StageCall, **fields: object) -> None:
+        self.node.events.emit(
+            logger,
+            event,
+            backend=call.server.instance,
+            requests=sorted({piece.job.attempt_id for piece in call.pieces}),
+            **fields,
+        )
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
-from ringseam.events import Event
 from ringseam.gateway.batching import FULL_S, UNKNOWN_S, Batcher
 from ringseam.gateway.piececalls import FullError
+from ringseam.gateway.piecelog import PieceLog
 from ringseam.gateway.servicepieces import CallEnd, CallFailure, ServicePieces
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.retries import Retry
@@ -72,6 +72,7 @@
         self.calls = calls
         self.health = health
         self.retries = retries
+        self.log = PieceLog(node=node)
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks = TaskSet()
         self.gateways: set[GatewayState] = set()
@@ -164,7 +165,7 @@
 
     async def _call(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         started = self.node.clock.now()
-        self._log_sent(works, call)
+        self.log.sent(works.batcher, call)
         loop = asyncio.get_running_loop()
         fetched = loop.call_later(FETCH_S, self._inputs_fetched, works, call, spec)
         # The last of the pieces' deadlines bounds the call.
@@ -244,7 +245,7 @@
         spec: BatchSpec,
     ) -> None:
         if any(piece.fault is not None for piece in made):
-            self._log_refused(works, call, made)
+            self.log.refused(works.batcher, call, made)
         failed: list[Piece] = []
         crowded: list[Piece] = []
         loop = asyncio.get_running_loop()
@@ -263,13 +264,7 @@
         self._try_again(works, failed, call)
 
     def _take_failure(self, works: ServicePieces, call: StageCall, detail: str) -> None:
-        self.node.events.emit(
-            logger,
-            Event.pieces_lost,
-            backend=call.server.instance,
-            requests=_requests_of(call.pieces),
-            detail=detail,
-        )
+        self.log.lost(call, detail)
         self._try_again(works, call.pieces, call)
         loop = asyncio.get_running_loop()
         loop.call_later(FULL_S, self._dispatch, works.batcher.service)
@@ -347,35 +342,3 @@
     def _spec(self, service: ServiceName) -> BatchSpec | None:
         known = self.follower.table.services.get(service)
         return known.batching if known else None
-
-    def _log_sent(self, works: ServicePieces, call: StageCall) -> None:
-        self.node.events.emit(
-            logger,
-            Event.pieces_sent,
-            backend=call.server.instance,
-            service=works.batcher.service,
-            requests=_requests_of(call.pieces),
-            pieces=len(call.pieces),
-            waiting=len(works.batcher.waiting),
-            kept_bytes=works.batcher.kept_bytes.get(call.server.instance, 0),
-        )
-
-    def _log_refused(
-        self,
-        works: ServicePieces,
-        call: StageCall,
-        made: list[PieceResult],
-    ) -> None:
-        self.node.events.emit(
-            logger,
-            Event.pieces_refused,
-            backend=call.server.instance,
-            requests=_requests_of(call.pieces),
-            faults=[outcome.fault.value for outcome in made if outcome.fault is not None],
-            pieces=len(call.pieces),
-            kept_bytes=works.batcher.kept_bytes.get(call.server.instance, 0),
-        )
-
-
-def _requests_of(pieces: list[Piece]) -> list[str]:
-    return sorted({piece.job.attempt_id for piece in pieces})
