Headers that are the system's to set are dropped from clients' requests

Cause: headers that claim an engine's memory (a lease, a pin, a copy) were passed on as clients had sent them. Engines refuse such requests after their stages were run, or run them as asked. One table names all that only the system sets; what a client sends under these names is dropped in any case, any number of times, and counted.

--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -41,10 +41,27 @@
 _MISDIRECTED = 421
 #: Headers of an answer that are for the system alone.
 WITHHELD_FROM_CLIENTS = frozenset(name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id'))
-_SET_BY_SYSTEM = frozenset(
+#: Headers that are the system's alone to set on a call: the account, the server,
+#: the order at an engine, the inputs, and all that claims an engine's memory (a
+#: lease, a pin, a copy to make, to fetch or to go on from). Engines refuse what
+#: names a lease or a copy that doesn't exist, after the stages have been run.
+SYSTEM_ONLY = frozenset(
     name.lower()
-    for name in (_DEADLINE, _AUTHORIZATION, _TENANT, _EXPECT_INSTANCE, _URGENCY, _INPUTS)
+    for name in (
+        _TENANT,
+        _EXPECT_INSTANCE,
+        _URGENCY,
+        _INPUTS,
+        'Hold',
+        'Pin-Ms',
+        'Kv-Backup',
+        'Kv-Fetch',
+        'Kv-From',
+    )
 )
+#: What a call doesn't take over from the client's headers; the time left is set
+#: anew, and the key stays here.
+_REPLACED = SYSTEM_ONLY | {_DEADLINE.lower(), _AUTHORIZATION.lower()}
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -132,7 +149,7 @@
 
 def encode_call(headers: Headers, call: CallHeaders) -> Headers:
     """Return the headers of a request as a backend server gets them."""
-    dropped = _SET_BY_SYSTEM
+    dropped = _REPLACED
     if call.last_event is not None:
         dropped = dropped | {_LAST_EVENT.lower()}
     passed = [(name, text) for name, text in headers if name.lower() not in dropped]
@@ -149,6 +166,11 @@
     return passed
 
 
+def claimed_headers(headers: Headers) -> list[str]:
+    """Return the headers that a client sent though only the system sets them."""
+    return [name for name, _ in headers if name.lower() in SYSTEM_ONLY]
+
+
 def stage_headers(instance: str) -> Headers:
     """Return the headers of a call for pieces of stages."""
     headers = [('Host', 'stage'), ('Content-Type', 'application/json')]
@@ -190,6 +212,10 @@
     ]
     if request.time_left_s is not None:
         headers.append((_DEADLINE, str(int(request.time_left_s * MS_PER_S))))
+    if request.prefix:
+        parts = (f'{part.name}:{part.tokens}' for part in request.prefix)
+        headers.append((_TOKENS, f'{request.prompt_tokens},{request.output_tokens}'))
+        headers.append((_PREFIX, ','.join(parts)))
     if request.pieces:
         headers.append((_PIECES, ','.join(map(str, request.pieces))))
         headers.append((_PIECE_KEY, request.piece_key))
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -10,7 +10,9 @@
 from ringseam.backends import BackendId, BackendState
 from ringseam.platform.registration import decode_report, instance_of
 from ringseam.platform.requests import (
+    SYSTEM_ONLY,
     CallHeaders,
+    claimed_headers,
     decode_marks,
     decode_request,
     encode_call,
@@ -22,7 +24,7 @@
     encode_orders,
     maker_of,
 )
-from ringseam.web.bodies import find_header
+from ringseam.web.bodies import end_to_end, find_header
 from ringseam.web.client import ResponseHead
 from ringseam.web.server import Request
 
@@ -80,6 +82,37 @@
     assert len(names) == len(set(names))
 
 
+#: Each of these makes an engine refuse a request, or run it as someone else's.
+CLAIMS = ('Tenant', 'Expect-Instance', 'Request-Urgency', 'Inputs', 'Hold', 'Pin-Ms')
+COPY_CLAIMS = ('Kv-Backup', 'Kv-Fetch', 'Kv-From')
+
+
+def test_all_claims_are_the_systems_alone():
+    assert {name.lower() for name in CLAIMS + COPY_CLAIMS} == SYSTEM_ONLY
+
+
+@pytest.mark.parametrize('name', sorted(SYSTEM_ONLY))
+@pytest.mark.parametrize('spell', [str.lower, str.upper, str.title])
+@pytest.mark.parametrize('times', [1, 2, 200])
+def test_what_only_the_system_sets_is_dropped_from_clients_headers(name, spell, times):
+    claims = [(spell(name), 'forged')] * times
+    sent = encode_call(
+        end_to_end([*HEADERS, *claims]),
+        CallHeaders(instance='i-1', time_left_s=1, account='t', urgency=2, inputs=('h1',)),
+    )
+    assert 'forged' not in [text for _, text in sent]
+    assert len(claimed_headers([*HEADERS, *claims])) == times + 2
+
+
+@pytest.mark.parametrize('name', ['Tenant', 'Expect-Instance', 'Inputs', 'Deadline-Ms'])
+def test_client_that_names_a_header_of_the_systems_in_connection_takes_nothing_away(name):
+    sent = encode_call(
+        end_to_end([*HEADERS, ('Connection', name)]),
+        CallHeaders(instance='i-1', time_left_s=1, account='t', inputs=('h1',)),
+    )
+    assert find_header(sent, name) in {'t', 'i-1', 'h1', '1000'}
+
+
 def test_clients_own_last_event_is_passed_on():
     sent = encode_call(HEADERS, CallHeaders(instance='i', time_left_s=1))
     assert find_header(sent, 'Last-Event-Id') == '12'
