--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -169,7 +169,7 @@
         self.engine = engine
         self.run = run
         self.first = first
-        self.heard_at = 0.0
+        self.heard_at: float = 0
 
     async def chunk(self) -> bytes | None:
         """Return the next bytes; None at the end.
