--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -21,7 +21,7 @@
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.piecejobs import Claim, PieceJob
+    from ringseam.gateway.piecejobs import PieceJob, Precedence
     from ringseam.routes import BatchSpec, ServiceName
 
 
@@ -122,10 +122,10 @@
         self,
         servers: Collection[BackendReport],
         spec: BatchSpec,
-        claim: Claim,
+        precedence: Precedence,
         now: float,
     ) -> float:
-        """Return how long a new piece with this claim would wait, seconds.
+        """Return how long a new piece of this precedence would wait, seconds.
 
         What goes before it leaves at the observed pace. Pieces of clients that
         came back go after all others, so what is expected to come meanwhile
@@ -134,10 +134,14 @@
         """
         if not servers:
             return 0
-        ahead = sum(1 for piece in self.waiting if piece.job.claim <= claim and piece.job.due > now)
+        ahead = sum(
+            1
+            for piece in self.waiting
+            if piece.job.precedence <= precedence and piece.job.due > now
+        )
         leaving = self._pieces_per_s(servers, spec, now)
         left = leaving
-        if claim.returned:
+        if precedence.returned:
             left = max(leaving - self.flow.coming.per_s(now), _LEAST_SHARE * leaving)
         return self.flow.until_free_s(servers, spec, now) + ahead / left
 
@@ -191,7 +195,7 @@
         left_s = piece.job.due - now - spec.call_s - spec.piece_s
         if left_s < 0 or not piece.job.returned:
             return left_s < 0
-        return left_s < self.wait_s(servers, spec, piece.job.claim, now)
+        return left_s < self.wait_s(servers, spec, piece.job.precedence, now)
 
     def _spared(
         self,
--- a/ringseam/gateway/piecejobs.py
+++ b/ringseam/gateway/piecejobs.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, order=True)
-class Claim:
+class Precedence:
     """What a request goes by among those that wait.
 
     Clients that were turned away and came back go after all others: they are late
@@ -52,9 +52,9 @@
     inputs_of: str = ''
 
     @functools.cached_property
-    def claim(self) -> Claim:
+    def precedence(self) -> Precedence:
         """Return what the job goes by among those that wait."""
-        return Claim(rank=self.rank, returned=self.returned)
+        return Precedence(rank=self.rank, returned=self.returned)
 
 
 @dataclass(kw_only=True, eq=False)
--- a/ringseam/gateway/pieceorder.py
+++ b/ringseam/gateway/pieceorder.py
@@ -12,7 +12,7 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendReport
-    from ringseam.gateway.piecejobs import Claim, Piece
+    from ringseam.gateway.piecejobs import Piece, Precedence
     from ringseam.routes import BatchSpec
 
 #: A piece whose inputs are given up within this time goes first, seconds: a call
@@ -70,7 +70,7 @@
     return spare < 0 < job.due - now
 
 
-def urgency(piece: Piece, now: float) -> tuple[int, Claim, float, str, int]:
+def urgency(piece: Piece, now: float) -> tuple[int, Precedence, float, str, int]:
     """Order pieces: what is begun first, then what can be on time, by worth.
 
     A job that is begun holds room for its results until its last piece is made;
@@ -79,7 +79,7 @@
     is late anyway is not worth making another one late.
     """
     job = piece.job
-    return (turn_of(piece, now), job.claim, job.due, job.attempt_id, piece.number)
+    return (turn_of(piece, now), job.precedence, job.due, job.attempt_id, piece.number)
 
 
 def turn_of(piece: Piece, now: float) -> Turn:
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/pieces.py
@@ -15,7 +15,7 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
-from ringseam.gateway.piecejobs import Claim, PieceJob
+from ringseam.gateway.piecejobs import PieceJob, Precedence
 from ringseam.gateway.piecemessages import (
     PIECES,
     RELEASE,
@@ -61,10 +61,10 @@
     at: float
     waits: Waits
 
-    def wait_s(self, claim: Claim) -> float:
+    def wait_s(self, precedence: Precedence) -> float:
         """Return how long a new piece waits, seconds."""
-        by_rank = self.waits.again_ms if claim.returned else self.waits.first_ms
-        known = [wait_ms for rank, wait_ms in by_rank.items() if rank <= claim.rank]
+        by_rank = self.waits.again_ms if precedence.returned else self.waits.first_ms
+        known = [wait_ms for rank, wait_ms in by_rank.items() if rank <= precedence.rank]
         return max(known, default=0) / MS_PER_S
 
 
@@ -110,12 +110,12 @@
         else:
             self.works.release(service, handles)
 
-    def wait_s(self, service: ServiceName, claim: Claim) -> float:
+    def wait_s(self, service: ServiceName, precedence: Precedence) -> float:
         """Return how long a new piece would wait, as far as is known, seconds."""
         if not self.ownership.owner_of(service):
-            return self.works.wait_s(service, claim)
+            return self.works.wait_s(service, precedence)
         told = self._told(service)
-        return told.wait_s(claim) if told else 0
+        return told.wait_s(precedence) if told else 0
 
     def backlog_s(self, service: ServiceName) -> float:
         """Return how long all that waits takes to leave, as far as is known, seconds."""
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -11,7 +11,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.gateway.batching import FULL_S, Batcher
 from ringseam.gateway.piececalls import FullError
-from ringseam.gateway.piecejobs import Claim
+from ringseam.gateway.piecejobs import Precedence
 from ringseam.gateway.piecelog import PieceLog
 from ringseam.gateway.piecemessages import Waits
 from ringseam.gateway.rooms import UNKNOWN_S
@@ -133,24 +133,24 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def wait_s(self, service: ServiceName, claim: Claim) -> float:
+    def wait_s(self, service: ServiceName, precedence: Precedence) -> float:
         """Return how long a new piece would wait here, seconds."""
         spec = self._spec(service)
         if spec is None:
             return 0
         batcher = self._works(service).batcher
-        return batcher.wait_s(self._servers(service), spec, claim, self.node.clock.now())
+        return batcher.wait_s(self._servers(service), spec, precedence, self.node.clock.now())
 
     def waits(self, service: ServiceName) -> Waits:
         """Return how long new pieces would wait, and how long all that waits takes."""
         batcher = self._works(service).batcher
-        claims = {piece.job.claim for piece in batcher.waiting}
-        first = {claim.rank for claim in claims if not claim.returned} | {0}
-        again = {claim.rank for claim in claims if claim.returned} | {0}
+        waiting = {piece.job.precedence for piece in batcher.waiting}
+        first = {known.rank for known in waiting if not known.returned} | {0}
+        again = {known.rank for known in waiting if known.returned} | {0}
         return Waits(
-            first_ms={rank: self._wait_ms(service, Claim(rank=rank)) for rank in first},
+            first_ms={rank: self._wait_ms(service, Precedence(rank=rank)) for rank in first},
             again_ms={
-                rank: self._wait_ms(service, Claim(rank=rank, returned=True)) for rank in again
+                rank: self._wait_ms(service, Precedence(rank=rank, returned=True)) for rank in again
             },
             backlog_ms=int(MS_PER_S * self.backlog_s(service)),
         )
@@ -351,8 +351,8 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def _wait_ms(self, service: ServiceName, claim: Claim) -> int:
-        return int(MS_PER_S * self.wait_s(service, claim))
+    def _wait_ms(self, service: ServiceName, precedence: Precedence) -> int:
+        return int(MS_PER_S * self.wait_s(service, precedence))
 
     def _works(self, service: ServiceName) -> ServicePieces:
         if service not in self.services:
--- a/ringseam/gateway/sending.py
+++ b/ringseam/gateway/sending.py
@@ -89,7 +89,7 @@
                 instance=server.instance,
                 time_left_s=work.deadline - self.clock.now(),
                 account=work.account.name if work.account else '',
-                urgency=urgency_of(work.claim.rank) if work.route.affinity else None,
+                urgency=urgency_of(work.precedence.rank) if work.route.affinity else None,
                 inputs=work.inputs,
                 last_event=last_event,
             ),
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -100,7 +100,7 @@
         for number, stage in enumerate(stages):
             begin = max((ends[before] for before in stage.after), default=0)
             if self.plan.pieces_of(number):
-                begin += self.pieces.wait_s(stage.service, self.work.claim)
+                begin += self.pieces.wait_s(stage.service, self.work.precedence)
                 begin += self.plan.call_s(number)
             ends.append(begin)
         return max(ends, default=0)
@@ -208,8 +208,8 @@
             inputs=inputs,
             due=work.goal - _ENGINE_S - self.plan.later_s(number),
             deadline=work.deadline - self.plan.least_s(number),
-            rank=work.claim.rank,
-            returned=work.claim.returned,
+            rank=work.precedence.rank,
+            returned=work.precedence.returned,
             result_bytes=stage.result_bytes,
             expires=self._expiry_of_inputs(stage),
             zone=self._zone_for(number, inputs),
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Union
 
-from ringseam.gateway.piecejobs import Claim
+from ringseam.gateway.piecejobs import Precedence
 from ringseam.gateway.worth import rank_of
 from ringseam.tries import TryRecord
 
@@ -75,10 +75,10 @@
         return self.deadline if self.asked_before_s else self.objective
 
     @property
-    def claim(self) -> Claim:
+    def precedence(self) -> Precedence:
         """Return what it goes by among those that wait."""
         rank = self.rank if self.raised_to is None else self.raised_to
-        return Claim(rank=rank, returned=self.asked_before_s > 0)
+        return Precedence(rank=rank, returned=self.asked_before_s > 0)
 
     @property
     def rank(self) -> int:
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -87,7 +87,7 @@
         run = EngineRun(
             work=work,
             order=next(self.numbers),
-            urgency=work.claim.rank,
+            urgency=work.precedence.rank,
             unread=max(1, work.request.prompt_tokens - cached),
             read=cached,
             tokens_left=max(1, events - last_event) * self.load.tokens_per_event,
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -13,8 +13,8 @@
 )
 from ringseam.gateway.health import HealthBook
 from ringseam.gateway.piecejobs import (
-    Claim,
     PieceJob,
+    Precedence,
     StageCall,
 )
 from ringseam.gateway.rooms import UNKNOWN_S
@@ -266,9 +266,9 @@
     works.add(job('dear', pieces=8, rank=0), 0)
     works.add(job('cheap', pieces=8, rank=2), 0)
     # The call under way takes 0.4 s more; then 4 pieces leave every 0.4 s.
-    assert works.wait_s(servers, SPEC, Claim(rank=0), 0) == pytest.approx(0.4 + 0.4 * 2)
-    assert works.wait_s(servers, SPEC, Claim(rank=2), 0) == pytest.approx(0.4 + 0.4 * 4)
-    assert works.wait_s(servers, SPEC, Claim(rank=2), 0.1) == pytest.approx(0.3 + 0.4 * 4)
+    assert works.wait_s(servers, SPEC, Precedence(rank=0), 0) == pytest.approx(0.4 + 0.4 * 2)
+    assert works.wait_s(servers, SPEC, Precedence(rank=2), 0) == pytest.approx(0.4 + 0.4 * 4)
+    assert works.wait_s(servers, SPEC, Precedence(rank=2), 0.1) == pytest.approx(0.3 + 0.4 * 4)
 
 
 def test_wait_follows_the_pace_at_which_pieces_leave():
@@ -283,7 +283,7 @@
         now += 0.8
         works.ended(call)
     expected = 0.8 * len(works.waiting) / 4
-    assert works.wait_s(servers, SPEC, Claim(rank=1), now) == pytest.approx(expected, rel=0.05)
+    assert works.wait_s(servers, SPEC, Precedence(rank=1), now) == pytest.approx(expected, rel=0.05)
 
 
 def test_client_that_came_back_goes_after_all_that_ask_for_the_first_time():
@@ -307,11 +307,11 @@
         call = works.next_call(servers, SPEC, now)
         if call is not None:
             works.ended(call)
-    first = works.wait_s(servers, SPEC, Claim(rank=1), 10)
-    back = works.wait_s(servers, SPEC, Claim(rank=0, returned=True), 10)
+    first = works.wait_s(servers, SPEC, Precedence(rank=1), 10)
+    back = works.wait_s(servers, SPEC, Precedence(rank=0, returned=True), 10)
     works.add(job('back', rank=0, returned=True, due=12), 10)
     assert back >= first
-    assert works.wait_s(servers, SPEC, Claim(rank=0, returned=True), 10) > 4
+    assert works.wait_s(servers, SPEC, Precedence(rank=0, returned=True), 10) > 4
 
 
 def test_late_pieces_are_given_up_while_others_fill_the_next_calls():
--- a/tests/test_gateway/test_gateway_pieces.py
+++ b/tests/test_gateway/test_gateway_pieces.py
@@ -9,7 +9,7 @@
 
 from ringseam.clock import PausedClock
 from ringseam.errors import UnreachableError
-from ringseam.gateway.piecejobs import Claim
+from ringseam.gateway.piecejobs import Precedence
 from ringseam.gateway.piecemessages import WAITS, Waits, WaitsReply
 from ringseam.gateway.pieces import Pieces, ToldWaits
 from ringseam.routes import ServiceName
@@ -34,7 +34,7 @@
 
 def pieces_of(owner, address='o:1'):
     ownership = SimpleNamespace(owner_of=lambda service: address)
-    works = SimpleNamespace(wait_s=lambda service, claim: 7)
+    works = SimpleNamespace(wait_s=lambda service, precedence: 7)
     return Pieces(clock=PausedClock(), client=owner, works=works, ownership=ownership)
 
 
@@ -47,14 +47,14 @@
         pieces.told[CROPS] = ToldWaits(at=at, waits=Waits(first_ms={0: 300, 1: 900}))
     asyncio.run(pieces.ask_waits({CROPS}))
     assert len(owner.asked) == asked
-    assert pieces.wait_s(CROPS, Claim(rank=0)) == 0.3
-    assert pieces.wait_s(CROPS, Claim(rank=2)) == 0.9
+    assert pieces.wait_s(CROPS, Precedence(rank=0)) == 0.3
+    assert pieces.wait_s(CROPS, Precedence(rank=2)) == 0.9
 
 
 def test_owner_out_of_reach_leaves_the_wait_unknown():
     pieces = pieces_of(Owner())
     asyncio.run(pieces.ask_waits({CROPS}))
-    assert pieces.wait_s(CROPS, Claim(rank=0)) == 0
+    assert pieces.wait_s(CROPS, Precedence(rank=0)) == 0
 
 
 def test_own_batches_are_not_asked_for():
@@ -62,4 +62,4 @@
     pieces = pieces_of(owner, address='')
     asyncio.run(pieces.ask_waits({CROPS}))
     assert not owner.asked
-    assert pieces.wait_s(CROPS, Claim(rank=0)) == 7
+    assert pieces.wait_s(CROPS, Precedence(rank=0)) == 7
--- a/tests/test_gateway/test_gateway_stagegraph.py
+++ b/tests/test_gateway/test_gateway_stagegraph.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ringseam.clock import PausedClock
-from ringseam.gateway.piecejobs import Claim
+from ringseam.gateway.piecejobs import Precedence
 from ringseam.gateway.stagegraph import StageRun
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.routes import BackendService, BatchSpec, RouteStage, RouteTable, ServiceName
@@ -44,7 +44,7 @@
     def release(self, service, handles):
         """Take no note."""
 
-    def wait_s(self, service, claim):
+    def wait_s(self, service, precedence):
         return self.waits.get(service, 0)
 
     def backlog_s(self, service):
@@ -62,7 +62,7 @@
         request=request,
         goal=10,
         deadline=20,
-        claim=Claim(rank=1),
+        precedence=Precedence(rank=1),
     )
     table = RouteTable(
         services={
