--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -30,6 +30,7 @@
 
 _BAD_REQUEST = 400
 _SERVER_ERROR = 500
+_MISDIRECTED = 421
 
 
 class Attempts:  # noqa: WPS214 - the steps from choice to answer
@@ -99,6 +100,9 @@
             outcome = await self.sender.send(work, server, last_event=last)
             if isinstance(outcome, Answered):
                 outcome = await self._pass_on(work, server, outcome, relay, begun)
+            elif isinstance(outcome, NotRun) and outcome.status == _MISDIRECTED:
+                # Another one has its address: a late report named it as present.
+                self.follower.view.lose(server.instance)
         finally:
             standing.in_flight -= 1
             if work.route.affinity:
--- a/ringseam/gateway/piececalls.py
+++ b/ringseam/gateway/piececalls.py
@@ -84,7 +84,8 @@
         self.pool.release(channel)
         if head.status != _OK:
             detail = f'{address}: status {head.status}'
-            if head.status == _UNAVAILABLE and decode_marks(head).not_run:
+            not_run = decode_marks(head).not_run
+            if head.status == _UNAVAILABLE and not_run:
                 raise FullError(detail, sent=False)
-            raise ChannelError(detail, sent=True)
+            raise ChannelError(detail, sent=not not_run)
         return answer
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -292,3 +292,31 @@
         assert found == 200
 
     asyncio.run(run())
+
+
+async def new_one_only(asked, writer):
+    """Answer as the server that took over another one's address."""
+    if asked.header('Expect-Instance') == 'new':
+        await good(asked, writer)
+    else:
+        writer.write(answer(asked, status='421 Misdirected Request'))
+
+
+def test_server_that_a_late_report_brought_back_is_forgotten_at_the_first_request(key_file):
+    """Pattern: a heartbeat that a cut delayed arrives after its sender has crashed and
+    another server stands at the same address. Grounds: it would be believed for 4.5 s,
+    and each request sent to it uses up one of its tries."""
+
+    async def run():
+        server = ScriptedServer(new_one_only)
+        async with LocalGateway(key_file) as gateway:
+            address = await server.start()
+            gateway.add(address, name='a-crashed')
+            gateway.add(address, name='new')
+            first, _ = await gateway.ask('/idem/x')
+            known = set(gateway.role.follower.view.backends)
+            second, _ = await gateway.ask('/cut/x')
+        assert (first, second) == (200, 200)
+        assert known == {'new'}
+
+    asyncio.run(run())
