--- a/bench/panel.py
+++ b/bench/panel.py
@@ -104,7 +104,8 @@
     for revision, rows in reports.items():
         line = f'{revision:12} worth {statistics.mean(row["G"] for row in rows):.3f}'
         if rows is not base and len(rows) > 1:
-            line += _difference([row['G'] - other['G'] for row, other in zip(rows, base)])
+            pairs = zip(rows, base, strict=True)
+            line += _difference([row['G'] - other['G'] for row, other in pairs])
         broken = collections.Counter(rule for row in rows for rule in row['breaks'])
         faults = sum(1 for row in rows if row['fault'])
         lines.append(f'{line}  broken {dict(broken) or "none"}  faults {faults}')
--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -100,9 +100,7 @@
             outcome = await self.sender.send(work, server, last_event=last)
             if isinstance(outcome, Answered):
                 outcome = await self._pass_on(work, server, outcome, relay, begun)
-            elif isinstance(outcome, NotRun) and outcome.status == _MISDIRECTED:
-                # Another one has its address: a late report named it as present.
-                self.follower.view.lose(server.instance)
+            self._forget_replaced(server, outcome)
         finally:
             standing.in_flight -= 1
             if work.route.affinity:
@@ -110,6 +108,11 @@
                 self.placements.ended(work)
         return outcome
 
+    def _forget_replaced(self, server: BackendReport, outcome: TryOutcome) -> None:
+        """Forget a server whose address another one has: a late report named it."""
+        if isinstance(outcome, NotRun) and outcome.status == _MISDIRECTED:
+            self.follower.view.lose(server.instance)
+
     def _note_first(self, work: Work, stages: StageRun | None) -> None:
         """Hear that the first event has come: the server has its inputs."""
         if stages is not None:
