--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/attempts.py
@@ -100,12 +100,12 @@
             outcome = await self.sender.send(work, server, last_event=last)
             if isinstance(outcome, Answered):
                 outcome = await self._pass_on(work, server, outcome, relay, begun)
-            self._forget_replaced(server, outcome)
         finally:
             standing.in_flight -= 1
             if work.route.affinity:
                 self.sender.silence.ended(server.instance, work.request.attempt_id)
                 self.placements.ended(work)
+        self._forget_replaced(server, outcome)
         return outcome
 
     def _forget_replaced(self, server: BackendReport, outcome: TryOutcome) -> None:
