--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -54,6 +54,8 @@
     again_tokens: float
     #: What keeping requests waiting that were not served cost, in worth.
     held: float
+    #: The worth of requests that were refused, came back and were not served.
+    failed_again: float
     #: All worth that was owed, and what the run is worth at the pattern's prices.
     owed: float
     prices: Prices
@@ -64,6 +66,7 @@
         prices = self.prices
         costs = self.wasted_s * prices.wasted_s + self.crossed_gb * prices.crossed_gb
         costs += self.again_tokens / _THOUSAND * prices.again_k_tokens + self.held
+        costs += self.failed_again * prices.refused_again
         return self.worth - costs / self.owed
 
     @property
@@ -259,6 +262,7 @@
             crossed_gb=self.servers.kept.crossed_bytes / _GIGABYTE,
             again_tokens=self.use.again,
             held=sum(map(self._held_worth, outcomes)),
+            failed_again=sum(outcome.worth for outcome in outcomes if _failed_again(outcome)),
             owed=owed.total(),
             prices=self.pattern.prices,
         )
@@ -283,6 +287,10 @@
         )
 
 
+def _failed_again(outcome: Outcome) -> bool:
+    return outcome.tries > 1 and outcome.end not in {End.in_time, End.late}
+
+
 def _worst_windows(outcomes: list[Outcome]) -> float:
     """Return the share of the worth earned in the two worst windows."""
     owed: collections.Counter[int] = collections.Counter()
--- a/ringseam/model/pattern.py
+++ b/ringseam/model/pattern.py
@@ -166,6 +166,8 @@
     crossed_gb: float = 0
     #: A thousand shared tokens that are read again.
     again_k_tokens: float = 0
+    #: A share of the worth of a request that was refused, came back and isn't served.
+    refused_again: float = 0
 
 
 class Pattern(msgspec.Struct, frozen=True, kw_only=True):
