--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -37,7 +37,7 @@
 #: 0 and 0.8 it made no difference to the worth (0.003, standard error 0.007); with
 #: 0.7 the last of three routes got 0.60 and 0.54 of its worth instead of 0.55 and
 #: 0.47 where a service is short of servers.
-_LEAST_SHARE = 0.7
+_FAIR_SHARE = 0.7
 #: A prompt with this many shared tokens is served where they are kept; fewer
 #: are read in under 50 ms.
 _LONG_PREFIX_TOKENS = 1500
@@ -63,7 +63,7 @@
         self.attempts = attempts
         self.answers = answers
         self.admission = Admission(seed=node.incarnation)
-        self.fairness = Fairness(least=_LEAST_SHARE)
+        self.fairness = Fairness(least=_FAIR_SHARE)
         self.random = random.Random(node.incarnation)  # noqa: S311 - spreads load only
 
     async def serve(self, exchange: Exchange) -> None:
