Clients that differ in their limits aren't taken for ones that came back

Cause, read in the code: a request with less time than the longest of its route counts as its client's second try, and now goes after all first tries. Where clients name limits of their own that would be most of them. Each client comes back once at most, so where more than two thirds have less time it tells nothing.

--- a/ringseam/gateway/admission.py
+++ b/ringseam/gateway/admission.py
@@ -19,6 +19,9 @@
 _PAUSE_SHARE = 1 / 3
 #: A client that has less than this share of the usual time has asked before.
 _FIRST_SHARE = 0.97
+#: Clients come back once for each first try at most; where more than this share of
+#: the requests have less than the longest time, clients differ in their limits.
+_SHORTER_SHARE = 2 / 3
 #: The usual time of a route is forgotten in this time, seconds.
 _USUAL_S = 30.0
 
@@ -33,10 +36,24 @@
 
 @dataclass(kw_only=True)
 class UsualTime:
-    """The longest time limit that clients of a route named lately."""
+    """The longest time limit that clients of a route named lately.
+
+    ``shorter`` of the ``asked`` requests since named less.
+    """
 
     seconds: float
     seen: float
+    asked: int = 0
+    shorter: int = 0
+
+    def is_over(self, left_s: float, now: float) -> bool:
+        """Return whether a request shows that clients now have another time."""
+        return now - self.seen > _USUAL_S or _FIRST_SHARE * left_s > self.seconds
+
+    @property
+    def tells(self) -> bool:
+        """Return whether less time shows that a client has asked before."""
+        return self.shorter <= _SHORTER_SHARE * self.asked
 
 
 @dataclass(kw_only=True)
@@ -59,16 +76,23 @@
     def asked_before_s(self, route: str, left_s: float | None, now: float) -> float:
         """Return how long ago a client asked first, and learn from it; 0: just now.
 
-        Clients of a route have the same time at first, so one that has less has
-        been turned away before.
+        Clients of a route usually have the same time at first, so one that has less
+        has been turned away before.
         """
         if left_s is None:
             return 0
         usual = self.usual.get(route)
-        if usual is None or left_s >= usual.seconds or now - usual.seen > _USUAL_S:
-            self.usual[route] = UsualTime(seconds=left_s, seen=now)
+        if usual is None or usual.is_over(left_s, now):
+            usual = UsualTime(seconds=left_s, seen=now)
+            self.usual[route] = usual
+        if left_s >= usual.seconds:
+            usual.seconds = left_s
+            usual.seen = now
+        usual.asked += 1
+        if left_s >= _FIRST_SHARE * usual.seconds:
             return 0
-        return 0 if left_s >= _FIRST_SHARE * usual.seconds else usual.seconds - left_s
+        usual.shorter += 1
+        return usual.seconds - left_s if usual.tells else 0
 
     def come_back_s(self, needed_s: float, left_s: float) -> float:
         """Return when a refused client should come back, spread over a while."""
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -89,7 +89,12 @@
             await self.answers.reject(exchange, request, UNAUTHORIZED)
             return
         work = self._work(exchange, request, route, account)
-        work.raised_to = self.fairness.rank(route.name, work.rank, self.clock.now())
+        work.raised_to = self.fairness.rank(
+            route.name,
+            work.service,
+            work.rank,
+            self.clock.now(),
+        )
         try:
             await self._serve(work)
         except asyncio.CancelledError:
@@ -103,6 +108,7 @@
         if not work.asked_before_s:
             self.fairness.note(
                 work.route.name,
+                work.service,
                 work.rank,
                 self.clock.now(),
                 in_time=work.in_time,
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -262,7 +262,7 @@
             crossed_gb=self.servers.kept.crossed_bytes / _GIGABYTE,
             again_tokens=self.use.again,
             held=sum(map(self._held_worth, outcomes)),
-            failed_again=sum(outcome.worth for outcome in outcomes if _failed_again(outcome)),
+            failed_again=sum(failed.worth for failed in filter(_failed_again, outcomes)),
             owed=owed.total(),
             prices=self.pattern.prices,
         )
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_gateway_admission.py
@@ -75,3 +75,18 @@
 
 def test_objective_counts_from_the_first_try():
     assert work(left_s=8.5, arrived=1.5, asked_before_s=1.5).objective == 2
+
+
+def test_clients_that_differ_in_their_limits_are_all_first_tries():
+    """Load: half of the clients and more name shorter limits of their own. Taken for
+    clients that came back, they would go after all others."""
+    admission = Admission(seed='x')
+    found = [admission.asked_before_s('r', 4 + number % 5, number * 0.1) for number in range(200)]
+    assert not any(found[20:])
+
+
+def test_clients_that_come_back_are_known_while_each_comes_back():
+    admission = Admission(seed='x')
+    for number in range(50):
+        assert admission.asked_before_s('r', 10, number) == 0
+        assert admission.asked_before_s('r', 7, number) == 3
