--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -10,16 +10,16 @@
 from ringseam.gateway.admission import LAST_SERVER_S, Admission
 from ringseam.gateway.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.fairness import Fairness
-from ringseam.gateway.stagegraph import StageRun, has_stages
+from ringseam.gateway.stagegraph import StageFault, StageRun, has_stages
 from ringseam.gateway.work import Work
 from ringseam.platform.requests import decode_request
+from ringseam.platform.stages import PieceFault
 
 if TYPE_CHECKING:
     from ringseam.gateway.answers import Answers
     from ringseam.gateway.attempts import Attempts
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.pieces import Pieces
-    from ringseam.gateway.stagegraph import StageFault
     from ringseam.node import Node
     from ringseam.platform.requests import ClientRequest
     from ringseam.routes import Account, Route, ServiceName
@@ -62,6 +62,8 @@
         self.pieces = pieces
         self.attempts = attempts
         self.answers = answers
+        #: Set when this process stops and what is in stages can't be finished.
+        self.leaving = asyncio.Event()
         self.admission = Admission(seed=node.incarnation)
         self.fairness = Fairness(least=_FAIR_SHARE)
         self.random = random.Random(node.incarnation)  # noqa: S311 - spreads load only
@@ -103,6 +105,10 @@
         finally:
             self._note_end(work)
 
+    def hand_back(self) -> None:
+        """Refuse what is still in stages: this process stops, another has the time."""
+        self.leaving.set()
+
     def _note_end(self, work: Work) -> None:
         """Count whether a client was served in time; its later tries don't count."""
         if not work.asked_before_s:
@@ -192,7 +198,7 @@
         return True
 
     async def _run_stages(self, work: Work, stages: StageRun) -> None:
-        fault = await stages.run()
+        fault = await self._unless_leaving(stages)
         if fault is not None:
             await self._refuse_staged(work, stages, fault)
             return
@@ -200,14 +206,27 @@
         work.input_bytes = stages.input_bytes()
         await self.attempts.run(work, stages)
 
+    async def _unless_leaving(self, stages: StageRun) -> StageFault | None:
+        """Run stages to their end, or until what is in them is handed back."""
+        running = asyncio.ensure_future(stages.run())
+        leaving = asyncio.ensure_future(self.leaving.wait())
+        try:
+            await asyncio.wait({running, leaving}, return_when=asyncio.FIRST_COMPLETED)
+            return running.result() if running.done() else StageFault(fault=PieceFault.late)
+        finally:
+            running.cancel()
+            leaving.cancel()
+
     async def _refuse_staged(self, work: Work, stages: StageRun, fault: StageFault) -> None:
         """Refuse what its stages can't be made for; it may come back."""
         left_s = work.deadline - self.clock.now()
+        # Another process may have the time at once when this one only stops.
+        needed_s = 0 if self.leaving.is_set() else stages.predicted_s()
         await self.answers.refuse(
             work.exchange,
             work.request,
             f'stages: {fault.fault.value}',
-            come_back_s=self.admission.come_back_s(stages.predicted_s(), left_s),
+            come_back_s=self.admission.come_back_s(needed_s, left_s),
             route=work.route.name,
         )
 
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -47,6 +47,9 @@
 _LEAVE_S = 2.6
 #: What is left of the grace period when all that runs is broken off, seconds.
 _RESERVE_S = 0.6
+#: Before that, what is still in stages is refused, seconds: its client has the time to
+#: ask elsewhere, and a refusal that leaves now is not cut.
+_HAND_BACK_S = 1.0
 _DRAIN_POLL_S = 0.02
 
 
@@ -153,6 +156,8 @@
         await asyncio.sleep(_LEAVE_S)
         self.clients.stop_listening()
         while loop.time() < until:
+            if loop.time() > until - _HAND_BACK_S:
+                self.forwarder.hand_back()
             self.clients.close_idle()
             if not self.clients.active and not self.works.in_flight:
                 break
--- a/tests/test_gateway/test_gateway_stages.py
+++ b/tests/test_gateway/test_gateway_stages.py
@@ -324,3 +324,35 @@
             {'service': 'crops', 'after': [0], 'bytes': size},
         ],
     }
+
+
+def test_planned_stop_hands_back_what_is_still_in_stages(key_file):
+    """Pattern: a process is stopped while stages take longer than its grace period.
+    Grounds: such requests were cut at its end; 1 s before it they are refused, and
+    their clients have 3 s and more to ask elsewhere."""
+
+    async def run():
+        engine = ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await engine.start())
+            gateway.role.settings.own['grace_s'] = 4.5
+            gateway.apply(manifest_with_time(20_000))
+            asked = asyncio.create_task(
+                gateway.ask('/staged/x', Pieces='1', Piece_Key='pk', Deadline_Ms='20000')
+            )
+            await asyncio.sleep(0.1)
+            await gateway.role.drain()
+            found, raw = await asked
+        assert found == 503
+        assert b'Retry-After: ' in raw
+        assert not engine.asked
+
+    asyncio.run(run())
+
+
+def manifest_with_time(timeout_ms):
+    """Return the usual document with another timeout for all routes."""
+    document = json.loads(manifest())
+    for route in document['routes']:
+        route['timeout_ms'] = timeout_ms
+    return json.dumps(document).encode()
