--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -110,12 +110,18 @@
         Bought 0.03 of the worth (standard error 0.01) where a service is short of
         servers; of that, a quarter by what unserved clients are kept waiting.
         """
+        next_calls = len(servers) * spec.slots * spec.batch
+        if len(self.waiting) < next_calls:
+            return []
+        # A wait counts all that is before it, so it is worked out once for its equals.
+        returned = {piece.job.precedence for piece in self.waiting if piece.job.returned}
+        waits = {known: self.wait_s(servers, spec, known, now) for known in returned}
+        latest = now + spec.call_s + spec.piece_s
         late = [
             piece
             for piece in self.waiting
-            if not piece.group.begun and self._is_hopeless(piece, servers, spec, now)
+            if not piece.group.begun and piece.job.due < latest + waits.get(piece.job.precedence, 0)
         ]
-        next_calls = len(servers) * spec.slots * spec.batch
         return late if len(self.waiting) - len(late) >= next_calls else []
 
     def wait_s(
@@ -185,18 +191,6 @@
     def _is_sound(self, server: BackendReport, now: float) -> bool:
         return now >= self.health.of(server.instance).ejected_until
 
-    def _is_hopeless(
-        self,
-        piece: Piece,
-        servers: Collection[BackendReport],
-        spec: BatchSpec,
-        now: float,
-    ) -> bool:
-        left_s = piece.job.due - now - spec.call_s - spec.piece_s
-        if left_s < 0 or not piece.job.returned:
-            return left_s < 0
-        return left_s < self.wait_s(servers, spec, piece.job.precedence, now)
-
     def _spared(
         self,
         server: BackendReport,
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -376,3 +376,18 @@
         works.ended(call)
     assert sorted(seen) == sorted(expected)
     assert not any(works.rooms.kept_bytes.values())
+
+
+def test_giving_up_costs_one_look_at_all_that_waits_for_each_precedence(monkeypatch):
+    """Load: 400 pieces wait, a half of them of clients that came back. Grounds: a look at
+    all for each piece took 5.9 ms a decision instead of 0.1; at 0.4 of a core the
+    gateway that decides for a service was out of reach for the others."""
+    works = batcher()
+    for number in range(200):
+        works.add(job(f'r{number}', rank=number % 3), 0)
+        works.add(job(f'q{number}', rank=number % 3, returned=True), 0)
+    looks = []
+    whole = Batcher.wait_s
+    monkeypatch.setattr(Batcher, 'wait_s', lambda *args: looks.append(args) or whole(*args))
+    works.hopeless([server('s')], SPEC, 0)
+    assert len(looks) == 3
