Sight for large documents: bytes of the log, of peers' messages, of documents

Cause: neither a log line nor a metric told how many bytes a control host holds for its log, how much it queues to another one, how large a document is or how long a gateway waited for it, so the hypotheses on the incident couldn't be told apart. Change: fields of events 122, 204, 205 and 212, gauge log_bytes, counter peer_bytes. No decision changes.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ringseam.backends import BackendState
+from ringseam.clock import MS_PER_S
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.replicamessages import (
     Leadership,
@@ -195,6 +196,7 @@
             return self.redirect
         if not self.held.number and self.leadership.voters < self.voters_needed:
             return NotYet()
+        begun = self.node.clock.now()
         outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
         if not isinstance(outcome, DocumentPut):
             return self.redirect
@@ -205,6 +207,8 @@
             Event.document_accepted,
             number=submit.number,
             newest=number,
+            document_bytes=len(submit.document),
+            took_ms=round((self.node.clock.now() - begun) * MS_PER_S),
             confirmed=self.directory.is_confirmed(number=number),
         )
         return DocumentHeld(number=number)
--- a/ringseam/control/peerlinks.py
+++ b/ringseam/control/peerlinks.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from ringseam.control.raftlog import Packet
-    from ringseam.role import Role
+    from ringseam.control.role import ControlRole
 
 logger = logging.getLogger(__name__)
 
@@ -25,7 +25,7 @@
 class PeerLinks:
     """One ordered stream of packets to each peer; a full one drops packets."""
 
-    def __init__(self, *, role: Role) -> None:
+    def __init__(self, *, role: ControlRole) -> None:
         """Send through the client of ``role``."""
         self.role = role
         self.queues: dict[str, asyncio.Queue[Packet]] = {}
@@ -37,6 +37,7 @@
             self.role.spawn(self._pass_on(address))
         with contextlib.suppress(asyncio.QueueFull):
             self.queues[address].put_nowait(packet)
+            self.role.metrics.add('peer_bytes', packet.payload_bytes, peer=address)
 
     async def _pass_on(self, address: str) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/control/replica.py
+++ b/ringseam/control/replica.py
@@ -184,6 +184,7 @@
                 break
         self._note_leadership()
         self._compact()
+        self.outlets.log_changed(self.raft.log.held_bytes)
 
     def _save(self, ready: Ready) -> None:
         if ready.snapshot is None:
@@ -204,7 +205,12 @@
         )
         self.machine.restore(snapshot.state)
         self.outlets.files_changed(self.machine)
-        self.node.events.emit(logger, Event.snapshot_installed, index=snapshot.index)
+        self.node.events.emit(
+            logger,
+            Event.snapshot_installed,
+            index=snapshot.index,
+            state_bytes=len(snapshot.state),
+        )
 
     def _send(self, messages: list[tuple[str, RaftMessage]]) -> None:
         by_target: dict[str, list[RaftMessage]] = {}
@@ -236,6 +242,7 @@
 
     def _compact(self) -> None:
         log = self.raft.log
+        log_bytes = log.held_bytes
         if self.raft.applied - log.snapshot.index < self.settings.snapshot_entries:
             return
         index = self.raft.applied
@@ -252,7 +259,13 @@
             HardState(self.raft.term, self.raft.voted_for),
             log.entries,
         )
-        self.node.events.emit(logger, Event.snapshot_written, index=index)
+        self.node.events.emit(
+            logger,
+            Event.snapshot_written,
+            index=index,
+            state_bytes=len(snapshot.state),
+            log_bytes=log_bytes,
+        )
 
     # -- helpers ------------------------------------------------------------
 
--- a/ringseam/control/replicamessages.py
+++ b/ringseam/control/replicamessages.py
@@ -133,6 +133,8 @@
     files_changed: Callable[[StateMachine], None]
     failed: Callable[[str], None]
     leadership_changed: Callable[[Leadership], None] = lambda leadership: None
+    #: Told the payload bytes of the log after each flush.
+    log_changed: Callable[[int], None] = lambda held_bytes: None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -173,6 +173,7 @@
                 files_changed=changed,
                 failed=failed,
                 leadership_changed=led,
+                log_changed=lambda held: self.metrics.put('log_bytes', held),
             ),
             seed=zlib.crc32(self.node.incarnation.encode()),
         )
--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/follower.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.backends import BackendView, GatewayState
+from ringseam.clock import MS_PER_S
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
@@ -52,8 +53,9 @@
         self.table = RouteTable()
         #: The document that the table was read from.
         self.document = b''
-        #: The newest document that a leader has told of.
+        #: The newest document that a leader has told of, and when.
         self.heard = 0
+        self.heard_at = node.clock.now()
         self.fetch = DocumentFetch(client=client)
         self.tasks = TaskSet()
         self.fetching = False
@@ -101,7 +103,9 @@
 
     def take(self, news: WatchNews) -> None:
         """Take in what is newer."""
-        self.heard = max(self.heard, news.number)
+        if news.number > self.heard:
+            self.heard = news.number
+            self.heard_at = self.node.clock.now()
         for report in news.reports:
             self.view.take(report)
         for instance in news.silent:
@@ -132,7 +136,13 @@
             return
         self.table = table
         self.document = document
-        self.node.events.emit(logger, Event.document_in_force, number=table.number)
+        self.node.events.emit(
+            logger,
+            Event.document_in_force,
+            number=table.number,
+            document_bytes=len(document),
+            waited_ms=round((self.node.clock.now() - self.heard_at) * MS_PER_S),
+        )
         self._tell_change()
         await self._confirm()
 
