Failing tests: the log of large documents grows without a limit in bytes

Three tests that fail on the code as it is, listed in KNOWN-RED.txt: 60 documents of 400 kB leave 24 MB in each folder and in memory; a follower that comes back from a cut is sent 6.4 MB in one message; one that is busy is sent 60.8 MB in 2 s, the same again with each heartbeat. Tests on that list are expected to fail, strictly, and printed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, settings
 
 from ringseam.layout import Layout, digest_of
+from tests.knownred import known_tests, mark_known
 from tests.processes import System
 
 settings.register_profile(
@@ -63,6 +64,11 @@
 """
 
 
+def pytest_collection_modifyitems(items):
+    """Pass over the tests that are known to fail, and print them (option -ra)."""
+    mark_known(items, known_tests())
+
+
 @pytest.fixture
 def part_file():
     """Return an operator's file with repeatable and other pipelines."""
