--- a/ringseam/control/raftreplication.py
+++ b/ringseam/control/raftreplication.py
@@ -15,6 +15,11 @@
 #: Most entries in one message, and most that a follower may be behind what was sent.
 _BATCH_ENTRIES = 256
 _WINDOW_ENTRIES = 4096
+#: The same in bytes, for entries that are whole documents: a process holds a message
+#: about four times while it is sealed, sent or read, so that a window of four large
+#: entries and its copies stay under a tenth of a host of 300 MB for each follower.
+_BATCH_BYTES = 2**20
+_WINDOW_BYTES = 4 * 2**20
 #: A snapshot that was not confirmed is sent again after this long, seconds.
 _SNAPSHOT_AGAIN_S = 2.0
 
@@ -46,19 +51,33 @@
         if self.log.term_at(progress.next_index - 1) is None:
             self._send_snapshot(disk, progress, now)
             return
-        window = progress.match + _WINDOW_ENTRIES
         self._send_entries(disk, progress, now)
-        while progress.next_index <= min(self.log.last_index, window) and not progress.probing:
+        while self._may_send_more(progress):
             self._send_entries(disk, progress, now)
 
     def _has_news(self, progress: Progress) -> bool:
-        if progress.next_index <= self.log.last_index:
+        if self._may_send_more(progress):
             return True
         return bool(self.reads) and progress.read_round < self.read_round
 
+    def _may_send_more(self, progress: Progress) -> bool:
+        """Return whether entries wait that a follower has room for.
+
+        None while it isn't known what the follower holds: an empty message asks
+        that, where entries would go out again with every heartbeat until it answers.
+        """
+        following = progress.next_index
+        if progress.probing or following > self.log.last_index:
+            return False
+        unconfirmed_bytes = self.log.bytes_between(progress.match + 1, following - 1)
+        in_entries = following <= progress.match + _WINDOW_ENTRIES
+        return in_entries and unconfirmed_bytes < _WINDOW_BYTES
+
     def _send_entries(self, disk: str, progress: Progress, now: float) -> None:
         first = progress.next_index
-        entries = self.log.between(first, first + _BATCH_ENTRIES - 1)
+        entries: list[LogEntry] = []
+        if self._may_send_more(progress):
+            entries = self.log.batch(first, most=_BATCH_ENTRIES, most_bytes=_BATCH_BYTES)
         self._send(
             disk,
             AppendRequest(
@@ -71,7 +90,7 @@
             ),
         )
         progress.sent_at = now
-        if entries and not progress.probing:
+        if entries:
             progress.next_index = entries[-1].index + 1
 
     def _send_snapshot(self, disk: str, progress: Progress, now: float) -> None:
--- a/ringseam/control/replica.py
+++ b/ringseam/control/replica.py
@@ -16,6 +16,7 @@
     Packet,
     RaftMessage,
     Snapshot,
+    payload_bytes,
 )
 from ringseam.control.replicamessages import (
     BlankSeen,
@@ -215,17 +216,25 @@
     def _send(self, messages: list[tuple[str, RaftMessage]]) -> None:
         by_target: dict[str, list[RaftMessage]] = {}
         for target, message in messages:
-            by_target.setdefault(target, []).append(message)
+            batch = by_target.setdefault(target, [])
+            if payload_bytes(message) and batch:
+                # Each large message travels alone, so that no packet outgrows one.
+                self._send_packet(target, batch)
+                batch.clear()
+            batch.append(message)
         for target, batch in by_target.items():
-            address = self._address_of(target)
-            if address:
-                packet = Packet(
-                    group=self.identity.group,
-                    source=self.identity.disk,
-                    target=target,
-                    messages=tuple(batch),
-                )
-                self.outlets.send(address, packet)
+            self._send_packet(target, batch)
+
+    def _send_packet(self, target: str, batch: list[RaftMessage]) -> None:
+        address = self._address_of(target)
+        if address:
+            packet = Packet(
+                group=self.identity.group,
+                source=self.identity.disk,
+                target=target,
+                messages=tuple(batch),
+            )
+            self.outlets.send(address, packet)
 
     def _apply(self, committed: list[LogEntry]) -> None:
         version = self.machine.version
@@ -241,10 +250,10 @@
             self.outlets.files_changed(self.machine)
 
     def _compact(self) -> None:
+        if not self._is_compaction_due():
+            return
         log = self.raft.log
         log_bytes = log.held_bytes
-        if self.raft.applied - log.snapshot.index < self.settings.snapshot_entries:
-            return
         index = self.raft.applied
         membership = [known for at, known in self.raft.history if at <= index][-1]
         snapshot = Snapshot(
@@ -267,6 +276,20 @@
             log_bytes=log_bytes,
         )
 
+    def _is_compaction_due(self) -> bool:
+        """Return whether a snapshot should replace what was applied.
+
+        Entries can be whole documents, so bytes count as well: else 160 changes of a
+        document of 0.8 MB fill a disk of 128 MB. A log that has not outgrown the last
+        snapshot is kept, so that no more is written than twice what was proposed.
+        """
+        log = self.raft.log
+        first = log.snapshot.index + 1
+        if self.raft.applied - log.snapshot.index >= self.settings.snapshot_entries:
+            return True
+        most_bytes = max(self.settings.snapshot_bytes, len(log.snapshot.state))
+        return log.bytes_between(first, self.raft.applied) >= most_bytes
+
     # -- helpers ------------------------------------------------------------
 
     def _new_raft(self, log: Log, hard: HardState) -> Raft:
--- a/ringseam/control/replicamessages.py
+++ b/ringseam/control/replicamessages.py
@@ -19,7 +19,9 @@
 
     election_s: float
     heartbeat_s: float
+    #: A snapshot replaces the log after this many entries or payload bytes.
     snapshot_entries: int
+    snapshot_bytes: int = 8 * 2**20
     group_commit: bool = True
     #: How many voters the group grows to; 0 stands for no limit.
     wanted_voters: int = 0
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -165,6 +165,7 @@
                 election_s=self.settings.seconds('election_ms'),
                 heartbeat_s=self.settings.seconds('heartbeat_ms'),
                 snapshot_entries=own['snapshot_entries'],
+                snapshot_bytes=own['snapshot_bytes'],
                 group_commit=own['group_commit'],
                 wanted_voters=wanted_voters(own),
             ),
--- a/tests/test_control/test_control_large_documents.py
+++ b/tests/test_control/test_control_large_documents.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from ringseam.control.raftlog import AppendReply, AppendRequest, InstallRequest
+from ringseam.control.raftlog import AppendReply, payload_bytes
 from ringseam.control.replicamessages import NotLeading, Propose
 from ringseam.control.state import PutDocument
 from tests.fakes import Network
@@ -46,12 +46,6 @@
     network.run_until(settled)
 
 
-def payload_bytes(message):
-    if isinstance(message, AppendRequest):
-        return sum(len(entry.payload) for entry in message.entries)
-    return len(message.snapshot.state) if isinstance(message, InstallRequest) else 0
-
-
 def test_log_of_many_large_documents_stays_small():
     network = Network(snapshot_entries=5000)
     for number in range(1, CHANGES + 1):
