Documents that are sent again need no entry; those that wait and are kept are bounded

Cause: each resend of a document was an entry with all of it; submissions that wait for a stalled disk, and documents kept for differences, were bounded by count only. Change: a document that isn't newer needs a quorum's word that the host leads, no entry; 16 MiB may wait for their commit, more is turned away unchanged; 16 MiB of older documents are kept.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -52,6 +52,9 @@
 #: which a change must be in force and well below the operator's patience.
 _CONFIRM_S = 1.8
 _EXPIRE_S = 0.25
+#: Bytes of documents that may wait for their commit; while a disk stalls, operators
+#: send the same ones again each second or so, to a host of 300 MB.
+_WAITING_BYTES = 16 * 2**20
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -82,6 +85,8 @@
         self.held = HeldDocument()
         self.history = DocumentHistory()
         self.retired: frozenset[str] = frozenset()
+        #: Bytes of submitted documents that aren't committed yet.
+        self.waiting_bytes = 0
         self.leadership = Leadership()
         self.directory = self._new_directory()
         self.changed = asyncio.Event()
@@ -196,18 +201,24 @@
             return self.redirect
         if not self.held.number and self.leadership.voters < self.voters_needed:
             return NotYet()
+        size = len(submit.document)
+        if self.waiting_bytes and self.waiting_bytes + size > _WAITING_BYTES:
+            return NotYet()
         begun = self.node.clock.now()
-        outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
-        if not isinstance(outcome, DocumentPut):
+        self.waiting_bytes += size
+        try:
+            number = await self._newest_with(submit)
+        finally:
+            self.waiting_bytes -= size
+        if number is None:
             return self.redirect
-        number = outcome.newest
         await self._wait(lambda: self.directory.is_confirmed(number=number), _CONFIRM_S)
         self.node.events.emit(
             logger,
             Event.document_accepted,
             number=submit.number,
             newest=number,
-            document_bytes=len(submit.document),
+            document_bytes=size,
             took_ms=round((self.node.clock.now() - begun) * MS_PER_S),
             confirmed=self.directory.is_confirmed(number=number),
         )
@@ -237,6 +248,18 @@
 
     # -- helpers ------------------------------------------------------------
 
+    async def _newest_with(self, submit: Submit) -> int | None:
+        """Return the newest number, at least the submitted one; None: not leading.
+
+        A document that isn't newer than the one in force changes nothing, so it needs
+        a quorum's word that this host leads and no entry in the log.
+        """
+        if submit.number <= self.held.number:
+            confirmed = await self.confirm()
+            return None if isinstance(confirmed, NotLeading) else self.held.number
+        outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
+        return outcome.newest if isinstance(outcome, DocumentPut) else None
+
     def _note(self, report: BackendReport) -> None:
         if self.directory.report(report, self.node.clock.now()):
             self.node.events.emit(
--- a/ringseam/documents.py
+++ b/ringseam/documents.py
@@ -30,6 +30,8 @@
 #: Documents that are kept to send differences against: changes come in bursts of
 #: ten or so, and a follower that is further behind is sent the whole document.
 _KEPT = 12
+#: And their bytes beside the newest one, a twentieth of a host of 300 MB.
+_KEPT_BYTES = 16 * 2**20
 #: Bytes of one part; 0.1 s on a link of 5 Mbit/s.
 PART_BYTES = 64 * 1024
 
@@ -112,7 +114,7 @@
     def add(self, number: int, document: bytes) -> None:
         """Keep a document; numbers only go up."""
         self.documents[number] = document
-        while len(self.documents) > _KEPT:
+        while len(self.documents) > _KEPT or self._older_bytes() > _KEPT_BYTES:
             self.documents.popitem(last=False)
 
     def change(self, held: int, number: int) -> bytes | None:
@@ -132,6 +134,10 @@
             self.changes.popitem(last=False)
         return self.changes[asked]
 
+    def _older_bytes(self) -> int:
+        sizes = [len(document) for document in self.documents.values()]
+        return sum(sizes[:-1])
+
 
 def _add_step(steps: list[Union[Copied, Written]], piece: bytes, number: int | None) -> None:
     last = steps[-1] if steps else None
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -159,6 +159,52 @@
     asyncio.run(run())
 
 
+def test_document_that_is_sent_again_needs_no_entry_in_the_log():
+    """Load: answers to an operator are lost, and a large document comes again and again."""
+
+    async def run():
+        bench = Bench()
+        submit = Submit(number=3, document=b'd')
+        assert (await bench.service.accept(submit)).number == 3
+        again = await asyncio.gather(*(bench.service.accept(submit) for _ in range(20)))
+        older = await bench.service.accept(Submit(number=2, document=b'other'))
+        assert {reply.number for reply in [*again, older]} == {3}
+        assert len(bench.submitted) == 1
+        assert bench.service.held.document == b'd'
+        bench.commits = False
+        assert isinstance(await bench.service.accept(submit), Redirect)
+
+    asyncio.run(run())
+
+
+def test_documents_that_wait_for_a_stalled_disk_are_bounded():
+    """Load: a commit takes seconds while eight orders come again each second.
+    Grounds: all of them would take a third of a host of 300 MB."""
+
+    async def run():
+        bench = Bench()
+        stalled = asyncio.Event()
+        commit = bench.service.submit
+
+        async def submit_late(command):
+            await stalled.wait()
+            return await commit(command)
+
+        bench.service.submit = submit_late
+        orders = [Submit(number=number, document=bytes(2 * 2**20)) for number in range(1, 40)]
+        tasks = [asyncio.ensure_future(bench.service.accept(order)) for order in orders]
+        await asyncio.sleep(0)
+        refused = [task for task in tasks if task.done()]
+        assert len(refused) == len(orders) - 8
+        stalled.set()
+        replies = await asyncio.gather(*tasks)
+        assert sum(isinstance(reply, DocumentHeld) for reply in replies) == 8
+        assert bench.service.held.number == 8
+        assert not bench.service.waiting_bytes
+
+    asyncio.run(run())
+
+
 def test_first_document_waits_for_enough_voters():
     async def run():
         bench = Bench()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -54,6 +54,13 @@
         decode_change(document(1, 8), change)
 
 
+def test_history_of_large_documents_keeps_the_newest_and_few_others():
+    history = DocumentHistory()
+    for number in range(1, 6):
+        history.add(number, bytes([number]) * 12 * 2**20)
+    assert list(history.documents) == [4, 5]
+
+
 def test_history_gives_changes_between_what_it_holds():
     history = DocumentHistory()
     for number in range(1, 40):
