Documents that the hosts have no memory for are refused with a finding

Cause: 32 MB were accepted at the door, and a process takes 15 to 21 MB for each MB of a document: both roles would have ended at their limits after the acknowledgement.

--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -42,8 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Bytes of a document that are accepted.
-DOCUMENT_BYTES = 32 * 2**20
 #: A report must be answered within a second; a leave waits for gateways.
 _REPORT_S = 0.9
 _LEAVE_S = 2.6
@@ -57,6 +55,7 @@
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
 _NOT_ALLOWED = 405
+_TOO_LARGE = 413
 _UNAVAILABLE = 503
 
 
@@ -71,13 +70,18 @@
         leader: ControlClient,
         addresses: Callable[[], list[str]],
         metrics: Metrics,
+        document_bytes: int,
     ) -> None:
-        """Answer here when this replica leads, else through the leader."""
+        """Answer here when this replica leads, else through the leader.
+
+        :param document_bytes: the largest document that the hosts have memory for.
+        """
         self.node = node
         self.follow = follow
         self.leader = leader
         self.addresses = addresses
         self.metrics = metrics
+        self.document_bytes = document_bytes
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call, and measure it."""
@@ -144,12 +148,14 @@
 
     async def _put_document(self, exchange: Exchange) -> None:
         document = exchange.request.body
+        if len(document) > self.document_bytes:
+            text = f'{len(document)} bytes; the setting document_bytes is {self.document_bytes}'
+            await self._refuse_document(exchange, [text], status=_TOO_LARGE)
+            return
         try:
             table = decode_manifest(document)
         except FindingsError as error:
-            texts = [str(finding) for finding in error.findings]
-            self.node.events.emit(logger, Event.document_refused, findings=texts)
-            await self._refuse(exchange, texts)
+            await self._refuse_document(exchange, [str(finding) for finding in error.findings])
             return
         submit = Submit(number=table.number, document=document)
         reply = await self._lead(SUBMIT, submit, self.follow.accept, _SUBMIT_S)
@@ -170,8 +176,24 @@
         else:
             await exchange.respond(_UNAVAILABLE, [])
 
-    async def _refuse(self, exchange: Exchange, findings: list[str]) -> None:
-        await exchange.respond(_BAD_REQUEST, [_JSON], json_body({'findings': findings}))
+    async def _refuse_document(
+        self,
+        exchange: Exchange,
+        findings: list[str],
+        *,
+        status: int = _BAD_REQUEST,
+    ) -> None:
+        self.node.events.emit(logger, Event.document_refused, findings=findings)
+        await self._refuse(exchange, findings, status=status)
+
+    async def _refuse(
+        self,
+        exchange: Exchange,
+        findings: list[str],
+        *,
+        status: int = _BAD_REQUEST,
+    ) -> None:
+        await exchange.respond(status, [_JSON], json_body({'findings': findings}))
 
     # -- helpers ------------------------------------------------------------
 
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -13,7 +13,7 @@
 from ringseam.control.diskwait import DiskWait
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.founding import Introduction, wanted_voters
-from ringseam.control.openinterface import DOCUMENT_BYTES, OpenInterface
+from ringseam.control.openinterface import OpenInterface
 from ringseam.control.peerlinks import PeerLinks
 from ringseam.control.replica import Replica
 from ringseam.control.replicaactor import ReplicaActor
@@ -90,6 +90,9 @@
 _COMMIT_TIMEOUT_S = 5.0
 _EXPIRE_S = 0.2
 _HAND_OVER_TRIES = 20
+#: A body of up to twice the largest document is read, to say what is wrong with it;
+#: a larger one is cut off with a bare 413.
+_BODY_SHARE = 2
 
 
 class ControlRole(Role):
@@ -326,14 +329,17 @@
     async def _open_follow(self) -> None:
         """Serve gateways, backend servers and operators over the open interface."""
         leader = ControlClient(client=self.client, addresses=())
+        document_bytes = self.settings.own['document_bytes']
         interface = OpenInterface(
             node=self.node,
             follow=self.follow,
             leader=leader,
             addresses=self.introduction.addresses,
             metrics=self.metrics,
+            document_bytes=document_bytes,
         )
-        web = HttpServer(handler=interface.handle, limits=HttpLimits(body_bytes=DOCUMENT_BYTES))
+        limits = HttpLimits(body_bytes=_BODY_SHARE * document_bytes)
+        web = HttpServer(handler=interface.handle, limits=limits)
         await web.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(web.close)
         self.spawn(self.follow.expire_always())
--- a/tests/test_system/test_system_platform.py
+++ b/tests/test_system/test_system_platform.py
@@ -216,6 +216,19 @@
     asyncio.run(run())
 
 
+def test_document_that_hosts_have_no_memory_for_is_refused_with_a_finding(platform):
+    async def run():
+        whole = manifest(version=4)
+        await platform.until(200, 'http', 'PUT', '/api/config', whole)
+        large = manifest(version=5, padding='x' * (6 * 2**20))
+        status, body = await platform.call('http', 'PUT', '/api/config', large)
+        assert status == 413
+        assert 'document_bytes' in json.loads(body)['findings'][0]
+        assert await platform.call('http', 'GET', '/api/config') == (200, whole)
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('body', [b'', b'{}', b'[1]', b'\xff', b'{"service":3}'])
 def test_reports_that_can_not_be_read(platform, body):
     async def run():
