A lifetime of a backend server is its name and its start; reports of other writers

Cause: servers may start again under the name that they had, and tell their start; all that was believed of them was kept by name, so one that had left could never come back, and late messages of before could count for the later start. Reports that aren't a server's were refused by type errors only. Change: BackendId is the name and the start, so health, rooms, kept prompts, tries and silences begin anew by themselves; the first word of a later start ends the earlier one at the leader and at gateways, what still comes of it changes nothing, also at a new leader. Leaves that don't tell a start count for the lifetime that is known.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -5,13 +5,15 @@
 import enum
 import types
 from dataclasses import dataclass, field
-from typing import NewType
 
+from ringseam.lifetimes import BackendId, Ended, born_of, name_of
 from ringseam.messages import Message
 from ringseam.routes import ServiceName
 
-#: One start of one backend server; a restart takes a new one.
-BackendId = NewType('BackendId', str)
+#: How many servers that have left are remembered.
+LEFT_KEPT = 4096
+#: The sequence of a leave, which carries none: above all others.
+_LAST_SEQUENCE = 2**53
 
 
 class BackendState(enum.Enum):
@@ -80,6 +82,18 @@
     )
 
 
+def report_of_leave(instance: BackendId) -> BackendReport:
+    """Return what a lifetime that has ended says of itself: nothing comes after it."""
+    return BackendReport(
+        instance=instance,
+        service=ServiceName(''),
+        address='',
+        zone='',
+        sequence=_LAST_SEQUENCE,
+        state=BackendState.gone,
+    )
+
+
 @dataclass(kw_only=True)
 class BackendView:
     """The backend servers that a gateway believes in."""
@@ -88,16 +102,23 @@
     by_service: dict[ServiceName, list[BackendReport]] = field(default_factory=dict)
     #: Availability zones by address.
     zones: dict[str, str] = field(default_factory=dict)
+    #: The lifetime that is believed in under each name.
+    lifetimes: dict[str, BackendId] = field(default_factory=dict)
     #: Servers that have left; a late report doesn't bring them back.
-    left: dict[BackendId, None] = field(default_factory=dict)
+    left: Ended = field(default_factory=lambda: Ended(kept=LEFT_KEPT))
 
     def take(self, report: BackendReport) -> bool:
-        """Take in a report; True when it changed what is believed."""
-        if report.instance in self.left:
+        """Take in a report; True when it changed what is believed.
+
+        The first report of a later start ends the server's earlier lifetime, and a
+        late one of an earlier start changes nothing.
+        """
+        if report.instance in self.left or self._is_of_an_earlier_start(report.instance):
             return False
         known = self.backends.get(report.instance)
         if known is not None and not supersedes(report, known):
             return False
+        self._end_earlier(report.instance)
         if report.state is BackendState.gone:
             self.leave(report.instance)
             return True
@@ -107,9 +128,7 @@
 
     def leave(self, instance: BackendId) -> None:
         """Forget a server for good."""
-        self.left[instance] = None
-        while len(self.left) > LEFT_KEPT:
-            self.left.pop(next(iter(self.left)))
+        self.left.add(instance)
         self.lose(instance)
 
     def lose(self, instance: BackendId) -> None:
@@ -126,13 +145,19 @@
         """Return the servers of a service that take new work."""
         return self.by_service.get(service, [])
 
+    def _is_of_an_earlier_start(self, instance: BackendId) -> bool:
+        known = self.lifetimes.get(name_of(instance))
+        return known is not None and born_of(instance) < born_of(known)
+
+    def _end_earlier(self, instance: BackendId) -> None:
+        known = self.lifetimes.get(name_of(instance), instance)
+        if known != instance:
+            self.leave(known)
+
     def _index(self) -> None:
         self.by_service = {}
+        self.lifetimes = {name_of(instance): instance for instance in self.backends}
         self.zones = {report.address: report.zone for report in self.backends.values()}
         for report in self.backends.values():
             if report.state is BackendState.ready:
                 self.by_service.setdefault(report.service, []).append(report)
-
-
-#: How many servers that have left are remembered.
-LEFT_KEPT = 4096
--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -7,15 +7,16 @@
 
 from ringseam.backends import BackendRow, BackendState, shows_change, supersedes
 from ringseam.following import WatchNews
+from ringseam.lifetimes import Ended, born_of, name_of
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from ringseam.backends import BackendId, BackendReport, GatewayState
     from ringseam.following import WatchRequest
 
 #: Changes that are remembered for gateways that lag.
 _CHANGES_KEPT = 4096
+#: Servers that are remembered for having started again.
+_RESTARTED_KEPT = 4096
 
 
 @dataclass(kw_only=True)
@@ -39,6 +40,10 @@
     #: A gateway is no longer waited for after this long without a call.
     follower_s: float
     rows: dict[BackendId, BackendRow] = field(default_factory=dict)
+    #: The lifetime that has a row, by the server's name.
+    lifetimes: dict[str, BackendId] = field(default_factory=dict)
+    #: Lifetimes that a later start has ended.
+    ended: Ended = field(default_factory=lambda: Ended(kept=_RESTARTED_KEPT))
     dropped: list[tuple[int, BackendId]] = field(default_factory=list)
     followers: dict[str, Follower] = field(default_factory=dict)
     change: int = 0
@@ -47,7 +52,18 @@
     gateways_change: int = 0
 
     def report(self, report: BackendReport, now: float) -> bool:
-        """Take in a report; True when gateways must hear of it."""
+        """Take in a report; True when gateways must hear of it.
+
+        A later start under a name takes the row of the earlier one, of which what
+        still arrives changes nothing. Once the later one has fallen silent, a start
+        between both is believed: the clock may have been set back.
+        """
+        current = self.lifetimes.get(name_of(report.instance), report.instance)
+        if report.instance in self.ended or born_of(report.instance) < born_of(current):
+            return False
+        if current != report.instance:
+            self.ended.add(current)
+            self._drop(current)
         known = self.rows.get(report.instance)
         if known is not None and not supersedes(report, known.report):
             if report.sequence == known.report.sequence:
@@ -58,15 +74,14 @@
             self.change += 1
         change = self.change if changed or known is None else known.change
         self.rows[report.instance] = BackendRow(report=report, heard=now, change=change)
+        self.lifetimes[name_of(report.instance)] = report.instance
         return changed
 
     def expire(self, now: float) -> list[BackendId]:
         """Drop servers that fell silent and return them."""
         silent = [name for name, row in self.rows.items() if now - row.heard > self.silent_s]
         for name in silent:
-            self.rows.pop(name)
-            self.change += 1
-            self.dropped.append((self.change, name))
+            self._drop(name)
         if len(self.dropped) > _CHANGES_KEPT:
             self.oldest_dropped = self.dropped[-_CHANGES_KEPT][0]
             self.dropped = self.dropped[-_CHANGES_KEPT:]
@@ -126,11 +141,10 @@
             gateways=self._gateways(),
         )
 
-    def retire(self, instances: Iterable[BackendId]) -> None:
+    def retire(self, retired: Ended) -> None:
         """Let servers that are known to leave take no new work."""
-        for instance in instances:
-            row = self.rows.get(instance)
-            if row is not None and row.report.state is BackendState.ready:
+        for instance, row in self.rows.items():
+            if instance in retired and row.report.state is BackendState.ready:
                 self.change += 1
                 row.change = self.change
                 row.report = _leaving(row.report)
@@ -138,6 +152,12 @@
     def _gateways(self) -> tuple[GatewayState, ...]:
         return tuple(follower.state for follower in self.followers.values())
 
+    def _drop(self, instance: BackendId) -> None:
+        self.rows.pop(instance)
+        self.lifetimes.pop(name_of(instance))
+        self.change += 1
+        self.dropped.append((self.change, instance))
+
     def _note_gateways(self) -> None:
         self.change += 1
         self.gateways_change = self.change
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -16,7 +16,7 @@
     Leadership,
     NotLeading,
 )
-from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
+from ringseam.control.state import RETIRED_KEPT, DocumentPut, PutDocument, RetireBackend
 from ringseam.documents import PART_BYTES, DocumentHistory
 from ringseam.events import Event
 from ringseam.following import (
@@ -27,15 +27,17 @@
     PartLacking,
     PartReply,
     ReportAnswer,
+    ReportForeign,
     ReportTaken,
     WatchReply,
 )
+from ringseam.lifetimes import Ended, backend_id, born_of, name_of
 from ringseam.messages import Empty, Redirect
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from ringseam.backends import BackendReport
+    from ringseam.backends import BackendId, BackendReport
     from ringseam.following import Confirmation, PartRequest, Submit, WatchRequest
     from ringseam.node import Node
     from ringseam.sealing import Received
@@ -84,7 +86,7 @@
         self.voters_needed = voters_needed
         self.held = HeldDocument()
         self.history = DocumentHistory()
-        self.retired: frozenset[str] = frozenset()
+        self.retired = Ended(kept=RETIRED_KEPT)
         #: Bytes of submitted documents that aren't committed yet.
         self.waiting_bytes = 0
         self.leadership = Leadership()
@@ -101,9 +103,12 @@
             return
         if held.number > self.held.number:
             self.history.add(held.number, held.document)
+        if held.retired != self.held.retired:
+            self.retired = Ended(kept=RETIRED_KEPT)
+            for backend in held.retired:
+                self.retired.add(backend)
         self.held = held
-        self.retired = frozenset(held.retired)
-        self.directory.retire(msgspec.convert(held.retired, tuple[str, ...]))
+        self.directory.retire(self.retired)
         self._wake()
 
     def lead(self, leadership: Leadership) -> None:
@@ -167,10 +172,18 @@
         """Take a backend server's report; a leave only once it is known."""
         return ReportAnswer(reply=await self.take_report(received.body))
 
-    async def take_report(self, report: BackendReport) -> ReportTaken | Redirect:
+    async def take_report(
+        self,
+        report: BackendReport,
+    ) -> ReportTaken | ReportForeign | Redirect:
         """Take a backend server's report; a leave only once it is known."""
         if not self.leadership.serves:
             return self.redirect
+        if not born_of(report.instance):
+            named = self._with_lifetime(report)
+            if named is None:
+                return ReportForeign()
+            report = named
         leaving = report.state is not BackendState.ready
         if leaving and report.instance not in self.retired:
             outcome = await self.submit(RetireBackend(instance=report.instance))
@@ -260,8 +273,34 @@
         outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
         return outcome.newest if isinstance(outcome, DocumentPut) else None
 
+    def _with_lifetime(self, report: BackendReport) -> BackendReport | None:
+        """Return a report that doesn't tell when its server started; None: a foreign one.
+
+        A leave counts for the lifetime that is known, or for all that have begun by
+        now: it may be the first that a new leader hears of the server. Any other report
+        isn't from a server that has told its start before.
+        """
+        known = self.directory.lifetimes.get(report.instance)
+        if report.state is not BackendState.gone:
+            return None if known is not None and self._tells_its_start(known) else report
+        if known is None:
+            known = backend_id(report.instance, self.node.clock.wall_ms())
+        return msgspec.structs.replace(report, instance=known)
+
+    def _tells_its_start(self, backend: BackendId) -> bool:
+        row = self.directory.rows[backend]
+        return bool(born_of(backend)) and row.report.state is not BackendState.gone
+
     def _note(self, report: BackendReport) -> None:
+        known = self.directory.lifetimes.get(name_of(report.instance), report.instance)
         if self.directory.report(report, self.node.clock.now()):
+            if known != report.instance:
+                self.node.events.emit(
+                    logger,
+                    Event.backend_restarted,
+                    backend=report.instance,
+                    earlier=known,
+                )
             self.node.events.emit(
                 logger,
                 Event.backend_reported,
--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import logging
+import types
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
-from ringseam.backends import BackendReport, BackendState
+from ringseam.backends import BackendState
 from ringseam.clock import MS_PER_S
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
@@ -16,23 +15,25 @@
     REPORT_BACKEND,
     SUBMIT,
     DocumentHeld,
+    ReportForeign,
     ReportTaken,
     Submit,
 )
 from ringseam.messages import Empty, Redirect
-from ringseam.platform.manifest import decode_manifest, json_body
+from ringseam.platform.manifest import decode_manifest
 from ringseam.platform.registration import (
     CONFIG_PATH,
+    decode_leave,
     decode_report,
     encode_accepted,
     instance_of,
 )
-from ringseam.routes import ServiceName
+from ringseam.util.jsonbody import json_body
+from ringseam.util.linebudget import LineBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ringseam.backends import BackendId
     from ringseam.control.follow import FollowService
     from ringseam.controlclient import ControlClient
     from ringseam.metrics import Metrics
@@ -48,8 +49,13 @@
 #: A document waits for gateways; the operator gives up after four seconds.
 _SUBMIT_S = 3.0
 _READ_S = 0.9
-#: Where to keep the sequence of a leave that carries none above all others.
-_LAST_SEQUENCE = 2**53
+#: A report has some hundred bytes; one of a server with many models a few thousand.
+_REPORT_BYTES = 64 * 2**10
+#: Refused reports that are logged at once, and then in each second: enough to see who
+#: sends them, where a server that reports each second would fill the log.
+_REFUSALS_LOGGED = 20
+_REFUSALS_PER_S = 1.0
+_LOGGED_CHARACTERS = 200
 _JSON = ('Content-Type', 'application/json')
 _OK = 200
 _BAD_REQUEST = 400
@@ -57,6 +63,7 @@
 _NOT_ALLOWED = 405
 _TOO_LARGE = 413
 _UNAVAILABLE = 503
+_DECODERS = types.MappingProxyType({'PUT': decode_report, 'DELETE': decode_leave})
 
 
 class OpenInterface:
@@ -82,6 +89,7 @@
         self.addresses = addresses
         self.metrics = metrics
         self.document_bytes = document_bytes
+        self.refusals = LineBudget(lines=_REFUSALS_LOGGED, per_s=_REFUSALS_PER_S)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call, and measure it."""
@@ -100,9 +108,9 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
-        instance = instance_of(request.path)
-        if instance:
-            await self._handle_instance(exchange, instance)
+        name = instance_of(request.path)
+        if name:
+            await self._handle_report(exchange, name)
         elif request.path == CONFIG_PATH:
             await self._handle_document(exchange)
         else:
@@ -110,32 +118,36 @@
 
     # -- backend servers ----------------------------------------------------
 
-    async def _handle_instance(self, exchange: Exchange, instance: BackendId) -> None:
-        if exchange.request.method == 'DELETE':
-            report = BackendReport(
-                instance=instance,
-                service=ServiceName(''),
-                address='',
-                zone='',
-                sequence=_LAST_SEQUENCE,
-                state=BackendState.gone,
-            )
-        elif exchange.request.method == 'PUT':
-            try:
-                report = decode_report(instance, exchange.request.body)
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-                await self._refuse(exchange, [str(error)])
-                return
-        else:
+    async def _handle_report(self, exchange: Exchange, name: str) -> None:
+        decode = _DECODERS.get(exchange.request.method)
+        if decode is None:
             await exchange.respond(_NOT_ALLOWED, [])
             return
+        try:
+            report = decode(name, _bounded(exchange.request.body))
+        except ValueError as error:
+            await self._refuse_report(exchange, name, str(error))
+            return
         limit_s = _REPORT_S if report.state is BackendState.ready else _LEAVE_S
         reply = await self._lead(REPORT_BACKEND, report, self.follow.take_report, limit_s)
         if isinstance(reply, ReportTaken):
             await exchange.respond(_OK, [_JSON], encode_accepted(reply.report_to))
+        elif isinstance(reply, ReportForeign):
+            await self._refuse_report(exchange, name, 'its server tells when it started')
         else:
             await exchange.respond(_UNAVAILABLE, [])
 
+    async def _refuse_report(self, exchange: Exchange, name: str, finding: str) -> None:
+        self.metrics.add('reports_refused')
+        if self.refusals.allows(self.node.clock.now()):
+            self.node.events.emit(
+                logger,
+                Event.report_refused,
+                backend=name[:_LOGGED_CHARACTERS],
+                detail=finding[:_LOGGED_CHARACTERS],
+            )
+        await self._refuse(exchange, [finding])
+
     # -- operators ----------------------------------------------------------
 
     async def _handle_document(self, exchange: Exchange) -> None:
@@ -215,3 +227,13 @@
         except UnreachableError as error:
             logger.debug('no leader for %s: %s', method.path, error)
             return None
+
+
+def _bounded(body: bytes) -> bytes:
+    """Return a report's body.
+
+    :raises ValueError: when no report is as large.
+    """
+    if len(body) > _REPORT_BYTES:
+        raise ValueError(f'{len(body)} bytes; a report has {_REPORT_BYTES} at most')
+    return body
--- a/ringseam/following.py
+++ b/ringseam/following.py
@@ -86,10 +86,14 @@
     report_to: str = ''
 
 
+class ReportForeign(Tagged, frozen=True, kw_only=True):
+    """Nothing was changed: the report isn't one of the server that it names."""
+
+
 class ReportAnswer(Message, frozen=True, kw_only=True):
-    """Acknowledgement of a report, or where the leader may be."""
+    """Acknowledgement of a report, why there is none, or where the leader may be."""
 
-    reply: Union[ReportTaken, Redirect]
+    reply: Union[ReportTaken, ReportForeign, Redirect]
 
 
 class Submit(Message, frozen=True, kw_only=True):
--- a/ringseam/platform/manifest.py
+++ b/ringseam/platform/manifest.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Any, Optional
+from typing import Annotated, Optional
 
 import msgspec
 
@@ -237,8 +237,3 @@
         keys=frozenset(tenant.api_keys),
         priority=tenant.priority,
     )
-
-
-def json_body(body: Any) -> bytes:
-    """Return the JSON of a reply."""
-    return msgspec.json.encode(body)
--- a/ringseam/platform/registration.py
+++ b/ringseam/platform/registration.py
@@ -7,13 +7,18 @@
 
 import msgspec
 
-from ringseam.backends import BackendId, BackendReport, BackendState
+from ringseam.backends import BackendReport, BackendState, report_of_leave
+from ringseam.lifetimes import SEPARATOR, backend_id, born_of, name_of
 from ringseam.routes import ServiceName
+from ringseam.util.jsonbody import decode_strictly
 
 READY_PATH = '/api/ready'
 CONFIG_PATH = '/api/config'
 _INSTANCES = '/api/instances/'
 _MS = 1000
+_ADDRESS = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
+#: Numbers that a signed word of 64 bits holds, as the log does.
+_Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _State(enum.Enum):
@@ -23,42 +28,40 @@
 
 class _Beat(msgspec.Struct):
     service: str
-    addr: str  # where it serves, IP:PORT
+    addr: Annotated[str, msgspec.Meta(pattern=_ADDRESS)]  # where it serves, IP:PORT
     zone: str
-    seq: Annotated[int, msgspec.Meta(ge=0)]  # grows with each report
+    seq: _Whole  # grows with each report of one lifetime
     state: _State = _State.ready
+    born: _Whole = 0  # Unix time in ms of its start; absent: it doesn't tell
     version: str = ''
-    slots: int = 1
-    cold_left_ms: float = 0
+    slots: _Whole = 1
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
 
 
-class _BeatReply(msgspec.Struct, omit_defaults=True):
-    heartbeat_addr: str = ''
-
-
-class _Readback(msgspec.Struct):
-    version: int
+class _Leave(msgspec.Struct):
+    born: _Whole = 0  # as in a report
 
 
-_DECODER = msgspec.json.Decoder(_Beat)
+class _BeatReply(msgspec.Struct, omit_defaults=True):
+    heartbeat_addr: str = ''
 
 
-def instance_of(path: str) -> BackendId | None:
-    """Return the backend server that a path names, if it does."""
+def instance_of(path: str) -> str | None:
+    """Return the name of the backend server in a path, if there is one."""
     if not path.startswith(_INSTANCES):
         return None
     name = path[len(_INSTANCES) :]
-    return BackendId(name) if name and '/' not in name else None
+    return name if name and '/' not in name and SEPARATOR not in name else None
 
 
-def decode_report(instance: BackendId, body: bytes) -> BackendReport:
-    """Return a backend server's report.
+def decode_report(name: str, body: bytes) -> BackendReport:
+    """Return the report of the backend server that is called ``name``.
 
-    :raises msgspec.MsgspecError: when it can't be read.
+    :raises ValueError: when it can't be read, or isn't one of a backend server.
     """
-    beat = _DECODER.decode(body)
+    beat = decode_strictly(body, _Beat)
     return BackendReport(
-        instance=instance,
+        instance=backend_id(name, beat.born),
         service=ServiceName(beat.service),
         address=beat.addr,
         zone=beat.zone,
@@ -70,14 +73,20 @@
     )
 
 
+def decode_leave(name: str, body: bytes) -> BackendReport:
+    """Return the report of a server that has left; ValueError when its body isn't one."""
+    leave = decode_strictly(body, _Leave) if body else _Leave()
+    return report_of_leave(backend_id(name, leave.born))
+
+
 def encode_accepted(report_to: str) -> bytes:
     """Return the reply to a report; ``report_to`` is where to report next."""
     return msgspec.json.encode(_BeatReply(heartbeat_addr=report_to))
 
 
-def report_path(instance: BackendId) -> str:
+def report_path(instance: str) -> str:
     """Return where a backend server reports itself."""
-    return _INSTANCES + instance
+    return _INSTANCES + name_of(instance)
 
 
 def encode_report(report: BackendReport) -> bytes:
@@ -88,6 +97,7 @@
             addr=report.address,
             zone=report.zone,
             seq=report.sequence,
+            born=born_of(report.instance),
             state=_State.ready if report.state is BackendState.ready else _State.draining,
             version=report.software,
             slots=report.slots,
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.clock import MS_PER_S
+from ringseam.lifetimes import name_of
 
 if TYPE_CHECKING:
     from ringseam.web.bodies import Headers
@@ -154,7 +155,7 @@
         dropped = dropped | {_LAST_EVENT.lower()}
     passed = [(name, text) for name, text in headers if name.lower() not in dropped]
     passed.append((_DEADLINE, str(max(1, int(call.time_left_s * MS_PER_S)))))
-    passed.append((_EXPECT_INSTANCE, call.instance))
+    passed.append((_EXPECT_INSTANCE, name_of(call.instance)))
     if call.account:
         passed.append((_TENANT, call.account))
     if call.urgency is not None:
@@ -175,7 +176,7 @@
     """Return the headers of a call for pieces of stages."""
     headers = [('Host', 'stage'), ('Content-Type', 'application/json')]
     if instance:
-        headers.append((_EXPECT_INSTANCE, instance))
+        headers.append((_EXPECT_INSTANCE, name_of(instance)))
     return headers
 
 
--- a/tests/test_backends/test_backends_view.py
+++ b/tests/test_backends/test_backends_view.py
@@ -67,3 +67,50 @@
     view.take(report(instance='b', address='10.0.0.2:80', zone='y'))
     view.keep_only({BackendId('b')})
     assert view.zones == {'10.0.0.2:80': 'y'}
+
+
+# -- servers that start again under their names -------------------------------
+
+
+def instances(view):
+    return [row.instance for row in view.serving(ServiceName('s'))]
+
+
+def test_later_start_takes_the_place_of_the_earlier_one():
+    view = BackendView()
+    view.take(report(READY, 900, 'a#5'))
+    assert view.take(report(READY, 1, 'a#8'))
+    assert instances(view) == ['a#8']
+
+
+@pytest.mark.parametrize('state', [READY, DRAINING, GONE])
+@pytest.mark.parametrize('sequence', [1, 2**53])
+def test_late_report_of_an_earlier_start_changes_nothing(state, sequence):
+    view = BackendView()
+    view.take(report(READY, 900, 'a#5'))
+    view.take(report(READY, 1, 'a#8'))
+    assert not view.take(report(state, sequence, 'a#5'))
+    assert not view.take(report(state, sequence, 'a#4'))
+    assert instances(view) == ['a#8']
+
+
+def test_server_that_left_and_started_again_is_used():
+    view = BackendView()
+    view.take(report(READY, 3, 'a#5'))
+    view.take(report(GONE, 4, 'a#5'))
+    assert view.take(report(READY, 1, 'a#8'))
+    assert instances(view) == ['a#8']
+
+
+def test_report_of_the_same_start_with_a_lower_number_is_late():
+    view = BackendView()
+    view.take(report(READY, 3, 'a#5', address='10.0.0.1:80'))
+    assert not view.take(report(READY, 2, 'a#5', address='10.0.0.2:80'))
+
+
+def test_start_under_a_clock_that_was_set_back_is_used_once_the_later_one_is_silent():
+    view = BackendView()
+    view.take(report(READY, 3, 'a#8'))
+    assert not view.take(report(READY, 1, 'a#7'))
+    view.lose(BackendId('a#8'))
+    assert view.take(report(READY, 2, 'a#7'))
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -4,7 +4,13 @@
 
 import asyncio
 
-from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
+from ringseam.backends import (
+    BackendId,
+    BackendReport,
+    BackendState,
+    GatewayState,
+    report_of_leave,
+)
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.replicamessages import (
@@ -17,6 +23,7 @@
 from ringseam.following import (
     DocumentHeld,
     NotYet,
+    ReportForeign,
     ReportTaken,
     Submit,
     WatchNews,
@@ -205,6 +212,87 @@
     asyncio.run(run())
 
 
+def test_restarted_server_is_told_with_the_end_of_its_earlier_lifetime():
+    book = directory()
+    book.report(report('i-1#5', sequence=900), 0)
+    upto = book.change
+    assert book.report(report('i-1#8', sequence=1), 1)
+    told = book.news(request(epoch='e1', since=upto), 1)
+    assert [row.instance for row in told.reports] == ['i-1#8']
+    assert told.silent == ('i-1#5',)
+
+
+def test_late_message_of_an_earlier_lifetime_changes_nothing():
+    book = directory()
+    book.report(report('i-1#5', sequence=3), 0)
+    book.report(report('i-1#8', sequence=1), 1)
+    change = book.change
+    for state in BackendState:
+        assert not book.report(report('i-1#5', sequence=999, state=state), 2)
+    assert book.expire(10) == ['i-1#8']
+    assert not book.report(report('i-1#5', sequence=1000), 11)
+    assert book.change == change + 1
+
+
+def test_late_leave_of_an_earlier_lifetime_leaves_the_later_one():
+    """Also at a leader that has heard of neither, and of the late one first."""
+
+    async def run():
+        bench = Bench()
+        late = report('i-1#5', sequence=9, state=BackendState.draining)
+        await bench.service.take_report(late)
+        bench.service.lead(Leadership(term=4, leader='c2'))
+        bench.service.lead(Leadership(term=5, leader='c1', serves=True, voters=5))
+        await bench.service.take_report(late)
+        await bench.service.take_report(report('i-1#8', sequence=1))
+        await bench.service.take_report(late)
+        rows = bench.service.directory.rows
+        assert {name: row.report.state for name, row in rows.items()} == {
+            'i-1#8': BackendState.ready,
+        }
+        assert len(bench.submitted) == 1
+
+    asyncio.run(run())
+
+
+def test_leave_that_does_not_tell_its_start_counts_for_the_lifetime_that_is_known():
+    async def run():
+        bench = Bench()
+        await bench.service.take_report(report('i-1#8'))
+        await bench.service.take_report(report_of_leave(BackendId('i-1')))
+        await bench.service.take_report(report('i-1#8', sequence=7))
+        assert bench.service.directory.rows['i-1#8'].report.state is BackendState.gone
+        await bench.service.take_report(report('i-1#9'))
+        assert bench.service.directory.rows['i-1#9'].report.state is BackendState.ready
+
+    asyncio.run(run())
+
+
+def test_leave_at_a_leader_that_knows_no_lifetime_counts_for_all_that_have_begun():
+    async def run():
+        bench = Bench()
+        await bench.service.take_report(report_of_leave(BackendId('i-1')))
+        now = bench.service.node.clock.wall_ms()
+        for name in ('i-1', 'i-2', f'i-1#{now - 1000}'):
+            assert isinstance(await bench.service.take_report(report(name)), ReportTaken)
+        rows = bench.service.directory.rows.values()
+        ready = [row.report.instance for row in rows if row.report.state is BackendState.ready]
+        assert ready == ['i-2']
+
+    asyncio.run(run())
+
+
+def test_report_without_a_start_is_foreign_where_the_server_tells_it():
+    async def run():
+        bench = Bench()
+        await bench.service.take_report(report('i-1#8'))
+        assert isinstance(await bench.service.take_report(report('i-1', 99)), ReportForeign)
+        assert list(bench.service.directory.rows) == ['i-1#8']
+        assert isinstance(await bench.service.take_report(report('i-2')), ReportTaken)
+
+    asyncio.run(run())
+
+
 def test_first_document_waits_for_enough_voters():
     async def run():
         bench = Bench()
--- a/tests/test_gateway/test_gateway_faults.py
+++ b/tests/test_gateway/test_gateway_faults.py
@@ -320,3 +320,45 @@
         assert known == {'new'}
 
     asyncio.run(run())
+
+
+def test_what_was_in_flight_at_an_earlier_lifetime_may_have_run(key_file):
+    """A server crashes with a request that may not be repeated, and starts again under
+    its name: the request isn't sent to the later lifetime, others are."""
+
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+
+            async def crashing(asked, writer):
+                if len(server.asked) > 1:
+                    writer.write(answer(asked))
+                    return
+                gateway.add(address, name='i-1#9')
+                reset(writer)
+
+            server = ScriptedServer(crashing)
+            address = await server.start()
+            gateway.add(address, name='i-1#7')
+            status, _ = await gateway.ask('/once/x')
+            assert status == 502
+            assert len(server.asked) == 1
+            assert (await gateway.ask('/once/x', Attempt_Id='r2'))[0] == 200
+            assert server.asked[1].header('Expect-Instance') == 'i-1'
+
+    asyncio.run(run())
+
+
+def test_later_lifetime_is_not_judged_by_the_earlier_one(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            server = ScriptedServer(good)
+            address = await server.start()
+            gateway.add(address, name='i-1#7')
+            now = gateway.role.node.clock.now()
+            gateway.role.health.failed('i-1#7', now, hard=True)
+            assert gateway.role.health.of('i-1#7').ejected_until > now
+            gateway.add(address, name='i-1#9')
+            assert gateway.role.health.of('i-1#9').ejected_until <= now
+            assert (await gateway.ask('/once/x'))[0] == 200
+
+    asyncio.run(run())
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import json
+
 import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ringseam.backends import BackendId, BackendState
-from ringseam.platform.registration import decode_report, instance_of
+from ringseam.backends import BackendReport, BackendState
+from ringseam.platform.registration import decode_leave, decode_report, instance_of
 from ringseam.platform.requests import (
     SYSTEM_ONLY,
     CallHeaders,
@@ -16,6 +18,7 @@
     decode_marks,
     decode_request,
     encode_call,
+    stage_headers,
 )
 from ringseam.platform.stages import (
     PieceFault,
@@ -140,7 +143,7 @@
 
 def test_report_is_decoded():
     body = b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":4,"state":"draining","new":1}'
-    report = decode_report(BackendId('i'), body)
+    report = decode_report('i', body)
     assert report.state is BackendState.draining
     assert report.sequence == 4
 
@@ -158,13 +161,88 @@
     ],
 )
 def test_report_with_wrong_types_is_refused(body):
-    with pytest.raises((msgspec.MsgspecError, UnicodeDecodeError)):
-        decode_report(BackendId('i'), body)
+    with pytest.raises(ValueError, match=r'\S'):
+        decode_report('i', body)
+
+
+GOOD = {'service': 's', 'addr': '1.2.3.4:5', 'zone': 'z', 'seq': 1, 'born': 1764633600000}
+ODD = (None, True, 1.5, 1764633600000.0, -1, 2**63, 2**70, '1', [], {}, {'a': {}})
+
+
+def test_start_of_a_server_is_part_of_its_identity():
+    assert decode_report('i', json.dumps(GOOD).encode()).instance == 'i#1764633600000'
+    assert decode_leave('i', b'{"born":7}').instance == 'i#7'
+    assert decode_leave('i', b'').instance == 'i'
+    headers = CallHeaders(instance='i#1764633600000', time_left_s=1)
+    assert ('Expect-Instance', 'i') in encode_call([], headers)
+    assert ('Expect-Instance', 'i') in stage_headers('i#1764633600000')
+
+
+@pytest.mark.parametrize('field', ['seq', 'born', 'slots'])
+@pytest.mark.parametrize('odd', ODD, ids=str)
+def test_number_that_is_none_names_no_server(field, odd):
+    with pytest.raises(ValueError, match=field):
+        decode_report('i', json.dumps({**GOOD, field: odd}).encode())
+
+
+@pytest.mark.parametrize('missing', ['service', 'addr', 'zone', 'seq'])
+def test_report_without_a_field_names_no_server(missing):
+    fields = {name: value for name, value in GOOD.items() if name != missing}
+    with pytest.raises(ValueError, match=missing):
+        decode_report('i', json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":1,"seq":2}',
+        b'{"service":"s","addr":"nowhere","zone":"z","seq":1}',
+        b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":1,"new":' + b'[' * 9000 + b'1',
+        b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":1,"new":' + b'[' * 9000 + b']' * 9000,
+        b'{"service":"s","addr":"1.2.3.4:5","zone":"z","seq":1e400}',
+        b'nan',
+    ],
+    ids=['twice', 'address', 'cut', 'deep', 'huge', 'nan'],
+)
+def test_report_of_another_writer_names_no_server(body):
+    with pytest.raises(ValueError, match=r'\S'):
+        decode_report('i', body)
+
+
+fields = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=8,
+)
+
+
+@given(st.fixed_dictionaries({}, optional=dict.fromkeys([*GOOD, 'state', 'new'], fields)))
+def test_any_report_is_read_or_refused(odd):
+    """What is read has fields that the log and the calls between processes carry."""
+    try:
+        report = decode_report('i', json.dumps({**GOOD, **odd}).encode())
+    except ValueError:
+        return
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(report), type=BackendReport) == report
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_read_or_refused(body):
+    for decode in (decode_report, decode_leave):
+        try:
+            decode('i', body)
+        except ValueError:
+            continue
 
 
 @pytest.mark.parametrize(
     ('path', 'name'),
-    [('/api/instances/i-1', 'i-1'), ('/api/instances/', None), ('/api/instances/a/b', None)],
+    [
+        ('/api/instances/i-1', 'i-1'),
+        ('/api/instances/', None),
+        ('/api/instances/a/b', None),
+        ('/api/instances/a#5', None),
+    ],
 )
 def test_instance_of_a_path(path, name):
     assert instance_of(path) == name
--- a/tests/test_system/test_system_platform.py
+++ b/tests/test_system/test_system_platform.py
@@ -123,7 +123,7 @@
             await asyncio.sleep(0.05)
         raise AssertionError(f'{call}: {found}')
 
-    async def beat(self, address, sequence, state='ready', status=200):
+    async def beat(self, address, sequence, state='ready', status=200, **more):
         body = {
             'service': 'plain',
             'addr': address,
@@ -131,6 +131,7 @@
             'seq': sequence,
             'state': state,
             'slots': 4,
+            **more,
         }
         path = '/api/instances/i-1'
         await self.until(status, 'http', 'PUT', path, json.dumps(body).encode())
@@ -237,6 +238,45 @@
     asyncio.run(run())
 
 
+def test_reports_of_other_writers_leave_the_others_as_they_are(platform):
+    async def run():
+        server = ScriptedServer(good)
+        address = await server.start()
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=4))
+        await platform.beat(address, 5, born=7)
+        await platform.until(200, 'ready', 'GET', '/api/ready')
+        for odd in ({'born': 8.5}, {'seq': None}, {'state': 'odd'}, {'x': 'x' * 2**20}, {}):
+            await platform.beat(address, 6, status=400, **odd)
+        assert await platform.ask() == (200, b'ok')
+        _, page = await platform.call('metrics', 'GET', '/metrics')
+        assert b'ringseam_reports_refused 5' in page
+
+    asyncio.run(run())
+
+
+def test_server_that_starts_again_under_its_name_is_used_and_its_past_is_not(platform):
+    async def run():
+        server = ScriptedServer(good)
+        address = await server.start()
+        await platform.until(200, 'http', 'PUT', '/api/config', manifest(version=4))
+        await platform.beat(address, 900, born=7)
+        await platform.beat(address, 901, 'draining', born=7)
+        await platform.until(200, 'ready', 'GET', '/api/ready')
+        assert (await platform.ask('r1'))[0] == 503
+        await platform.beat(address, 1, born=9)
+        await platform.beat(address, 902, 'draining', born=7)
+        assert await platform.ask('r2') == (200, b'ok')
+        assert server.asked[0].header('Expect-Instance') == 'i-1'
+        platform.running['control'].kill()
+        platform.running['control'].wait()
+        platform.start('control')
+        await platform.beat(address, 903, born=7)
+        await platform.beat(address, 2, born=9)
+        assert await platform.ask('r3') == (200, b'ok')
+
+    asyncio.run(run())
+
+
 def test_planned_stop_of_a_gateway_cuts_nothing(platform):
     async def run():
         async def slow(asked, writer):
