--- /dev/null
+++ b/tests/test_deploy/test_deploy_days.py
@@ -0,0 +1,36 @@
+"""Days of our own: they can be read, and fit any deployment."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent.parent
+DAYS = sorted((ROOT / 'deploy' / 'days').glob('*.toml'))
+KINDS = tomllib.loads((ROOT / 'bench' / 'days' / 'kinds.toml').read_text())
+KNOWN = {entry['kind'] for part in ('plan', 'faults') for entry in KINDS[part]}
+#: Entries that have a place name it by the deployment's first one.
+PLACES = {'class': '@c0', 'service': '@s0', 'zone': '@z0', 'to_zone': '@z0'}
+LENGTH_S = 34.0
+
+
+@pytest.mark.parametrize('path', DAYS, ids=[path.stem for path in DAYS])
+def test_day_fits_any_deployment(path):
+    day = tomllib.loads(path.read_text(encoding='utf-8'))
+    assert day['name'] == path.stem
+    assert day['closing']['down_s'] < 5
+    assert 'traffic' not in day
+    for entry in [*day['plan'], *day['faults']]:
+        assert entry['kind'] in KNOWN
+        assert 0 <= entry['at'] < LENGTH_S
+        for key, place in PLACES.items():
+            assert entry.get(key, place) == place
+
+
+def test_there_are_days_of_the_faults_that_were_seen():
+    texts = ' '.join(path.read_text(encoding='utf-8') for path in DAYS)
+    for kind in ('big_config', 'core_cut', 'srv_crash', 'power_off_all', 'wipe_after_ack'):
+        assert re.search(rf'"{kind}"', texts), kind
