--- a/ringseam/control/raftreplication.py
+++ b/ringseam/control/raftreplication.py
@@ -15,9 +15,8 @@
 #: Most entries in one message, and most that a follower may be behind what was sent.
 _BATCH_ENTRIES = 256
 _WINDOW_ENTRIES = 4096
-#: The same in bytes, for entries that are whole documents: a process holds a message
-#: about four times while it is sealed, sent or read, so that a window of four large
-#: entries and its copies stay under a tenth of a host of 300 MB for each follower.
+#: The same in bytes, for entries that are whole documents. A message is copied while
+#: it is sealed, sent and read; a window is 4 of the 300 MB of a host, for each follower.
 _BATCH_BYTES = 2**20
 _WINDOW_BYTES = 4 * 2**20
 #: A snapshot that was not confirmed is sent again after this long, seconds.
