--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -179,6 +179,34 @@
         'if newest < self.token:',
         'tests/test_agent/test_agent_orders.py',
     ),
+    Mutation(
+        'the log is compacted by entries, never by bytes',
+        'ringseam/control/replica.py',
+        'return log.bytes_between(first, self.raft.applied) >= most_bytes',
+        'return False',
+        'tests/test_control',
+    ),
+    Mutation(
+        'entries go out again until a follower answers',
+        'ringseam/control/raftreplication.py',
+        'if progress.probing or following > self.log.last_index:',
+        'if following > self.log.last_index:',
+        'tests/test_control',
+    ),
+    Mutation(
+        'a late report of an earlier lifetime counts at gateways',
+        'ringseam/backends.py',
+        'return known is not None and born_of(instance) < born_of(known)',
+        'return False',
+        'tests/test_backends',
+    ),
+    Mutation(
+        'a late report of an earlier lifetime counts at the leader',
+        'ringseam/control/backenddirectory.py',
+        'if report.instance in self.ended or born_of(report.instance) < born_of(current):',
+        'if False:',
+        'tests/test_control',
+    ),
 )
 
 
