Settings take the platform's figures with a fraction, and its retry ratio

The retry ratio was a constant of ours, and a planned stop was bounded by 8 s whatever grace the platform gives.

Change: a kind of key for numbers with a fraction; retry_ratio, retry_slack, retry_window_s and grace_s come from the bounds, and a stop lasts no longer than the grace. The test draws settings for both templates; it failed first on the gateway's.

--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -68,7 +68,7 @@
         self.silence = SilenceBook()
         self.pool = ChannelPool(clock=self.node.clock)
         self.retries = WindowRetries(
-            ratio=own['retry_percent'] / 100,
+            ratio=own['retry_ratio'],
             slack=own['retry_slack'],
             window_s=own['retry_window_s'],
         )
@@ -146,14 +146,18 @@
         own = settings.own
         self.follower.add_addresses(cluster_addresses(own['seeds'], own['cluster_ports']))
 
+    @property
+    def drain_limit_s(self) -> float:
+        """Return the time until the process is killed, seconds."""
+        return self.settings.own['grace_s']
+
     async def drain(self) -> None:
         """Let the balancer turn away, then finish what was read."""
         loop = asyncio.get_running_loop()
-        begun = loop.time()
         self.follower.draining = True
         self.clients.closing = True
-        until = begun + self.settings.own['grace_s'] - _RESERVE_S
-        await asyncio.sleep(_LEAVE_S)
+        until = loop.time() + max(0, self.drain_limit_s - _RESERVE_S)
+        await asyncio.sleep(min(_LEAVE_S, max(0, self.drain_limit_s - _RESERVE_S - _HAND_BACK_S)))
         self.clients.stop_listening()
         while loop.time() < until:
             if loop.time() > until - _HAND_BACK_S:
--- /dev/null
+++ b/tests/test_deploy/test_deploy_settings.py
@@ -0,0 +1,106 @@
+"""The templates of settings, rendered with any figures that the platform may give."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from ringseam.errors import FindingsError
+from ringseam.settings import read_settings
+
+ROOT = Path(__file__).parent.parent.parent
+ROLES = ('gateway', 'control')
+_PLACE = re.compile(r'\{\{([a-z_.0-9]+)\}\}')
+_SECTION = re.compile(r'\{\{([#^])([a-z_.0-9]+)\}\}(.*?)\{\{/\2\}\}')
+
+#: Settings of the platform that name places; their figures are drawn.
+PLACES = {
+    'node_name': 'front-hall-a-1',
+    'zone': 'hall-a',
+    'region': 'thies',
+    'ip': '10.1.0.41',
+    'port_range': '7740,7755',
+    'port_range.0': '7740',
+    'seeds': '10.1.0.42:8628,10.2.0.26:8628',
+    'listen.front': '10.1.0.41:8625',
+    'listen.ready': '10.1.0.41:8621',
+    'listen.control': '10.1.0.41:8628',
+    'data_dir': '/data/my-core',
+    'bootstrap': 'true',
+}
+
+
+def figures(low, high):
+    """Draw whole numbers and fractions, as text."""
+    whole = st.integers(low, high)
+    fractions = st.floats(low, high, allow_nan=False, width=32)
+    return st.one_of(whole, fractions).map(str)
+
+
+DRAWN = st.fixed_dictionaries(
+    {
+        'bounds.retry_slack': figures(0, 100_000),
+        'bounds.retry_ratio': figures(0, 3),
+        'bounds.retry_window_s': figures(0, 600),
+        'bounds.grace_s': figures(0, 600),
+        'fault_tolerance.machines': st.integers(0, 10).map(str),
+        'bootstrap': st.sampled_from(('true', 'false')),
+    },
+)
+
+
+def rendered(role, known):
+    """Fill in a template by the platform's rules for values and yes/no sections."""
+    text = (ROOT / 'deploy' / f'{role}.ini').read_text(encoding='utf-8')
+
+    def chosen(match):
+        sign, name, inner = match.groups()
+        return inner if (known.get(name) == 'true') == (sign == '#') else ''
+
+    return _PLACE.sub(lambda match: known[match[1]], _SECTION.sub(chosen, text))
+
+
+@pytest.mark.parametrize('role', ROLES)
+@given(drawn=DRAWN)
+@example(
+    drawn={
+        'bounds.retry_slack': '38.26086956521739',
+        'bounds.retry_ratio': '0.15',
+        'bounds.retry_window_s': '9.5',
+        'bounds.grace_s': '7.25',
+        'fault_tolerance.machines': '2',
+        'bootstrap': 'false',
+    },
+)
+def test_any_figures_of_the_platform_are_read(role, drawn):
+    """Lost a whole day of a fleet: a slack with a fraction ended every gateway."""
+    settings = read_settings(role, rendered(role, PLACES | drawn), path='settings.conf')
+    if role == 'gateway':
+        assert settings.own['retry_slack'] == float(drawn['bounds.retry_slack'])
+        assert settings.own['retry_ratio'] == float(drawn['bounds.retry_ratio'])
+        assert settings.own['retry_window_s'] == float(drawn['bounds.retry_window_s'])
+        assert settings.own['grace_s'] == float(drawn['bounds.grace_s'])
+    else:
+        assert settings.own['tolerated_losses'] == int(drawn['fault_tolerance.machines'])
+        assert settings.own['may_found'] == (drawn['bootstrap'] == 'true')
+
+
+@pytest.mark.parametrize('text', ['many', 'nan', 'inf', '-1', '1e400', '0,2'])
+def test_figure_that_can_not_be_used_is_a_finding_with_its_line(text):
+    known = PLACES | {
+        'bounds.retry_slack': text,
+        'bounds.retry_ratio': '0.2',
+        'bounds.retry_window_s': '10',
+        'bounds.grace_s': '8',
+        'fault_tolerance.machines': '2',
+    }
+    with pytest.raises(FindingsError) as caught:
+        read_settings('gateway', rendered('gateway', known), path='settings.conf')
+    finding = caught.value.findings[0]
+    assert finding.key == 'retry_slack'
+    assert finding.line > 0
+    assert text in finding.message
