A stage is never asked for without its inputs

Cause: a client that leaves in the loop turn in which a stage ends has its results given up before the cancelled graph has stopped; the next stage then asked with no inputs, under the request's key.

Change: results are given up after the graph has ended, and a stage whose inputs are not all there isn't asked for. The test cancels after each of the first loop turns; it failed first at the second. Ruled out: an answer with too few results (its length is that of the pieces), a second run of the graph (all its tasks have ended before).

--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from ringseam.gateway.work import Work
 from ringseam.platform.requests import decode_request
 from ringseam.platform.stages import PieceFault
+from ringseam.util.tasks import cancelled
 
 if TYPE_CHECKING:
     from ringseam.gateway.answers import Answers
@@ -214,8 +215,9 @@
             await asyncio.wait({running, leaving}, return_when=asyncio.FIRST_COMPLETED)
             return running.result() if running.done() else StageFault(fault=PieceFault.late)
         finally:
-            running.cancel()
             leaving.cancel()
+            # Results are given up after this; until then a stage may begin to use them.
+            await cancelled(running)
 
     async def _refuse_staged(self, work: Work, stages: StageRun, fault: StageFault) -> None:
         """Refuse what its stages can't be made for; it may come back."""
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stagegraph.py
@@ -165,6 +165,9 @@
         if not count:
             return None
         inputs = tuple(handle for used in stage.after for handle in self.handles.get(used, ()))
+        if len(inputs) < sum(map(self.plan.pieces_of, stage.after)):
+            # They were given up meanwhile: this run is being cancelled.
+            return PieceFault.gone
         made = await self.pieces.make(self._job(number, stage, count, inputs))
         self.handles[number] = tuple(result.handle for result in made if result.handle)
         fault = _first_fault(made)
--- a/ringseam/util/tasks.py
+++ b/ringseam/util/tasks.py
@@ -9,6 +9,12 @@
 logger = logging.getLogger(__name__)
 
 
+async def cancelled(task: asyncio.Future[Any]) -> None:
+    """Cancel a task and return when it has ended, however it did."""
+    task.cancel()
+    await asyncio.wait({task})
+
+
 class TaskSet:
     """Start tasks, keep them from being collected, and log those that break."""
 
--- a/tests/test_gateway/test_gateway_stagegraph.py
+++ b/tests/test_gateway/test_gateway_stagegraph.py
@@ -194,3 +194,38 @@
     run.clock.advance(run.work.deadline - 0.2)
     assert asyncio.run(run.run()).fault is PieceFault.gone
     assert len(pieces.begun) == 1
+
+
+class HeldPieces(RecordedPieces):
+    """Makes the pieces of the first stage when it is told to."""
+
+    def __init__(self):
+        super().__init__()
+        self.gate = asyncio.Event()
+
+    async def make(self, job):
+        if job.stage == 0:
+            await self.gate.wait()
+        return await super().make(job)
+
+
+def test_stage_is_never_asked_for_without_its_inputs():
+    """Broke a rule 34 times on one day: the client left in the moment in which its
+    first stage ended, so the results were given up before the next stage asked."""
+
+    async def leave_as_the_first_stage_ends():
+        pieces = HeldPieces()
+        run = run_of([stage(), stage(0)], [1, 1], pieces)
+        running = asyncio.ensure_future(run.run())
+        await asyncio.sleep(0.001)
+        pieces.gate.set()
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        running.cancel()
+        run.release()
+        await asyncio.wait({running})
+        return pieces.jobs
+
+    for steps in range(12):
+        jobs = asyncio.run(leave_as_the_first_stage_ends())
+        assert 1 not in jobs or jobs[1].inputs == ('a:1/0-0',), steps
