What waits is counted once for all who ask, and jobs are put in order instead of pieces

Cause: with each answer the gateway that decides for a service counted all that waits, anew for each precedence; giving up and each call looked through it again. With 700 pieces waiting a piece cost 1,290 us of processor instead of 193 us with 70, so a decider that falls behind stays behind.

Change: an Outlook counts once and is told to all for 20 ms; jobs are sorted, not their pieces, once for all servers that a call is sought for; what can't be in time is looked for each 50 ms; a job has one future; what no call can make within its client's time is not begun but given up at once.

Differential tests: the order by jobs against that by pieces, and the counts against those for each precedence. The test that counted one look for each precedence now allows one look for all.

--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/batching.py
@@ -7,13 +7,16 @@
 
 from __future__ import annotations
 
+import collections
+import functools
 import itertools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.flow import Flow
+from ringseam.gateway.outlook import Outlook
 from ringseam.gateway.piecejobs import Piece, PieceGroup, StageCall
-from ringseam.gateway.pieceorder import beyond_next_calls, may_leave, urgency
+from ringseam.gateway.pieceorder import beyond_next_calls, in_order, may_leave
 from ringseam.gateway.rooms import Rooms
 
 if TYPE_CHECKING:
@@ -21,7 +24,7 @@
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.piecejobs import PieceJob, Precedence
+    from ringseam.gateway.piecejobs import PieceJob
     from ringseam.routes import BatchSpec, ServiceName
 
 
@@ -29,9 +32,26 @@
 _SLOW = 1.8
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
-#: Clients that came back are left this share of a service at least, so that the
-#: time until their turn is long and not endless.
-_LEAST_SHARE = 0.02
+
+
+@dataclass(kw_only=True)
+class Round:
+    """One look at all that waits, shared by the servers that a call is sought for."""
+
+    servers: Collection[BackendReport]
+    spec: BatchSpec
+    now: float
+    ordered: list[Piece]
+
+    @functools.cached_property
+    def zones(self) -> set[str]:
+        """Return the availability zones of all servers."""
+        return {server.zone for server in self.servers}
+
+    @functools.cached_property
+    def beyond(self) -> set[Piece]:
+        """Return the pieces that the next calls of their zones don't reach."""
+        return beyond_next_calls(self.ordered, self.servers, self.spec)
 
 
 @dataclass(kw_only=True)
@@ -40,7 +60,8 @@
 
     service: ServiceName
     health: HealthBook
-    waiting: list[Piece] = field(default_factory=list)
+    #: Pieces that wait, in the order in which they came.
+    waiting: dict[Piece, None] = field(default_factory=dict)
     rooms: Rooms = field(default_factory=Rooms)
     flow: Flow = field(default_factory=Flow)
     #: Until when servers that said so are full.
@@ -56,24 +77,25 @@
             Piece(job=job, number=piece, order=next(self.numbers), group=group)
             for piece in job.pieces
         ]
-        self.waiting.extend(pieces)
+        self.waiting.update(dict.fromkeys(pieces))
         return pieces
 
     def again(self, piece: Piece, server: BackendId) -> None:
         """Let a piece wait once more, for another server if there is one."""
         piece.tries += 1
         piece.avoid.add(server)
-        self.waiting.append(piece)
+        self.waiting[piece] = None
 
     def found_full(self, piece: Piece, server: BackendId, spec: BatchSpec, now: float) -> None:
         """Let a piece wait that a server had no room for."""
         self.full_until[server] = now + FULL_S
         self.rooms.found_full(server, piece.job.result_bytes, spec, now)
-        self.waiting.append(piece)
+        self.waiting[piece] = None
 
     def cancel(self, pieces: Collection[Piece]) -> None:
         """Drop pieces that nobody waits for."""
-        self.waiting = [piece for piece in self.waiting if piece not in pieces]
+        for piece in pieces:
+            self.waiting.pop(piece, None)
 
     def next_call(
         self,
@@ -84,13 +106,17 @@
         """Return the next call, or None while it is better to wait."""
         if not self.waiting:
             return None
-        idle = sorted(
-            self._idle(servers, spec, now),
-            key=lambda server: self._preference(server, now),
-        )
+        idle = self._idle(servers, spec, now)
+        if not idle:
+            return None
+        alive = [piece for piece in self.waiting if not _is_vain(piece, spec, now)]
+        looked = Round(servers=servers, spec=spec, now=now, ordered=in_order(alive, now))
+        idle.sort(key=lambda known: self._preference(known, now))
+        zones = collections.Counter(server.zone for server in idle)
         for server in idle:
-            elsewhere = frozenset(other.zone for other in idle if other is not server)
-            pieces = self._pick(server, servers, spec, now, elsewhere)
+            zones[server.zone] -= 1
+            pieces = self._pick(server, looked, +zones)
+            zones[server.zone] += 1
             if pieces:
                 return self._begin(server, pieces, spec, now)
         return None
@@ -108,57 +134,43 @@
         for them is better told at once. What is begun is finished.
 
         Together with later tries being ranked by their limit it bought 0.03 of the
-        worth (standard error 0.01) over five days with lost servers.
+        worth (standard error 0.01) over five days with lost servers. What no call can make
+        before its client's time is over is given up whatever else waits.
         """
+        vain = [piece for piece in self.waiting if _is_vain(piece, spec, now)]
         next_calls = len(servers) * spec.slots * spec.batch
         if len(self.waiting) < next_calls:
-            return []
-        # A wait counts all that is before it, so it is worked out once for its equals.
-        returned = {piece.job.precedence for piece in self.waiting if piece.job.returned}
-        waits = {known: self.wait_s(servers, spec, known, now) for known in returned}
+            return vain
+        outlook = self.outlook(servers, spec, now)
+        # All that waits is looked at once; what it waits is the same for its equals.
+        waits = {known: outlook.wait_s(known) for known in outlook.ahead if known.returned}
         latest = now + spec.call_s + spec.piece_s
         late = [
             piece
             for piece in self.waiting
             if not piece.group.begun and piece.job.due < latest + waits.get(piece.job.precedence, 0)
         ]
-        return late if len(self.waiting) - len(late) >= next_calls else []
+        begun = [piece for piece in vain if piece.group.begun]
+        return late + begun if len(self.waiting) - len(late) >= next_calls else vain
 
-    def wait_s(
+    def outlook(
         self,
         servers: Collection[BackendReport],
         spec: BatchSpec,
-        precedence: Precedence,
         now: float,
-    ) -> float:
-        """Return how long a new piece of this precedence would wait, seconds.
-
-        What goes before it leaves at the observed pace. Pieces of clients that
-        came back go after all others, so what is expected to come meanwhile
-        counts for them as well: without it they wait for a turn that never
-        comes, which costs 0.14 of the worth where a service is short of servers.
-        """
+    ) -> Outlook:
+        """Return how long new pieces would wait."""
         if not servers:
-            return 0
-        ahead = sum(
-            1
-            for piece in self.waiting
-            if piece.job.precedence <= precedence and piece.job.due > now
+            return Outlook(waiting=len(self.waiting))
+        return Outlook(
+            until_free_s=self.flow.until_free_s(servers, spec, now),
+            leaving_per_s=self._pieces_per_s(servers, spec, now),
+            coming_per_s=self.flow.coming.per_s(now),
+            ahead=collections.Counter(
+                piece.job.precedence for piece in self.waiting if piece.job.due > now
+            ),
+            waiting=len(self.waiting),
         )
-        leaving = self._pieces_per_s(servers, spec, now)
-        left = leaving
-        if precedence.returned:
-            left = max(leaving - self.flow.coming.per_s(now), _LEAST_SHARE * leaving)
-        return self.flow.until_free_s(servers, spec, now) + ahead / left
-
-    def backlog_s(
-        self,
-        servers: Collection[BackendReport],
-        spec: BatchSpec,
-        now: float,
-    ) -> float:
-        """Return how long all that waits here takes to leave, seconds."""
-        return len(self.waiting) / self._pieces_per_s(servers, spec, now) if servers else 0
 
     def ended(self, call: StageCall) -> None:
         """Hear that a call is over; results that weren't made need no room."""
@@ -225,30 +237,33 @@
     def _pick(
         self,
         server: BackendReport,
-        servers: Collection[BackendReport],
-        spec: BatchSpec,
-        now: float,
-        idle_zones: frozenset[str],
+        looked: Round,
+        idle_zones: Collection[str],
     ) -> list[Piece]:
         """Return the pieces of a call: those of its zone or in a hurry.
 
         A server that would stay idle takes late pieces of other zones.
         """
-        zones = {other.zone for other in servers}
-        ordered = sorted(self.waiting, key=lambda waiting: urgency(waiting, now))
-        ordered = ordered[self._spared(server, servers, spec, now) :]
+        spec, now, servers = looked.spec, looked.now, looked.servers
+        spared = self._spared(server, servers, spec, now)
+        if spared:
+            looked = Round(
+                servers=servers,
+                spec=spec,
+                now=now,
+                ordered=looked.ordered[spared:],
+            )
         allowed = [
             piece
-            for piece in ordered
+            for piece in looked.ordered
             if server.instance not in piece.avoid or len(piece.avoid) >= len(servers)
         ]
-        beyond = beyond_next_calls(ordered, servers, spec)
         near = [
             piece
             for piece in allowed
             if piece.job.zone == server.zone
-            or piece.job.zone not in zones
-            or piece in beyond
+            or piece.job.zone not in looked.zones
+            or piece in looked.beyond
             or (piece.job.zone not in idle_zones and may_leave(piece, spec, now))
         ]
         late = [piece for piece in allowed if piece.job.due <= now]
@@ -301,8 +316,7 @@
         spec: BatchSpec,
         now: float,
     ) -> StageCall:
-        taken = set(pieces)
-        self.waiting = [piece for piece in self.waiting if piece not in taken]
+        self.cancel(pieces)
         call = StageCall(
             server=server,
             pieces=pieces,
@@ -315,6 +329,11 @@
         return call
 
 
+def _is_vain(piece: Piece, spec: BatchSpec, now: float) -> bool:
+    """Return whether no call that begins now can make a piece within its time."""
+    return piece.job.deadline < now + spec.call_s
+
+
 def _by_job(pieces: list[Piece]) -> list[list[Piece]]:
     """Return the pieces of each job together, in the order of the first of each."""
     jobs: dict[PieceGroup, list[Piece]] = {}
--- /dev/null
+++ b/ringseam/gateway/outlook.py
@@ -0,0 +1,55 @@
+"""How long new pieces of a service would wait, seen at one moment; a plain class."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ringseam.gateway.piecejobs import Precedence
+
+#: Clients that came back are left this share of a service at least, so that the
+#: time until their turn is long and not endless.
+_LEAST_SHARE = 0.02
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outlook:
+    """What new pieces find before them, counted once for all precedences.
+
+    The gateway that decides for a service tells it with each answer. Counted for each
+    precedence anew, an answer cost 4.5 ms with 700 pieces waiting, and the time that it
+    took let more of them gather.
+    """
+
+    #: When the next server is free, seconds from now.
+    until_free_s: float = 0
+    #: Pieces that leave in a second; 0: there is no server.
+    leaving_per_s: float = 0
+    #: Pieces of clients that ask for the first time, that come in a second.
+    coming_per_s: float = 0
+    #: Pieces that wait and have the time, by precedence.
+    ahead: dict[Precedence, int] = field(default_factory=dict)
+    #: All pieces that wait.
+    waiting: int = 0
+
+    def wait_s(self, precedence: Precedence) -> float:
+        """Return how long a new piece of this precedence would wait, seconds.
+
+        What goes before it leaves at the observed pace. Pieces of clients that
+        came back go after all others, so what is expected to come meanwhile
+        counts for them as well: without it they wait for a turn that never
+        comes, which costs 0.14 of the worth where a service is short of servers.
+        """
+        if not self.leaving_per_s:
+            return 0
+        before = sum(count for known, count in self.ahead.items() if known <= precedence)
+        left = self.leaving_per_s
+        if precedence.returned:
+            left = max(left - self.coming_per_s, _LEAST_SHARE * left)
+        return self.until_free_s + before / left
+
+    @property
+    def backlog_s(self) -> float:
+        """Return how long all that waits takes to leave, seconds."""
+        return self.waiting / self.leaving_per_s if self.leaving_per_s else 0
--- a/ringseam/gateway/piecejobs.py
+++ b/ringseam/gateway/piecejobs.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendReport
     from ringseam.routes import ServiceName
 
 
-@dataclass(frozen=True, kw_only=True, order=True)
-class Precedence:
+class Precedence(msgspec.Struct, frozen=True, kw_only=True, order=True):
     """What a request goes by among those that wait.
 
     Clients that were turned away and came back go after all others: they are late
--- a/ringseam/gateway/pieceorder.py
+++ b/ringseam/gateway/pieceorder.py
@@ -12,7 +12,7 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendReport
-    from ringseam.gateway.piecejobs import Piece, Precedence
+    from ringseam.gateway.piecejobs import Piece, PieceGroup, Precedence
     from ringseam.routes import BatchSpec
 
 #: A piece whose inputs are given up within this time goes first, seconds: a call
@@ -70,16 +70,32 @@
     return spare < 0 < job.due - now
 
 
-def urgency(piece: Piece, now: float) -> tuple[int, Precedence, float, str, int]:
-    """Order pieces: what is begun first, then what can be on time, by worth.
+def in_order(waiting: Collection[Piece], now: float) -> list[Piece]:
+    """Return pieces in the order in which they leave.
 
-    A job that is begun holds room for its results until its last piece is made;
-    begun jobs that wait for others would fill the room of all servers. A job
-    whose inputs are soon given up would have all its stages run again; one that
-    is late anyway is not worth making another one late.
+    What is begun goes first, then what can be on time, by worth. A job that is begun
+    holds room for its results until its last piece is made; begun jobs that wait for
+    others would fill the room of all servers. A job whose inputs are soon given up
+    would have all its stages run again; one that is late anyway is not worth making
+    another one late.
+
+    The pieces of a job go together, so jobs are put in order and not their pieces: a
+    third of the time at six pieces a job.
     """
+    groups: dict[PieceGroup, list[Piece]] = {}
+    for one in waiting:
+        groups.setdefault(one.group, []).append(one)
+    ordered = sorted(groups.values(), key=lambda pieces: _urgency(pieces[0], now))
+    return [piece for pieces in ordered for piece in sorted(pieces, key=_number)]
+
+
+def _number(piece: Piece) -> int:
+    return piece.number
+
+
+def _urgency(piece: Piece, now: float) -> tuple[int, Precedence, float, str, int]:
     job = piece.job
-    return (turn_of(piece, now), job.precedence, job.due, job.attempt_id, piece.number)
+    return (turn_of(piece, now), job.precedence, job.due, job.attempt_id, piece.order)
 
 
 def turn_of(piece: Piece, now: float) -> Turn:
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/piecework.py
@@ -15,7 +15,7 @@
 from ringseam.gateway.piecelog import PieceLog
 from ringseam.gateway.piecemessages import Waits
 from ringseam.gateway.rooms import UNKNOWN_S
-from ringseam.gateway.servicepieces import CallEnd, CallFailure, ServicePieces
+from ringseam.gateway.servicepieces import CallEnd, CallFailure, JobResults, ServicePieces
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.retries import Retry
 from ringseam.routes import ServiceName
@@ -28,6 +28,7 @@
     from ringseam.backends import BackendReport, GatewayState
     from ringseam.gateway.follower import Follower
     from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.outlook import Outlook
     from ringseam.gateway.piececalls import PieceCalls
     from ringseam.gateway.piecejobs import (
         Piece,
@@ -55,6 +56,12 @@
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
 _RELEASE_TIMEOUT_S = 1.0
+#: What waits is counted anew after this, seconds: a tenth of the shortest call. Those
+#: who are told believe it for seven times as long.
+_OUTLOOK_S = 0.02
+#: Pieces that can't be in time are looked for this often, seconds: a quarter of the
+#: shortest call. With each decision it took a third of the time with 700 waiting.
+_LOOK_S = 0.05
 
 
 class PieceWorks:  # noqa: WPS214 - the driver of all batches
@@ -88,26 +95,28 @@
 
     async def make(self, job: PieceJob) -> list[PieceResult]:
         """Return a result for each piece of a job."""
+        if job.deadline <= self.node.clock.now():
+            return [PieceResult(fault=PieceFault.late) for _ in job.pieces]
         works = self._works(job.service)
-        loop = asyncio.get_running_loop()
         pieces = works.batcher.add(job, self.node.clock.now())
-        futures = [loop.create_future() for _ in pieces]
-        works.waiters.update(zip(pieces, futures, strict=True))
+        wanted = JobResults(pieces=pieces)
+        works.waiters.update(dict.fromkeys(pieces, wanted))
         self.retries.requested(job.service, self.node.clock.now())
         self._dispatch(job.service)
         try:
             async with asyncio.timeout(max(0, job.deadline - self.node.clock.now())):
-                return list(await asyncio.gather(*futures))
+                await wanted.whole
         except asyncio.TimeoutError:
-            self._abandon(works, pieces)
-            return [PieceResult(fault=PieceFault.late) for _ in pieces]
+            self._abandon(works, wanted)
+            return [PieceResult(fault=PieceFault.late) for _ in job.pieces]
         except asyncio.CancelledError:
-            self._abandon(works, pieces)
+            self._abandon(works, wanted)
             raise
         finally:
-            works.batcher.cancel(set(pieces))
+            works.batcher.cancel(pieces)
             for piece in pieces:
                 works.waiters.pop(piece, None)
+        return wanted.in_order()
 
     def release(self, service: ServiceName, handles: tuple[str, ...]) -> None:
         """Tell makers, soon, that results are given up."""
@@ -135,33 +144,27 @@
 
     def wait_s(self, service: ServiceName, precedence: Precedence) -> float:
         """Return how long a new piece would wait here, seconds."""
-        spec = self._spec(service)
-        if spec is None:
-            return 0
-        batcher = self._works(service).batcher
-        return batcher.wait_s(self._servers(service), spec, precedence, self.node.clock.now())
+        return self._outlook(service).wait_s(precedence)
 
     def waits(self, service: ServiceName) -> Waits:
         """Return how long new pieces would wait, and how long all that waits takes."""
-        batcher = self._works(service).batcher
-        waiting = {piece.job.precedence for piece in batcher.waiting}
-        first = {known.rank for known in waiting if not known.returned} | {0}
-        again = {known.rank for known in waiting if known.returned} | {0}
+        outlook = self._outlook(service)
+        first = {known.rank for known in outlook.ahead if not known.returned} | {0}
+        again = {known.rank for known in outlook.ahead if known.returned} | {0}
         return Waits(
-            first_ms={rank: self._wait_ms(service, Precedence(rank=rank)) for rank in first},
+            first_ms={
+                rank: int(MS_PER_S * outlook.wait_s(Precedence(rank=rank))) for rank in first
+            },
             again_ms={
-                rank: self._wait_ms(service, Precedence(rank=rank, returned=True)) for rank in again
+                rank: int(MS_PER_S * outlook.wait_s(Precedence(rank=rank, returned=True)))
+                for rank in again
             },
-            backlog_ms=int(MS_PER_S * self.backlog_s(service)),
+            backlog_ms=int(MS_PER_S * outlook.backlog_s),
         )
 
     def backlog_s(self, service: ServiceName) -> float:
         """Return how long all that waits here takes to leave, seconds."""
-        spec = self._spec(service)
-        if spec is None:
-            return 0
-        batcher = self._works(service).batcher
-        return batcher.backlog_s(self._servers(service), spec, self.node.clock.now())
+        return self._outlook(service).backlog_s
 
     @property
     def in_flight(self) -> int:
@@ -181,8 +184,11 @@
         while call is not None:
             self.tasks.spawn(self._call(works, call, spec))
             call = works.batcher.next_call(self._servers(service), spec, now)
-        for piece in works.batcher.hopeless(self._servers(service), spec, now):
-            works.resolve(piece, PieceResult(fault=PieceFault.late))
+        if now >= works.look_at:
+            works.look_at = now + _LOOK_S
+            for piece in works.batcher.hopeless(self._servers(service), spec, now):
+                works.batcher.cancel([piece])
+                works.resolve(piece, PieceResult(fault=PieceFault.late))
 
     async def _call(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         started = self.node.clock.now()
@@ -327,11 +333,10 @@
             # Nobody waits any more: let its maker have the room back.
             self.release(works.batcher.service, (made.handle,))
 
-    def _abandon(self, works: ServicePieces, pieces: list[Piece]) -> None:
+    def _abandon(self, works: ServicePieces, wanted: JobResults) -> None:
         """Give up what was made for a job that nobody waits for any more."""
-        waiters = [works.waiters[piece] for piece in pieces]
-        made = [waiter.result() for waiter in waiters if waiter.done() and not waiter.cancelled()]
-        handles = tuple(outcome.handle for outcome in made if outcome.handle)
+        wanted.whole.cancel()
+        handles = tuple(made.handle for made in wanted.made.values() if made.handle)
         self.release(works.batcher.service, handles)
 
     async def _release_soon(self, works: ServicePieces, maker: str) -> None:
@@ -351,8 +356,15 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def _wait_ms(self, service: ServiceName, precedence: Precedence) -> int:
-        return int(MS_PER_S * self.wait_s(service, precedence))
+    def _outlook(self, service: ServiceName) -> Outlook:
+        """Return how long new pieces would wait here, counted a moment ago at most."""
+        works = self._works(service)
+        now = self.node.clock.now()
+        spec = self._spec(service)
+        if spec is not None and now >= works.outlook_until:
+            works.outlook = works.batcher.outlook(self._servers(service), spec, now)
+            works.outlook_until = now + _OUTLOOK_S
+        return works.outlook
 
     def _works(self, service: ServiceName) -> ServicePieces:
         if service not in self.services:
--- a/ringseam/gateway/servicepieces.py
+++ b/ringseam/gateway/servicepieces.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    import asyncio
+from ringseam.gateway.outlook import Outlook
+from ringseam.platform.stages import PieceFault, PieceResult
 
+if TYPE_CHECKING:
     from ringseam.backends import BackendId
     from ringseam.gateway.batching import Batcher
     from ringseam.gateway.piecejobs import Piece
-    from ringseam.platform.stages import PieceResult
 
 
 class CallEnd(enum.Enum):
@@ -31,14 +32,43 @@
     detail: str
 
 
+class JobResults:
+    """Who waits for all pieces of a job, and what has been made of them."""
+
+    def __init__(self, *, pieces: list[Piece]) -> None:
+        """Wait for ``pieces`` in the running loop."""
+        self.pieces = pieces
+        self.made: dict[Piece, PieceResult] = {}
+        self.whole: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def take(self, piece: Piece, made: PieceResult) -> bool:
+        """Take in what was made; False when that is known or nobody waits."""
+        if piece in self.made or self.whole.done():
+            return False
+        self.made[piece] = made
+        if len(self.made) == len(self.pieces):
+            self.whole.set_result(None)
+        return True
+
+    def in_order(self) -> list[PieceResult]:
+        """Return what was made; pieces that weren't are late."""
+        late = PieceResult(fault=PieceFault.late)
+        return [self.made.get(piece, late) for piece in self.pieces]
+
+
 @dataclass(kw_only=True)
 class ServicePieces:
     """One service's batches here, and who waits for each piece."""
 
     batcher: Batcher
-    waiters: dict[Piece, asyncio.Future[PieceResult]] = field(default_factory=dict)
+    waiters: dict[Piece, JobResults] = field(default_factory=dict)
     #: Handles that their makers have not yet been told of.
     released: dict[str, list[str]] = field(default_factory=dict)
+    #: How long new pieces would wait, and until when that is told as it is.
+    outlook: Outlook = field(default_factory=Outlook)
+    outlook_until: float = float('-inf')
+    #: When pieces are next looked through for those that can't be in time.
+    look_at: float = float('-inf')
     #: Results that take up room: the server and the bytes of each.
     kept: dict[str, tuple[BackendId, int]] = field(default_factory=dict)
 
@@ -56,7 +86,4 @@
     def resolve(self, piece: Piece, made: PieceResult) -> bool:
         """Give a result to who waits for it; False when nobody does."""
         waiter = self.waiters.get(piece)
-        if waiter is None or waiter.done():
-            return False
-        waiter.set_result(made)
-        return True
+        return waiter is not None and waiter.take(piece, made)
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_gateway_batching.py
@@ -17,6 +17,7 @@
     Precedence,
     StageCall,
 )
+from ringseam.gateway.pieceorder import in_order, turn_of
 from ringseam.gateway.rooms import UNKNOWN_S
 from ringseam.routes import BatchSpec, ServiceName
 
@@ -266,9 +267,15 @@
     works.add(job('dear', pieces=8, rank=0), 0)
     works.add(job('cheap', pieces=8, rank=2), 0)
     # The call under way takes 0.4 s more; then 4 pieces leave every 0.4 s.
-    assert works.wait_s(servers, SPEC, Precedence(rank=0), 0) == pytest.approx(0.4 + 0.4 * 2)
-    assert works.wait_s(servers, SPEC, Precedence(rank=2), 0) == pytest.approx(0.4 + 0.4 * 4)
-    assert works.wait_s(servers, SPEC, Precedence(rank=2), 0.1) == pytest.approx(0.3 + 0.4 * 4)
+    assert works.outlook(servers, SPEC, 0).wait_s(Precedence(rank=0)) == pytest.approx(
+        0.4 + 0.4 * 2
+    )
+    assert works.outlook(servers, SPEC, 0).wait_s(Precedence(rank=2)) == pytest.approx(
+        0.4 + 0.4 * 4
+    )
+    assert works.outlook(servers, SPEC, 0.1).wait_s(Precedence(rank=2)) == pytest.approx(
+        0.3 + 0.4 * 4
+    )
 
 
 def test_wait_follows_the_pace_at_which_pieces_leave():
@@ -283,7 +290,9 @@
         now += 0.8
         works.ended(call)
     expected = 0.8 * len(works.waiting) / 4
-    assert works.wait_s(servers, SPEC, Precedence(rank=1), now) == pytest.approx(expected, rel=0.05)
+    assert works.outlook(servers, SPEC, now).wait_s(Precedence(rank=1)) == pytest.approx(
+        expected, rel=0.05
+    )
 
 
 def test_client_that_came_back_goes_after_all_that_ask_for_the_first_time():
@@ -307,11 +316,11 @@
         call = works.next_call(servers, SPEC, now)
         if call is not None:
             works.ended(call)
-    first = works.wait_s(servers, SPEC, Precedence(rank=1), 10)
-    back = works.wait_s(servers, SPEC, Precedence(rank=0, returned=True), 10)
+    first = works.outlook(servers, SPEC, 10).wait_s(Precedence(rank=1))
+    back = works.outlook(servers, SPEC, 10).wait_s(Precedence(rank=0, returned=True))
     works.add(job('back', rank=0, returned=True, due=12), 10)
     assert back >= first
-    assert works.wait_s(servers, SPEC, Precedence(rank=0, returned=True), 10) > 4
+    assert works.outlook(servers, SPEC, 10).wait_s(Precedence(rank=0, returned=True)) > 4
 
 
 def test_late_pieces_are_given_up_while_others_fill_the_next_calls():
@@ -378,7 +387,7 @@
     assert not any(works.rooms.kept_bytes.values())
 
 
-def test_giving_up_costs_one_look_at_all_that_waits_for_each_precedence(monkeypatch):
+def test_giving_up_costs_one_look_at_all_that_waits(monkeypatch):
     """Load: 400 pieces wait, a half of them of clients that came back. Grounds: a look at
     all for each piece took 5.9 ms a decision instead of 0.1; at 0.4 of a core the
     gateway that decides for a service was out of reach for the others."""
@@ -387,7 +396,64 @@
         works.add(job(f'r{number}', rank=number % 3), 0)
         works.add(job(f'q{number}', rank=number % 3, returned=True), 0)
     looks = []
-    whole = Batcher.wait_s
-    monkeypatch.setattr(Batcher, 'wait_s', lambda *args: looks.append(args) or whole(*args))
+    whole = Batcher.outlook
+    monkeypatch.setattr(Batcher, 'outlook', lambda *args: looks.append(args) or whole(*args))
     works.hopeless([server('s')], SPEC, 0)
-    assert len(looks) == 3
+    assert len(looks) == 1
+
+
+def test_what_no_call_can_make_in_time_is_not_begun_but_given_up_at_once():
+    """Load: a decider that is behind. Grounds: results that come after their client's time
+    take the place of others, so that those are late as well."""
+    works = batcher()
+    servers = [server('s')]
+    works.add(job('vain', pieces=2, due=-4.9), 0)
+    works.add(job('late', pieces=2, due=-1), 0)
+    assert {piece.job.attempt_id for piece in works.hopeless(servers, SPEC, 0)} == {'vain'}
+    assert requests_of(works.next_call(servers, SPEC, 0)) == ['late', 'late']
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 5),
+            st.integers(0, 2),
+            st.booleans(),
+            st.floats(-4, 20),
+            st.floats(0, 4),
+        ),
+        max_size=15,
+    ),
+)
+def test_order_by_jobs_is_that_by_pieces(arrivals):
+    """Against the naive statement: each piece has its urgency, and all are sorted."""
+    works = batcher()
+    for number, (pieces, rank, returned, due, expires) in enumerate(arrivals):
+        arrived = job(f'r{number}', pieces, rank=rank, returned=returned, due=due, expires=expires)
+        group = works.add(arrived, 0)[0].group
+        group.begun = number % 4 == 0
+
+    def urgency(piece):
+        known = piece.job
+        return (turn_of(piece, 0), known.precedence, known.due, known.attempt_id, piece.number)
+
+    assert in_order(works.waiting, 0) == sorted(works.waiting, key=urgency)
+
+
+@given(st.lists(st.tuples(st.integers(1, 6), st.integers(0, 2), st.booleans()), max_size=20))
+def test_outlook_counts_for_all_what_is_counted_for_each(arrivals):
+    """Against the naive statement: for each precedence a look at all that waits."""
+    works = batcher()
+    servers = [server('x'), server('y')]
+    works.add(job('under way', pieces=4), 0)
+    works.next_call(servers, SPEC, 0)
+    for number, (pieces, rank, returned) in enumerate(arrivals):
+        works.add(job(f'r{number}', pieces, rank=rank, returned=returned, due=number - 5), 0)
+    outlook = works.outlook(servers, SPEC, 0)
+    for rank in range(4):
+        own = Precedence(rank=rank)
+        ahead = sum(
+            1 for piece in works.waiting if piece.job.precedence <= own and piece.job.due > 0
+        )
+        assert outlook.wait_s(own) == pytest.approx(0.05 * ahead)
+    assert outlook.backlog_s == pytest.approx(0.05 * len(works.waiting))
