Calls between gateways share one stream

Change: calls of a method that is marked so travel as frames of one stream to each process. Frames that gather while a message is sent leave together. A call that nobody waits for any more is cancelled there; a stream that breaks fails all calls on it.

--- a/ringseam/gateway/piecemessages.py
+++ b/ringseam/gateway/piecemessages.py
@@ -70,6 +70,6 @@
     waits: dict[ServiceName, Waits]
 
 
-PIECES = Method('/ringseam.Gateway/Pieces', PieceRequest, PieceReply)
-RELEASE = Method('/ringseam.Gateway/Release', ReleaseRequest, Empty)
-WAITS = Method('/ringseam.Gateway/Waits', WaitsRequest, WaitsReply)
+PIECES = Method('/ringseam.Gateway/Pieces', PieceRequest, PieceReply, multiplexed=True)
+RELEASE = Method('/ringseam.Gateway/Release', ReleaseRequest, Empty, multiplexed=True)
+WAITS = Method('/ringseam.Gateway/Waits', WaitsRequest, WaitsReply, multiplexed=True)
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/placements.py
@@ -52,8 +52,8 @@
     silent: str = ''
 
 
-PLACE = Method('/ringseam.Gateway/Place', PlaceRequest, PlaceReply)
-PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty)
+PLACE = Method('/ringseam.Gateway/Place', PlaceRequest, PlaceReply, multiplexed=True)
+PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty, multiplexed=True)
 
 
 class Placements:
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import msgspec
-from grpclib.client import Channel, StreamUnaryMethod, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.client import (
+    Channel,
+    StreamStreamMethod,
+    StreamUnaryMethod,
+    UnaryStreamMethod,
+    UnaryUnaryMethod,
+)
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
@@ -17,7 +23,9 @@
 from ringseam.events import Event
 from ringseam.ids import split_address
 from ringseam.messages import Empty
+from ringseam.multiplex import MULTIPLEX_PATH, Frames, Link, ServedLink
 from ringseam.sealing import Received, SealedCodec
+from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -26,6 +34,8 @@
 
     from ringseam.node import Node
 
+    #: Answers one request.
+    Responder = Callable[['Received'], Awaitable[Any]]
     #: Sends one frame of a reply.
     FrameSender = Callable[[Any], Awaitable[None]]
     #: Answers one request by sending frames.
@@ -63,6 +73,8 @@
     path: str
     request: Any
     reply: Any
+    #: Whether its calls share one stream with others to the same process.
+    multiplexed: bool = False
 
 
 class CallServer:
@@ -72,14 +84,19 @@
         """Serve on the address of ``node``."""
         self.node = node
         self.mapping: dict[str, Handler] = {}
+        #: What answers multiplexed calls, and the type of their requests, by path.
+        self.responders: dict[str, tuple[Any, Responder]] = {}
         self.server: Server | None = None
 
     def add(
         self,
         method: Method,
-        respond: Callable[[Received], Awaitable[Any]],
+        respond: Responder,
     ) -> None:
         """Serve ``method`` with ``respond``."""
+        if method.multiplexed:
+            self._add_multiplexed(method, respond)
+            return
 
         async def serve(stream: Stream[Any, Any]) -> None:  # noqa: WPS430
             await self._serve(stream, respond)
@@ -155,10 +172,27 @@
             self.server.close()
             await self.server.wait_closed()
 
+    def _add_multiplexed(self, method: Method, respond: Responder) -> None:
+        self.responders[method.path] = (method.request, respond)
+
+        async def serve(stream: Stream[Any, Any]) -> None:  # noqa: WPS430
+            link = ServedLink(responders=self.responders, drops=self.node.drill.drops)
+            try:
+                await link.run(stream)
+            except StrangerError as error:
+                self._refuse(error)
+
+        self.mapping[MULTIPLEX_PATH] = Handler(
+            serve,
+            Cardinality.STREAM_STREAM,
+            Frames,
+            Frames,
+        )
+
     async def _serve(
         self,
         stream: Stream[Any, Any],
-        respond: Callable[[Received], Awaitable[Any]],
+        respond: Responder,
     ) -> None:
         try:
             received = await stream.recv_message()
@@ -200,6 +234,9 @@
         """Call as ``node``."""
         self.node = node
         self.channels: dict[str, Channel] = {}
+        #: Streams of multiplexed calls by address.
+        self.links: dict[str, Link] = {}
+        self.tasks = TaskSet()
         #: The connection at each address whose socket has its options.
         self.tuned: dict[str, Any] = {}
 
@@ -219,6 +256,8 @@
         if self.node.drill.drops(address):
             await asyncio.sleep(timeout_s)
             raise UnreachableError(f'{address} is cut off by a drill')
+        if method.multiplexed:
+            return await self._call_multiplexed(address, method, message, timeout_s)
         stub = UnaryUnaryMethod(
             await self._connected(address, timeout_s),
             method.path,
@@ -292,6 +331,57 @@
             channel.close()
         self.channels.clear()
 
+    async def _call_multiplexed(
+        self,
+        address: str,
+        method: Method,
+        message: Any,
+        timeout_s: float,
+    ) -> Received:
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._linked(address, timeout_s)
+                received, frame = await link.call(method.path, message)
+                body = msgspec.msgpack.decode(frame.body, type=method.reply)
+        except (asyncio.TimeoutError, msgspec.MsgspecError) as error:
+            detail = f'{method.path} at {address}: {type(error).__name__} {error}'
+            raise UnreachableError(detail) from None
+        return Received(
+            received.sender,
+            received.address,
+            received.group,
+            received.revision,
+            body,
+        )
+
+    async def _linked(self, address: str, timeout_s: float) -> Link:
+        """Return the open stream of multiplexed calls to ``address``.
+
+        :raises NotSentError: when no connection could be made.
+        """
+        link = self.links.get(address)
+        if link is None or link.broken:
+            channel = await self._connected(address, timeout_s)
+            # Another call may have opened one while this one connected.
+            link = self.links.get(address)
+        if link is None or link.broken:
+            link = Link()
+            self.links[address] = link
+            self.tasks.spawn(self._run_link(address, channel, link))
+        return link
+
+    async def _run_link(self, address: str, channel: Channel, link: Link) -> None:
+        stub = StreamStreamMethod(channel, MULTIPLEX_PATH, Frames, Frames)
+        detail = 'the stream ended'
+        try:
+            async with stub.open() as stream:
+                await stream.send_request()
+                await link.run(stream)
+        except CALL_ERRORS as error:
+            detail = f'{type(error).__name__} {error}'
+        finally:
+            link.fail(f'{address}: {detail}')
+
     async def _pass_on(self, stream: Any, address: str, message: Any) -> None:
         if not self.node.drill.drops(address):
             await stream.send_message(message)
--- /dev/null
+++ b/tests/test_rpc/test_rpc_multiplex.py
@@ -0,0 +1,205 @@
+"""Calls that share one stream: each gets its own answer, or hears that there is none."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from ringseam.errors import NotSentError, UnreachableError
+from ringseam.messages import Empty, Message
+from ringseam.multiplex import Frame, FrameKind, Outbox
+from ringseam.node import Node
+from ringseam.rpc import CallClient, CallServer, Method
+
+SECRET = b'0123456789abcdef'
+
+
+class Word(Message, frozen=True, kw_only=True):
+    """What is said and echoed."""
+
+    text: str
+
+
+ECHO = Method('/ringseam.Test/Echo', Word, Word, multiplexed=True)
+HANG = Method('/ringseam.Test/Hang', Empty, Empty, multiplexed=True)
+BREAK = Method('/ringseam.Test/Break', Empty, Empty, multiplexed=True)
+ABSENT = Method('/ringseam.Test/Absent', Empty, Empty, multiplexed=True)
+
+
+def node(name, secret=SECRET):
+    return Node(name=name, role='gateway', address='127.0.0.1:0', secret=secret)
+
+
+class Peer:
+    """A process that echoes, hangs or breaks."""
+
+    def __init__(self):
+        self.server = CallServer(node=node('server'))
+        self.begun = 0
+        self.left = 0
+        self.server.add(ECHO, self.echo)
+        self.server.add(HANG, self.hang)
+        self.server.add(BREAK, self.fail)
+
+    @property
+    def address(self):
+        return self.server.node.address
+
+    async def echo(self, received):
+        # The later a word was said, the sooner it is echoed.
+        await asyncio.sleep(0.05 / int(received.body.text))
+        return Word(text=f'{received.sender} {received.body.text}')
+
+    async def hang(self, received):
+        self.begun += 1
+        try:
+            await asyncio.sleep(60)
+        finally:
+            self.left += 1
+
+    async def fail(self, received):
+        raise RuntimeError('a fault of this process')
+
+
+@contextlib.asynccontextmanager
+async def connected(secret=SECRET):
+    peer = Peer()
+    await peer.server.start()
+    client = CallClient(node=node('client', secret))
+    try:
+        yield peer, client
+    finally:
+        client.close()
+        await peer.server.close()
+
+
+def test_each_call_gets_its_own_answer_in_any_order():
+    async def run():
+        async with connected() as (peer, client):
+            calls = [
+                client.call(peer.address, ECHO, Word(text=str(number)), timeout_s=5)
+                for number in range(1, 60)
+            ]
+            replies = await asyncio.gather(*calls)
+            assert len(client.links) == 1
+            return [reply.body.text for reply in replies]
+
+    assert asyncio.run(run()) == [f'client {number}' for number in range(1, 60)]
+
+
+@pytest.mark.parametrize('cancels', [True, False], ids=['cancelled', 'timed-out'])
+def test_call_that_nobody_waits_for_is_cancelled_there(cancels):
+    async def run():
+        async with connected() as (peer, client):
+            call = asyncio.ensure_future(
+                client.call(peer.address, HANG, Empty(), timeout_s=60 if cancels else 0.1),
+            )
+            while not peer.begun:
+                await asyncio.sleep(0.001)
+            if cancels:
+                call.cancel()
+            with pytest.raises(asyncio.CancelledError if cancels else UnreachableError):
+                await call
+            async with asyncio.timeout(2):
+                while not peer.left:
+                    await asyncio.sleep(0.001)
+            # The stream serves on.
+            reply = await client.call(peer.address, ECHO, Word(text='7'), timeout_s=5)
+            assert reply.body.text == 'client 7'
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(('method', 'said'), [(BREAK, 'RuntimeError'), (ABSENT, 'no such method')])
+def test_call_that_fails_there_fails_here_at_once(method, said):
+    async def run():
+        async with connected() as (peer, client):
+            with pytest.raises(UnreachableError, match=said):
+                await client.call(peer.address, method, Empty(), timeout_s=60)
+
+    asyncio.run(run())
+
+
+def test_malformed_request_fails_and_the_stream_serves_on():
+    wrong = Method(ECHO.path, Empty, Word, multiplexed=True)
+
+    async def run():
+        async with connected() as (peer, client):
+            with pytest.raises(UnreachableError, match='malformed'):
+                await client.call(peer.address, wrong, Empty(), timeout_s=60)
+            reply = await client.call(peer.address, ECHO, Word(text='3'), timeout_s=5)
+            assert reply.body.text == 'client 3'
+
+    asyncio.run(run())
+
+
+def test_stranger_is_refused():
+    async def run():
+        async with connected(secret=b'another-key-of-16') as (peer, client):
+            with pytest.raises(UnreachableError):
+                await client.call(peer.address, ECHO, Word(text='1'), timeout_s=5)
+
+    asyncio.run(run())
+
+
+def test_lost_connection_fails_what_waits_and_the_next_call_makes_another():
+    async def run():
+        async with connected() as (peer, client):
+            call = asyncio.ensure_future(
+                client.call(peer.address, HANG, Empty(), timeout_s=60),
+            )
+            while not peer.begun:
+                await asyncio.sleep(0.001)
+            protocol = await client.channels[peer.address].__connect__()
+            protocol.processor.close(reason='reset by the peer')
+            with pytest.raises(UnreachableError):
+                await call
+            reply = await client.call(peer.address, ECHO, Word(text='4'), timeout_s=5)
+            assert reply.body.text == 'client 4'
+            assert peer.left == 1
+
+    asyncio.run(run())
+
+
+def test_nobody_there_means_that_nothing_was_sent():
+    async def run():
+        client = CallClient(node=node('client'))
+        try:
+            with pytest.raises(NotSentError):
+                await client.call('127.0.0.1:1', ECHO, Word(text='1'), timeout_s=1)
+        finally:
+            client.close()
+
+    asyncio.run(run())
+
+
+def test_frames_that_gather_while_one_is_sent_leave_together():
+    """Under load a message is shared by many calls, so that a call costs the less the
+    more there are."""
+
+    async def run():
+        outbox = Outbox()
+        sent = []
+        sending = asyncio.Event()
+        free = asyncio.Event()
+
+        async def send(frames):
+            sent.append(len(frames.frames))
+            sending.set()
+            await free.wait()
+
+        sender = asyncio.ensure_future(outbox.send_all(send))
+        outbox.put(Frame(0, FrameKind.call))
+        await sending.wait()
+        for number in range(1, 41):
+            outbox.put(Frame(number, FrameKind.call))
+            await asyncio.sleep(0)
+        free.set()
+        while len(sent) < 2:
+            await asyncio.sleep(0)
+        sender.cancel()
+        return sent
+
+    assert asyncio.run(run()) == [1, 40]
