Owners, directory and placement are worked out once for each change or choice

Cause: who decides for a service was worked out a dozen times a request (80 us over 68 gateways); a directory of 1,000 servers was indexed after each of them (0.26 s); placing a request compared all pairs of engines' memories and looked for each engine's requests among all (1.9 ms for 39 engines).

Change: owners are kept for each membership, the index is made when next asked for, requests are kept by engine, and what is cached is counted once for each choice. Differential test of the placement against the naive one.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -94,16 +94,26 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True)
+class BackendIndex:
+    """What a view is asked for by something else than the name of a server."""
+
+    #: Servers that take new work.
+    by_service: dict[ServiceName, list[BackendReport]]
+    #: Availability zones by address.
+    zones: dict[str, str]
+
+
 @dataclass(kw_only=True)
 class BackendView:
     """The backend servers that a gateway believes in."""
 
     backends: dict[BackendId, BackendReport] = field(default_factory=dict)
-    by_service: dict[ServiceName, list[BackendReport]] = field(default_factory=dict)
-    #: Availability zones by address.
-    zones: dict[str, str] = field(default_factory=dict)
     #: The lifetime that is believed in under each name.
     lifetimes: dict[str, BackendId] = field(default_factory=dict)
+    #: Worked out from the backends when it is next asked for; None: not since a change.
+    #: A directory comes whole: worked out after each of 1,000 reports it took 0.26 s.
+    index: BackendIndex | None = None
     #: Servers that have left; a late report doesn't bring them back.
     left: Ended = field(default_factory=lambda: Ended(kept=LEFT_KEPT))
 
@@ -123,7 +133,8 @@
             self.leave(report.instance)
             return True
         self.backends[report.instance] = report
-        self._index()
+        self.lifetimes[name_of(report.instance)] = report.instance
+        self.index = None
         return True
 
     def leave(self, instance: BackendId) -> None:
@@ -134,7 +145,8 @@
     def lose(self, instance: BackendId) -> None:
         """Forget a server that fell silent; it may come back."""
         if self.backends.pop(instance, None) is not None:
-            self._index()
+            self.lifetimes.pop(name_of(instance), None)
+            self.index = None
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget all servers but these."""
@@ -143,7 +155,12 @@
 
     def serving(self, service: ServiceName) -> list[BackendReport]:
         """Return the servers of a service that take new work."""
-        return self.by_service.get(service, [])
+        return self._indexed().by_service.get(service, [])
+
+    @property
+    def zones(self) -> dict[str, str]:
+        """Return the availability zones by address."""
+        return self._indexed().zones
 
     def _is_of_an_earlier_start(self, instance: BackendId) -> bool:
         known = self.lifetimes.get(name_of(instance))
@@ -154,10 +171,12 @@
         if known != instance:
             self.leave(known)
 
-    def _index(self) -> None:
-        self.by_service = {}
-        self.lifetimes = {name_of(instance): instance for instance in self.backends}
-        self.zones = {report.address: report.zone for report in self.backends.values()}
-        for report in self.backends.values():
-            if report.state is BackendState.ready:
-                self.by_service.setdefault(report.service, []).append(report)
+    def _indexed(self) -> BackendIndex:
+        if self.index is None:
+            by_service: dict[ServiceName, list[BackendReport]] = {}
+            for report in self.backends.values():
+                if report.state is BackendState.ready:
+                    by_service.setdefault(report.service, []).append(report)
+            zones = {known.address: known.zone for known in self.backends.values()}
+            self.index = BackendIndex(by_service=by_service, zones=zones)
+        return self.index
--- a/ringseam/gateway/ownership.py
+++ b/ringseam/gateway/ownership.py
@@ -7,6 +7,7 @@
 from ringseam.gateway.choice import rendezvous
 
 if TYPE_CHECKING:
+    from ringseam.backends import GatewayState
     from ringseam.gateway.follower import Follower
 
 
@@ -17,6 +18,11 @@
         """Know the gateways that ``follower`` hears of."""
         self.follower = follower
         self.name = name
+        #: The gateways that :attr:`owners` was worked out for.
+        self.gateways: tuple[GatewayState, ...] = ()
+        #: Addresses by service. Working one out over 68 gateways takes 80 us, and a
+        #: request asks a dozen times.
+        self.owners: dict[str, str] = {}
 
     def is_present(self, address: str) -> bool:
         """Return whether a gateway is still there, be it on its way out."""
@@ -24,9 +30,15 @@
 
     def owner_of(self, service: str) -> str:
         """Return the address of the deciding gateway; empty: this one."""
-        staying = {
-            state.name: state.address for state in self.follower.gateways if not state.draining
-        }
+        if self.follower.gateways != self.gateways:
+            self.gateways = self.follower.gateways
+            self.owners.clear()
+        if service not in self.owners:
+            self.owners[service] = self._work_out(service)
+        return self.owners[service]
+
+    def _work_out(self, service: str) -> str:
+        staying = {state.name: state.address for state in self.gateways if not state.draining}
         if not staying:
             return ''
         name = rendezvous(service, sorted(staying))
--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/placement.py
@@ -128,6 +128,9 @@
     health: HealthBook
     books: dict[BackendId, EngineBook] = field(default_factory=dict)
     placed: dict[str, Placed] = field(default_factory=dict)
+    #: The same by engine, first come first. Looked for among all that is placed, with what
+    #: is cached counted for each pair of engines, a choice among 39 took 1.9 ms, not 0.5.
+    by_engine: dict[BackendId, dict[str, Placed]] = field(default_factory=dict)
 
     def place(
         self,
@@ -138,12 +141,18 @@
     ) -> Placement | None:
         """Return the engine with the least cost, and remember the request."""
         self._forget(now)
+        cached = {instance: self._cached(ask, instance) for instance in self.books}
+        most = max(cached.values(), default=0)
         candidates = [
-            self._judge(ask, engine, now) for engine in engines if engine.instance not in ask.avoid
+            self._judge(ask, engine, now, cached=cached.get(engine.instance, 0), most=most)
+            for engine in engines
+            if engine.instance not in ask.avoid
         ]
         if not candidates:
             return None
-        best = min(candidates, key=lambda known: (known.cost, _tie(ask, known.engine)))
+        least = min(known.cost for known in candidates)
+        equal = [known for known in candidates if known.cost == least]
+        best = min(equal, key=lambda known: _tie(ask, known.engine))
         if not ask.dry:
             self.note(ask, best.engine.instance, cache_tokens, now)
         return best
@@ -151,17 +160,27 @@
     def note(self, ask: PlaceRequest, instance: BackendId, cache_tokens: int, now: float) -> None:
         """Remember that a request was placed on an engine."""
         book = self._book(instance)
+        # A request that is placed again is somewhere else now.
+        self.ended(ask.request)
         if not any(placed.unread for placed in self._here(instance)):
             book.read_at = now
-        self.placed[ask.request] = Placed(
-            instance=instance,
-            unread=self.unread(ask, instance),
-            worth=worth_of(ask.priority),
-            until=now + ask.left_ms / MS_PER_S + _FORGET_S,
+        self.hold(
+            ask.request,
+            Placed(
+                instance=instance,
+                unread=self.unread(ask, instance),
+                worth=worth_of(ask.priority),
+                until=now + ask.left_ms / MS_PER_S + _FORGET_S,
+            ),
         )
         for part in reversed(ask.prefix):
             book.use(part, cache_tokens * _CACHE_SHARE)
 
+    def hold(self, request: str, placed: Placed) -> None:
+        """Count a request on an engine."""
+        self.placed[request] = placed
+        self.by_engine.setdefault(placed.instance, {})[request] = placed
+
     def began(self, request: str, now: float) -> None:
         """Hear that the first event has come."""
         known = self.placed.get(request)
@@ -172,7 +191,9 @@
 
     def ended(self, request: str) -> None:
         """Hear that a request is over."""
-        self.placed.pop(request, None)
+        placed = self.placed.pop(request, None)
+        if placed is not None:
+            self.by_engine[placed.instance].pop(request)
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget engines that are gone."""
@@ -197,14 +218,27 @@
             cached += part.tokens
         return cached
 
-    def _judge(self, ask: PlaceRequest, engine: BackendReport, now: float) -> Placement:
+    def _judge(
+        self,
+        ask: PlaceRequest,
+        engine: BackendReport,
+        now: float,
+        *,
+        cached: int,
+        most: int,
+    ) -> Placement:
+        """Return what it costs to place a request on an engine.
+
+        :param cached: tokens of the prompt that the engine keeps.
+        :param most: the same at the engine that keeps most of them.
+        """
         instance = engine.instance
         here = self._here(instance)
-        unread = self.unread(ask, instance)
+        unread = max(0, ask.prompt_tokens - cached)
         backlog = self._backlog(instance, here, now)
         disturbed = _disturbed(here, backlog + unread)
         cost = self._lateness(ask, backlog + unread) + LATE_LOSS * disturbed
-        cost += self._again(ask, instance) * _AGAIN_PER_TOKEN
+        cost += (most - cached) * _AGAIN_PER_TOKEN
         crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
         if now < self.health.of(instance).ejected_until:
@@ -217,11 +251,11 @@
             disturbed=disturbed,
         )
 
-    def _here(self, instance: BackendId) -> list[Placed]:
+    def _here(self, instance: BackendId) -> Collection[Placed]:
         """Return what was placed on an engine, first come first."""
-        return [placed for placed in self.placed.values() if placed.instance == instance]
+        return self.by_engine.get(instance, {}).values()
 
-    def _backlog(self, instance: BackendId, here: list[Placed], now: float) -> int:
+    def _backlog(self, instance: BackendId, here: Collection[Placed], now: float) -> int:
         """Return the prompt tokens that an engine has yet to read.
 
         What it has read since a prompt was last done is guessed from its usual
@@ -241,18 +275,13 @@
         late = min(1, max(0, 1 - spare / _SPREAD_S))
         return late * LATE_LOSS * worth_of(ask.priority) + first * _PER_SECOND
 
-    def _again(self, ask: PlaceRequest, instance: BackendId) -> int:
-        """Return the tokens kept elsewhere that this engine would read anew."""
-        most = max((self._cached(ask, other) for other in self.books), default=0)
-        return max(0, most - self._cached(ask, instance))
-
     def _forget(self, now: float) -> None:
-        for request, placed in list(self.placed.items()):
-            if placed.until < now:
-                self.placed.pop(request)
+        over = [request for request, placed in self.placed.items() if placed.until < now]
+        for request in over:
+            self.ended(request)
 
 
-def _disturbed(here: list[Placed], tokens: int) -> float:
+def _disturbed(here: Collection[Placed], tokens: int) -> float:
     """Return the worth of streams that pause too long while ``tokens`` are read.
 
     A running stream pauses for all of them; one that is yet to begin pauses for
--- a/tests/test_backends/test_backends_view.py
+++ b/tests/test_backends/test_backends_view.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from ringseam.backends import BackendId, BackendReport, BackendState, BackendView, supersedes
+from ringseam.backends import (
+    BackendId,
+    BackendIndex,
+    BackendReport,
+    BackendState,
+    BackendView,
+    supersedes,
+)
 from ringseam.routes import ServiceName
 
 READY = BackendState.ready
@@ -114,3 +121,32 @@
     assert not view.take(report(READY, 1, 'a#7'))
     view.lose(BackendId('a#8'))
     assert view.take(report(READY, 2, 'a#7'))
+
+
+def test_whole_directory_is_worked_out_once(monkeypatch):
+    """Load: a thousand servers are told at once to a gateway that has just started.
+    Grounds: worked out after each report it took 0.26 s of processor, and the gateways
+    have a third of a core."""
+    worked_out = []
+    whole = BackendIndex.__init__
+    monkeypatch.setattr(
+        BackendIndex,
+        '__init__',
+        lambda self, **fields: worked_out.append(1) or whole(self, **fields),
+    )
+    view = BackendView()
+    for number in range(1000):
+        view.take(report(instance=f'i{number}', address=f'10.0.{number}.1:80'))
+    assert len(view.serving(ServiceName('s'))) == 1000
+    assert len(view.zones) == 1000
+    assert worked_out == [1]
+    view.lose(BackendId('i7'))
+    assert len(view.serving(ServiceName('s'))) == 999
+    assert '10.0.7.1:80' not in view.zones
+
+
+def test_server_that_fell_silent_may_come_back_under_an_earlier_start():
+    view = BackendView()
+    view.take(report(READY, 5))
+    view.lose(BackendId('a'))
+    assert not view.lifetimes
--- a/tests/test_gateway/test_gateway_placement.py
+++ b/tests/test_gateway/test_gateway_placement.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
 from ringseam.gateway.health import HealthBook
-from ringseam.gateway.placement import Placed, PlacedPart, Placer, PlaceRequest
+from ringseam.gateway.placement import Placed, PlacedPart, Placer, PlaceRequest, _tie
 from ringseam.routes import ServiceName
 
 CACHE = 100_000
@@ -101,7 +103,7 @@
     works = placer()
     engine_id = ENGINES[0].instance
     works.note(ask('r0', 9000, session='t', left_ms=60_000), engine_id, CACHE, 0)
-    works.placed['r1'] = Placed(instance=engine_id, unread=9000, worth=1, until=99)
+    works.hold('r1', Placed(instance=engine_id, unread=9000, worth=1, until=99))
     if began:
         works.began('r0', now)
     found = works.place(ask('r2', avoid=('e2', 'e3'), dry=True), ENGINES, CACHE, now)
@@ -144,3 +146,63 @@
     placed(works, ask('r1'))
     placed(works, ask('r2'), now=100)
     assert set(works.placed) == {'r2'}
+
+
+class NaivePlacer(Placer):
+    """Looks for each engine's requests among all, and compares all engines' memories."""
+
+    def _here(self, instance):
+        return [placed for placed in self.placed.values() if placed.instance == instance]
+
+    def place(self, ask, engines, cache_tokens, now):
+        self._forget(now)
+        costs = {}
+        for engine in engines:
+            if engine.instance in ask.avoid:
+                continue
+            most = max((self._cached(ask, other) for other in self.books), default=0)
+            own = self._cached(ask, engine.instance)
+            costs[engine.instance] = self._judge(ask, engine, now, cached=own, most=most)
+        if not costs:
+            return None
+        best = min(costs.values(), key=lambda known: (known.cost, _tie(ask, known.engine)))
+        if not ask.dry:
+            self.note(ask, best.engine.instance, cache_tokens, now)
+        return best
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 9),
+            st.integers(7000, 30_000),
+            st.sampled_from('stu'),
+            st.sampled_from(['place', 'dry', 'began', 'ended', 'avoid']),
+            st.floats(0, 2),
+        ),
+        max_size=30,
+    ),
+)
+def test_choice_is_that_of_the_naive_policy(steps):
+    quick, naive = placer(), NaivePlacer(health=HealthBook())
+    now = 0.0
+    for number, tokens, session, step, passed in steps:
+        now += passed
+        known = ask(
+            f'r{number}',
+            tokens,
+            session=session,
+            dry=step == 'dry',
+            avoid=('e1',) if step == 'avoid' else (),
+        )
+        if step == 'began':
+            quick.began(known.request, now)
+            naive.began(known.request, now)
+        elif step == 'ended':
+            quick.ended(known.request)
+            naive.ended(known.request)
+        else:
+            assert quick.place(known, ENGINES, CACHE, now) == naive.place(
+                known, ENGINES, CACHE, now
+            )
+        assert quick.placed == naive.placed
