The gateway's packages by what they decide; imports run one way

gateway/ had 33 files at one level with near-homonyms. PieceWorks is PieceScheduler, the facades over owners are PieceClient and PlaceClient. Commands to the replicated log moved to commands.py and what control hosts say to each other to control/peermessages.py, so services.py knows no role; peerlinks no longer knows the role that uses it; both roles open their metrics by one method. No behaviour changed; the tests are those of before, moved.

--- a/bench/deciders.py
+++ b/bench/deciders.py
@@ -22,11 +22,11 @@
 import typer
 
 from ringseam.backends import BackendId, BackendReport, BackendView, GatewayState
-from ringseam.gateway.health import HealthBook
-from ringseam.gateway.ownership import Ownership
-from ringseam.gateway.piecemessages import PieceRequest, ReleaseRequest, WaitsRequest
-from ringseam.gateway.pieces import Pieces
-from ringseam.gateway.piecework import PieceWorks
+from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.stages.client import PieceClient
+from ringseam.gateway.stages.messages import PieceRequest, ReleaseRequest, WaitsRequest
+from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.model.virtualtime import run_virtual
 from ringseam.node import Node
 from ringseam.platform.stages import PieceResult
@@ -48,6 +48,7 @@
     (300, 0.5, 0),
     (300, 1.0, 70),
     (300, 1.0, 700),
+    (300, 0.05, 0),
 )
 #: Pieces of a request, at most; requests a second and gateway.
 _PIECES = 10
@@ -97,14 +98,14 @@
             zone='z0',
             clock=self.clock,
         )
-        self.works = PieceWorks(
+        self.works = PieceScheduler(
             node=self.node,
             follower=follower,
             calls=self,
             health=HealthBook(),
             retries=WindowRetries(),
         )
-        self.pieces = Pieces(
+        self.pieces = PieceClient(
             clock=self.clock,
             client=self,
             works=self.works,
--- a/ringseam/control/applying.py
+++ b/ringseam/control/applying.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING, Any
 
 from ringseam import config
+from ringseam.commands import ApplyFile, FileAccepted, FileConflict
 from ringseam.control.replicamessages import (
     NotLeading,
 )
-from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.errors import FindingsError
 from ringseam.events import Event
 from ringseam.messages import (
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -11,12 +11,13 @@
 
 from ringseam.backends import BackendState
 from ringseam.clock import MS_PER_S
+from ringseam.commands import DocumentPut, PutDocument, RetireBackend
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.replicamessages import (
     Leadership,
     NotLeading,
 )
-from ringseam.control.state import RETIRED_KEPT, DocumentPut, PutDocument, RetireBackend
+from ringseam.control.state import RETIRED_KEPT
 from ringseam.documents import PART_BYTES, DocumentHistory
 from ringseam.events import Event
 from ringseam.following import (
--- a/ringseam/control/founding.py
+++ b/ringseam/control/founding.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from ringseam.control.peermessages import HELLO, HelloReply, HelloRequest
 from ringseam.control.raftlog import Member
 from ringseam.control.replicamessages import (
     FormGroup,
@@ -14,7 +15,6 @@
 )
 from ringseam.errors import UnreachableError
 from ringseam.ids import split_address
-from ringseam.services import HELLO, HelloReply, HelloRequest
 from ringseam.util.actors import ask
 
 if TYPE_CHECKING:
--- a/ringseam/control/peerlinks.py
+++ b/ringseam/control/peerlinks.py
@@ -7,12 +7,18 @@
 import logging
 from typing import TYPE_CHECKING
 
+from ringseam.control.peermessages import PACKETS
 from ringseam.errors import UnreachableError
-from ringseam.services import PACKETS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.control.raftlog import Packet
-    from ringseam.control.role import ControlRole
+    from ringseam.metrics import Metrics
+    from ringseam.rpc import CallClient
+
+    #: Runs a task until the process ends.
+    Spawn = Callable[[asyncio._CoroutineLike[None]], None]
 
 logger = logging.getLogger(__name__)
 
@@ -25,24 +31,26 @@
 class PeerLinks:
     """One ordered stream of packets to each peer; a full one drops packets."""
 
-    def __init__(self, *, role: ControlRole) -> None:
-        """Send through the client of ``role``."""
-        self.role = role
+    def __init__(self, *, client: CallClient, metrics: Metrics, spawn: Spawn) -> None:
+        """Send through ``client``, from tasks that ``spawn`` starts."""
+        self.client = client
+        self.metrics = metrics
+        self.spawn = spawn
         self.queues: dict[str, asyncio.Queue[Packet]] = {}
 
     def send(self, address: str, packet: Packet) -> None:
         """Queue a packet; Raft sends again what is lost."""
         if address not in self.queues:
             self.queues[address] = asyncio.Queue(_PEER_QUEUE)
-            self.role.spawn(self._pass_on(address))
+            self.spawn(self._pass_on(address))
         with contextlib.suppress(asyncio.QueueFull):
             self.queues[address].put_nowait(packet)
-            self.role.metrics.add('peer_bytes', packet.payload_bytes, peer=address)
+            self.metrics.add('peer_bytes', packet.payload_bytes, peer=address)
 
     async def _pass_on(self, address: str) -> None:
         while True:  # noqa: WPS457 - ends with the role
             try:
-                await self.role.client.stream(address, PACKETS, self.queues[address])
+                await self.client.stream(address, PACKETS, self.queues[address])
             except UnreachableError as error:
                 logger.debug('peer link broke: %s', error)
             await asyncio.sleep(_RECONNECT_S)
--- a/ringseam/control/replicamessages.py
+++ b/ringseam/control/replicamessages.py
@@ -8,8 +8,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ringseam.commands import Command
     from ringseam.control.raftlog import Member, Packet
-    from ringseam.control.state import Command, StateMachine
+    from ringseam.control.state import StateMachine
     from ringseam.util.actors import ReplyTo
 
 
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -15,6 +15,7 @@
 from ringseam.control.founding import Introduction, wanted_voters
 from ringseam.control.openinterface import OpenInterface
 from ringseam.control.peerlinks import PeerLinks
+from ringseam.control.peermessages import HELLO, PACKETS, HelloReply
 from ringseam.control.replica import Replica
 from ringseam.control.replicaactor import ReplicaActor
 from ringseam.control.replicamessages import (
@@ -62,27 +63,23 @@
     CONFIG,
     DELTA,
     FIRST_CONFIG,
-    HELLO,
     LEASE,
-    PACKETS,
     REPORT,
     STATUS,
     CommandReply,
     FirstConfigReply,
-    HelloReply,
     LeaseReply,
 )
 from ringseam.shares import LEASE_S, ShareBook
 from ringseam.util.actors import ask
 from ringseam.util.ini import split_list
-from ringseam.web.metricspage import MetricsPage
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
+    from ringseam.control.peermessages import HelloRequest
     from ringseam.control.raftlog import Packet
     from ringseam.control.state import StateMachine
     from ringseam.sealing import Received
-    from ringseam.services import HelloRequest
     from ringseam.settings import Settings
 
 logger = logging.getLogger(__name__)
@@ -111,7 +108,8 @@
             lost_s=settings.seconds('agent_lost_ms'),
             started=self.node.clock.now(),
         )
-        self.links = PeerLinks(role=self)
+        self.metrics = Metrics()
+        self.links = PeerLinks(client=self.client, metrics=self.metrics, spawn=self.spawn)
         self.applying = Applying(
             node=self.node,
             holder=self.holder,
@@ -129,7 +127,6 @@
         )
         self.shares: ShareBook | None = None
         self.actor: Any = None
-        self.metrics = Metrics()
 
     async def open(self) -> None:
         """Load the replica, serve, and join or form the group."""
@@ -343,11 +340,7 @@
         await web.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(web.close)
         self.spawn(self.follow.expire_always())
-        port = self.settings.own['metrics_port']
-        if port:
-            page = MetricsPage(metrics=self.metrics)
-            await page.start(split_address(self.node.address)[0], port)
-            self.stack.push_async_callback(page.close)
+        await self.open_metrics(self.metrics)
 
     # -- background ---------------------------------------------------------
 
--- a/ringseam/gateway/placements.py
+++ b/ringseam/gateway/engines/client.py
@@ -9,7 +9,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
-from ringseam.gateway.placement import PlacedPart, Placer, PlaceRequest
+from ringseam.gateway.engines.placement import PlacedPart, Placer, PlaceRequest
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
 from ringseam.rpc import Method
@@ -17,10 +17,10 @@
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
-    from ringseam.gateway.follower import Follower
-    from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.ownership import Ownership
-    from ringseam.gateway.placement import Placement
+    from ringseam.gateway.engines.placement import Placement
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.following.ownership import Ownership
     from ringseam.gateway.work import Work
     from ringseam.node import Node
     from ringseam.rpc import CallClient
@@ -56,7 +56,7 @@
 PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty, multiplexed=True)
 
 
-class Placements:
+class PlaceClient:
     """Place requests by the owner's view, or by this gateway's own."""
 
     def __init__(
--- a/ringseam/gateway/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -22,7 +22,7 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
-    from ringseam.gateway.health import HealthBook
+    from ringseam.gateway.following.health import HealthBook
 
 #: Prompt tokens that an engine reads in a second; engines are named with 32,400 to
 #: 38,400. Not observed yet: with other engines predictions are off by as much.
--- /dev/null
+++ b/ringseam/gateway/following/__init__.py
@@ -0,0 +1,1 @@
+"""What a gateway knows: routes, backend servers, other gateways."""
--- a/ringseam/gateway/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -11,7 +11,7 @@
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
-from ringseam.gateway.documentfetch import DocumentFetch
+from ringseam.gateway.following.documentfetch import DocumentFetch
 from ringseam.platform.manifest import decode_manifest
 from ringseam.routes import RouteTable
 from ringseam.util.tasks import TaskSet
--- a/ringseam/gateway/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.choice import rendezvous
-
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ringseam.backends import GatewayState
-    from ringseam.gateway.follower import Follower
+    from ringseam.gateway.following.follower import Follower
 
 
 class Ownership:
@@ -43,3 +44,15 @@
             return ''
         name = rendezvous(service, sorted(staying))
         return '' if name == self.name else staying[name]
+
+
+def rendezvous(key: str, names: Collection[str]) -> str:
+    """Return the name that highest-random-weight hashing gives to ``key``.
+
+    Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme", 1998.
+    """
+    return max(names, key=lambda name: _weight(key, name))
+
+
+def _weight(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
--- /dev/null
+++ b/ringseam/gateway/requests/__init__.py
@@ -0,0 +1,1 @@
+"""A client's request from its first byte to its last."""
--- a/ringseam/gateway/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -7,21 +7,21 @@
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
-from ringseam.gateway.answers import BAD_GATEWAY, GATEWAY_TIMEOUT
-from ringseam.gateway.choice import MeasuredChoice
-from ringseam.gateway.directtries import DirectTries
-from ringseam.gateway.relay import StreamEnd, StreamRelay, client_headers, is_stream
+from ringseam.gateway.requests.answers import BAD_GATEWAY, GATEWAY_TIMEOUT
+from ringseam.gateway.requests.choice import MeasuredChoice
+from ringseam.gateway.requests.directtries import DirectTries
+from ringseam.gateway.requests.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
-    from ringseam.gateway.answers import Answers
-    from ringseam.gateway.follower import Follower
-    from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.placements import Placements
-    from ringseam.gateway.sending import Sender
-    from ringseam.gateway.stagegraph import StageRun
+    from ringseam.gateway.engines.client import PlaceClient
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.requests.answers import Answers
+    from ringseam.gateway.requests.sending import Sender
+    from ringseam.gateway.stages.graph import StageRun
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
@@ -43,7 +43,7 @@
         follower: Follower,
         sender: Sender,
         health: HealthBook,
-        placements: Placements,
+        placements: PlaceClient,
         retries: RetryPolicy,
         answers: Answers,
     ) -> None:
--- a/ringseam/gateway/choice.py
+++ b/ringseam/gateway/requests/choice.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import abc
-import hashlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from ringseam.backends import BackendReport
-    from ringseam.gateway.health import HealthBook, Standing
+    from ringseam.gateway.following.health import HealthBook, Standing
 
 #: A request in another availability zone costs this, seconds: the way there
 #: and back, and the price of its bytes.
@@ -68,18 +67,6 @@
         return float(server.zone != self.zone)
 
 
-def rendezvous(key: str, names: Collection[str]) -> str:
-    """Return the name that highest-random-weight hashing gives to ``key``.
-
-    Source: Thaler and Ravishankar, "A Name-Based Mapping Scheme", 1998.
-    """
-    return max(names, key=lambda name: _weight(key, name))
-
-
-def _weight(key: str, name: str) -> bytes:
-    return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
-
-
 def _told(standing: Standing, now: float) -> float:
     if now - standing.told_at > _TOLD_S:
         return 0
--- a/ringseam/gateway/directtries.py
+++ b/ringseam/gateway/requests/directtries.py
@@ -5,16 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.piecework import FETCH_S
+from ringseam.gateway.stages.scheduler import FETCH_S
 from ringseam.gateway.work import Answered, NotRun
 from ringseam.retries import Retry
 from ringseam.tries import Tries, TryEnd
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
-    from ringseam.gateway.attempts import Attempts
-    from ringseam.gateway.relay import StreamRelay
-    from ringseam.gateway.stagegraph import StageRun
+    from ringseam.gateway.requests.attempts import Attempts
+    from ringseam.gateway.requests.relay import StreamRelay
+    from ringseam.gateway.stages.graph import StageRun
     from ringseam.gateway.work import TryOutcome, Work
 
 
--- a/ringseam/gateway/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -7,20 +7,20 @@
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
-from ringseam.gateway.admission import LAST_SERVER_S, Admission
-from ringseam.gateway.answers import NOT_FOUND, UNAUTHORIZED
-from ringseam.gateway.fairness import Fairness
-from ringseam.gateway.stagegraph import StageFault, StageRun, has_stages
+from ringseam.gateway.requests.admission import LAST_SERVER_S, Admission
+from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
+from ringseam.gateway.requests.fairness import Fairness
+from ringseam.gateway.stages.graph import StageFault, StageRun, has_stages
 from ringseam.gateway.work import Work
 from ringseam.platform.requests import decode_request
 from ringseam.platform.stages import PieceFault
 from ringseam.util.tasks import cancelled
 
 if TYPE_CHECKING:
-    from ringseam.gateway.answers import Answers
-    from ringseam.gateway.attempts import Attempts
-    from ringseam.gateway.follower import Follower
-    from ringseam.gateway.pieces import Pieces
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.requests.answers import Answers
+    from ringseam.gateway.requests.attempts import Attempts
+    from ringseam.gateway.stages.client import PieceClient
     from ringseam.node import Node
     from ringseam.platform.requests import ClientRequest
     from ringseam.routes import Account, Route, ServiceName
@@ -52,7 +52,7 @@
         *,
         node: Node,
         follower: Follower,
-        pieces: Pieces,
+        pieces: PieceClient,
         attempts: Attempts,
         answers: Answers,
     ) -> None:
--- a/ringseam/gateway/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.silence import OpenAnswer
+from ringseam.gateway.engines.silence import OpenAnswer
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
 from ringseam.gateway.worth import urgency_of
 from ringseam.platform.requests import CallHeaders, decode_marks, encode_call
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.clock import Clock
-    from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.silence import SilenceBook
+    from ringseam.gateway.engines.silence import SilenceBook
+    from ringseam.gateway.following.health import HealthBook
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.web.client import Channel, ChannelPool, ResponseHead
 
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -8,26 +8,25 @@
 
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
-from ringseam.gateway.answers import Answers
-from ringseam.gateway.attempts import Attempts
-from ringseam.gateway.follower import Follower
-from ringseam.gateway.forwarding import Forwarder
-from ringseam.gateway.health import HealthBook
-from ringseam.gateway.ownership import Ownership
-from ringseam.gateway.piececalls import PieceCalls
-from ringseam.gateway.piecemessages import PIECES, RELEASE, WAITS
-from ringseam.gateway.pieces import Pieces
-from ringseam.gateway.piecework import PieceWorks
-from ringseam.gateway.placements import PLACE, PROGRESS, Placements
-from ringseam.gateway.sending import Sender
-from ringseam.gateway.silence import SilenceBook
+from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
+from ringseam.gateway.engines.silence import SilenceBook
+from ringseam.gateway.following.follower import Follower
+from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.requests.answers import Answers
+from ringseam.gateway.requests.attempts import Attempts
+from ringseam.gateway.requests.forwarding import Forwarder
+from ringseam.gateway.requests.sending import Sender
+from ringseam.gateway.stages.calls import PieceCalls
+from ringseam.gateway.stages.client import PieceClient
+from ringseam.gateway.stages.messages import PIECES, RELEASE, WAITS
+from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
 from ringseam.platform.registration import READY_PATH
 from ringseam.retries import WindowRetries
 from ringseam.role import Role
 from ringseam.web.client import ChannelPool
-from ringseam.web.metricspage import MetricsPage
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
@@ -79,21 +78,21 @@
             on_change=self._changed,
         )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
-        self.placements = Placements(
+        self.placements = PlaceClient(
             node=self.node,
             client=self.client,
             follower=self.follower,
             health=self.health,
             ownership=self.ownership,
         )
-        self.works = PieceWorks(
+        self.works = PieceScheduler(
             node=self.node,
             follower=self.follower,
             calls=PieceCalls(pool=self.pool, clock=self.node.clock),
             health=self.health,
             retries=self.retries,
         )
-        self.pieces = Pieces(
+        self.pieces = PieceClient(
             clock=self.node.clock,
             client=self.client,
             works=self.works,
@@ -122,7 +121,6 @@
             answers=answers,
         )
         self.clients = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
-        self.page = MetricsPage(metrics=self.metrics)
         self.probes = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
@@ -135,7 +133,7 @@
         self.stack.push_async_callback(self.probes.close)
         await self.clients.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(self.clients.close)
-        await self._open_metrics()
+        await self.open_metrics(self.metrics)
         self.spawn(self.follower.run())
         self.spawn(self._sweep_always())
         self.spawn(self._listen_always())
@@ -185,12 +183,6 @@
         self.server.add(PLACE, self.placements.serve_place)
         self.server.add(PROGRESS, self.placements.serve_progress)
 
-    async def _open_metrics(self) -> None:
-        port = self.settings.own['metrics_port']
-        if port:
-            await self.page.start(split_address(self.node.address)[0], port)
-            self.stack.push_async_callback(self.page.close)
-
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path == READY_PATH:
--- /dev/null
+++ b/ringseam/gateway/stages/__init__.py
@@ -0,0 +1,1 @@
+"""Pieces of stages: graph, batches, calls and results."""
--- a/ringseam/gateway/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -13,18 +13,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.flow import Flow
-from ringseam.gateway.outlook import Outlook
-from ringseam.gateway.piecejobs import Piece, PieceGroup, StageCall
-from ringseam.gateway.pieceorder import beyond_next_calls, in_order, may_leave
-from ringseam.gateway.rooms import Rooms
+from ringseam.gateway.stages.flow import Flow
+from ringseam.gateway.stages.jobs import Piece, PieceGroup, StageCall
+from ringseam.gateway.stages.order import beyond_next_calls, in_order, may_leave
+from ringseam.gateway.stages.outlook import Outlook
+from ringseam.gateway.stages.rooms import Rooms
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
-    from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.piecejobs import PieceJob
+    from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.stages.jobs import PieceJob
     from ringseam.routes import BatchSpec, ServiceName
 
 
--- a/ringseam/gateway/piecelog.py
+++ b/ringseam/gateway/stages/calllog.py
@@ -8,8 +8,8 @@
 from ringseam.events import Event
 
 if TYPE_CHECKING:
-    from ringseam.gateway.batching import Batcher
-    from ringseam.gateway.piecejobs import StageCall
+    from ringseam.gateway.stages.batching import Batcher
+    from ringseam.gateway.stages.jobs import StageCall
     from ringseam.node import Node
     from ringseam.platform.stages import PieceResult
 
--- a/ringseam/gateway/piececalls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -18,7 +18,7 @@
 
 if TYPE_CHECKING:
     from ringseam.clock import Clock
-    from ringseam.gateway.piecejobs import (
+    from ringseam.gateway.stages.jobs import (
         StageCall,
     )
     from ringseam.web.bodies import Headers
--- a/ringseam/gateway/pieces.py
+++ b/ringseam/gateway/stages/client.py
@@ -15,8 +15,8 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
-from ringseam.gateway.piecejobs import PieceJob, Precedence
-from ringseam.gateway.piecemessages import (
+from ringseam.gateway.stages.jobs import PieceJob
+from ringseam.gateway.stages.messages import (
     PIECES,
     RELEASE,
     WAITS,
@@ -27,6 +27,7 @@
     WaitsReply,
     WaitsRequest,
 )
+from ringseam.gateway.worth import Precedence
 from ringseam.messages import Empty
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.util.tasks import TaskSet
@@ -35,8 +36,8 @@
     from collections.abc import Collection
 
     from ringseam.clock import Clock
-    from ringseam.gateway.ownership import Ownership
-    from ringseam.gateway.piecework import PieceWorks
+    from ringseam.gateway.following.ownership import Ownership
+    from ringseam.gateway.stages.scheduler import PieceScheduler
     from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient
     from ringseam.sealing import Received
@@ -68,7 +69,7 @@
         return max(known, default=0) / MS_PER_S
 
 
-class Pieces:
+class PieceClient:
     """Have pieces made where batches of their service are formed."""
 
     def __init__(
@@ -76,7 +77,7 @@
         *,
         clock: Clock,
         client: CallClient,
-        works: PieceWorks,
+        works: PieceScheduler,
         ownership: Ownership,
     ) -> None:
         """Use ``works`` for the services that this gateway owns."""
--- a/ringseam/gateway/flow.py
+++ b/ringseam/gateway/stages/flow.py
@@ -10,7 +10,7 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
-    from ringseam.gateway.piecejobs import StageCall
+    from ringseam.gateway.stages.jobs import StageCall
     from ringseam.routes import BatchSpec
 
 #: What came longer ago than this counts for a third, seconds: several calls, so
--- a/ringseam/gateway/stagegraph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -8,13 +8,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.piecejobs import PieceJob
-from ringseam.gateway.stageplan import FIRST_EVENT_S, StagePlan
+from ringseam.gateway.stages.jobs import PieceJob
+from ringseam.gateway.stages.plan import FIRST_EVENT_S, StagePlan
 from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
     from ringseam.clock import Clock
-    from ringseam.gateway.pieces import Pieces
+    from ringseam.gateway.stages.client import PieceClient
     from ringseam.gateway.work import Work
     from ringseam.platform.stages import PieceResult
     from ringseam.routes import Route, RouteStage, RouteTable, ServiceName
@@ -43,7 +43,7 @@
     """Results of one request's stages; owned until they are released."""
 
     work: Work
-    pieces: Pieces
+    pieces: PieceClient
     clock: Clock
     table: RouteTable
     #: The availability zone that the last server will be in; empty: any.
--- a/ringseam/gateway/piecejobs.py
+++ b/ringseam/gateway/stages/jobs.py
@@ -6,27 +6,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import msgspec
+from ringseam.gateway.worth import Precedence
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendReport
     from ringseam.routes import ServiceName
 
 
-class Precedence(msgspec.Struct, frozen=True, kw_only=True, order=True):
-    """What a request goes by among those that wait.
-
-    Clients that were turned away and came back go after all others: they are late
-    already, or have the time, and what they earn by being served is a part of
-    what another one loses by being late. Bought 0.05 of the worth (standard error
-    0.01) where a service is short of servers.
-    """
-
-    returned: bool = False
-    #: Who goes first, 0 before all; see :func:`ringseam.gateway.worth.rank_of`.
-    rank: int
-
-
 @dataclass(frozen=True, kw_only=True)
 class PieceJob:
     """Pieces of one stage of one request; times are absolute seconds."""
--- a/ringseam/gateway/pieceorder.py
+++ b/ringseam/gateway/stages/order.py
@@ -12,7 +12,8 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendReport
-    from ringseam.gateway.piecejobs import Piece, PieceGroup, Precedence
+    from ringseam.gateway.stages.jobs import Piece, PieceGroup
+    from ringseam.gateway.worth import Precedence
     from ringseam.routes import BatchSpec
 
 #: A piece whose inputs are given up within this time goes first, seconds: a call
--- a/ringseam/gateway/piecework.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -9,13 +9,13 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
-from ringseam.gateway.batching import FULL_S, Batcher
-from ringseam.gateway.piececalls import FullError
-from ringseam.gateway.piecejobs import Precedence
-from ringseam.gateway.piecelog import PieceLog
-from ringseam.gateway.piecemessages import Waits
-from ringseam.gateway.rooms import UNKNOWN_S
-from ringseam.gateway.servicepieces import CallEnd, CallFailure, JobResults, ServicePieces
+from ringseam.gateway.stages.batching import FULL_S, Batcher
+from ringseam.gateway.stages.calllog import PieceLog
+from ringseam.gateway.stages.calls import FullError
+from ringseam.gateway.stages.messages import Waits
+from ringseam.gateway.stages.rooms import UNKNOWN_S
+from ringseam.gateway.stages.waiters import CallEnd, CallFailure, JobResults, ServicePieces
+from ringseam.gateway.worth import Precedence
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.retries import Retry
 from ringseam.routes import ServiceName
@@ -26,15 +26,15 @@
     from collections.abc import Callable, Collection
 
     from ringseam.backends import BackendReport, GatewayState
-    from ringseam.gateway.follower import Follower
-    from ringseam.gateway.health import HealthBook
-    from ringseam.gateway.outlook import Outlook
-    from ringseam.gateway.piececalls import PieceCalls
-    from ringseam.gateway.piecejobs import (
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.stages.calls import PieceCalls
+    from ringseam.gateway.stages.jobs import (
         Piece,
         PieceJob,
         StageCall,
     )
+    from ringseam.gateway.stages.outlook import Outlook
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
     from ringseam.routes import BatchSpec
@@ -64,7 +64,7 @@
 _LOOK_S = 0.05
 
 
-class PieceWorks:  # noqa: WPS214 - the driver of all batches
+class PieceScheduler:  # noqa: WPS214 - the driver of all batches
     """Form batches here, for this gateway and for others."""
 
     def __init__(
--- a/ringseam/gateway/servicepieces.py
+++ b/ringseam/gateway/stages/waiters.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.outlook import Outlook
+from ringseam.gateway.stages.outlook import Outlook
 from ringseam.platform.stages import PieceFault, PieceResult
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
-    from ringseam.gateway.batching import Batcher
-    from ringseam.gateway.piecejobs import Piece
+    from ringseam.gateway.stages.batching import Batcher
+    from ringseam.gateway.stages.jobs import Piece
 
 
 class CallEnd(enum.Enum):
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -6,8 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Union
 
-from ringseam.gateway.piecejobs import Precedence
-from ringseam.gateway.worth import rank_of
+from ringseam.gateway.worth import Precedence, rank_of
 from ringseam.tries import TryRecord
 
 if TYPE_CHECKING:
--- a/ringseam/gateway/worth.py
+++ b/ringseam/gateway/worth.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 #: Each step of priority is worth this much less: a weight of ours, near requests that
 #: are worth 5, 1.1 and 0.4. No setting yet.
 WORTH_RATIO = 0.25
@@ -15,6 +17,20 @@
 _LAST_URGENCY = 9
 
 
+class Precedence(msgspec.Struct, frozen=True, kw_only=True, order=True):
+    """What a request goes by among those that wait.
+
+    Clients that were turned away and came back go after all others: they are late
+    already, or have the time, and what they earn by being served is a part of
+    what another one loses by being late. Bought 0.05 of the worth (standard error
+    0.01) where a service is short of servers.
+    """
+
+    returned: bool = False
+    #: Who goes first, 0 before all; see :func:`rank_of`.
+    rank: int
+
+
 def rank_of(route: int, account: int | None) -> int:
     """Return the rank of a request; 0 is first.
 
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.clock import Clock
-    from ringseam.gateway.silence import SilenceBook
+    from ringseam.gateway.engines.silence import SilenceBook
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.model.pattern import ServiceLoad
     from ringseam.model.stageservers import Results
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from ringseam.clock import PausedClock
-    from ringseam.gateway.piecejobs import Piece
+    from ringseam.gateway.stages.jobs import Piece
     from ringseam.model.clients import Outcome
     from ringseam.model.pattern import Pattern, PatternEvent, Prices
 
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -9,16 +9,16 @@
 
 from ringseam.backends import BackendView, GatewayState
 from ringseam.errors import UnreachableError
-from ringseam.gateway.answers import Answers
-from ringseam.gateway.attempts import Attempts
-from ringseam.gateway.forwarding import Forwarder
-from ringseam.gateway.health import HealthBook
-from ringseam.gateway.ownership import Ownership
-from ringseam.gateway.piecemessages import PIECES, RELEASE, WAITS
-from ringseam.gateway.pieces import Pieces
-from ringseam.gateway.piecework import PieceWorks
-from ringseam.gateway.placements import PLACE, PROGRESS, Placements
-from ringseam.gateway.silence import SilenceBook
+from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
+from ringseam.gateway.engines.silence import SilenceBook
+from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.requests.answers import Answers
+from ringseam.gateway.requests.attempts import Attempts
+from ringseam.gateway.requests.forwarding import Forwarder
+from ringseam.gateway.stages.client import PieceClient
+from ringseam.gateway.stages.messages import PIECES, RELEASE, WAITS
+from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.metrics import Metrics
 from ringseam.model.engines import ModelSender
 from ringseam.model.stageservers import ModelPieceCalls
@@ -121,7 +121,7 @@
         self.follower: Any = ModelFollower(table=table)
         ownership = Ownership(follower=self.follower, name=name)
         client: Any = links
-        self.placements = Placements(
+        self.placements = PlaceClient(
             node=node,
             client=client,
             follower=self.follower,
@@ -130,14 +130,14 @@
         )
         retries = WindowRetries(slack=_RETRY_SLACK)
         calls: Any = ModelPieceCalls(servers=servers.stages, zone=zone, zone_s=links.zone_s)
-        self.works = PieceWorks(
+        self.works = PieceScheduler(
             node=node,
             follower=self.follower,
             calls=calls,
             health=self.health,
             retries=retries,
         )
-        self.pieces = Pieces(clock=clock, client=client, works=self.works, ownership=ownership)
+        self.pieces = PieceClient(clock=clock, client=client, works=self.works, ownership=ownership)
         self.works.give_up = self.pieces.release
         answers = Answers(node=node, metrics=Metrics())
         sender: Any = ModelSender(
--- a/ringseam/model/stageservers.py
+++ b/ringseam/model/stageservers.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.gateway.piececalls import FullError
+from ringseam.gateway.stages.calls import FullError
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.web.client import ChannelError
 
@@ -17,7 +17,7 @@
 
     from ringseam.backends import BackendReport
     from ringseam.clock import Clock
-    from ringseam.gateway.piecejobs import Piece, StageCall
+    from ringseam.gateway.stages.jobs import Piece, StageCall
     from ringseam.model.pattern import ServiceLoad
 
 _MEGABYTE = 1_000_000
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ringseam.clock import PausedClock
+from ringseam.commands import ApplyFile, FileAccepted
 from ringseam.control.raftlog import Member
 from ringseam.control.replica import (
     Replica,
@@ -21,7 +22,6 @@
     ReplicaSettings,
     TimePassed,
 )
-from ringseam.control.state import ApplyFile, FileAccepted
 from ringseam.control.storage import Files, Storage
 from ringseam.node import Node
 
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -11,6 +11,7 @@
     GatewayState,
     report_of_leave,
 )
+from ringseam.commands import BackendRetired, DocumentPut
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.replicamessages import (
@@ -18,7 +19,6 @@
     Linearizable,
     NotLeading,
 )
-from ringseam.control.state import BackendRetired, DocumentPut
 from ringseam.errors import UnreachableError
 from ringseam.following import (
     DocumentHeld,
@@ -30,7 +30,7 @@
     WatchReply,
     WatchRequest,
 )
-from ringseam.gateway.follower import Follower
+from ringseam.gateway.following.follower import Follower
 from ringseam.messages import Redirect
 from ringseam.node import Node
 from ringseam.routes import ServiceName
--- a/tests/test_control/test_control_large_documents.py
+++ b/tests/test_control/test_control_large_documents.py
@@ -15,9 +15,9 @@
 
 import pytest
 
+from ringseam.commands import PutDocument
 from ringseam.control.raftlog import AppendReply, payload_bytes
 from ringseam.control.replicamessages import NotLeading, Propose
-from ringseam.control.state import PutDocument
 from tests.fakes import Network
 
 DOCUMENT_BYTES = 400_000
--- a/tests/test_control/test_control_membership.py
+++ b/tests/test_control/test_control_membership.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from ringseam.commands import DocumentPut, PutDocument, RetireBackend
 from ringseam.control.replicamessages import (
     Propose,
 )
-from ringseam.control.state import DocumentPut, PutDocument, RetireBackend
 from tests.fakes import Network
 
 FIRST = [f'10.0.0.{number}:1' for number in range(1, 6)]
--- a/tests/test_control/test_control_replica.py
+++ b/tests/test_control/test_control_replica.py
@@ -4,13 +4,13 @@
 
 import pytest
 
+from ringseam.commands import ApplyFile, FileAccepted, FileConflict
 from ringseam.control.replicamessages import (
     Linearizable,
     NotLeading,
     Propose,
     ReadBarrier,
 )
-from ringseam.control.state import ApplyFile, FileAccepted, FileConflict
 from ringseam.errors import DamagedLogError, StorageError
 from tests.fakes import Network
 
--- a/tests/test_gateway/test_gateway_placement.py
+++ b/tests/test_gateway/test_engines/test_engines_placement.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.health import HealthBook
-from ringseam.gateway.placement import Placed, PlacedPart, Placer, PlaceRequest, _tie
+from ringseam.gateway.engines.placement import Placed, PlacedPart, Placer, PlaceRequest, _tie
+from ringseam.gateway.following.health import HealthBook
 from ringseam.routes import ServiceName
 
 CACHE = 100_000
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_engines/test_engines_silence.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ringseam.backends import BackendId
-from ringseam.gateway.silence import (
+from ringseam.gateway.engines.silence import (
     FIRST_SILENCE_S,
     STREAMING_SILENCE_S,
     OpenAnswer,
--- a/tests/test_gateway/test_gateway_documentfetch.py
+++ b/tests/test_gateway/test_following/test_following_documentfetch.py
@@ -8,7 +8,7 @@
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.documents import PART_BYTES
 from ringseam.errors import UnreachableError
-from ringseam.gateway.documentfetch import DocumentFetch
+from ringseam.gateway.following.documentfetch import DocumentFetch
 from ringseam.model.virtualtime import run_virtual
 from ringseam.node import Node
 from ringseam.sealing import Received
--- a/tests/test_gateway/test_gateway_health.py
+++ b/tests/test_gateway/test_following/test_following_health.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.choice import FirstChoice, MeasuredChoice, rendezvous
-from ringseam.gateway.health import HealthBook
+from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.following.ownership import rendezvous
+from ringseam.gateway.requests.choice import FirstChoice, MeasuredChoice
 from ringseam.routes import ServiceName
 
 A = BackendId('a')
--- a/tests/test_gateway/test_gateway_ownership.py
+++ b/tests/test_gateway/test_following/test_following_ownership.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 
 from ringseam.backends import GatewayState
-from ringseam.gateway import ownership
-from ringseam.gateway.ownership import Ownership
+from ringseam.gateway.following import ownership
+from ringseam.gateway.following.ownership import Ownership
 
 
 def gateways(count, draining=()):
--- a/tests/test_gateway/test_gateway_admission.py
+++ b/tests/test_gateway/test_requests/test_requests_admission.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ringseam.gateway.admission import Admission
+from ringseam.gateway.requests.admission import Admission
 from ringseam.gateway.work import Work
 from ringseam.platform.requests import ClientRequest
 from ringseam.routes import RequestKind, Route, ServiceName, Target
--- a/tests/test_gateway/test_gateway_fairness.py
+++ b/tests/test_gateway/test_requests/test_requests_fairness.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ringseam.gateway.fairness import Fairness
+from ringseam.gateway.requests.fairness import Fairness
 
 
 def ended(fairness, route, rank, *, in_time, of, now=0.0, service='s'):
--- a/tests/test_gateway/test_gateway_relay.py
+++ b/tests/test_gateway/test_requests/test_requests_relay.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ringseam.clock import PausedClock
-from ringseam.gateway.relay import StreamEnd, StreamRelay
+from ringseam.gateway.requests.relay import StreamEnd, StreamRelay
 from ringseam.gateway.work import Answered
 from ringseam.web.client import ChannelError, ResponseHead
 from tests.gateways import event
--- a/tests/test_gateway/test_gateway_batching.py
+++ b/tests/test_gateway/test_stages/test_stages_batching.py
@@ -7,18 +7,15 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.batching import (
+from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.stages.batching import (
     FULL_S,
     Batcher,
 )
-from ringseam.gateway.health import HealthBook
-from ringseam.gateway.piecejobs import (
-    PieceJob,
-    Precedence,
-    StageCall,
-)
-from ringseam.gateway.pieceorder import in_order, turn_of
-from ringseam.gateway.rooms import UNKNOWN_S
+from ringseam.gateway.stages.jobs import PieceJob, StageCall
+from ringseam.gateway.stages.order import in_order, turn_of
+from ringseam.gateway.stages.rooms import UNKNOWN_S
+from ringseam.gateway.worth import Precedence
 from ringseam.routes import BatchSpec, ServiceName
 
 SERVICE = ServiceName('crops')
--- a/tests/test_gateway/test_gateway_pieces.py
+++ b/tests/test_gateway/test_stages/test_stages_client.py
@@ -9,9 +9,9 @@
 
 from ringseam.clock import PausedClock
 from ringseam.errors import UnreachableError
-from ringseam.gateway.piecejobs import Precedence
-from ringseam.gateway.piecemessages import WAITS, Waits, WaitsReply
-from ringseam.gateway.pieces import Pieces, ToldWaits
+from ringseam.gateway.stages.client import PieceClient, ToldWaits
+from ringseam.gateway.stages.messages import WAITS, Waits, WaitsReply
+from ringseam.gateway.worth import Precedence
 from ringseam.routes import ServiceName
 
 CROPS = ServiceName('crops')
@@ -35,7 +35,7 @@
 def pieces_of(owner, address='o:1'):
     ownership = SimpleNamespace(owner_of=lambda service: address)
     works = SimpleNamespace(wait_s=lambda service, precedence: 7)
-    return Pieces(clock=PausedClock(), client=owner, works=works, ownership=ownership)
+    return PieceClient(clock=PausedClock(), client=owner, works=works, ownership=ownership)
 
 
 @pytest.mark.parametrize(('age_s', 'asked'), [(0.1, 0), (0.2, 1), (None, 1)])
--- a/tests/test_gateway/test_gateway_stagegraph.py
+++ b/tests/test_gateway/test_stages/test_stages_graph.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 
 from ringseam.clock import PausedClock
-from ringseam.gateway.piecejobs import Precedence
-from ringseam.gateway.stagegraph import StageRun
+from ringseam.gateway.stages.graph import StageRun
+from ringseam.gateway.worth import Precedence
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.routes import BackendService, BatchSpec, RouteStage, RouteTable, ServiceName
 
--- a/tests/test_model/test_model_servers.py
+++ b/tests/test_model/test_model_servers.py
@@ -7,8 +7,8 @@
 import pytest
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.piececalls import FullError
-from ringseam.gateway.piecejobs import Piece, PieceJob, StageCall
+from ringseam.gateway.stages.calls import FullError
+from ringseam.gateway.stages.jobs import Piece, PieceJob, StageCall
 from ringseam.model.pattern import ServiceLoad
 from ringseam.model.stageservers import Results, StageServer
 from ringseam.model.virtualtime import run_virtual
