Of many engines or idle servers a part is compared

Cause: a choice compares all engines (11 us each: 4.5 ms with 390) and all idle servers of a stage service, so the deciding gateway's cost grows with the fleet. Timed out for it, gateways place requests by themselves, and prompts are read again.

Change: of more than 48 engines those that keep the longest beginning of the prompt (16) and 16 others, the same for all requests with the same shared parts; of more than 48 idle servers 48 by chance. Below these numbers nothing changes. Engines that are gone are forgotten.

--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -109,6 +109,11 @@
         """Tell that an engine owes answers and has gone silent."""
         self._spread(ProgressNote(service=service, silent=instance))
 
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget what engines that are gone keep."""
+        for placer in self.placers.values():
+            placer.keep_only(instances)
+
     # -- calls of other gateways --------------------------------------------
 
     async def serve_place(self, received: Received) -> PlaceReply:
--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -9,6 +9,8 @@
 
 import collections
 import hashlib
+import itertools
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -51,6 +53,15 @@
 #: A request that nobody reported the end of is forgotten this long after its
 #: deadline, seconds.
 _FORGET_S = 1.0
+#: Up to this many engines all are compared, at 11 us each; of more, some that keep the
+#: prompt and some others are. With 390 engines a choice takes 0.4 ms instead of 4.5, and
+#: costs no more (0.044 against 0.050 in the mean of 18,000 choices).
+_COMPARED = 48
+#: Of more engines: how many that keep the longest part of the prompt, newest first, and
+#: how many of all. Of sixteen by chance one is among the tenth that has least to do four
+#: times in five.
+_KEEPING = 16
+_OTHERS = 16
 
 
 class PlacedPart(Message, frozen=True, kw_only=True):
@@ -112,13 +123,17 @@
     #: When the engine was last seen to have read a prompt, or began to read one.
     read_at: float = float('-inf')
 
-    def use(self, part: PlacedPart, capacity: float) -> None:
-        """Remember a part as the newest, dropping the oldest beyond the memory."""
+    def use(self, part: PlacedPart, capacity: float) -> list[str]:
+        """Remember a part as the newest; return those dropped beyond the memory."""
         self.tokens -= self.parts.pop(part.name, 0)
         self.parts[part.name] = part.tokens
         self.tokens += part.tokens
+        dropped = []
         while self.tokens > capacity and len(self.parts) > 1:
-            self.tokens -= self.parts.popitem(last=False)[1]
+            name, tokens = self.parts.popitem(last=False)
+            self.tokens -= tokens
+            dropped.append(name)
+        return dropped
 
 
 @dataclass(kw_only=True)
@@ -131,6 +146,8 @@
     #: The same by engine, first come first. Looked for among all that is placed, with what
     #: is cached counted for each pair of engines, a choice among 39 took 1.9 ms, not 0.5.
     by_engine: dict[BackendId, dict[str, Placed]] = field(default_factory=dict)
+    #: The engines that keep a part, the newest last.
+    keeping: dict[str, dict[BackendId, None]] = field(default_factory=dict)
 
     def place(
         self,
@@ -141,11 +158,12 @@
     ) -> Placement | None:
         """Return the engine with the least cost, and remember the request."""
         self._forget(now)
-        cached = {instance: self._cached(ask, instance) for instance in self.books}
+        compared = self._compared(ask, engines)
+        cached = {engine.instance: self._cached(ask, engine.instance) for engine in compared}
         most = max(cached.values(), default=0)
         candidates = [
-            self._judge(ask, engine, now, cached=cached.get(engine.instance, 0), most=most)
-            for engine in engines
+            self._judge(ask, engine, now, cached=cached[engine.instance], most=most)
+            for engine in compared
             if engine.instance not in ask.avoid
         ]
         if not candidates:
@@ -174,7 +192,7 @@
             ),
         )
         for part in reversed(ask.prefix):
-            book.use(part, cache_tokens * _CACHE_SHARE)
+            self._use(instance, part, cache_tokens * _CACHE_SHARE)
 
     def hold(self, request: str, placed: Placed) -> None:
         """Count a request on an engine."""
@@ -198,7 +216,8 @@
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget engines that are gone."""
         for instance in set(self.books) - instances:
-            self.books.pop(instance)
+            for name in self.books.pop(instance).parts:
+                self._drop(name, instance)
 
     def unread(self, ask: PlaceRequest, instance: BackendId) -> int:
         """Return how many prompt tokens an engine would have to read."""
@@ -206,6 +225,47 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _compared(
+        self,
+        ask: PlaceRequest,
+        engines: Collection[BackendReport],
+    ) -> Collection[BackendReport]:
+        """Return the engines to compare: all of a few, a part of many.
+
+        The part is the same for all requests with the same shared parts, so that those
+        find each other's prompts.
+        """
+        if len(engines) <= _COMPARED:
+            return engines
+        keeping = self._keeping(ask)
+        dice = random.Random(_shared_key(ask))  # noqa: S311 - spreads load only
+        others = dice.sample(list(engines), _OTHERS)
+        found = {engine.instance: engine for engine in engines if engine.instance in keeping}
+        allowed = {engine.instance: engine for engine in others} | found
+        left = [engine for name, engine in allowed.items() if name not in ask.avoid]
+        return left or engines
+
+    def _keeping(self, ask: PlaceRequest) -> set[BackendId]:
+        """Return some engines that keep the longest beginning of a prompt."""
+        for part in reversed(ask.prefix):
+            known = self.keeping.get(part.name)
+            if known:
+                return set(itertools.islice(reversed(known), _KEEPING))
+        return set()
+
+    def _use(self, instance: BackendId, part: PlacedPart, capacity: float) -> None:
+        known = self.keeping.setdefault(part.name, {})
+        known.pop(instance, None)
+        known[instance] = None
+        for name in self._book(instance).use(part, capacity):
+            self._drop(name, instance)
+
+    def _drop(self, name: str, instance: BackendId) -> None:
+        known = self.keeping.get(name, {})
+        known.pop(instance, None)
+        if not known:
+            self.keeping.pop(name, None)
+
     def _book(self, instance: BackendId) -> EngineBook:
         return self.books.setdefault(instance, EngineBook())
 
@@ -297,6 +357,10 @@
 
 def _tie(ask: PlaceRequest, engine: BackendReport) -> bytes:
     """Order engines of equal cost alike at all gateways, by the shared parts."""
-    shared = ask.prefix[-2] if len(ask.prefix) > 1 else None
-    key = shared.name if shared else ask.request
-    return hashlib.blake2b(f'{key}/{engine.instance}'.encode(), digest_size=8).digest()
+    key = f'{_shared_key(ask)}/{engine.instance}'
+    return hashlib.blake2b(key.encode(), digest_size=8).digest()
+
+
+def _shared_key(ask: PlaceRequest) -> str:
+    """Return the last part of a prompt that other requests share."""
+    return ask.prefix[-2].name if len(ask.prefix) > 1 else ask.request
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -205,7 +205,9 @@
         while True:  # noqa: WPS457 - ends with the role
             await asyncio.sleep(_SWEEP_S)
             self.pool.sweep()
-            self.health.keep_only(set(self.follower.view.backends))
+            known = set(self.follower.view.backends)
+            self.health.keep_only(known)
+            self.placements.keep_only(known)
 
     async def _listen_always(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -10,6 +10,7 @@
 import collections
 import functools
 import itertools
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -32,6 +33,10 @@
 _SLOW = 1.8
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
+#: Of more idle servers than this only so many are looked at, by chance: there are some of
+#: each zone and of the quick ones among them. With 660 idle a piece costs its decider
+#: 179 us of processor instead of 456.
+_LOOKED_AT = 48
 
 
 @dataclass(kw_only=True)
@@ -67,6 +72,11 @@
     #: Until when servers that said so are full.
     full_until: dict[BackendId, float] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    random: random.Random = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Seed the choice of idle servers that are looked at."""
+        self.random = random.Random(self.service)  # noqa: S311 - spreads load only
 
     def add(self, job: PieceJob, now: float) -> list[Piece]:
         """Let the pieces of a job wait."""
@@ -191,12 +201,15 @@
         spec: BatchSpec,
         now: float,
     ) -> list[BackendReport]:
+        calls = self.flow.calls
         idle = [
             server
             for server in servers
-            if not self.flow.is_busy(server.instance, spec)
+            if calls.get(server.instance, 0) < spec.slots
             and self.full_until.get(server.instance, 0) <= now
         ]
+        if len(idle) > _LOOKED_AT:
+            idle = self.random.sample(idle, _LOOKED_AT)
         sound = [server for server in idle if self._is_sound(server, now)]
         return sound if any(self._is_sound(server, now) for server in servers) else idle
 
--- a/tests/test_gateway/test_engines/test_engines_placement.py
+++ b/tests/test_gateway/test_engines/test_engines_placement.py
@@ -206,3 +206,52 @@
                 known, ENGINES, CACHE, now
             )
         assert quick.placed == naive.placed
+
+
+MANY = [engine(f'e{number}', 'abc'[number % 3]) for number in range(300)]
+
+
+def test_of_many_engines_a_few_are_compared(monkeypatch):
+    """Load: a fleet of hundreds of engines. Grounds: comparing all 390 takes 4.5 ms a
+    choice of a third of a core, and finds engines that cost no less."""
+    works = placer()
+    compared = []
+    whole = Placer._judge
+    monkeypatch.setattr(
+        Placer,
+        '_judge',
+        lambda self, *args, **fields: compared.append(1) or whole(self, *args, **fields),
+    )
+    for number in range(200):
+        works.place(ask(f'r{number}', session=f's{number % 40}'), MANY, CACHE, number / 10)
+    assert len(compared) <= 200 * 32
+
+
+def test_prompt_is_found_among_many_engines():
+    works = placer()
+    first = works.place(ask('r1', session='t'), MANY, CACHE, 0).engine
+    works.ended('r1')
+    for number in range(50):
+        works.place(ask(f'q{number}', session=f's{number}'), MANY, CACHE, 0)
+        works.ended(f'q{number}')
+    assert works.place(ask('r2', session='t'), MANY, CACHE, 0).engine is first
+
+
+def test_all_engines_are_left_when_those_that_are_compared_are_tried():
+    works = placer()
+    tried = tuple(one.instance for one in MANY[:-1])
+    assert works.place(ask('r', avoid=tried), MANY, CACHE, 0).engine is MANY[-1]
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from('stuvw'), st.booleans())))
+def test_who_keeps_a_part_is_what_the_books_say(steps):
+    works = placer()
+    for number, (which, session, forgets) in enumerate(steps):
+        works.note(ask(f'r{number}', session=session), MANY[which].instance, 14_000, 0)
+        if forgets:
+            works.keep_only({MANY[0].instance, MANY[which].instance})
+    kept = {}
+    for instance, book in works.books.items():
+        for name in book.parts:
+            kept.setdefault(name, set()).add(instance)
+    assert {name: set(known) for name, known in works.keeping.items()} == kept
