--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -47,8 +47,9 @@
 
 #: A watch without news is answered after this long, seconds.
 WATCH_S = 1.0
-#: Several reports in a row and a few lost ones still count as life, seconds.
-_SILENT_BACKEND_S = 4.5
+#: A backend server is silent after this many times the interval of its reports: two may be
+#: lost in a row and the third be late.
+_SILENT_REPORTS = 3.75
 #: A gateway whose watch is overdue by half a watch isn't waited for, seconds.
 _SILENT_GATEWAY_S = 1.6
 #: An acknowledgement waits this long for gateways; below the two seconds in
@@ -79,12 +80,17 @@
         submit: Callable[[Any], Awaitable[Any]],
         confirm: Callable[[], Awaitable[Any]],
         voters_needed: int,
+        report_s: float,
     ) -> None:
-        """Commit by ``submit``; ``confirm`` checks leadership by a quorum."""
+        """Commit by ``submit``; ``confirm`` checks leadership by a quorum.
+
+        :param report_s: how often backend servers report, seconds.
+        """
         self.node = node
         self.submit = submit
         self.confirm = confirm
         self.voters_needed = voters_needed
+        self.silent_s = _SILENT_REPORTS * report_s
         self.held = HeldDocument()
         self.history = DocumentHistory()
         self.retired = Ended(kept=RETIRED_KEPT)
@@ -316,7 +322,7 @@
         return BackendDirectory(
             epoch=f'{self.node.incarnation}-{self.leadership.term}',
             started=self.node.clock.now(),
-            silent_s=_SILENT_BACKEND_S,
+            silent_s=self.silent_s,
             follower_s=_SILENT_GATEWAY_S,
         )
 
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -124,6 +124,7 @@
             submit=self._commit,
             confirm=lambda: self._ask_quorum(ReadBarrier()),
             voters_needed=wanted_voters(settings.own),
+            report_s=settings.seconds('backend_report_ms'),
         )
         self.shares: ShareBook | None = None
         self.actor: Any = None
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+import pytest
+
 from ringseam.backends import (
     BackendId,
     BackendReport,
@@ -114,6 +116,7 @@
             submit=self.submit,
             confirm=self.confirm,
             voters_needed=5,
+            report_s=1.2,
         )
         if leads:
             self.service.lead(LEADS)
@@ -418,3 +421,16 @@
         assert followed == ('c1', 'e1', 3, 1.5)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(('report_s', 'silent_s'), [(1.2, 4.5), (0.4, 1.5), (4.0, 15.0)])
+def test_server_is_silent_by_the_interval_of_its_reports(report_s, silent_s):
+    """With a fixed time, servers that report each five seconds would come and go."""
+    service = FollowService(
+        node=Node(name='c', role='control', address='', secret=b''),
+        submit=None,
+        confirm=None,
+        voters_needed=0,
+        report_s=report_s,
+    )
+    assert service.directory.silent_s == pytest.approx(silent_s)
--- a/tests/test_deploy/test_deploy_settings.py
+++ b/tests/test_deploy/test_deploy_settings.py
@@ -47,6 +47,7 @@
         'bounds.retry_ratio': figures(0, 3),
         'bounds.retry_window_s': figures(0, 600),
         'bounds.grace_s': figures(0, 600),
+        'heartbeat_ms': figures(100, 60_000),
         'fault_tolerance.machines': st.integers(0, 10).map(str),
         'bootstrap': st.sampled_from(('true', 'false')),
     },
@@ -72,6 +73,7 @@
         'bounds.retry_ratio': '0.15',
         'bounds.retry_window_s': '9.5',
         'bounds.grace_s': '7.25',
+        'heartbeat_ms': '1200.5',
         'fault_tolerance.machines': '2',
         'bootstrap': 'false',
     },
@@ -85,6 +87,7 @@
         assert settings.own['retry_window_s'] == float(drawn['bounds.retry_window_s'])
         assert settings.own['grace_s'] == float(drawn['bounds.grace_s'])
     else:
+        assert settings.own['backend_report_ms'] == float(drawn['heartbeat_ms'])
         assert settings.own['tolerated_losses'] == int(drawn['fault_tolerance.machines'])
         assert settings.own['may_found'] == (drawn['bootstrap'] == 'true')
 
--- a/tests/test_gateway/test_following/test_following_documentfetch.py
+++ b/tests/test_gateway/test_following/test_following_documentfetch.py
@@ -25,6 +25,7 @@
         submit=None,
         confirm=None,
         voters_needed=1,
+        report_s=1.2,
     )
     for number, body in documents:
         service.hold(HeldDocument(number=number, document=body))
