A gateway that is behind decides for no other

Cause: an owner on a host that turns slow was trusted with its services until it fell silent; asks for pieces wait for it up to their limit.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -45,6 +45,8 @@
     address: str
     zone: str
     draining: bool = False
+    #: Whether it is too far behind to decide for others.
+    busy: bool = False
 
 
 @dataclass(kw_only=True)
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -67,6 +67,7 @@
         self.since = 0
         self.leader = ''
         self.draining = False
+        self.busy = False
         self.in_touch = False
         #: Set, and replaced, with each news.
         self.news_taken = asyncio.Event()
@@ -79,6 +80,7 @@
             address=self.node.address,
             zone=self.node.zone,
             draining=self.draining,
+            busy=self.busy,
         )
 
     @property
--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -11,6 +11,9 @@
     from ringseam.backends import GatewayState
     from ringseam.gateway.following.follower import Follower
 
+#: Gateways that are behind are passed over while this share of all are not.
+_SHARE_IN_TIME = 0.5
+
 
 class Ownership:
     """Name the deciding gateway of each service."""
@@ -39,11 +42,16 @@
         return self.owners[service]
 
     def _work_out(self, service: str) -> str:
-        staying = {state.name: state.address for state in self.gateways if not state.draining}
+        staying = [state for state in self.gateways if not state.draining]
+        in_time = [state for state in staying if not state.busy]
+        # While most are behind, another owner would be no better.
+        if len(in_time) >= _SHARE_IN_TIME * len(staying):
+            staying = in_time
         if not staying:
             return ''
-        name = rendezvous(service, sorted(staying))
-        return '' if name == self.name else staying[name]
+        addresses = {state.name: state.address for state in staying}
+        name = rendezvous(service, sorted(addresses))
+        return '' if name == self.name else addresses[name]
 
 
 def rendezvous(key: str, names: Collection[str]) -> str:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -6,12 +6,14 @@
 import logging
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
 from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
 from ringseam.gateway.engines.silence import SilenceBook
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.health import HealthBook
+from ringseam.gateway.following.lag import LoopLag
 from ringseam.gateway.following.ownership import Ownership
 from ringseam.gateway.requests.answers import Answers
 from ringseam.gateway.requests.attempts import Attempts
@@ -64,6 +66,7 @@
         own = settings.own
         self.metrics = Metrics()
         self.health = HealthBook()
+        self.lag = LoopLag()
         self.silence = SilenceBook()
         self.pool = ChannelPool(clock=self.node.clock)
         self.retries = WindowRetries(
@@ -211,5 +214,19 @@
 
     async def _listen_always(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
+            due = self.node.clock.now() + _LISTEN_S
             await asyncio.sleep(_LISTEN_S)
+            self._note_lag(self.node.clock.now() - due)
             self.leave_silent()
+
+    def _note_lag(self, late_s: float) -> None:
+        now = self.node.clock.now()
+        self.lag.note(late_s, now)
+        busy = self.lag.is_busy(now)
+        if busy != self.follower.busy:
+            self.follower.busy = busy
+            self.node.events.emit(
+                logger,
+                Event.gateway_behind if busy else Event.gateway_in_time,
+                late_ms=round(MS_PER_S * late_s),
+            )
