--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -207,6 +207,34 @@
         'if False:',
         'tests/test_control',
     ),
+    Mutation(
+        'a stage is asked for though its inputs were given up',
+        'ringseam/gateway/stages/graph.py',
+        'if len(inputs) < sum(map(self.plan.pieces_of, stage.after)):',
+        'if len(inputs) < 0:',
+        'tests/test_gateway/test_stages/test_stages_graph.py',
+    ),
+    Mutation(
+        'a call that nobody waits for goes on at the other process',
+        'ringseam/multiplex.py',
+        'self.outbox.put(Frame(number, FrameKind.cancel))',
+        'pass',
+        'tests/test_rpc',
+    ),
+    Mutation(
+        'calls outlive the stream that they came by',
+        'ringseam/multiplex.py',
+        '            for task in self.running.values():\n                task.cancel()\n',
+        '',
+        'tests/test_rpc',
+    ),
+    Mutation(
+        'a gateway that is behind goes on deciding',
+        'ringseam/gateway/following/ownership.py',
+        'if not state.busy]',
+        ']',
+        'tests/test_gateway/test_following',
+    ),
 )
 
 
--- a/tests/test_control/test_control_large_documents.py
+++ b/tests/test_control/test_control_large_documents.py
@@ -3,7 +3,7 @@
 Seen: after a document had grown to 4,200 routes (784 kB), the leader of control ended,
 its memory over the limit, a change was in force late, and after a loss of all power no
 gateway got routes again. Gateways were sent the whole document with each answer to a
-watch; that was found and mended first (``test_gateway_documentfetch``). The same cause,
+watch; that was found and mended first (``test_following_documentfetch``). The same cause,
 work in proportion to whole documents that nothing bounds, stood in the log as well: its
 entries were counted, never their bytes. An entry is a whole document, so 160 changes of
 such a document fill a disk of 128 MB, and a follower that came back from a cut was sent
