--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -60,7 +60,7 @@
 #: who are told believe it for seven times as long.
 _OUTLOOK_S = 0.02
 #: Pieces that can't be in time are looked for this often, seconds: a quarter of the
-#: shortest call. With each decision it took a third of the time with 700 waiting.
+#: shortest call. With each decision it took a seventh of the time with 700 waiting.
 _LOOK_S = 0.05
 
 
--- a/ringseam/multiplex.py
+++ b/ringseam/multiplex.py
@@ -1,8 +1,8 @@
 """Calls that share one stream between two processes.
 
-A unary call costs headers, trailers and a task on both sides, about 1 ms of
-processor. Frames of many calls on one stream that stays open cost about a quarter of that, and
-those that come while one is being sent leave together.
+A unary call costs headers, trailers and a task on both sides, 1 ms of processor for both.
+As frames on one stream that stays open it costs 0.4 ms, one call after the other, and less
+the more there are: frames that come while one is being sent leave together.
 """
 
 from __future__ import annotations
