Mend: contents that end the servers that run them are quarantined

Cause: limits on repeats were per attempt and per service; nothing linked one attempt of a client to the next, so one content ended server after server. Change: gateways tell the leader what was under way on a server that has ended (nobody listens at its address; a reset is not an end). After two ends a content runs on trial only, one at a time; after three it is rejected with 400 at every gateway. The leader pushes suspects and verdicts with the watch, and records verdicts in the log.

--- a/bench/deciders.py
+++ b/bench/deciders.py
@@ -22,6 +22,7 @@
 import typer
 
 from ringseam.backends import BackendId, BackendReport, BackendView, GatewayState
+from ringseam.gateway.following.guard import Guard
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.ownership import Ownership
 from ringseam.gateway.stages.client import PieceClient
@@ -33,6 +34,7 @@
 from ringseam.retries import WindowRetries
 from ringseam.routes import BackendService, BatchSpec, RouteTable, ServiceName
 from ringseam.sealing import Received
+from ringseam.verdicts import QuarantineNews
 
 if TYPE_CHECKING:
     from ringseam.clock import PausedClock
@@ -104,6 +106,13 @@
             calls=self,
             health=HealthBook(),
             retries=WindowRetries(),
+            guard=Guard(
+                node=self.node,
+                client=self,
+                follower=follower,
+                health=HealthBook(),
+                pool=None,
+            ),
         )
         self.pieces = PieceClient(
             clock=self.clock,
@@ -186,6 +195,8 @@
         service = BackendService(name=SERVICE, health_path='/', max_connections=9, batching=spec)
         self.table = RouteTable(services={SERVICE: service})
         self.view = BackendView()
+        self.quarantine = QuarantineNews(version=0)
+        self.in_touch = True
         for number in range(servers):
             report = BackendReport(
                 instance=BackendId(f'i{number}'),
--- a/ringseam/commands.py
+++ b/ringseam/commands.py
@@ -48,6 +48,24 @@
     instance: str
 
 
+class RecordVerdict(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """Remember that a content ends servers, or with ``lifted`` that it may run again."""
+
+    content: str
+    service: str = ''
+    account: str = ''
+    #: The versions of the software that it ended.
+    software: tuple[str, ...] = ()
+    lifts: int = 0
+    lifted: bool = False
+
+
+class VerdictRecorded(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """The verdict is remembered, or forgotten."""
+
+    content: str
+
+
 class DocumentPut(Tagged, frozen=True, kw_only=True, omit_defaults=True):
     """The newest number; another document may hold it."""
 
@@ -84,6 +102,7 @@
     ApplyFile,
     PutDocument,
     RetireBackend,
+    RecordVerdict,
     TakeToken,
     CheckToken,
     OpenRun,
@@ -96,6 +115,7 @@
     FileConflict,
     DocumentPut,
     BackendRetired,
+    VerdictRecorded,
     TokenTaken,
     LedgerResult,
 ]
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -13,6 +13,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.commands import DocumentPut, PutDocument, RetireBackend
 from ringseam.control.backenddirectory import BackendDirectory
+from ringseam.control.quarantining import QuarantineService
 from ringseam.control.replicamessages import (
     Leadership,
     NotLeading,
@@ -36,12 +37,15 @@
 from ringseam.messages import Empty, Redirect
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
     from ringseam.backends import BackendId, BackendReport
+    from ringseam.contents import ContentId
+    from ringseam.control.state import RecordedVerdict
     from ringseam.following import Confirmation, PartRequest, Submit, WatchRequest
     from ringseam.node import Node
     from ringseam.sealing import Received
+    from ringseam.verdicts import QuarantineNews
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +72,8 @@
     number: int = 0
     document: bytes = b''
     retired: tuple[str, ...] = ()
+    #: Contents that end servers.
+    quarantined: Mapping[ContentId, RecordedVerdict] = field(default_factory=dict)
 
 
 class FollowService:  # noqa: WPS214 - the calls of one interface
@@ -99,6 +105,13 @@
         self.leadership = Leadership()
         self.directory = self._new_directory()
         self.changed = asyncio.Event()
+        self.quarantining = QuarantineService(
+            node=node,
+            submit=submit,
+            wake=self._wake,
+            redirect=lambda: None if self.leadership.serves else self.redirect,
+            is_planned=self._is_leaving,
+        )
         #: Where backend servers should report; the open interface knows it.
         self.report_to = ''
 
@@ -124,6 +137,7 @@
         self.leadership = leadership
         if begins:
             self.directory = self._new_directory()
+            self.quarantining.begin(self.held.quarantined)
         self._wake()
 
     @property
@@ -143,7 +157,7 @@
             return WatchReply(reply=self.redirect)
         self.directory.follow(request, self.node.clock.now())
         self._wake()
-        await self._wait(lambda: self.directory.has_news(request, self.held.number), WATCH_S)
+        await self._wait(lambda: self._has_news(request), WATCH_S)
         if not self.leadership.serves:
             return WatchReply(reply=self.redirect)
         news = self.directory.news(request, self.node.clock.now())
@@ -152,6 +166,7 @@
                 news,
                 number=self.held.number,
                 control=self.leadership.members,
+                quarantine=self._quarantine_news(request),
             ),
         )
 
@@ -268,6 +283,24 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _has_news(self, request: WatchRequest) -> bool:
+        """Return whether a gateway lacks something."""
+        if request.quarantine != self.quarantining.book.version:
+            return True
+        return self.directory.has_news(request, self.held.number)
+
+    def _quarantine_news(self, request: WatchRequest) -> QuarantineNews | None:
+        same_epoch = request.epoch == self.directory.epoch
+        if same_epoch and request.quarantine == self.quarantining.book.version:
+            return None
+        return self.quarantining.news()
+
+    def _is_leaving(self, instance: BackendId) -> bool:
+        """Return whether a lifetime has said that it leaves: its end was planned."""
+        row = self.directory.rows.get(instance)
+        leaving = row is not None and row.report.state is not BackendState.ready
+        return leaving or instance in self.retired
+
     async def _newest_with(self, submit: Submit) -> int | None:
         """Return the newest number, at least the submitted one; None: not leading.
 
@@ -299,6 +332,7 @@
         return bool(born_of(backend)) and row.report.state is not BackendState.gone
 
     def _note(self, report: BackendReport) -> None:
+        self._tell_quarantine(report)
         known = self.directory.lifetimes.get(name_of(report.instance), report.instance)
         if self.directory.report(report, self.node.clock.now()):
             if known != report.instance:
@@ -318,6 +352,18 @@
             )
             self._wake()
 
+    def _tell_quarantine(self, report: BackendReport) -> None:
+        """Let the quarantine hear a server, where it holds something against its like."""
+        book = self.quarantining.book
+        if report.instance not in book.ends and not book.verdicts:
+            return
+        software = {
+            row.report.software
+            for row in self.directory.rows.values()
+            if row.report.service == report.service and row.report.state is BackendState.ready
+        }
+        self.quarantining.take_report(report, software)
+
     def _new_directory(self) -> BackendDirectory:
         return BackendDirectory(
             epoch=f'{self.node.incarnation}-{self.leadership.term}',
--- /dev/null
+++ b/ringseam/control/quarantining.py
@@ -0,0 +1,231 @@
+"""What the leader does about contents that end the servers that run them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from typing import TYPE_CHECKING, Any
+
+from ringseam.clock import MS_PER_S
+from ringseam.commands import RecordVerdict
+from ringseam.contents import ContentId
+from ringseam.control.replicamessages import NotLeading
+from ringseam.events import Event
+from ringseam.quarantine import Quarantine, TrialState, Verdict
+from ringseam.util.tasks import TaskSet
+from ringseam.verdicts import (
+    REPORT_ENDS,
+    REPORT_SERVED,
+    TRIAL,
+    EvidenceReply,
+    Heard,
+    QuarantineNews,
+    TrialAnswer,
+    TrialReply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterator, Mapping
+
+    from ringseam.backends import BackendReport
+    from ringseam.control.state import RecordedVerdict
+    from ringseam.lifetimes import BackendId
+    from ringseam.messages import Redirect
+    from ringseam.node import Node
+    from ringseam.rpc import CallServer
+    from ringseam.sealing import Received
+    from ringseam.verdicts import EndsReport, ServedReport, ServerEnd, TrialRequest
+
+logger = logging.getLogger(__name__)
+
+#: How often evidence is judged, seconds: well below the 3 s in which gateways must hold
+#: to a verdict. Until then what is suspected runs on trial only.
+JUDGE_S = 0.05
+
+
+class QuarantineService:
+    """Collect evidence while this replica leads, judge it and tell the gateways."""
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        submit: Callable[[Any], Awaitable[Any]],
+        wake: Callable[[], None],
+        redirect: Callable[[], Redirect | None],
+        is_planned: Callable[[BackendId], bool],
+    ) -> None:
+        """Record verdicts by ``submit``.
+
+        :param wake: lets watches that wait look again.
+        :param redirect: returns where the leader may be; None: here.
+        :param is_planned: tells whether a lifetime has said that it leaves.
+        """
+        self.node = node
+        self.submit = submit
+        self.wake = wake
+        self.redirect = redirect
+        self.is_planned = is_planned
+        self.book = Quarantine()
+        self.tasks = TaskSet()
+
+    def begin(self, recorded: Mapping[str, RecordedVerdict]) -> None:
+        """Begin a leadership with the verdicts of the log; evidence is sent again."""
+        now = self.node.clock.now()
+        self.book = Quarantine()
+        for content, known in recorded.items():
+            verdict = Verdict(
+                service=known.service,
+                account=known.account,
+                software=frozenset(known.software),
+                at=now,
+                lifts=known.lifts,
+            )
+            self.book.restore(ContentId(content), verdict)
+
+    # -- calls of gateways --------------------------------------------------
+
+    def serve(self, server: CallServer) -> None:
+        """Take these calls on a server."""
+        server.add(REPORT_ENDS, self.take_ends)
+        server.add(REPORT_SERVED, self.take_served)
+        server.add(TRIAL, self.answer_trial)
+
+    async def take_ends(self, received: Received) -> EvidenceReply:
+        """Hear what was under way on servers that ended."""
+        elsewhere = self.redirect()
+        if elsewhere is not None:
+            return EvidenceReply(reply=elsewhere)
+        report: EndsReport = received.body
+        for end in report.ends:
+            self._take_end(end)
+        return EvidenceReply(reply=Heard())
+
+    async def take_served(self, received: Received) -> EvidenceReply:
+        """Hear that a content was answered by a server, so it doesn't end such servers."""
+        elsewhere = self.redirect()
+        if elsewhere is not None:
+            return EvidenceReply(reply=elsewhere)
+        served: ServedReport = received.body
+        was_held = served.content in self.book.verdicts
+        with self._telling():
+            self.book.served(served.content, served.software, self.node.clock.now())
+        if was_held and served.content not in self.book.verdicts:
+            self._release(served.content, 'served')
+        return EvidenceReply(reply=Heard())
+
+    async def answer_trial(self, received: Received) -> TrialReply:
+        """Tell whether a suspected content may run now, or hear that its run is over."""
+        elsewhere = self.redirect()
+        if elsewhere is not None:
+            return TrialReply(reply=elsewhere)
+        request: TrialRequest = received.body
+        if request.over:
+            self.book.conclude(request.content)
+            return TrialReply(reply=TrialAnswer(state=TrialState.granted.value))
+        now = self.node.clock.now()
+        state = self.book.ask(request.content, now, request.lasts_ms / MS_PER_S)
+        self.node.events.emit(
+            logger,
+            Event.trial_asked,
+            content=request.content,
+            state=state.value,
+        )
+        return TrialReply(reply=TrialAnswer(state=state.value))
+
+    # -- what else is heard and told ----------------------------------------
+
+    def take_report(self, report: BackendReport, software: set[str]) -> None:
+        """Hear a server, and which versions its service runs."""
+        with self._telling():
+            self.book.heard(report.instance)
+            lifted = self.book.see_software(report.service, software)
+        for content in lifted:
+            self._release(content, 'other software')
+
+    def news(self) -> QuarantineNews:
+        """Return all that gateways hold to."""
+        wall = self.node.clock.wall_ms()
+        now = self.node.clock.now()
+        return QuarantineNews(
+            version=self.book.version,
+            quarantined={
+                content: wall - int((now - verdict.at) * MS_PER_S)
+                for content, verdict in self.book.verdicts.items()
+            },
+            suspects=tuple(self.book.suspects),
+            confined=tuple(self.book.confined),
+        )
+
+    async def judge_always(self) -> None:
+        """Judge the evidence at short intervals."""
+        while True:  # noqa: WPS457 - ends with the role
+            await asyncio.sleep(JUDGE_S)
+            self._judge()
+
+    # -- helpers ------------------------------------------------------------
+
+    @contextlib.contextmanager
+    def _telling(self) -> Iterator[None]:
+        """Let gateways hear what the block changes."""
+        before = self.book.version
+        yield
+        if self.book.version != before:
+            self.wake()
+
+    def _take_end(self, end: ServerEnd) -> None:
+        planned = self.is_planned(end.instance)
+        self.node.events.emit(
+            logger,
+            Event.end_reported,
+            backend=end.instance,
+            service=end.service,
+            planned=planned,
+            contents=len(end.suspects),
+        )
+        # A planned end says nothing of what was under way.
+        if not planned:
+            with self._telling():
+                self.book.ended(end, self.node.clock.now())
+
+    def _judge(self) -> None:
+        held = set(self.book.verdicts)
+        with self._telling():
+            fallen = self.book.judge(self.node.clock.now())
+        for content in fallen:
+            self._record(content)
+        for content in held & set(self.book.lifted):
+            self._release(content, 'held for long')
+
+    def _record(self, content: ContentId) -> None:
+        verdict = self.book.verdicts[content]
+        software = tuple(sorted(verdict.software))
+        self.node.events.emit(
+            logger,
+            Event.content_quarantined,
+            content=content,
+            account=verdict.account,
+            service=verdict.service,
+            backends=sorted(verdict.ends),
+            software=software,
+        )
+        command = RecordVerdict(
+            content=content,
+            service=verdict.service,
+            account=verdict.account,
+            software=software,
+            lifts=verdict.lifts,
+        )
+        self.tasks.spawn(self._commit(command))
+
+    def _release(self, content: ContentId, reason: str) -> None:
+        self.node.events.emit(logger, Event.content_released, content=content, reason=reason)
+        self.tasks.spawn(self._commit(RecordVerdict(content=content, lifted=True)))
+
+    async def _commit(self, command: RecordVerdict) -> None:
+        """Record a verdict, so that it outlives this leader and a loss of all power."""
+        outcome = await self.submit(command)
+        if isinstance(outcome, NotLeading):
+            # Gateways that know it hold to it, and send their evidence to the next leader.
+            logger.warning('verdict on %s not recorded', command.content)
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -149,6 +149,7 @@
                 number=machine.state.number,
                 document=machine.state.document,
                 retired=tuple(machine.state.retired),
+                quarantined=dict(machine.state.quarantined),
             )
             loop.call_soon_threadsafe(self.follow.hold, document)
 
@@ -312,6 +313,7 @@
         self.server.add(REPORT_BACKEND, self.follow.report)
         self.server.add(SUBMIT, self.follow.submit_document)
         self.server.add(READ_DOCUMENT, self.follow.read)
+        self.follow.quarantining.serve(self.server)
 
     # -- applying -----------------------------------------------------------
 
@@ -341,6 +343,7 @@
         await web.start(*split_address(self.settings.own['http']))
         self.stack.push_async_callback(web.close)
         self.spawn(self.follow.expire_always())
+        self.spawn(self.follow.quarantining.judge_always())
         await self.open_metrics(self.metrics)
 
     # -- background ---------------------------------------------------------
--- a/ringseam/following.py
+++ b/ringseam/following.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Union
+from typing import Optional, Union
 
 from ringseam.backends import BackendId, BackendReport, GatewayState
 from ringseam.messages import Empty, Message, Redirect, Tagged
 from ringseam.rpc import Method
+from ringseam.verdicts import QuarantineNews
 
 
 class WatchRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -22,6 +23,8 @@
     number: int = 0
     #: The newest document that the gateway has heard of, and may be fetching.
     heard: int = 0
+    #: The version of the quarantine that the gateway holds to.
+    quarantine: int = 0
 
 
 class Confirmation(Message, frozen=True, kw_only=True):
@@ -46,6 +49,8 @@
     number: int = 0
     gateways: tuple[GatewayState, ...] = ()
     control: tuple[str, ...] = ()
+    #: Contents that end servers; None: nothing new.
+    quarantine: Optional[QuarantineNews] = None
 
 
 class WatchReply(Message, frozen=True, kw_only=True):
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -143,13 +143,14 @@
             result_bytes=work.input_bytes,
             avoid=tuple(work.tries.tried),
             dry=dry,
+            account=work.suspect.account,
         )
 
     def _place_here(self, ask: PlaceRequest) -> BackendReport | None:
         service = ServiceName(ask.service)
         placement = self._placer(service).place(
             ask,
-            self.follower.view.serving(service),
+            self.follower.serving(service, ask.account),
             self._cache_tokens(service),
             self.clock.now(),
         )
--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -87,6 +87,7 @@
     result_bytes: dict[str, int] = msgspec.field(default_factory=dict)
     avoid: tuple[str, ...] = ()
     dry: bool = False
+    account: str = ''
 
 
 @dataclass(kw_only=True)
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -6,20 +6,27 @@
 import logging
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ringseam.backends import BackendView, GatewayState
 from ringseam.clock import MS_PER_S
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
 from ringseam.gateway.following.documentfetch import DocumentFetch
+from ringseam.gateway.following.ownership import rendezvous
+from ringseam.lifetimes import BackendId
 from ringseam.platform.manifest import decode_manifest
 from ringseam.routes import RouteTable
 from ringseam.util.tasks import TaskSet
+from ringseam.verdicts import QuarantineNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ringseam.backends import BackendReport
     from ringseam.node import Node
+    from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient
 
 logger = logging.getLogger(__name__)
@@ -62,6 +69,8 @@
         self.view = BackendView()
         self.gateways: tuple[GatewayState, ...] = ()
         self.epoch = ''
+        #: Contents that end servers, as the leader has told.
+        self.quarantine = QuarantineNews(version=0)
         #: The directory against which missing servers were dropped.
         self.pruned = ''
         self.since = 0
@@ -88,6 +97,18 @@
         """Return whether requests can be served."""
         return self.table.number > 0 and bool(self.view.backends)
 
+    def serving(self, service: ServiceName, account: str) -> list[BackendReport]:
+        """Return the servers that may run an account's requests.
+
+        One, where the account is confined: all gateways keep it to the same server, so
+        that the others lose one server at a time to it.
+        """
+        servers = self.view.serving(service)
+        if not servers or (account, service) not in self.quarantine.confined:
+            return servers
+        by_name = {server.instance: server for server in servers}
+        return [by_name[BackendId(rendezvous(account, sorted(by_name)))]]
+
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Learn of further control hosts."""
         self.addresses.extend(one for one in addresses if one not in self.addresses)
@@ -112,6 +133,7 @@
             self.view.take(report)
         for instance in news.silent:
             self.view.lose(instance)
+        self._take_quarantine(news)
         self.epoch = news.epoch
         self.since = news.upto
         if news.warm and self.pruned != news.epoch:
@@ -170,6 +192,7 @@
             since=self.since if followed else 0,
             number=self.table.number,
             heard=self.heard if followed else 0,
+            quarantine=self.quarantine.version if followed else 0,
         )
         limit_s = _WATCH_TIMEOUT_S if followed else _SEARCH_TIMEOUT_S
         try:
@@ -185,6 +208,20 @@
         self.leader = reply.leader
         return bool(reply.leader)
 
+    def _take_quarantine(self, news: WatchNews) -> None:
+        """Hold to the leader's verdicts.
+
+        A leader that has just begun may lack the last ones of the one before; until it
+        has heard all gateways, those stay in force too.
+        """
+        if news.quarantine is None:
+            return
+        held = news.quarantine
+        if news.epoch != self.epoch and not news.warm:
+            both = {**self.quarantine.quarantined, **held.quarantined}
+            held = msgspec.structs.replace(held, quarantined=both)
+        self.quarantine = held
+
     def _prune(self, news: WatchNews) -> None:
         """Drop what a directory that is complete doesn't have."""
         if news.whole:
--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-_BAD_REQUEST = 400
+BAD_REQUEST = 400
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 BAD_GATEWAY = 502
@@ -54,6 +54,16 @@
         self.metrics.add('requests', status=str(status), route='')
         await exchange.respond(status, _marks(request))
 
+    async def reject_content(self, work: Work) -> None:
+        """Answer a request that ends servers: it doesn't run, now or later.
+
+        The status is final, as no other try of it would be taken either.
+        """
+        self.log(work, Event.request_quarantined, content=work.content_id)
+        self.metrics.add('requests_quarantined', route=work.route.name)
+        self.metrics.add('requests', status=str(BAD_REQUEST), route=work.route.name)
+        await work.exchange.respond(BAD_REQUEST, _marks(work.request))
+
     async def refuse(
         self,
         exchange: Exchange,
@@ -101,7 +111,7 @@
         took_ms = (self.node.clock.now() - work.arrived) * MS_PER_S
         paused = 0 < work.route.gap_objective_s < gap
         late = paused or first_at > work.objective
-        work.in_time = status < _BAD_REQUEST and not late
+        work.in_time = status < BAD_REQUEST and not late
         self.metrics.add('requests', status=str(status), route=work.route.name)
         self.metrics.record_ms('request', took_ms, route=work.route.name)
         self.log(
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import types
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
@@ -11,14 +12,14 @@
 from ringseam.gateway.requests.choice import MeasuredChoice
 from ringseam.gateway.requests.directtries import DirectTries
 from ringseam.gateway.requests.relay import StreamEnd, StreamRelay, client_headers, is_stream
-from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
+from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Quarantined
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.gateway.engines.client import PlaceClient
     from ringseam.gateway.following.follower import Follower
-    from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.following.guard import Guard
     from ringseam.gateway.requests.answers import Answers
     from ringseam.gateway.requests.sending import Sender
     from ringseam.gateway.stages.graph import StageRun
@@ -31,6 +32,15 @@
 _BAD_REQUEST = 400
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
+#: What an unfinished stream says of its server.
+_CAUSES = types.MappingProxyType(
+    {
+        StreamEnd.deadline: LossCause.timeout,
+        StreamEnd.broken: LossCause.broken,
+        StreamEnd.silent: LossCause.gap,
+        StreamEnd.out_of_order: LossCause.gap,
+    },
+)
 
 
 class Attempts:  # noqa: WPS214 - the steps from choice to answer
@@ -42,20 +52,21 @@
         node: Node,
         follower: Follower,
         sender: Sender,
-        health: HealthBook,
         placements: PlaceClient,
         retries: RetryPolicy,
         answers: Answers,
+        guard: Guard,
     ) -> None:
         """Send through ``sender``."""
         self.clock = node.clock
         self.follower = follower
         self.sender = sender
-        self.health = health
+        self.health = sender.health
         self.placements = placements
         self.retries = retries
         self.answers = answers
-        self.plain = MeasuredChoice(health=health, zone=node.zone)
+        self.guard = guard
+        self.plain = MeasuredChoice(health=sender.health, zone=node.zone)
 
     async def run(self, work: Work, stages: StageRun | None) -> None:
         """Send until an answer is passed on, else give the final answer."""
@@ -73,7 +84,7 @@
             return await self.placements.choose(work)
         servers = [
             server
-            for server in self.follower.view.serving(work.service)
+            for server in self.follower.serving(work.service, work.suspect.account)
             if server.instance not in work.tries.tried
         ]
         return self.plain.choose(servers, self.clock.now())
@@ -95,21 +106,40 @@
             sends=work.tries.sends,
             last=relay.last,
         )
-        begun = self.clock.now()
+        self.guard.sent(server, work.request.attempt_id, work.suspect)
         try:
-            last = relay.last if relay.started else None
-            outcome = await self.sender.send(work, server, last_event=last)
-            if isinstance(outcome, Answered):
-                outcome = await self._pass_on(work, server, outcome, relay, begun)
+            outcome = await self._send(work, server, relay)
         finally:
             standing.in_flight -= 1
-            if work.route.affinity:
-                self.sender.silence.ended(server.instance, work.request.attempt_id)
-                self.placements.ended(work)
+            self._note_over(work, server)
         self._forget_replaced(server, outcome)
         self._note_lost(work, server, outcome)
+        if isinstance(outcome, Answered):
+            self.guard.answered(server, work.content_id)
         return outcome
 
+    async def _send(
+        self,
+        work: Work,
+        server: BackendReport,
+        relay: StreamRelay,
+    ) -> TryOutcome:
+        begun = self.clock.now()
+        last = relay.last if relay.started else None
+        outcome = await self.sender.send(work, server, last_event=last)
+        if isinstance(outcome, Answered):
+            outcome = await self._pass_on(work, server, outcome, relay, begun)
+        if isinstance(outcome, Lost) and outcome.is_broken:
+            await self.guard.broke(server)
+        return outcome
+
+    def _note_over(self, work: Work, server: BackendReport) -> None:
+        """Hear that a request is no longer under way at a server."""
+        self.guard.over(server, work.request.attempt_id)
+        if work.route.affinity:
+            self.sender.silence.ended(server.instance, work.request.attempt_id)
+            self.placements.ended(work)
+
     def _forget_replaced(self, server: BackendReport, outcome: TryOutcome) -> None:
         """Forget a server whose address another one has: a late report named it."""
         if isinstance(outcome, NotRun) and outcome.status == _MISDIRECTED:
@@ -164,7 +194,10 @@
         try:
             async with asyncio.timeout(max(0, work.deadline - self.clock.now())):
                 body = await answered.channel.whole_body()
-        except (ChannelError, asyncio.TimeoutError) as error:
+        except ChannelError as error:
+            self._count_failure(work, server)
+            return Lost(cause=LossCause.broken, detail=f'{server.address}: {error}')
+        except asyncio.TimeoutError as error:
             self._count_failure(work, server)
             return Lost(cause=LossCause.not_whole, detail=f'{server.address}: {error}')
         status = answered.head.status
@@ -207,7 +240,7 @@
             end=end.value,
             last=relay.last,
         )
-        cause = LossCause.timeout if end is StreamEnd.deadline else LossCause.gap
+        cause = _CAUSES[end]
         return Lost(cause=cause, detail=f'{server.address}: stream {end.value}')
 
     def _has_another_chance(self, work: Work) -> bool:
@@ -228,9 +261,11 @@
         relay: StreamRelay,
     ) -> None:
         """Give the final answer at once."""
-        detail = outcome.detail if isinstance(outcome, (NotRun, Lost)) else ''
+        detail = '' if outcome is None or isinstance(outcome, Answered) else outcome.detail
         if relay.started:
             self.answers.break_off(work, detail)
+        elif isinstance(outcome, Quarantined) and not work.tries.lost:
+            await self.answers.reject_content(work)
         elif work.tries.lost:
             late = self.clock.now() >= work.deadline
             await self.answers.fail(work, GATEWAY_TIMEOUT if late else BAD_GATEWAY, detail)
--- a/ringseam/gateway/requests/directtries.py
+++ b/ringseam/gateway/requests/directtries.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.stages.scheduler import FETCH_S
-from ringseam.gateway.work import Answered, NotRun
+from ringseam.gateway.work import Answered, NotRun, Quarantined
+from ringseam.quarantine import TrialState
 from ringseam.retries import Retry
 from ringseam.tries import Tries, TryEnd
 
@@ -45,6 +46,8 @@
         """
         if not await self._has_inputs():
             return None
+        if not await self._is_admitted():
+            return None
         server = await self.attempts.choose(self.work)
         if self.work.deadline <= self.attempts.clock.now():
             return None
@@ -68,6 +71,15 @@
         retry = Retry(service=self.work.service, now=self.attempts.clock.now())
         return self.attempts.retries.may_retry(retry)
 
+    async def _is_admitted(self) -> bool:
+        """Return whether the content may be sent: a verdict may have fallen by now."""
+        state = await self.attempts.guard.admit(self.work)
+        if state is TrialState.quarantined:
+            self.outcome = Quarantined()
+        elif state is TrialState.busy:
+            self.outcome = NotRun(detail='its content is suspected, and another run is under way')
+        return state is TrialState.granted
+
     async def _has_inputs(self) -> bool:
         if self.stages is None or self.stages.is_held:
             return True
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -8,6 +8,7 @@
 
 from ringseam.contents import content_of
 from ringseam.events import Event
+from ringseam.gateway.following.guard import COME_BACK_S as SUSPECT_COME_BACK_S
 from ringseam.gateway.requests.admission import LAST_SERVER_S, Admission
 from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.requests.fairness import Fairness
@@ -15,6 +16,7 @@
 from ringseam.gateway.work import Work
 from ringseam.platform.requests import decode_request
 from ringseam.platform.stages import PieceFault
+from ringseam.quarantine import TrialState
 from ringseam.util.tasks import cancelled
 
 if TYPE_CHECKING:
@@ -170,6 +172,28 @@
         return self.random.choices(services, weights)[0]
 
     async def _serve(self, work: Work) -> None:
+        try:
+            if await self._is_admitted(work):
+                await self._run(work)
+        finally:
+            self.attempts.guard.conclude(work)
+
+    async def _is_admitted(self, work: Work) -> bool:
+        """Answer a request at once whose content ends servers, or may do so."""
+        state = await self.attempts.guard.admit(work)
+        if state is TrialState.quarantined:
+            await self.answers.reject_content(work)
+        elif state is TrialState.busy:
+            await self.answers.refuse(
+                work.exchange,
+                work.request,
+                'its content is suspected, and another run is under way',
+                come_back_s=SUSPECT_COME_BACK_S,
+                route=work.route.name,
+            )
+        return state is TrialState.granted
+
+    async def _run(self, work: Work) -> None:
         self.attempts.retries.requested(work.service, self.clock.now())
         if not has_stages(work.route, work.request.pieces):
             await self.attempts.run(work, None)
@@ -228,6 +252,9 @@
 
     async def _refuse_staged(self, work: Work, stages: StageRun, fault: StageFault) -> None:
         """Refuse what its stages can't be made for; it may come back."""
+        if self.attempts.guard.is_quarantined(work.content_id):
+            await self.answers.reject_content(work)
+            return
         left_s = work.deadline - self.clock.now()
         # Another process may have the time at once when this one only stops.
         needed_s = 0 if self.leaving.is_set() else stages.predicted_s()
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -12,6 +12,7 @@
 from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
 from ringseam.gateway.engines.silence import SilenceBook
 from ringseam.gateway.following.follower import Follower
+from ringseam.gateway.following.guard import Guard
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.lag import LoopLag
 from ringseam.gateway.following.ownership import Ownership
@@ -80,6 +81,13 @@
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._changed,
         )
+        self.guard = Guard(
+            node=self.node,
+            client=self.client,
+            follower=self.follower,
+            health=self.health,
+            pool=self.pool,
+        )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
         self.placements = PlaceClient(
             node=self.node,
@@ -94,6 +102,7 @@
             calls=PieceCalls(pool=self.pool, clock=self.node.clock),
             health=self.health,
             retries=self.retries,
+            guard=self.guard,
         )
         self.pieces = PieceClient(
             clock=self.node.clock,
@@ -116,10 +125,10 @@
                     silence=self.silence,
                     clock=self.node.clock,
                 ),
-                health=self.health,
                 placements=self.placements,
                 retries=self.retries,
                 answers=answers,
+                guard=self.guard,
             ),
             answers=answers,
         )
@@ -200,6 +209,7 @@
         self.clients.limits.body_bytes = limits.body_bytes
         self.clients.limits.head_s = limits.head_s
         self.clients.limits.idle_s = limits.idle_s
+        self.guard.see_news()
         self.retries.processes = max(1, len(self.follower.gateways))
         self.works.see_gateways(self.follower.gateways)
         self.works.refresh()
@@ -217,6 +227,7 @@
             due = self.node.clock.now() + _LISTEN_S
             await asyncio.sleep(_LISTEN_S)
             self._note_lag(self.node.clock.now() - due)
+            self.guard.judge()
             self.leave_silent()
 
     def _note_lag(self, late_s: float) -> None:
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -188,6 +188,11 @@
         self.flow.ended(instance)
         self.rooms.freed(instance, sum(piece.job.result_bytes for piece in call.pieces))
 
+    def withdraw(self, call: StageCall, piece: Piece) -> None:
+        """Take a piece out of a call that has not been sent."""
+        call.pieces.remove(piece)
+        self.rooms.freed(call.server.instance, piece.job.result_bytes)
+
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget servers that are gone."""
         self.rooms.keep_only(instances)
--- a/ringseam/gateway/stages/client.py
+++ b/ringseam/gateway/stages/client.py
@@ -31,6 +31,7 @@
 from ringseam.messages import Empty
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.util.tasks import TaskSet
+from ringseam.verdicts import Suspect
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -249,6 +250,9 @@
         zone=job.zone,
         expires_ms=-1 if math.isinf(job.expires) else max(0, int((job.expires - now) * MS_PER_S)),
         inputs_of=job.inputs_of,
+        content=job.suspect.content,
+        account=job.suspect.account,
+        on_trial=job.on_trial,
     )
 
 
@@ -268,6 +272,8 @@
         zone=request.zone,
         expires=math.inf if request.expires_ms < 0 else now + request.expires_ms / MS_PER_S,
         inputs_of=request.inputs_of,
+        suspect=Suspect(content=request.content, account=request.account),
+        on_trial=request.on_trial,
     )
 
 
--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -217,6 +217,8 @@
             expires=self._expiry_of_inputs(stage),
             zone=self._zone_for(number, inputs),
             inputs_of=self.plan.sole_maker(number),
+            suspect=work.suspect,
+            on_trial=work.on_trial,
         )
 
     def _zone_for(self, number: int, inputs: tuple[str, ...]) -> str:
--- a/ringseam/gateway/stages/jobs.py
+++ b/ringseam/gateway/stages/jobs.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.contents import ContentId
 from ringseam.gateway.worth import Precedence
+from ringseam.verdicts import Suspect
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendReport
@@ -37,6 +39,10 @@
     zone: str = ''
     #: The service that made the inputs, when nothing else needs them after this.
     inputs_of: str = ''
+    #: What its request asks for, and for whom.
+    suspect: Suspect = field(default_factory=lambda: Suspect(content=ContentId('')))
+    #: Whether this is the only run of a suspected content.
+    on_trial: bool = False
 
     @functools.cached_property
     def precedence(self) -> Precedence:
--- a/ringseam/gateway/stages/messages.py
+++ b/ringseam/gateway/stages/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ringseam.contents import ContentId
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
 from ringseam.rpc import Method
@@ -27,6 +28,10 @@
     #: Until the first input is given up, in milliseconds; negative: never.
     expires_ms: int = -1
     inputs_of: str = ''
+    content: ContentId = ContentId('')
+    account: str = ''
+    #: Whether this is the only run of a suspected content.
+    on_trial: bool = False
 
 
 class Waits(Message, frozen=True, kw_only=True, omit_defaults=True):
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -27,6 +27,7 @@
 
     from ringseam.backends import BackendReport, GatewayState
     from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.following.guard import Guard
     from ringseam.gateway.following.health import HealthBook
     from ringseam.gateway.stages.calls import PieceCalls
     from ringseam.gateway.stages.jobs import (
@@ -75,6 +76,7 @@
         calls: PieceCalls,
         health: HealthBook,
         retries: RetryPolicy,
+        guard: Guard,
     ) -> None:
         """Work with the servers that ``follower`` knows."""
         self.node = node
@@ -82,6 +84,7 @@
         self.calls = calls
         self.health = health
         self.retries = retries
+        self.guard = guard
         self.log = PieceLog(node=node)
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks = TaskSet()
@@ -182,7 +185,8 @@
         now = self.node.clock.now()
         call = works.batcher.next_call(self._servers(service), spec, now)
         while call is not None:
-            self.tasks.spawn(self._call(works, call, spec))
+            if self._admits(works, call):
+                self.tasks.spawn(self._call(works, call, spec))
             call = works.batcher.next_call(self._servers(service), spec, now)
         if now >= works.look_at:
             works.look_at = now + _LOOK_S
@@ -190,6 +194,23 @@
                 works.batcher.cancel([piece])
                 works.resolve(piece, PieceResult(fault=PieceFault.late))
 
+    def _admits(self, works: ServicePieces, call: StageCall) -> bool:
+        """Take out pieces whose content ends servers; False when none are left.
+
+        A verdict may have fallen while they waited.
+        """
+        held_back = [
+            piece
+            for piece in call.pieces
+            if not self.guard.may_make(piece.job.suspect.content, on_trial=piece.job.on_trial)
+        ]
+        for piece in held_back:
+            works.batcher.withdraw(call, piece)
+            works.resolve(piece, PieceResult(fault=PieceFault.error))
+        if not call.pieces:
+            works.batcher.ended(call)
+        return bool(call.pieces)
+
     async def _call(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         started = self.node.clock.now()
         self.log.sent(works.batcher, call)
@@ -216,16 +237,23 @@
 
     async def _attempt(self, call: StageCall, limit_s: float) -> list[PieceResult] | CallFailure:
         """Return what a call made, or how it failed."""
+        for piece in call.pieces:
+            self.guard.sent(call.server, _name_of(piece), piece.job.suspect)
         try:
             async with asyncio.timeout(limit_s):
                 return await self.calls.run(call)
         except FullError as error:
             return CallFailure(end=CallEnd.full, detail=str(error))
         except ChannelError as error:
+            if error.sent:
+                await self.guard.broke(call.server)
             end = CallEnd.broken if error.sent else CallEnd.unsent
             return CallFailure(end=end, detail=str(error))
         except (msgspec.MsgspecError, asyncio.TimeoutError) as error:
             return CallFailure(end=CallEnd.broken, detail=f'{type(error).__name__} {error}')
+        finally:
+            for piece in call.pieces:
+                self.guard.over(call.server, _name_of(piece))
 
     def _judge(self, works: ServicePieces, call: StageCall, end: CallEnd) -> None:
         """Count a failed call against its server.
@@ -378,3 +406,8 @@
     def _spec(self, service: ServiceName) -> BatchSpec | None:
         known = self.follower.table.services.get(service)
         return known.batching if known else None
+
+
+def _name_of(piece: Piece) -> str:
+    """Return what tells a piece from others that are under way."""
+    return f'{piece.job.attempt_id}/{piece.job.stage}/{piece.number}'
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -8,6 +8,7 @@
 
 from ringseam.gateway.worth import Precedence, rank_of
 from ringseam.tries import TryRecord
+from ringseam.verdicts import Suspect
 
 if TYPE_CHECKING:
     from ringseam.contents import ContentId
@@ -25,6 +26,8 @@
     not_whole = 'not-whole'
     not_authentic = 'not-authentic'
     gap = 'gap'
+    #: The connection broke within the answer.
+    broken = 'broken'
 
 
 @dataclass(kw_only=True)
@@ -53,6 +56,8 @@
     asked_before_s: float = 0
     #: Whether it was answered within its objective.
     in_time: bool = False
+    #: Whether this is the only run of a suspected content.
+    on_trial: bool = False
     #: How long the stages took, seconds.
     stages_s: float = 0
     #: How long stages and server were predicted to take, seconds.
@@ -62,6 +67,12 @@
         """Begin without a try."""
         self.tries = TryRecord(repeatable=self.route.repeatable, most=self.route.max_attempts)
 
+    @property
+    def suspect(self) -> Suspect:
+        """Return what is told of the request if its server ends."""
+        account = self.account.name if self.account else ''
+        return Suspect(content=self.content_id, account=account)
+
     @property
     def objective(self) -> float:
         """Return when an answer stops earning its full worth."""
@@ -114,5 +125,17 @@
     cause: LossCause
     detail: str
 
+    @property
+    def is_broken(self) -> bool:
+        """Return whether its connection broke, as it does when a server ends."""
+        return self.cause in {LossCause.connection, LossCause.broken}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Quarantined:
+    """The request may not be sent any more: what it asks for ends servers."""
+
+    detail: str = 'its content ends servers'
+
 
-TryOutcome = Union[Answered, NotRun, Lost]
+TryOutcome = Union[Answered, NotRun, Lost, Quarantined]
--- a/ringseam/model/clients.py
+++ b/ringseam/model/clients.py
@@ -226,7 +226,8 @@
             method='POST',
             target=asked.path,
             headers=encode_request(asked),
-            body=b'',
+            # The last part of a prompt is the request's own: its retries ask for the same.
+            body=asked.prefix[-1].name.encode() if asked.prefix else b'',
             arrived=self.clock.now(),
         )
 
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -11,12 +11,13 @@
 from ringseam.gateway.work import Answered, NotRun
 from ringseam.model.stageservers import way_between
 from ringseam.platform.requests import AnswerMarks
-from ringseam.web.client import ChannelError, ResponseHead
+from ringseam.web.client import ChannelError, RefusedError, ResponseHead
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.clock import Clock
     from ringseam.gateway.engines.silence import SilenceBook
+    from ringseam.gateway.following.health import HealthBook
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.model.pattern import ServiceLoad
     from ringseam.model.stageservers import Results
@@ -191,9 +192,26 @@
         self.engine.cancel(self.run)
 
 
+class ModelConnection:
+    """A connection on which nothing is sent."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@dataclass(kw_only=True)
 class ModelPool:
     """Takes channels back, as a pool of connections would."""
 
+    engines: dict[str, ModelEngine]
+
+    async def connect(self, address: str, *, timeout_s: float) -> ModelConnection:
+        """Return a new connection; an engine that is down refuses it."""
+        engine = self.engines.get(address)
+        if engine is not None and engine.down:
+            raise RefusedError(f'{address}: down', sent=False)
+        return ModelConnection()
+
     def release(self, channel: ModelChannel) -> None:
         """Do nothing: there are no connections."""
 
@@ -209,7 +227,12 @@
     zone_s: float
     #: How many events a request is answered with.
     events_of: dict[str, int]
-    pool: ModelPool = field(default_factory=ModelPool)
+    health: HealthBook
+    pool: ModelPool = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Connect to the same engines."""
+        self.pool = ModelPool(engines=self.engines)
 
     async def send(
         self,
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -11,6 +11,7 @@
 from ringseam.errors import UnreachableError
 from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
 from ringseam.gateway.engines.silence import SilenceBook
+from ringseam.gateway.following.guard import Guard
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.ownership import Ownership
 from ringseam.gateway.requests.answers import Answers
@@ -25,12 +26,14 @@
 from ringseam.node import Node
 from ringseam.retries import WindowRetries
 from ringseam.sealing import Received
+from ringseam.verdicts import QuarantineNews
 
 if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
     from ringseam.clock import Clock
     from ringseam.model.engines import ModelEngine
     from ringseam.model.stageservers import Results, StageServer
-    from ringseam.routes import RouteTable
+    from ringseam.routes import RouteTable, ServiceName
 
 logger = logging.getLogger(__name__)
 
@@ -58,6 +61,14 @@
         self.table = table
         self.view = BackendView()
         self.gateways: tuple[GatewayState, ...] = ()
+        self.quarantine = QuarantineNews(version=0)
+        self.in_touch = True
+        self.leader = ''
+        self.epoch = ''
+
+    def serving(self, service: ServiceName, account: str) -> list[BackendReport]:
+        """Return the servers of a service; no account is confined."""
+        return self.view.serving(service)
 
     async def await_routes(self, limit_s: float) -> None:
         """Return: there always are routes."""
@@ -129,6 +140,22 @@
             ownership=ownership,
         )
         retries = WindowRetries(slack=_RETRY_SLACK)
+        sender: Any = ModelSender(
+            engines=servers.engines,
+            kept=servers.kept,
+            silence=SilenceBook(),
+            zone=zone,
+            zone_s=links.zone_s,
+            events_of=servers.events_of,
+            health=self.health,
+        )
+        self.guard = Guard(
+            node=node,
+            client=client,
+            follower=self.follower,
+            health=self.health,
+            pool=sender.pool,
+        )
         calls: Any = ModelPieceCalls(servers=servers.stages, zone=zone, zone_s=links.zone_s)
         self.works = PieceScheduler(
             node=node,
@@ -136,26 +163,19 @@
             calls=calls,
             health=self.health,
             retries=retries,
+            guard=self.guard,
         )
         self.pieces = PieceClient(clock=clock, client=client, works=self.works, ownership=ownership)
         self.works.give_up = self.pieces.release
         answers = Answers(node=node, metrics=Metrics())
-        sender: Any = ModelSender(
-            engines=servers.engines,
-            kept=servers.kept,
-            silence=SilenceBook(),
-            zone=zone,
-            zone_s=links.zone_s,
-            events_of=servers.events_of,
-        )
         attempts = Attempts(
             node=node,
             follower=self.follower,
             sender=sender,
-            health=self.health,
             placements=self.placements,
             retries=retries,
             answers=answers,
+            guard=self.guard,
         )
         self.forwarder = Forwarder(
             node=node,
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -50,6 +50,10 @@
         self.sent = sent
 
 
+class RefusedError(ChannelError):
+    """Nobody listens at the address, on a host that runs."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ResponseHead:
     """Status and headers of an answer."""
@@ -313,6 +317,8 @@
                     host,
                     port,
                 )
+        except ConnectionRefusedError as error:
+            raise RefusedError(f'{address}: {error}', sent=False) from None
         except (OSError, asyncio.TimeoutError) as error:
             raise ChannelError(f'{address}: {type(error).__name__} {error}', sent=False) from None
         return channel
--- a/tests/test_gateway/test_stages/test_stages_graph.py
+++ b/tests/test_gateway/test_stages/test_stages_graph.py
@@ -10,10 +10,12 @@
 from hypothesis import strategies as st
 
 from ringseam.clock import PausedClock
+from ringseam.contents import ContentId
 from ringseam.gateway.stages.graph import StageRun
 from ringseam.gateway.worth import Precedence
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.routes import BackendService, BatchSpec, RouteStage, RouteTable, ServiceName
+from ringseam.verdicts import Suspect
 
 SPEC = BatchSpec(slots=1, queue=2, batch=4, call_s=0.2, piece_s=0.02, room_bytes=10**7, keep_s=4)
 CROPS = ServiceName('crops')
@@ -63,6 +65,8 @@
         goal=10,
         deadline=20,
         precedence=Precedence(rank=1),
+        suspect=Suspect(content=ContentId('c1')),
+        on_trial=False,
     )
     table = RouteTable(
         services={
