Mend: one clock that counts the time in which a host is suspended

Cause: decisions, timers and deadlines went by a clock that stands still in a suspension; after it a gateway would hand servers more time than was left, and leases, reports and connections looked younger than they were. Change: ringseam.clock.steady reads CLOCK_BOOTTIME; the event loop of all programs goes by it and waits in steps of 0.1 s, so that timers that came due meanwhile fire. No module reads another clock (tested).

--- a/ringseam/util/logqueue.py
+++ b/ringseam/util/logqueue.py
@@ -9,6 +9,8 @@
 from logging.handlers import QueueHandler, QueueListener
 from typing import TYPE_CHECKING
 
+from ringseam.clock import steady
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -83,8 +85,8 @@
 
 def drain(handler: DroppingHandler, *, within_s: float) -> None:
     """Wait until lines are written, a little at most, before a process ends."""
-    until = time.monotonic() + within_s
-    while not handler.queue.empty() and time.monotonic() < until:
+    until = steady() + within_s
+    while not handler.queue.empty() and steady() < until:
         time.sleep(_POLL_S)
 
 
--- /dev/null
+++ b/tests/test_clock.py
@@ -0,0 +1,88 @@
+"""The one clock of the runtime counts the time in which the host is suspended.
+
+Seen: the usual monotonic clock stands still in a suspension, so deadlines, leases and
+what is known of servers looked younger than they were to everybody else.
+"""
+
+import ast
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+import ringseam
+from ringseam.clock import LONGEST_WAIT_S, RuntimeClock, run_loop, steady
+from tests.suspension import Suspension
+
+PACKAGE = Path(ringseam.__file__).parent
+#: Readings of clocks that stand still while the host is suspended.
+STANDING = {'monotonic', 'monotonic_ns', 'perf_counter', 'perf_counter_ns'}
+
+
+@pytest.fixture
+def suspension(monkeypatch):
+    return Suspension(monkeypatch)
+
+
+def test_clock_and_loop_count_a_suspension_alike(suspension):
+    async def times():
+        loop = asyncio.get_running_loop()
+        before = (RuntimeClock().now(), loop.time(), time.monotonic())
+        suspension.last(5)
+        after = (RuntimeClock().now(), loop.time(), time.monotonic())
+        return [late - early for early, late in zip(before, after, strict=True)]
+
+    by_clock, by_loop, standing = run_loop(times())
+    assert by_clock == pytest.approx(5, abs=0.1)
+    assert by_loop == pytest.approx(5, abs=0.1)
+    assert standing < 0.1
+
+
+def test_timer_that_came_due_in_a_suspension_fires_soon(suspension):
+    async def wait():
+        suspended = asyncio.get_running_loop().call_later(0.01, suspension.last, 30)
+        begun = time.monotonic()
+        await asyncio.sleep(30)
+        suspended.cancel()
+        return time.monotonic() - begun
+
+    assert run_loop(wait()) < 0.01 + 2 * LONGEST_WAIT_S
+
+
+def test_timeout_that_passed_in_a_suspension_ends_the_wait(suspension):
+    async def wait():
+        asyncio.get_running_loop().call_later(0.01, suspension.last, 30)
+        async with asyncio.timeout(20):
+            await asyncio.Event().wait()
+
+    with pytest.raises(TimeoutError):
+        run_loop(wait())
+
+
+def test_nothing_of_the_package_reads_a_clock_that_stands_still():
+    found = [
+        f'{path.relative_to(PACKAGE)}: {node.attr}'
+        for path in PACKAGE.rglob('*.py')
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute) and node.attr in STANDING
+    ]
+    assert not found
+
+
+def test_programs_run_on_the_steady_loop():
+    found = [
+        str(path.relative_to(PACKAGE))
+        for path in PACKAGE.rglob('*.py')
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Attribute)
+        and node.attr in {'run', 'new_event_loop', 'run_until_complete'}
+        and isinstance(node.value, ast.Name)
+        and node.value.id == 'asyncio'
+    ]
+    assert not found
+
+
+def test_steady_time_never_goes_back():
+    readings = [steady() for _ in range(1000)]
+    assert readings == sorted(readings)
