--- /dev/null
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -0,0 +1,222 @@
+"""What a gateway takes for the end of a server, and what it sends to none any more."""
+
+import asyncio
+
+import pytest
+
+from ringseam.contents import content_of
+from ringseam.lifetimes import BackendId
+from ringseam.platform.stages import PieceResult, decode_orders, encode_results
+from ringseam.quarantine import SETTLE_S
+from ringseam.verdicts import QuarantineNews, Suspect
+from ringseam.web.server import Request
+from tests.gateways import (
+    LocalGateway,
+    ScriptedServer,
+    answer,
+    chunk,
+    event,
+    reset,
+    stream_head,
+)
+
+SECRET = b'0123456789abcdef'
+
+
+def content(path, body=b'body', account='acme'):
+    """Return the identity of what :meth:`LocalGateway.ask` asks for."""
+    request = Request(method='POST', target=path, headers=[], body=body, arrived=0)
+    return content_of(request, host='h.example', account=account, secret=SECRET)
+
+
+class Ending(ScriptedServer):
+    """A server that ends when it has begun a request."""
+
+    def __init__(self, before=b''):
+        super().__init__(self.end)
+        self.before = before
+        self.writers = []
+
+    async def end(self, asked, writer):
+        self.writers.append(writer)
+        if asked.header('X-Waits'):
+            await asyncio.sleep(5)
+        if self.before:
+            writer.write(stream_head(asked) + self.before)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+        self.server.close()
+        for one in self.writers:
+            reset(one)
+
+
+async def good(asked, writer):
+    writer.write(answer(asked))
+
+
+async def resetting(asked, writer):
+    reset(writer)
+
+
+async def make_slowly(asked, writer):
+    """Make pieces, one call after the other."""
+    orders = decode_orders(asked.body)
+    await asyncio.sleep(0.3)
+    made = [PieceResult(handle=f'a/{order.attempt_id}-{order.piece}') for order in orders]
+    writer.write(answer(asked, encode_results(made), attempt=''))
+
+
+async def add(gateway, server, name, **known):
+    gateway.add(await server.start(), name=name, **known)
+
+
+def test_reset_by_a_server_that_goes_on_is_no_end(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            for name in 'abc':
+                await add(gateway, ScriptedServer(resetting), name)
+            for number in range(6):
+                await gateway.ask('/idem/x', Attempt_Id=f'r{number}')
+            assert not gateway.role.guard.seen
+            assert not gateway.role.guard.local.ends
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('before', [b'', chunk(event(1))])
+def test_all_that_was_under_way_on_a_server_that_ended_is_suspected(key_file, before):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            await add(gateway, Ending(before), 'a')
+            mate = asyncio.create_task(gateway.ask('/cut/mate', X_Waits='1', Attempt_Id='r2'))
+            await asyncio.sleep(0.05)
+            await gateway.ask('/cut/x')
+            await mate
+            ((_, end),) = gateway.role.guard.seen
+        found = {suspect.content for suspect in end.suspects}
+        assert found == {content('/cut/x'), content('/cut/mate')}
+        assert {suspect.account for suspect in end.suspects} == {'acme'}
+        assert not gateway.role.guard.under_way.by_server
+
+    asyncio.run(run())
+
+
+def test_without_a_leader_a_gateway_judges_by_what_it_has_seen(key_file):
+    async def run():
+        servers = [Ending() for _ in range(3)]
+        async with LocalGateway(key_file) as gateway:
+            for number, server in enumerate(servers):
+                await add(gateway, server, f'a{number}')
+            for number in range(3):
+                await gateway.ask('/idem/x', Attempt_Id=f'r{number}')
+            gateway.role.guard.local.judge(gateway.role.node.clock.now() + SETTLE_S)
+            sound = ScriptedServer(good)
+            await add(gateway, sound, 'z')
+            status, raw = await gateway.ask('/idem/x', Attempt_Id='again')
+            other, _ = await gateway.ask('/idem/other', Attempt_Id='other')
+        assert (status, other) == (400, 200)
+        assert b'retry-after' not in raw.lower()
+        assert [asked.attempt for asked in sound.asked] == ['other']
+
+    asyncio.run(run())
+
+
+def test_quarantined_content_reaches_no_server_under_any_id(key_file):
+    async def run():
+        server = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            await add(gateway, server, 'a')
+            await add(gateway, server, 'b', service='crops')
+            held = {content('/idem/x'): 0, content('/staged/x'): 0}
+            gateway.role.follower.quarantine = QuarantineNews(version=2, quarantined=held)
+            statuses = [
+                (await gateway.ask(path, Attempt_Id='new', Pieces=pieces))[0]
+                for path, pieces in (('/idem/x', ''), ('/staged/x', '1'), ('/idem/y', ''))
+            ]
+        assert statuses == [400, 400, 200]
+        assert len(server.asked) == 1
+
+    asyncio.run(run())
+
+
+def test_suspected_content_waits_for_the_leaders_word(key_file):
+    """Its leader can't be reached: it is refused and may come back; nothing has run."""
+
+    async def run():
+        server = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            await add(gateway, server, 'a')
+            gateway.role.follower.in_touch = True
+            gateway.role.follower.leader = '127.0.0.1:1'
+            suspects = (content('/idem/x'),)
+            gateway.role.follower.quarantine = QuarantineNews(version=2, suspects=suspects)
+            status, raw = await gateway.ask('/idem/x')
+        assert status == 503
+        assert b'retry-after' in raw.lower()
+        assert not server.asked
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('falls', [True, False])
+def test_verdict_that_falls_while_pieces_wait_keeps_them_from_the_servers(key_file, falls):
+    async def run():
+        server = ScriptedServer(make_slowly)
+        async with LocalGateway(key_file) as gateway:
+            await add(gateway, server, 'a', service='crops')
+            asks = [
+                asyncio.create_task(
+                    gateway.ask(f'/staged/{name}', Attempt_Id=name, Pieces='4', Deadline_Ms='900'),
+                )
+                for name in ('first', 'second')
+            ]
+            await asyncio.sleep(0.2)
+            held = {content('/staged/second'): 0} if falls else {}
+            gateway.role.follower.quarantine = QuarantineNews(version=2, quarantined=held)
+            await asyncio.gather(*asks)
+            bodies = b''.join(asked.body for asked in server.asked)
+        assert b'first' in bodies
+        assert (b'second' not in bodies) is falls
+
+    asyncio.run(run())
+
+
+def test_end_of_a_stage_server_is_told_with_the_contents_of_its_pieces(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            await add(gateway, Ending(), 'a', service='crops')
+            await gateway.ask('/staged/x', Pieces='2', Deadline_Ms='900')
+            ((_, end),) = gateway.role.guard.seen
+        assert [suspect.content for suspect in end.suspects] == [content('/staged/x')]
+
+    asyncio.run(run())
+
+
+def test_account_that_is_confined_is_kept_to_one_server(key_file):
+    async def run():
+        servers = [ScriptedServer(good) for _ in range(4)]
+        async with LocalGateway(key_file) as gateway:
+            for number, server in enumerate(servers):
+                await add(gateway, server, f'a{number}')
+            confined = (('acme', 'plain'),)
+            gateway.role.follower.quarantine = QuarantineNews(version=2, confined=confined)
+            for number in range(12):
+                await gateway.ask(f'/idem/{number}', Attempt_Id=f'r{number}')
+        assert sorted(len(server.asked) for server in servers) == [0, 0, 0, 12]
+
+    asyncio.run(run())
+
+
+def test_answer_of_any_status_shows_that_a_server_bears_a_content(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            guard = gateway.role.guard
+            await add(gateway, ScriptedServer(good), 'a')
+            await gateway.ask('/idem/x')
+            assert guard.served.has(content('/idem/x'), '', gateway.role.node.clock.now())
+            server = gateway.role.follower.view.backends[BackendId('a')]
+            guard.sent(server, 'r9', Suspect(content=content('/idem/x'), account='acme'))
+            await guard._probe(server, set())
+            assert not guard.seen
+
+    asyncio.run(run())
