--- /dev/null
+++ b/tests/test_control/test_control_quarantining.py
@@ -0,0 +1,309 @@
+"""What the leader does about contents that end servers, over changes of leader too."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+
+from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
+from ringseam.clock import PausedClock
+from ringseam.commands import RecordVerdict
+from ringseam.control.follow import FollowService, HeldDocument
+from ringseam.control.replicamessages import Leadership, Linearizable, NotLeading
+from ringseam.control.state import StateMachine, encode_command
+from ringseam.following import WatchNews, WatchRequest
+from ringseam.gateway.following.follower import Follower
+from ringseam.messages import Redirect
+from ringseam.node import Node
+from ringseam.quarantine import SETTLE_S, VERDICTS_KEPT, TrialState
+from ringseam.routes import ServiceName
+from ringseam.rpc import CallClient
+from ringseam.sealing import Received
+from ringseam.verdicts import (
+    EndsReport,
+    Heard,
+    QuarantineNews,
+    ServedReport,
+    ServerEnd,
+    Suspect,
+    TrialRequest,
+)
+
+GATEWAY = GatewayState(name='g1', address='1.1.1.1:1', zone='a')
+LEADS = Leadership(term=3, leader='c1', serves=True, voters=5, members=('c1', 'c2'))
+FOLLOWS = Leadership(term=4, leader='c2', serves=False, voters=5, members=('c1', 'c2'))
+GUILTY = 'guilty'
+
+
+def received(body):
+    return Received('g1', '1.1.1.1:1', '', 0, body)
+
+
+def ends(*servers, contents=(GUILTY,), software='v1'):
+    suspects = tuple(Suspect(content=content, account='acme') for content in contents)
+    return EndsReport(
+        ends=tuple(
+            ServerEnd(
+                instance=BackendId(server),
+                service='s',
+                software=software,
+                suspects=suspects,
+            )
+            for server in servers
+        ),
+    )
+
+
+def report(name, sequence=1, state=BackendState.ready, software='v1'):
+    return BackendReport(
+        instance=BackendId(name),
+        service=ServiceName('s'),
+        address='2.2.2.2:2',
+        zone='a',
+        sequence=sequence,
+        software=software,
+        state=state,
+    )
+
+
+class Host:
+    """A leader with a state machine of its own, on a paused clock."""
+
+    def __init__(self, *, commits=True, machine=None):
+        self.commits = commits
+        self.machine = machine or StateMachine()
+        self.clock = PausedClock(start=100)
+        self.service = FollowService(
+            node=Node(name='c1', role='control', address='c1', secret=b'x', clock=self.clock),
+            submit=self.submit,
+            confirm=self.confirm,
+            voters_needed=5,
+            report_s=1.2,
+        )
+        self.hold()
+        self.service.lead(LEADS)
+
+    @property
+    def quarantining(self):
+        return self.service.quarantining
+
+    async def submit(self, command):
+        if not self.commits:
+            return NotLeading()
+        outcome = self.machine.apply(encode_command(command))
+        self.hold()
+        return outcome
+
+    async def confirm(self):
+        return Linearizable(term=3)
+
+    def hold(self):
+        state = self.machine.state
+        self.service.hold(
+            HeldDocument(
+                number=1,
+                document=b'd',
+                retired=tuple(state.retired),
+                quarantined=dict(state.quarantined),
+            ),
+        )
+
+    async def tell(self, *servers, **fields):
+        """Report ends one after the other, and judge each."""
+        for server in servers:
+            await self.quarantining.take_ends(received(ends(server, **fields)))
+            self.clock.advance(2 * SETTLE_S)
+            self.quarantining._judge()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+
+    async def trial(self, content=GUILTY):
+        request = TrialRequest(content=content, lasts_ms=5000)
+        return (await self.quarantining.answer_trial(received(request))).reply
+
+    async def watch(self, **fields):
+        request = WatchRequest(gateway=GATEWAY, number=1, heard=1, **fields)
+        return (await self.service.watch(received(request))).reply
+
+
+def test_verdict_reaches_a_gateway_that_waits_for_news():
+    async def run():
+        host = Host()
+        first = await host.watch()
+        held = {'epoch': first.epoch, 'since': first.upto, 'quarantine': first.quarantine.version}
+        waiting = asyncio.create_task(host.watch(**held))
+        await host.tell('a')
+        assert not waiting.done()
+        await host.tell('b')
+        news = await asyncio.wait_for(waiting, 0.5)
+        assert news.quarantine.suspects == (GUILTY,)
+        held |= {'since': news.upto, 'quarantine': news.quarantine.version}
+        waiting = asyncio.create_task(host.watch(**held))
+        await asyncio.sleep(0)
+        await host.tell('c')
+        news = await asyncio.wait_for(waiting, 0.5)
+        assert list(news.quarantine.quarantined) == [GUILTY]
+
+    asyncio.run(run())
+
+
+def test_gateway_that_knows_all_is_told_nothing_twice():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        first = await host.watch()
+        host.service.directory.report(report('new'), host.clock.now())
+        again = await host.watch(
+            epoch=first.epoch,
+            since=first.upto,
+            quarantine=first.quarantine.version,
+        )
+        assert again.quarantine is None
+
+    asyncio.run(run())
+
+
+def test_planned_ends_blame_nobody():
+    """A rolling release stops one server after another while a content is under way."""
+
+    async def run():
+        host = Host()
+        for name in 'abc':
+            leaving = report(name, state=BackendState.draining)
+            waiting = asyncio.create_task(host.service.take_report(leaving))
+            await asyncio.sleep(0)
+            waiting.cancel()
+        await host.tell('a', 'b', 'c')
+        assert not host.quarantining.book.ends
+
+    asyncio.run(run())
+
+
+def test_server_that_goes_on_reporting_is_no_end():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        for sequence in (2, 3):
+            host.service._note(report('c', sequence))
+        assert (await host.trial()).state == TrialState.granted.value
+
+    asyncio.run(run())
+
+
+def test_host_that_does_not_lead_sends_elsewhere():
+    async def run():
+        host = Host()
+        host.service.lead(FOLLOWS)
+        served = ServedReport(content=GUILTY, software='v1')
+        replies = [
+            (await host.quarantining.take_ends(received(ends('a')))).reply,
+            (await host.quarantining.take_served(received(served))).reply,
+            await host.trial(),
+        ]
+        assert all(isinstance(reply, Redirect) for reply in replies)
+
+    asyncio.run(run())
+
+
+def test_verdict_outlives_the_leader_and_all_power():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        snapshot = host.machine.snapshot()
+        later = Host(machine=StateMachine(snapshot=snapshot))
+        assert (await later.trial()).state == TrialState.quarantined.value
+        assert list((await later.watch()).quarantine.quarantined) == [GUILTY]
+
+    asyncio.run(run())
+
+
+def test_next_leader_judges_by_evidence_that_is_sent_again():
+    """The leader that judged could record nothing: it had just lost its quorum."""
+
+    async def run():
+        host = Host(commits=False)
+        await host.tell('a', 'b', 'c')
+        later = Host()
+        assert (await later.trial()).state == TrialState.granted.value
+        await later.quarantining.take_ends(received(ends('a', 'b', 'c')))
+        await later.quarantining.take_ends(received(ends('a', 'b', 'c')))
+        later.clock.advance(2 * SETTLE_S)
+        later.quarantining._judge()
+        assert (await later.trial()).state == TrialState.quarantined.value
+        assert len(later.quarantining.book.ends) == 3
+
+    asyncio.run(run())
+
+
+def test_content_that_is_served_is_free_and_stays_free():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        served = ServedReport(content=GUILTY, software='v1')
+        reply = await host.quarantining.take_served(received(served))
+        await asyncio.sleep(0.01)
+        assert isinstance(reply.reply, Heard)
+        assert (await host.trial()).state == TrialState.granted.value
+        assert not host.machine.state.quarantined
+
+    asyncio.run(run())
+
+
+def test_new_release_puts_a_verdict_to_the_test():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        host.service._note(report('old', software='v1'))
+        host.service._note(report('new', software='v2'))
+        assert (await host.trial()).state == TrialState.quarantined.value
+        host.service.directory.expire(host.clock.advance(60))
+        host.service._note(report('new', 2, software='v2'))
+        host.service._note(report('new', 3, software='v2'))
+        states = [(await host.trial()).state for _ in range(2)]
+        assert states == [TrialState.granted.value, TrialState.busy.value]
+
+    asyncio.run(run())
+
+
+def test_recorded_verdicts_are_bounded_oldest_first():
+    machine = StateMachine()
+    for number in range(VERDICTS_KEPT + 3):
+        machine.apply(encode_command(RecordVerdict(content=f'c{number}')))
+    assert len(machine.state.quarantined) == VERDICTS_KEPT
+    assert 'c2' not in machine.state.quarantined
+    machine.apply(encode_command(RecordVerdict(content='c9', lifted=True)))
+    assert 'c9' not in machine.state.quarantined
+
+
+def test_snapshot_without_verdicts_is_read():
+    """Snapshots that an earlier version wrote have no such field."""
+    earlier = msgspec.msgpack.encode({'version': 1, 'number': 7, 'document': b'd'})
+    assert not StateMachine(snapshot=earlier).state.quarantined
+
+
+def follower():
+    node = Node(name='g1', role='gateway', address='1.1.1.1:1', secret=b'x', clock=PausedClock())
+    client = CallClient(node=node)
+    return Follower(node=node, client=client, addresses=(), on_change=lambda: None)
+
+
+def news(epoch, *contents, warm=True, version=2):
+    held = QuarantineNews(version=version, quarantined=dict.fromkeys(contents, 0))
+    return WatchNews(epoch=epoch, upto=1, whole=True, warm=warm, quarantine=held)
+
+
+@pytest.mark.parametrize(('warm', 'held'), [(False, {'one', 'two'}), (True, {'two'})])
+def test_gateway_holds_to_verdicts_until_a_new_leader_has_heard_all(warm, held):
+    one = follower()
+    one.take(news('e1', 'one'))
+    one.take(news('e2', 'two', warm=warm))
+    assert set(one.quarantine.quarantined) == held
+
+
+def test_gateway_that_lost_its_leader_holds_to_the_verdicts():
+    one = follower()
+    one.take(news('e1', 'one'))
+    one._lose('c1', 'gone')
+    assert set(one.quarantine.quarantined) == {'one'}
