Two ends under one name are two ends; the soak draws bodies that end servers, and suspensions

Cause: found by the soak. A server that has ended takes requests again before its new lifetime is known, so a later end under the old name was merged with the earlier one and explained by what had caused that: one content ended nine servers. Change: an end has a time (the gateway tells how long ago it saw it); told again to a new leader it is the same one, later by 0.8 s it is another one. The soak asks again and again for plain requests, streams and pieces that end their server, and suspends processes: a stop that the monotonic clock does not count.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,9 +1,10 @@
 """A seeded fault soak of gateways: ``python -m bench.soak --seed 1 --seconds 30``.
 
-Real processes (three control hosts, two gateways) are killed, frozen, stopped
-and started by signals; backend servers of this process sit behind a proxy that
+Real processes (three control hosts, two gateways) are killed, frozen, suspended,
+stopped and started by signals; backend servers of this process sit behind a proxy that
 delays, resets and silences their connections, cut off streams, leave, and start
-again under their names. Documents grow to 1,500 routes, and others send reports that
+again under their names; some contents end each server that runs them, and come again
+and again. Documents grow to 1,500 routes, and others send reports that
 aren't a server's. What callers and servers see is checked while it runs.
 """
 
@@ -36,7 +37,7 @@
 )
 from ringseam.platform.registration import CONFIG_PATH, encode_report, report_path
 from ringseam.platform.requests import ClientRequest, decode_request, encode_request
-from ringseam.platform.stages import FREE_PATH
+from ringseam.platform.stages import FREE_PATH, RUN_PATH, decode_orders
 from ringseam.routes import ServiceName
 from ringseam.standin.direct import DirectServer
 from ringseam.web.server import HttpLimits, HttpServer
@@ -50,13 +51,26 @@
 EVENTS = 5
 FAULTS = ('kill', 'stop', 'freeze', 'leave', 'delay', 'silence', 'reset', 'both')
 #: Faults that later runs draw from as well; earlier seeds keep their course.
-ALL_FAULTS = (*FAULTS, 'again', 'twice', 'foreign', 'large')
+MORE_FAULTS = (*FAULTS, 'again', 'twice', 'foreign', 'large')
+ALL_FAULTS = (*MORE_FAULTS, 'ending', 'suspend')
 MANY_ROUTES = 1500
 #: What another writer might send in the place of a report.
 FOREIGN = (b'', b'[]', b'\xff', b'{"service":"signals"}', b'{"seq":1,"seq":2}', b'[' * 5000)
 #: A server that has left gets nothing later than this, seconds.
 DRAIN_S = 2.0
 LEFT_S = 4.0
+#: Bodies and keys of pieces that begin so end the server that runs them, after a while
+#: and for a while, seconds.
+ENDING = 'ends-'
+ENDING_S = 0.03
+AWAY_S = (1.0, 2.0)
+#: Its client asks again this often, seconds.
+AGAIN_S = 0.15
+#: A content under which three servers have ended is sent no more than this often later
+#: than this, seconds; the platform's figures.
+ENDS = 3
+SENDS_LATER = 3
+CONTACT_S = 3.0
 
 
 @dataclass
@@ -67,6 +81,9 @@
     broken: list = field(default_factory=list)
     accepted: int = 0
     refused: list = field(default_factory=list)
+    #: When each content that ends servers was sent to one, and ended one.
+    ending_sent: dict = field(default_factory=lambda: collections.defaultdict(list))
+    ending_ended: dict = field(default_factory=lambda: collections.defaultdict(list))
 
     def check(self, holds, detail):
         if not holds:
@@ -84,7 +101,12 @@
 
     async def start(self):
         self.server = await asyncio.start_server(self.pass_on, '127.0.0.1', 0)
-        return f'127.0.0.1:{self.server.sockets[0].getsockname()[1]}'
+        self.server_at = self.server.sockets[0].getsockname()
+        return f'127.0.0.1:{self.server_at[1]}'
+
+    async def start_again(self):
+        host, port = self.server_at
+        self.server = await asyncio.start_server(self.pass_on, host, port)
 
     async def pass_on(self, reader, writer):
         try:
@@ -132,6 +154,8 @@
         self.book = book
         self.dice = dice
         self.left_at = None
+        self.ended = False
+        self.ender = None
         self.proxy = Proxy(dice)
 
     async def begin(self):
@@ -140,6 +164,25 @@
         self.proxy.target = (host, int(port))
         self.address = await self.proxy.start()
 
+    async def end(self, content):
+        """End as a killed process does, and be back later at the same address."""
+        if self.ended:
+            return
+        self.ended = True
+        self.book.ending_ended[content].append(time.monotonic())
+        self.proxy.close()
+        await self.start_again()
+        await asyncio.sleep(self.dice.uniform(*AWAY_S))
+        await self.proxy.start_again()
+        self.ended = False
+
+    async def run_ending(self, content):
+        """Begin to run a content that ends this server."""
+        self.book.ending_sent[content].append(time.monotonic())
+        await asyncio.sleep(ENDING_S)
+        self.ender = asyncio.create_task(self.end(content))
+        await asyncio.sleep(5)
+
     async def start_again(self):
         """End all that is under way, and begin a later lifetime at the same address."""
         earlier = self.instance
@@ -157,6 +200,9 @@
         late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
         if late and exchange.request.path != FREE_PATH:
             self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
+        content = ending_of(exchange.request)
+        if content:
+            await self.run_ending(content)
         await super().serve(exchange)
 
     async def _answer(self, exchange):
@@ -205,12 +251,13 @@
         self.dice = random.Random(seed)
         self.kinds = kinds
         self.routes = 0
-        self.system = System(layout=Layout(folder=folder))
+        self.system = System(layout=Layout(folder=folder), program='tests.suspendable')
         settings(self.system.layout)
         self.book = Book()
         self.servers = []
         self.number = 0
         self.ending = False
+        self.insisting = set()
         self.faults = collections.Counter()
 
     def http_of(self, name):
@@ -233,7 +280,7 @@
             tasks.append(asyncio.create_task(self.operate_always()))
             await self.disturb(seconds)
             self.ending = True
-            await asyncio.gather(*tasks[1:])
+            await asyncio.gather(*tasks[1:], *self.insisting)
             tasks[0].cancel()
             await self.check_end()
         finally:
@@ -258,7 +305,9 @@
 
     async def report_always(self):
         while True:
-            staying = [server for server in self.servers if server.left_at is None]
+            staying = [
+                server for server in self.servers if server.left_at is None and not server.ended
+            ]
             for server in staying:
                 await self.report(server, BackendState.ready)
             await asyncio.sleep(REPORT_S)
@@ -316,6 +365,33 @@
             await self.ask(f'{number:x}{sent:06x}', staged=bool(self.dice.randrange(3)))
             await asyncio.sleep(self.dice.uniform(0, 0.05))
 
+    async def insist(self, content, kind):
+        """Ask again and again for what ends servers, as a client that never gives up."""
+        number = 0
+        while not self.ending:
+            number += 1
+            name = f'{content}-{number}'
+            key = content if kind == 'piece' else ''
+            body = 'harmless' if key else content
+            request = ClientRequest(
+                attempt_id=name,
+                host=HOST,
+                path=PLAIN_PATH if kind == 'plain' else STAGED_PATH,
+                time_left_s=3,
+                key=KEY,
+                pieces=() if kind == 'plain' else (3,),
+                piece_key=key or f'p-{name}',
+            )
+            headers = encode_request(request)
+            if kind != 'plain':
+                headers.append(('Accept', 'text/event-stream'))
+            host = self.address(self.dice.choice(GATEWAYS))
+            full = f'{body}-{content}'.encode() if key else body.encode()
+            status, _ = await call(host, 'POST', request.path, full, headers)
+            self.book.told['ending', status] += 1
+            self.book.check(status != 200, f'MIXED {name} was served')
+            await asyncio.sleep(AGAIN_S)
+
     async def ask(self, name, *, staged):
         request = ClientRequest(
             attempt_id=name,
@@ -364,6 +440,15 @@
             self.system.send(name, signal.SIGSTOP)
             await asyncio.sleep(self.dice.uniform(0.3, 1.5))
             self.system.send(name, signal.SIGCONT)
+        elif kind == 'suspend':
+            stopped_s = self.dice.uniform(0.5, 3)
+            self.system.send(name, signal.SIGSTOP)
+            await asyncio.sleep(stopped_s)
+            self.system.resume(name, stopped_s)
+        elif kind == 'ending':
+            content = f'{ENDING}{len(self.insisting)}'
+            way = self.dice.choice(('plain', 'stream', 'piece'))
+            self.insisting.add(asyncio.create_task(self.insist(content, way)))
         elif kind == 'leave':
             await self.leave()
         elif kind in {'again', 'twice'}:
@@ -393,7 +478,8 @@
             await asyncio.sleep(0.1)
 
     def a_staying_server(self):
-        return self.dice.choice([server for server in self.servers if server.left_at is None])
+        staying = [server for server in self.servers if server.left_at is None]
+        return self.dice.choice([server for server in staying if not server.ended] or staying)
 
     async def start_again(self, times):
         """Let a server start again; what it sent before comes late."""
@@ -447,6 +533,7 @@
         }
         for name in plain:
             self.book.check(ran[name] == 1, f'TWICE {name}: {ran[name]}')
+        self.check_endings()
         for name in self.book.refused:
             self.book.check(not ran[name], f'REFUSED {name} and it ran')
         until = time.monotonic() + 10
@@ -457,6 +544,23 @@
             await asyncio.sleep(0.1)
         self.book.check(found >= self.book.accepted, f'LOST {self.book.accepted}, read {found}')
 
+    def check_endings(self):
+        for content, ended in self.book.ending_ended.items():
+            sent = self.book.ending_sent[content]
+            due = sorted(ended)[ENDS - 1] + CONTACT_S if len(ended) >= ENDS else float('inf')
+            later = [at for at in sent if at > due]
+            detail = f'BUDGET {content}: {len(later)} sends later, {len(ended)} ended'
+            self.book.check(len(later) <= SENDS_LATER, detail)
+
+
+def ending_of(request):
+    """Return the content of a call that ends its server, or nothing."""
+    if request.path == RUN_PATH:
+        keys = [order.key for order in decode_orders(request.body)]
+        return next((key for key in keys if key.startswith(ENDING)), '')
+    body = request.body.decode('latin-1')
+    return body if body.startswith(ENDING) else ''
+
 
 async def call(host, method, path, body, headers):
     """Return the status and body of one call; 0 when it has no whole answer."""
@@ -510,6 +614,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
+    parser.add_argument('--kinds', default=','.join(ALL_FAULTS))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
@@ -517,9 +622,11 @@
         with contextlib.ExitStack() as stack:
             folder = f'{options.keep}/{seed}' if options.keep else None
             folder = folder or stack.enter_context(tempfile.TemporaryDirectory())
-            book, faults = soak(seed, options.seconds, folder)
-            shown = dict(sorted(book.told.items()))
-            print(f'seed {seed}: told {shown}, version {book.accepted}, faults {dict(faults)}')
+            book, faults = soak(seed, options.seconds, folder, options.kinds.split(','))
+            shown = dict(sorted(book.told.items(), key=str))
+            ends = {content: len(times) for content, times in book.ending_ended.items()}
+            print(f'seed {seed}: told {shown}, version {book.accepted}, ended {ends}')
+            print(f'  faults {dict(faults)}')
             for broken in book.broken[:10]:
                 print(f'  BROKEN {broken}')
             failed += bool(book.broken)
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -354,8 +354,7 @@
 
     def _tell_quarantine(self, report: BackendReport) -> None:
         """Let the quarantine hear a server, where it holds something against its like."""
-        book = self.quarantining.book
-        if report.instance not in book.ends and not book.verdicts:
+        if not self.quarantining.book.concerns(report):
             return
         software = {
             row.report.software
--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -207,7 +207,7 @@
             content=content,
             account=verdict.account,
             service=verdict.service,
-            backends=sorted(verdict.ends),
+            ends=sorted(verdict.ends),
             software=software,
         )
         command = RecordVerdict(
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -12,6 +12,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
@@ -260,7 +262,11 @@
 
     def _tell_again(self) -> None:
         now = self.clock.now()
-        ends = tuple(end for at, end in self.seen if now - at < EVIDENCE_S)
+        ends = tuple(
+            msgspec.structs.replace(end, age_ms=int((now - at) * MS_PER_S))
+            for at, end in self.seen
+            if now - at < EVIDENCE_S
+        )
         if ends:
             self.tasks.spawn(self._tell(EndsReport(ends=ends)))
 
--- a/ringseam/quarantine.py
+++ b/ringseam/quarantine.py
@@ -9,11 +9,14 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NewType
+
+from ringseam.clock import MS_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+    from ringseam.backends import BackendReport
     from ringseam.contents import ContentId
     from ringseam.lifetimes import BackendId
     from ringseam.verdicts import ServerEnd, Suspect
@@ -32,6 +35,9 @@
 #: Gateways report one end within this time of each other, seconds: a connection that is
 #: refused takes a millisecond, a call to the leader a few, a busy gateway 0.1.
 SETTLE_S = 0.15
+#: Gateways that tell of one end agree on its time to this, seconds; a server that has
+#: ended is back after a second or more.
+SAME_END_S = 0.8
 #: Ends count for this long, seconds: a client that repeats does so within minutes.
 EVIDENCE_S = 600.0
 #: A content that was served whole isn't suspected for this long, seconds. What is asked
@@ -50,6 +56,10 @@
 VERDICTS_KEPT = 256
 
 
+#: Names one end of a server.
+EndId = NewType('EndId', str)
+
+
 class TrialState(enum.Enum):
     """What becomes of a request whose content may be suspected."""
 
@@ -62,12 +72,15 @@
 
 @dataclass(kw_only=True)
 class EndRecord:
-    """The end of one lifetime; times are absolute seconds."""
+    """One end of a server; times are absolute seconds."""
 
+    #: The lifetime that gateways knew then.
+    instance: BackendId
     service: str
     software: str
-    first_at: float
-    last_at: float
+    at: float
+    #: When a gateway last told of it.
+    heard_at: float
     #: Accounts by content.
     suspects: dict[ContentId, str] = field(default_factory=dict)
     reports: int = 0
@@ -82,7 +95,7 @@
     #: The versions of the software that it ended.
     software: frozenset[str]
     at: float
-    ends: set[BackendId] = field(default_factory=set)
+    ends: set[EndId] = field(default_factory=set)
     #: How many ends it took.
     needed: int = ENDS_TO_QUARANTINE
     #: How often it was put to the test since it was first quarantined.
@@ -93,8 +106,9 @@
 class Quarantine:  # noqa: WPS214 - evidence and what follows from it
     """Evidence, suspects and verdicts; ``version`` grows with what others must hear."""
 
-    ends: dict[BackendId, EndRecord] = field(default_factory=dict)
-    by_content: dict[ContentId, set[BackendId]] = field(default_factory=dict)
+    ends: dict[EndId, EndRecord] = field(default_factory=dict)
+    by_instance: dict[BackendId, set[EndId]] = field(default_factory=dict)
+    by_content: dict[ContentId, set[EndId]] = field(default_factory=dict)
     #: Contents that were under way at more than one end.
     repeated: set[ContentId] = field(default_factory=set)
     verdicts: dict[ContentId, Verdict] = field(default_factory=dict)
@@ -113,31 +127,30 @@
 
     def ended(self, end: ServerEnd, now: float) -> None:
         """Hear from one gateway what was under way on a lifetime that ended."""
-        record = self.ends.get(end.instance)
-        if record is None:
-            record = EndRecord(
-                service=end.service,
-                software=end.software,
-                first_at=now,
-                last_at=now,
-            )
-            self.ends[end.instance] = record
-        record.last_at = now
+        end_id, record = self._record_of(end, now - end.age_ms / MS_PER_S)
+        record.heard_at = now
         for suspect in end.suspects:
-            self._suspect(end.instance, record, suspect, now)
+            self._suspect(end_id, record, suspect, now)
         self._forget(now)
         self._refresh()
 
     def heard(self, instance: BackendId) -> None:
         """Hear that a lifetime reports itself: after two reports it hasn't ended."""
-        record = self.ends.get(instance)
-        if record is None:
-            return
-        record.reports += 1
-        if record.reports >= REPORTS_OF_LIFE:
-            self._drop_end(instance)
-            self._withdraw(instance)
-            self._refresh()
+        for end_id in list(self.by_instance.get(instance, ())):
+            self.ends[end_id].reports += 1
+            if self.ends[end_id].reports >= REPORTS_OF_LIFE:
+                self._drop_end(end_id)
+                self._withdraw(end_id)
+        self._refresh()
+
+    def concerns(self, report: BackendReport) -> bool:
+        """Return whether a server's report may change anything here."""
+        if report.instance in self.by_instance:
+            return True
+        return any(
+            verdict.service == report.service and report.software not in verdict.software
+            for verdict in self.verdicts.values()
+        )
 
     def served(self, content: ContentId, software: str, now: float) -> None:
         """Hear that a server has run a content and answered: it ends no such server."""
@@ -145,9 +158,9 @@
         self.served_at[content, software] = now
         if len(self.served_at) > SERVED_KEPT:
             self.served_at.pop(next(iter(self.served_at)))
-        for instance in list(self.by_content.get(content, ())):
-            if self.ends[instance].software == software:
-                self._clear(content, instance)
+        for end_id in list(self.by_content.get(content, ())):
+            if self.ends[end_id].software == software:
+                self._clear(content, end_id)
         verdict = self.verdicts.get(content) or self.lifted.get(content)
         if verdict is not None and (software in verdict.software or content in self.lifted):
             self.verdicts.pop(content, None)
@@ -162,7 +175,7 @@
         found = []
         for content in sorted(self.suspects | self._confined_contents()):
             ends = self._unexplained(content)
-            if any(now - self.ends[instance].last_at < SETTLE_S for instance in ends):
+            if any(now - self.ends[end_id].heard_at < SETTLE_S for end_id in ends):
                 continue
             needed = self._needed(content, ends)
             if needed and len(ends) >= needed:
@@ -234,9 +247,30 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _record_of(self, end: ServerEnd, at: float) -> tuple[EndId, EndRecord]:
+        """Return what is known of an end, from this gateway or another one.
+
+        A server that has started again may take requests before its new lifetime is
+        known, so an end that is later by far is another one of the same name.
+        """
+        for known in self.by_instance.get(end.instance, ()):
+            if abs(self.ends[known].at - at) < SAME_END_S:
+                return known, self.ends[known]
+        record = EndRecord(
+            instance=end.instance,
+            service=end.service,
+            software=end.software,
+            at=at,
+            heard_at=at,
+        )
+        end_id = EndId(f'{end.instance}@{at:.2f}')
+        self.ends[end_id] = record
+        self.by_instance.setdefault(end.instance, set()).add(end_id)
+        return end_id, record
+
     def _suspect(
         self,
-        instance: BackendId,
+        end_id: EndId,
         record: EndRecord,
         suspect: Suspect,
         now: float,
@@ -247,21 +281,21 @@
             return
         record.suspects[content] = suspect.account
         known = self.by_content.setdefault(content, set())
-        known.add(instance)
+        known.add(end_id)
         if len(known) >= ENDS_TO_SUSPECT:
             self.repeated.add(content)
 
-    def _unexplained(self, content: ContentId) -> list[BackendId]:
+    def _unexplained(self, content: ContentId) -> list[EndId]:
         """Return the ends of a content that no quarantined one was under way at."""
         return [
-            instance
-            for instance in self.by_content.get(content, ())
+            end_id
+            for end_id in self.by_content.get(content, ())
             if not any(
-                other in self.verdicts for other in self.ends[instance].suspects if other != content
+                other in self.verdicts for other in self.ends[end_id].suspects if other != content
             )
         ]
 
-    def _needed(self, content: ContentId, ends: Iterable[BackendId]) -> int:
+    def _needed(self, content: ContentId, ends: Iterable[EndId]) -> int:
         """Return how many ends quarantine a content; 0 while that can't be told."""
         if content in self.lifted:
             return 1
@@ -272,15 +306,15 @@
             return 0
         return ENDS_TO_QUARANTINE
 
-    def _has_twin(self, content: ContentId, ends: list[BackendId]) -> bool:
+    def _has_twin(self, content: ContentId, ends: list[EndId]) -> bool:
         """Return whether another content was under way at all these ends."""
-        twins = [set(self.ends[instance].suspects) - {content} for instance in ends]
+        twins = [set(self.ends[end_id].suspects) - {content} for end_id in ends]
         return bool(twins and set.intersection(*twins))
 
-    def _is_alone(self, content: ContentId, ends: list[BackendId]) -> bool:
+    def _is_alone(self, content: ContentId, ends: list[EndId]) -> bool:
         """Return whether an end has but this content of an account that is confined."""
-        for instance in ends:
-            record = self.ends[instance]
+        for end_id in ends:
+            record = self.ends[end_id]
             account = record.suspects[content]
             same = [other for other in record.suspects.values() if other == account]
             if (account, record.service) in self.confined and len(same) == 1:
@@ -301,11 +335,11 @@
     def _quarantine(
         self,
         content: ContentId,
-        ends: list[BackendId],
+        ends: list[EndId],
         needed: int,
         now: float,
     ) -> None:
-        records = [self.ends[instance] for instance in ends]
+        records = [self.ends[end_id] for end_id in ends]
         earlier = self.lifted.pop(content, None)
         self.verdicts[content] = Verdict(
             service=records[-1].service,
@@ -335,37 +369,41 @@
         verdict = self.verdicts.pop(content)
         verdict.lifts += 1
         self.lifted[content] = verdict
-        for instance in list(self.by_content.get(content, ())):
-            self._clear(content, instance)
+        for end_id in list(self.by_content.get(content, ())):
+            self._clear(content, end_id)
 
-    def _clear(self, content: ContentId, instance: BackendId) -> None:
-        self.ends[instance].suspects.pop(content, None)
+    def _clear(self, content: ContentId, end_id: EndId) -> None:
+        self.ends[end_id].suspects.pop(content, None)
         known = self.by_content[content]
-        known.discard(instance)
+        known.discard(end_id)
         if len(known) < ENDS_TO_SUSPECT:
             self.repeated.discard(content)
         if not known:
             self.by_content.pop(content)
 
-    def _withdraw(self, instance: BackendId) -> None:
+    def _withdraw(self, end_id: EndId) -> None:
         """Take back verdicts that too few ends are left for."""
         for content, verdict in list(self.verdicts.items()):
-            if instance in verdict.ends:
-                verdict.ends.discard(instance)
+            if end_id in verdict.ends:
+                verdict.ends.discard(end_id)
                 if len(verdict.ends) < verdict.needed:
                     self.verdicts.pop(content)
 
-    def _drop_end(self, instance: BackendId) -> None:
-        for content in list(self.ends[instance].suspects):
-            self._clear(content, instance)
-        self.ends.pop(instance)
+    def _drop_end(self, end_id: EndId) -> None:
+        for content in list(self.ends[end_id].suspects):
+            self._clear(content, end_id)
+        instance = self.ends.pop(end_id).instance
+        known = self.by_instance[instance]
+        known.discard(end_id)
+        if not known:
+            self.by_instance.pop(instance)
 
     def _forget(self, now: float) -> None:
-        old = [name for name, record in self.ends.items() if now - record.last_at > EVIDENCE_S]
+        old = [name for name, record in self.ends.items() if now - record.at > EVIDENCE_S]
         surplus = list(self.ends)[: max(0, len(self.ends) - ENDS_KEPT)]
         forgotten = {*old, *surplus}
-        for instance in forgotten:
-            self._drop_end(instance)
+        for end_id in forgotten:
+            self._drop_end(end_id)
 
     def _refresh(self) -> None:
         """Work out who is suspected, and count a change that others must hear of."""
--- a/ringseam/verdicts.py
+++ b/ringseam/verdicts.py
@@ -26,6 +26,8 @@
     service: str
     software: str = ''
     suspects: tuple[Suspect, ...] = ()
+    #: How long ago the gateway saw it.
+    age_ms: int = 0
 
 
 class EndsReport(Message, frozen=True, kw_only=True):
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -20,6 +20,7 @@
 from ringseam.node import Node
 from ringseam.rpc import CallClient
 from ringseam.services import APPLY, STATUS
+from tests.suspendable import SKIP, SKIP_S
 
 WAIT_S = 30
 STEP_S = 0.02
@@ -42,11 +43,12 @@
 
     layout: Layout
     running: dict[str, subprocess.Popen] = field(default_factory=dict)
+    program: str = 'ringseam'
 
     def start(self, *names):
         for name in names or self.layout.planned:
             planned = self.layout.planned[name]
-            command = [sys.executable, '-m', 'ringseam', planned.role, '--settings']
+            command = [sys.executable, '-m', self.program, planned.role, '--settings']
             errors = (self.layout.folder / f'{name}.err').open('ab')
             self.running[name] = subprocess.Popen(
                 [*command, str(planned.settings)],
@@ -58,6 +60,12 @@
     def send(self, name, number):
         self.running[name].send_signal(number)
 
+    def resume(self, name, stopped_s):
+        """Let a stopped process go on as after a suspension of its host."""
+        for _ in range(round(stopped_s / SKIP_S)):
+            self.send(name, SKIP)
+        self.send(name, signal.SIGCONT)
+
     def kill(self, *names):
         for name in names:
             process = self.running.pop(name)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -27,9 +27,15 @@
 SOON_S = 2 * SETTLE_S
 
 
-def end(instance, *contents, software='v1', service='s', account='acme'):
+def end(instance, *contents, software='v1', service='s', account='acme', age_ms=0):
     suspects = tuple(Suspect(content=content, account=account) for content in contents)
-    return ServerEnd(instance=instance, service=service, software=software, suspects=suspects)
+    return ServerEnd(
+        instance=instance,
+        service=service,
+        software=software,
+        suspects=suspects,
+        age_ms=age_ms,
+    )
 
 
 class Evidence:
@@ -57,6 +63,24 @@
     assert seen.ask(GUILTY) is TrialState.quarantined
 
 
+def test_server_that_ends_again_before_its_new_start_is_known_has_ended_twice():
+    """Seen: one content ended servers that another one had ended just before. Both ends
+    bore one name, so the first was taken for the cause of the second as well."""
+    seen = Evidence()
+    for server in 'abc':
+        seen.ended(end(server, 'other'))
+    seen.now += 1.5
+    assert [seen.ended(end(server, GUILTY)) for server in 'abc'] == [[], [], [GUILTY]]
+
+
+def test_end_that_is_told_again_to_a_new_leader_is_one_end():
+    seen = Evidence()
+    seen.now = 100
+    for age_ms in (0, 0, 5000, 5100):
+        seen.book.ended(end('a', GUILTY, age_ms=age_ms), seen.now)
+    assert len(seen.book.ends) == 2
+
+
 def test_second_end_lets_it_run_on_trial_only_one_at_a_time():
     seen = Evidence()
     seen.ended(end('a', GUILTY))
