A retry does not wait for a host that has fallen silent

Cause: streams of a dark host are given up here, and each would have waited for a connection that nobody answers before its retry. Change: no probe within 2 s of the silence; probe and report are waited for 0.1 and 0.15 s at most, and nobody is told while no leader is in touch. Measured: tests of the guard and of crashing requests pass.

--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -48,10 +48,13 @@
 logger = logging.getLogger(__name__)
 
 #: Whether anybody listens at an address shows within this, seconds: a host that runs
-#: refuses in a millisecond; one that is cut off or dark says nothing.
-_PROBE_S = 0.3
+#: refuses in a millisecond; one that is cut off or dark says nothing. A retry waits for it.
+_PROBE_S = 0.1
 #: The leader is milliseconds away; a request doesn't wait longer for it, seconds.
-_ASK_S = 0.3
+_ASK_S = 0.15
+#: What breaks off a server that has fallen silent within this time was given up here,
+#: seconds; nobody would answer at its address either.
+_SILENT_S = 2.0
 #: A suspected content whose run is under way may come back after this, seconds: most
 #: runs take less, and its client loses little time.
 COME_BACK_S = 1.0
@@ -85,6 +88,7 @@
         self.local = Quarantine()
         self.tasks = TaskSet()
         self.probes: dict[BackendId, asyncio.Task[None]] = {}
+        self.silent: dict[BackendId, float] = {}
         #: Ends that were seen here, with their times.
         self.seen: collections.deque[tuple[float, ServerEnd]] = collections.deque(
             maxlen=_ENDS_KEPT,
@@ -111,6 +115,10 @@
             self.local.served(content, server.software, now)
             self._tell_served(content, server.software)
 
+    def fell_silent(self, instance: BackendId) -> None:
+        """Hear that a server has fallen silent, and what it owes is given up."""
+        self.silent[instance] = self.clock.now()
+
     async def broke(self, server: BackendReport) -> None:
         """Find out whether a server has ended, and tell; called before :meth:`over`.
 
@@ -118,6 +126,9 @@
         nobody that listens. Returns once the leader has heard, so that a retry that
         follows is judged by this end too.
         """
+        fell_silent_at = self.silent.get(server.instance, float('-inf'))
+        if self.clock.now() - fell_silent_at < _SILENT_S:
+            return
         probe = self.probes.get(server.instance)
         if probe is None:
             suspects = self.under_way.on(server.instance)
@@ -187,7 +198,9 @@
 
     def judge(self) -> None:
         """Judge by what was seen here, for times without a leader."""
-        self.local.judge(self.clock.now())
+        now = self.clock.now()
+        self.local.judge(now)
+        self.silent = {name: at for name, at in self.silent.items() if now - at < _SILENT_S}
 
     # -- helpers ------------------------------------------------------------
 
@@ -254,6 +267,8 @@
         return TrialState.busy if isinstance(reply, Redirect) else TrialState(reply.state)
 
     async def _tell(self, report: EndsReport) -> None:
+        if not self.follower.in_touch:
+            return
         try:
             await self.client.call(self.follower.leader, REPORT_ENDS, report, timeout_s=_ASK_S)
         except UnreachableError as error:
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -101,6 +101,20 @@
     asyncio.run(run())
 
 
+def test_server_that_fell_silent_is_not_probed(key_file):
+    """Load: a host goes dark with forty streams; each would wait for it before its retry."""
+
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            guard = gateway.role.guard
+            await add(gateway, Ending(), 'a')
+            guard.fell_silent(BackendId('a'))
+            await gateway.ask('/idem/x')
+            assert not guard.seen
+
+    asyncio.run(run())
+
+
 def test_without_a_leader_a_gateway_judges_by_what_it_has_seen(key_file):
     async def run():
         servers = [Ending() for _ in range(3)]
