The same cause at entries: a content that ends the servers beside agents is rejected

Cause: an entry counted tries per ask too; a caller that asks again with another key ended one server after another. A key that may have run is told so as before. Verdicts are not shared between entries (open).

--- a/tests/test_entry/test_entry_claims.py
+++ b/tests/test_entry/test_entry_claims.py
@@ -18,6 +18,7 @@
 from ringseam.config import Account, Configuration, read_part
 from ringseam.control.state import StateMachine, encode_command
 from ringseam.costs import CostBook
+from ringseam.entry.guard import ContentGuard
 from ringseam.entry.runs import CallerRequest, PipelineRuns
 from ringseam.entry.state import EntryState
 from ringseam.errors import UnreachableError
@@ -125,6 +126,7 @@
                 admission=AdaptiveAdmission(estimates=estimates, view=view),
                 costs=CostBook(),
                 metrics=Metrics(),
+                guard=ContentGuard(node=node),
             ),
         )
 
@@ -153,7 +155,7 @@
             reply = self.world.table.tombstone(message, self.world.clock.now())
         return Received('a', address, '', 1, DispatchReply(reply=reply))
 
-    async def ask(self, body=b'carton'):
+    async def ask(self, body=b'carton', key='k'):
         request = CallerRequest(
             request_id=f'request-{id(self)}',
             account=Account(
@@ -164,7 +166,7 @@
                 weight=1,
             ),
             pipeline=self.current.pipeline('demo/signal'),
-            key='k',
+            key=key,
             timeout_ms=5000,
             content_type='t',
             body=body,
