--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -18,6 +18,8 @@
 CONTROL = 'tests/test_control/test_control_replica.py'
 EXECUTION = 'tests/test_agent/test_agent_execution.py'
 LEDGER = 'tests/test_ledger/test_ledger_differential.py'
+GUARD = 'tests/test_gateway/test_following/test_following_guard.py'
+QUARANTINE = 'tests/test_quarantine.py'
 
 
 @dataclass(frozen=True)
@@ -235,6 +237,48 @@
         ']',
         'tests/test_gateway/test_following',
     ),
+    Mutation(
+        'a reset counts as the end of a server',
+        'ringseam/gateway/following/guard.py',
+        '        channel.close()\n        return False\n',
+        '        channel.close()\n        return True\n',
+        GUARD,
+    ),
+    Mutation(
+        'an explained end counts against others',
+        'ringseam/quarantine.py',
+        'other in self.verdicts for other',
+        'other in () for other',
+        QUARANTINE,
+    ),
+    Mutation(
+        'a suspected content runs more than once at a time',
+        'ringseam/quarantine.py',
+        '        self.trials[content] = now + lasts_s\n',
+        '        pass\n',
+        QUARANTINE,
+    ),
+    Mutation(
+        'pieces are made after a verdict',
+        'ringseam/gateway/stages/scheduler.py',
+        '            if self._admits(works, call):\n',
+        '            if call:\n',
+        GUARD,
+    ),
+    Mutation(
+        'a planned end blames what was under way',
+        'ringseam/control/quarantining.py',
+        '        if not planned:\n',
+        '        if True:\n',
+        'tests/test_control/test_control_quarantining.py',
+    ),
+    Mutation(
+        'a gateway forgets verdicts with its leader',
+        'ringseam/gateway/following/follower.py',
+        '        if news.epoch != self.epoch and not news.warm:\n',
+        '        if False:\n',
+        'tests/test_control/test_control_quarantining.py',
+    ),
 )
 
 
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -356,11 +356,14 @@
         """Let the quarantine hear a server, where it holds something against its like."""
         if not self.quarantining.book.concerns(report):
             return
-        software = {
-            row.report.software
-            for row in self.directory.rows.values()
-            if row.report.service == report.service and row.report.state is BackendState.ready
-        }
+        software: set[str] = set()
+        # A directory that has just begun doesn't know who else runs which version.
+        if self.directory.is_warm(self.node.clock.now()):
+            software.update(
+                row.report.software
+                for row in self.directory.rows.values()
+                if row.report.service == report.service and row.report.state is BackendState.ready
+            )
         self.quarantining.take_report(report, software)
 
     def _new_directory(self) -> BackendDirectory:
--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -108,11 +108,8 @@
         if elsewhere is not None:
             return EvidenceReply(reply=elsewhere)
         served: ServedReport = received.body
-        was_held = served.content in self.book.verdicts
         with self._telling():
             self.book.served(served.content, served.software, self.node.clock.now())
-        if was_held and served.content not in self.book.verdicts:
-            self._release(served.content, 'served')
         return EvidenceReply(reply=Heard())
 
     async def answer_trial(self, received: Received) -> TrialReply:
@@ -140,9 +137,7 @@
         """Hear a server, and which versions its service runs."""
         with self._telling():
             self.book.heard(report.instance)
-            lifted = self.book.see_software(report.service, software)
-        for content in lifted:
-            self._release(content, 'other software')
+            self.book.see_software(report.service, software)
 
     def news(self) -> QuarantineNews:
         """Return all that gateways hold to."""
@@ -168,10 +163,14 @@
 
     @contextlib.contextmanager
     def _telling(self) -> Iterator[None]:
-        """Let gateways hear what the block changes."""
-        before = self.book.version
+        """Let gateways hear what the block changes, and record what it releases."""
+        version = self.book.version
+        held = set(self.book.verdicts)
         yield
-        if self.book.version != before:
+        for content in held - set(self.book.verdicts):
+            on_trial = content in self.book.lifted
+            self._release(content, 'put to the test' if on_trial else 'servers bear it')
+        if self.book.version != version:
             self.wake()
 
     def _take_end(self, end: ServerEnd) -> None:
@@ -190,13 +189,10 @@
                 self.book.ended(end, self.node.clock.now())
 
     def _judge(self) -> None:
-        held = set(self.book.verdicts)
         with self._telling():
             fallen = self.book.judge(self.node.clock.now())
         for content in fallen:
             self._record(content)
-        for content in held & set(self.book.lifted):
-            self._release(content, 'held for long')
 
     def _record(self, content: ContentId) -> None:
         verdict = self.book.verdicts[content]
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -247,7 +247,7 @@
         """Return whether a failed request may be sent to another server."""
         if not work.tries.may_repeat:
             return False
-        serving = self.follower.view.serving(work.service)
+        serving = self.follower.serving(work.service, work.suspect.account)
         return any(server.instance not in work.tries.tried for server in serving)
 
     def _count_failure(self, work: Work, server: BackendReport) -> None:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -211,6 +211,9 @@
         self.clients.limits.head_s = limits.head_s
         self.clients.limits.idle_s = limits.idle_s
         self.guard.see_news()
+        held = self.follower.quarantine
+        self.metrics.put('contents_quarantined', len(held.quarantined))
+        self.metrics.put('contents_suspected', len(held.suspects))
         self.retries.processes = max(1, len(self.follower.gateways))
         self.works.see_gateways(self.follower.gateways)
         self.works.refresh()
--- a/tests/test_control/test_control_quarantining.py
+++ b/tests/test_control/test_control_quarantining.py
@@ -187,7 +187,21 @@
         await host.tell('a', 'b', 'c')
         for sequence in (2, 3):
             host.service._note(report('c', sequence))
+        await asyncio.sleep(0.01)
         assert (await host.trial()).state == TrialState.granted.value
+        assert not host.machine.state.quarantined
+
+    asyncio.run(run())
+
+
+def test_leader_that_has_not_heard_all_servers_lifts_no_verdict():
+    async def run():
+        host = Host()
+        await host.tell('a', 'b', 'c')
+        host.service.directory = host.service._new_directory()
+        for sequence in (1, 2):
+            host.service._note(report('new', sequence, software='v2'))
+        assert (await host.trial()).state == TrialState.quarantined.value
 
     asyncio.run(run())
 
