What was served of late is kept by one class

Cause: gateways and the quarantine each had it. Change: ServedLately stands with the quarantine; nothing else changes.

--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -17,9 +17,9 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
-from ringseam.gateway.following.underway import ServedLately, UnderWay
+from ringseam.gateway.following.underway import UnderWay
 from ringseam.messages import Redirect
-from ringseam.quarantine import EVIDENCE_S, Quarantine, TrialState
+from ringseam.quarantine import EVIDENCE_S, Quarantine, ServedLately, TrialState
 from ringseam.util.tasks import TaskSet
 from ringseam.verdicts import (
     REPORT_ENDS,
--- a/ringseam/gateway/following/underway.py
+++ b/ringseam/gateway/following/underway.py
@@ -1,14 +1,11 @@
-"""What is under way on each backend server, and what was answered of late; plain classes."""
+"""What is under way on each backend server; a plain class."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.quarantine import SERVED_KEPT, SERVED_S
-
 if TYPE_CHECKING:
-    from ringseam.contents import ContentId
     from ringseam.lifetimes import BackendId
     from ringseam.verdicts import Suspect
 
@@ -33,21 +30,3 @@
     def on(self, instance: BackendId) -> set[Suspect]:
         """Return what is under way on a server."""
         return set(self.by_server.get(instance, {}).values())
-
-
-@dataclass(kw_only=True)
-class ServedLately:
-    """Contents that servers have run and answered, by the version of their software."""
-
-    served_at: dict[tuple[ContentId, str], float] = field(default_factory=dict)
-
-    def note(self, content: ContentId, software: str, now: float) -> None:
-        """Hear of an answer."""
-        self.served_at.pop((content, software), None)
-        self.served_at[content, software] = now
-        if len(self.served_at) > SERVED_KEPT:
-            self.served_at.pop(next(iter(self.served_at)))
-
-    def has(self, content: ContentId, software: str, now: float) -> bool:
-        """Return whether a content was answered a short while ago."""
-        return now - self.served_at.get((content, software), float('-inf')) < SERVED_S
--- a/ringseam/quarantine.py
+++ b/ringseam/quarantine.py
@@ -70,6 +70,24 @@
     quarantined = 'quarantined'
 
 
+@dataclass(kw_only=True)
+class ServedLately:
+    """Contents that servers have run and answered, by the version of their software."""
+
+    served_at: dict[tuple[ContentId, str], float] = field(default_factory=dict)
+
+    def note(self, content: ContentId, software: str, now: float) -> None:
+        """Hear of an answer."""
+        self.served_at.pop((content, software), None)
+        self.served_at[content, software] = now
+        if len(self.served_at) > SERVED_KEPT:
+            self.served_at.pop(next(iter(self.served_at)))
+
+    def has(self, content: ContentId, software: str, now: float) -> bool:
+        """Return whether a content was answered a short while ago."""
+        return now - self.served_at.get((content, software), float('-inf')) < SERVED_S
+
+
 @dataclass(kw_only=True)
 class EndRecord:
     """One end of a server; times are absolute seconds."""
@@ -114,8 +132,7 @@
     verdicts: dict[ContentId, Verdict] = field(default_factory=dict)
     #: Verdicts that are put to the test: one more end brings them back.
     lifted: dict[ContentId, Verdict] = field(default_factory=dict)
-    #: When contents were served whole, by content and software.
-    served_at: dict[tuple[ContentId, str], float] = field(default_factory=dict)
+    answered: ServedLately = field(default_factory=ServedLately)
     #: Until when a run on trial counts as under way.
     trials: dict[ContentId, float] = field(default_factory=dict)
     suspects: frozenset[ContentId] = frozenset()
@@ -154,10 +171,7 @@
 
     def served(self, content: ContentId, software: str, now: float) -> None:
         """Hear that a server has run a content and answered: it ends no such server."""
-        self.served_at.pop((content, software), None)
-        self.served_at[content, software] = now
-        if len(self.served_at) > SERVED_KEPT:
-            self.served_at.pop(next(iter(self.served_at)))
+        self.answered.note(content, software, now)
         for end_id in list(self.by_content.get(content, ())):
             if self.ends[end_id].software == software:
                 self._clear(content, end_id)
@@ -276,8 +290,8 @@
         now: float,
     ) -> None:
         content = suspect.content
-        served_at = self.served_at.get((content, record.software), float('-inf'))
-        if now - served_at < SERVED_S or len(record.suspects) >= SUSPECTS_KEPT:
+        bears_it = self.answered.has(content, record.software, now)
+        if bears_it or len(record.suspects) >= SUSPECTS_KEPT:
             return
         record.suspects[content] = suspect.account
         known = self.by_content.setdefault(content, set())
