--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -131,8 +131,7 @@
             return
         probe = self.probes.get(server.instance)
         if probe is None:
-            suspects = self.under_way.on(server.instance)
-            probe = asyncio.get_running_loop().create_task(self._probe(server, suspects))
+            probe = asyncio.get_running_loop().create_task(self._probe(server))
             self.probes[server.instance] = probe
             probe.add_done_callback(lambda _: self.probes.pop(server.instance, None))
         await asyncio.shield(probe)
@@ -211,13 +210,14 @@
     def _is_suspected(self, content: ContentId) -> bool:
         return content in self.follower.quarantine.suspects or content in self.local.suspects
 
-    async def _probe(self, server: BackendReport, suspects: set[Suspect]) -> None:
+    async def _probe(self, server: BackendReport) -> None:
         if not await self._has_ended(server):
             return
         now = self.clock.now()
         self.health.failed(server.instance, now, hard=True)
-        # Those that broke in the same moment, but a little later.
-        suspects |= self.under_way.on(server.instance)
+        suspects = self.under_way.take(server.instance)
+        if not suspects:
+            return
         end = ServerEnd(
             instance=server.instance,
             service=server.service,
--- a/ringseam/gateway/following/underway.py
+++ b/ringseam/gateway/following/underway.py
@@ -27,6 +27,9 @@
         if not attempts:
             self.by_server.pop(instance, None)
 
-    def on(self, instance: BackendId) -> set[Suspect]:
-        """Return what is under way on a server."""
-        return set(self.by_server.get(instance, {}).values())
+    def take(self, instance: BackendId) -> set[Suspect]:
+        """Return what was under way on a server that has ended, once.
+
+        A connection whose end is lost breaks seconds later; it is no second end.
+        """
+        return set(self.by_server.pop(instance, {}).values())
--- a/ringseam/quarantine.py
+++ b/ringseam/quarantine.py
@@ -144,7 +144,7 @@
     suspects: frozenset[ContentId] = frozenset()
     #: The contents of :attr:`verdicts` when the version last grew.
     held: frozenset[ContentId] = frozenset()
-    version: int = 1
+    version: int = 0
 
     # -- evidence -----------------------------------------------------------
 
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -105,6 +105,24 @@
     asyncio.run(run())
 
 
+def test_connection_that_breaks_later_is_no_second_end(key_file):
+    """Load: a link loses the reset of one connection; it breaks by its own time limit."""
+
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            guard = gateway.role.guard
+            await add(gateway, Ending(), 'a')
+            server = gateway.role.follower.view.backends[BackendId('a')]
+            late = Suspect(content=content('/cut/late'), account='acme')
+            guard.sent(server, 'late', late)
+            await gateway.ask('/idem/x')
+            await guard.broke(server)
+            ((_, end),) = guard.seen
+        assert late in end.suspects
+
+    asyncio.run(run())
+
+
 def test_server_that_fell_silent_is_not_probed(key_file):
     """Load: a host goes dark with forty streams; each would wait for it before its retry."""
 
@@ -238,7 +256,7 @@
             assert guard.served.has(content('/idem/x'), '', now) is bears
             server = gateway.role.follower.view.backends[BackendId('a')]
             guard.sent(server, 'r9', Suspect(content=content('/idem/x'), account='acme'))
-            await guard._probe(server, set())
+            await guard._probe(server)
             assert not guard.seen
 
     asyncio.run(run())
