Quarantine: a run on trial is one run; ends that are told late or not at all

Found by reading the ways by which a verdict may be missed; each test failed first.

- The retry of a run on trial went to a fourth server: its trial was still granted when its server had ended.
It asks anew now, and pieces on trial aren't made again.
Entries likewise.
- An end whose probe, reset or report to the leader was lost on the way was never told.
Silent addresses are asked three times more, and what the leader has not heard is told again.
In a test where three packets in ten are lost, over 0.9 of 400 ends are told.
- Reports that a cut held up, or of a lifetime that a later start has replaced, counted as signs of life and took verdicts back.
- A release that is taken back put a verdict to the test again each time.

The evidence has a module of its own, so have the ends that a gateway sees. How many engines may end is bounded tighter.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -364,7 +364,10 @@
                 for row in self.directory.rows.values()
                 if row.report.service == report.service and row.report.state is BackendState.ready
             )
-        self.quarantining.take_report(report, software)
+        known = self.directory.lifetimes.get(name_of(report.instance), report.instance)
+        # What a replaced lifetime sent before its end is no sign that it lives.
+        lives = born_of(report.instance) >= born_of(known)
+        self.quarantining.take_report(report, software, lives=lives)
 
     def _new_directory(self) -> BackendDirectory:
         return BackendDirectory(
--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -133,10 +133,11 @@
 
     # -- what else is heard and told ----------------------------------------
 
-    def take_report(self, report: BackendReport, software: set[str]) -> None:
-        """Hear a server, and which versions its service runs."""
+    def take_report(self, report: BackendReport, software: set[str], *, lives: bool) -> None:
+        """Hear a server, whether it may live, and which versions its service runs."""
         with self._telling():
-            self.book.heard(report.instance, self.node.clock.now())
+            if lives:
+                self.book.heard(report.instance, self.node.clock.now())
             self.book.see_software(report.service, software)
 
     def news(self) -> QuarantineNews:
--- a/ringseam/entry/guard.py
+++ b/ringseam/entry/guard.py
@@ -70,6 +70,9 @@
                 suspects=(suspect,),
             )
             self.book.ended(end, now)
+            # One run is what was granted: its retry asks anew.
+            self.conclude(ask)
+            ask.on_trial = False
             self.node.events.emit(
                 logger,
                 Event.backend_ended,
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,7 +15,7 @@
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
 from ringseam.gateway.following.documentfetch import DocumentFetch
-from ringseam.gateway.following.ownership import rendezvous
+from ringseam.gateway.following.ownership import rendezvous_order
 from ringseam.lifetimes import BackendId
 from ringseam.platform.manifest import decode_manifest
 from ringseam.routes import RouteTable
@@ -39,6 +40,9 @@
 #: Pause after a host that couldn't tell the leader, seconds.
 _PAUSE_S = 0.1
 _CONFIRM_S = 1.0
+#: The share of a service's servers that run the requests of an account that is confined
+#: there: the others keep three quarters, and it keeps more than one server at most sizes.
+_CONFINED_SHARE = 0.25
 
 
 class Follower:
@@ -100,14 +104,15 @@
     def serving(self, service: ServiceName, account: str) -> list[BackendReport]:
         """Return the servers that may run an account's requests.
 
-        One, where the account is confined: all gateways keep it to the same server, so
-        that the others lose one server at a time to it.
+        A share of them, where the account is confined: all gateways keep it to the same
+        ones, so that the other accounts lose no more to it.
         """
         servers = self.view.serving(service)
         if not servers or (account, service) not in self.quarantine.confined:
             return servers
         by_name = {server.instance: server for server in servers}
-        return [by_name[BackendId(rendezvous(account, sorted(by_name)))]]
+        count = math.ceil(len(servers) * _CONFINED_SHARE)
+        return [by_name[BackendId(name)] for name in rendezvous_order(account, by_name)[:count]]
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Learn of further control hosts."""
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -7,32 +7,25 @@
 
 from __future__ import annotations
 
-import asyncio
-import collections
 import logging
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
-from ringseam.gateway.following.underway import UnderWay
+from ringseam.evidence import EVIDENCE_S, ServedLately
+from ringseam.gateway.following.ends import ASK_S, EndReports
 from ringseam.messages import Redirect
-from ringseam.quarantine import EVIDENCE_S, Quarantine, ServedLately, TrialState
+from ringseam.quarantine import Quarantine, TrialState
 from ringseam.util.tasks import TaskSet
 from ringseam.verdicts import (
-    REPORT_ENDS,
     REPORT_SERVED,
     TRIAL,
-    EndsReport,
     QuarantineNews,
     ServedReport,
     ServerEnd,
-    Suspect,
     TrialRequest,
 )
-from ringseam.web.client import ChannelError, RefusedError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -40,27 +33,15 @@
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthBook
     from ringseam.gateway.work import Work
-    from ringseam.lifetimes import BackendId
     from ringseam.node import Node
     from ringseam.rpc import CallClient
     from ringseam.web.client import ChannelPool
 
 logger = logging.getLogger(__name__)
 
-#: Whether anybody listens at an address shows within this, seconds: a host that runs
-#: refuses in a millisecond; one that is cut off or dark says nothing. A retry waits for it.
-_PROBE_S = 0.1
-#: The leader is milliseconds away; a request doesn't wait longer for it, seconds.
-_ASK_S = 0.15
-#: What breaks off a server that has fallen silent within this time was given up here,
-#: seconds; nobody would answer at its address either.
-_SILENT_S = 2.0
 #: A suspected content whose run is under way may come back after this, seconds: most
 #: runs take less, and its client loses little time.
 COME_BACK_S = 1.0
-#: Ends that are told again to a new leader.
-_ENDS_KEPT = 64
-_CONTENTS_LOGGED = 8
 
 
 class Guard:  # noqa: WPS214 - what a gateway sees and holds to
@@ -80,18 +61,20 @@
         self.clock = node.clock
         self.client = client
         self.follower = follower
-        self.health = health
-        self.pool = pool
-        self.under_way = UnderWay()
         self.served = ServedLately()
         #: What this gateway would judge by itself.
         self.local = Quarantine()
         self.tasks = TaskSet()
-        self.probes: dict[BackendId, asyncio.Task[None]] = {}
-        self.silent: dict[BackendId, float] = {}
-        #: Ends that were seen here, with their times.
-        self.seen: collections.deque[tuple[float, ServerEnd]] = collections.deque(
-            maxlen=_ENDS_KEPT,
+        #: When suspected contents were last under way on a server that ended.
+        self.ended_at: dict[ContentId, float] = {}
+        self.ends = EndReports(
+            node=node,
+            client=client,
+            follower=follower,
+            health=health,
+            pool=pool,
+            served=self.served,
+            on_end=self._note_end,
         )
         #: The news and the leadership that were last looked at.
         self.news = QuarantineNews(version=0)
@@ -99,43 +82,14 @@
 
     # -- what is sent and what becomes of it --------------------------------
 
-    def sent(self, server: BackendReport, attempt: str, suspect: Suspect) -> None:
-        """Hear that a server may have begun a request."""
-        self.under_way.sent(server.instance, attempt, suspect)
-
-    def over(self, server: BackendReport, attempt: str) -> None:
-        """Hear that a request is under way there no more."""
-        self.under_way.over(server.instance, attempt)
-
     def answered(self, server: BackendReport, content: ContentId) -> None:
         """Hear that a server has answered a content with success: it bears it."""
         now = self.clock.now()
         self.served.note(content, server.software, now)
-        if content in self.local.by_content or self._is_told(content):
+        if content in self.local.evidence.by_content or self._is_told(content):
             self.local.served(content, server.software, now)
             self._tell_served(content, server.software)
 
-    def fell_silent(self, instance: BackendId) -> None:
-        """Hear that a server has fallen silent, and what it owes is given up."""
-        self.silent[instance] = self.clock.now()
-
-    async def broke(self, server: BackendReport) -> None:
-        """Find out whether a server has ended, and tell; called before :meth:`over`.
-
-        A connection that broke may have been reset alone; a server that has ended has
-        nobody that listens. Returns once the leader has heard, so that a retry that
-        follows is judged by this end too.
-        """
-        fell_silent_at = self.silent.get(server.instance, float('-inf'))
-        if self.clock.now() - fell_silent_at < _SILENT_S:
-            return
-        probe = self.probes.get(server.instance)
-        if probe is None:
-            probe = asyncio.get_running_loop().create_task(self._probe(server))
-            self.probes[server.instance] = probe
-            probe.add_done_callback(lambda _: self.probes.pop(server.instance, None))
-        await asyncio.shield(probe)
-
     # -- what may run -------------------------------------------------------
 
     async def admit(self, work: Work) -> TrialState:
@@ -143,28 +97,32 @@
         content = work.content_id
         if self.is_quarantined(content):
             return TrialState.quarantined
-        if work.on_trial or not self._is_suspected(content):
+        if work.trial_at is not None:
+            if self._may_go_on(content, work.trial_at):
+                return TrialState.granted
+            work.trial_at = None
+            await self._withdraw(content)
+        if not self._is_suspected(content):
             return TrialState.granted
-        lasts_s = max(0, work.deadline - self.clock.now())
-        if self.follower.in_touch:
-            state = await self._ask_leader(content, lasts_s)
-        else:
-            state = self.local.ask(content, self.clock.now(), lasts_s)
-        work.on_trial = state is TrialState.granted
+        asked_at = self.clock.now()
+        state = await self._ask(content, max(0, work.deadline - asked_at))
+        if state is TrialState.granted:
+            work.trial_at = asked_at
         return state
 
     def conclude(self, work: Work) -> None:
         """Hear that a run on trial has shown itself, or is over: another one may begin."""
-        if work.on_trial:
-            work.on_trial = False
-            self.local.conclude(work.content_id)
-            self.tasks.spawn(self._tell_over(work.content_id))
+        if work.trial_at is not None:
+            work.trial_at = None
+            self.tasks.spawn(self._withdraw(work.content_id))
 
-    def may_make(self, content: ContentId, *, on_trial: bool) -> bool:
+    def may_make(self, content: ContentId, *, trial_at: float | None) -> bool:
         """Return whether pieces of a request may be made."""
         if self.is_quarantined(content):
             return False
-        return on_trial or not self._is_suspected(content)
+        if trial_at is not None:
+            return self._may_go_on(content, trial_at)
+        return not self._is_suspected(content)
 
     def is_quarantined(self, content: ContentId) -> bool:
         """Return whether a content is known to end servers."""
@@ -179,7 +137,7 @@
         news = self.follower.quarantine
         if self.follower.epoch != self.epoch:
             self.epoch = self.follower.epoch
-            self._tell_again()
+            self.ends.tell_again()
         if news is self.news:
             return
         for content in news.quarantined.keys() - self.news.quarantined.keys():
@@ -200,10 +158,26 @@
         """Judge by what was seen here, for times without a leader."""
         now = self.clock.now()
         self.local.judge(now)
-        self.silent = {name: at for name, at in self.silent.items() if now - at < _SILENT_S}
+        self.ends.look(now)
+        oldest = now - EVIDENCE_S
+        self.ended_at = {name: at for name, at in self.ended_at.items() if at > oldest}
 
     # -- helpers ------------------------------------------------------------
 
+    def _may_go_on(self, content: ContentId, trial_at: float) -> bool:
+        """Return whether no server has ended under a run on trial.
+
+        One run is what was granted; a retry would cost another server, as the verdict
+        falls a little later.
+        """
+        return self.ended_at.get(content, float('-inf')) < trial_at
+
+    def _note_end(self, end: ServerEnd, at: float) -> None:
+        self.local.ended(end, at)
+        for suspect in end.suspects:
+            if self._is_suspected(suspect.content):
+                self.ended_at[suspect.content] = at
+
     def _is_told(self, content: ContentId) -> bool:
         news = self.follower.quarantine
         return content in news.suspects or content in news.quarantined
@@ -211,46 +185,17 @@
     def _is_suspected(self, content: ContentId) -> bool:
         return content in self.follower.quarantine.suspects or content in self.local.suspects
 
-    async def _probe(self, server: BackendReport) -> None:
-        if not await self._has_ended(server):
-            return
-        now = self.clock.now()
-        self.health.failed(server.instance, now, hard=True)
-        suspects = self.under_way.take(server.instance)
-        if not suspects:
-            return
-        end = ServerEnd(
-            instance=server.instance,
-            service=server.service,
-            software=server.software,
-            suspects=tuple(
-                suspect
-                for suspect in suspects
-                if suspect.content and not self.served.has(suspect.content, server.software, now)
-            ),
-        )
-        self.node.events.emit(
-            logger,
-            Event.backend_ended,
-            backend=server.instance,
-            under_way=len(suspects),
-            contents=[suspect.content for suspect in end.suspects][:_CONTENTS_LOGGED],
-        )
-        self.local.ended(end, now)
-        self.seen.append((now, end))
-        await self._tell(EndsReport(ends=(end,)))
+    async def _ask(self, content: ContentId, lasts_s: float) -> TrialState:
+        """Ask for a run on trial; without a leader what was seen here decides."""
+        if self.follower.in_touch:
+            return await self._ask_leader(content, lasts_s)
+        return self.local.ask(content, self.clock.now(), lasts_s)
 
-    async def _has_ended(self, server: BackendReport) -> bool:
-        try:
-            channel = await self.pool.connect(server.address, timeout_s=_PROBE_S)
-        except RefusedError:
-            return True
-        except ChannelError as error:
-            # Silence is no proof: its host may be cut off.
-            logger.debug('not told whether it ended: %s', error)
-            return False
-        channel.close()
-        return False
+    async def _withdraw(self, content: ContentId) -> None:
+        """Let another run on trial begin."""
+        self.local.conclude(content)
+        if self.follower.in_touch:
+            await self._tell_over(content)
 
     async def _ask_leader(self, content: ContentId, lasts_s: float) -> TrialState:
         request = TrialRequest(content=content, lasts_ms=int(lasts_s * MS_PER_S))
@@ -259,7 +204,7 @@
                 self.follower.leader,
                 TRIAL,
                 request,
-                timeout_s=_ASK_S,
+                timeout_s=ASK_S,
             )
         except UnreachableError as error:
             logger.debug('trial not asked: %s', error)
@@ -267,39 +212,20 @@
         reply = received.body.reply
         return TrialState.busy if isinstance(reply, Redirect) else TrialState(reply.state)
 
-    async def _tell(self, report: EndsReport) -> None:
-        if not self.follower.in_touch:
-            return
-        try:
-            await self.client.call(self.follower.leader, REPORT_ENDS, report, timeout_s=_ASK_S)
-        except UnreachableError as error:
-            # The next leadership is told all that is remembered.
-            logger.debug('ends not told: %s', error)
-
-    def _tell_again(self) -> None:
-        now = self.clock.now()
-        ends = tuple(
-            msgspec.structs.replace(end, age_ms=int((now - at) * MS_PER_S))
-            for at, end in self.seen
-            if now - at < EVIDENCE_S
-        )
-        if ends:
-            self.tasks.spawn(self._tell(EndsReport(ends=ends)))
-
     def _tell_served(self, content: ContentId, software: str) -> None:
         report = ServedReport(content=content, software=software)
         self.tasks.spawn(self._tell_leader_served(report))
 
     async def _tell_leader_served(self, report: ServedReport) -> None:
         try:
-            await self.client.call(self.follower.leader, REPORT_SERVED, report, timeout_s=_ASK_S)
+            await self.client.call(self.follower.leader, REPORT_SERVED, report, timeout_s=ASK_S)
         except UnreachableError as error:
             logger.debug('answer not told: %s', error)
 
     async def _tell_over(self, content: ContentId) -> None:
         request = TrialRequest(content=content, over=True)
         try:
-            await self.client.call(self.follower.leader, TRIAL, request, timeout_s=_ASK_S)
+            await self.client.call(self.follower.leader, TRIAL, request, timeout_s=ASK_S)
         except UnreachableError as error:
             # The leader takes it for over at the request's deadline.
             logger.debug('end of a trial not told: %s', error)
--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -62,5 +62,10 @@
     return max(names, key=lambda name: _weight(key, name))
 
 
+def rendezvous_order(key: str, names: Collection[str]) -> list[str]:
+    """Return all names, by :func:`rendezvous` without those before."""
+    return sorted(names, key=lambda name: _weight(key, name), reverse=True)
+
+
 def _weight(key: str, name: str) -> bytes:
     return hashlib.blake2b(f'{key}/{name}'.encode(), digest_size=8).digest()
--- a/ringseam/gateway/following/underway.py
+++ b/ringseam/gateway/following/underway.py
@@ -27,6 +27,10 @@
         if not attempts:
             self.by_server.pop(instance, None)
 
+    def of(self, instance: BackendId) -> set[Suspect]:
+        """Return what is under way on a server."""
+        return set(self.by_server.get(instance, {}).values())
+
     def take(self, instance: BackendId) -> set[Suspect]:
         """Return what was under way on a server that has ended, once.
 
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -106,7 +106,7 @@
             sends=work.tries.sends,
             last=relay.last,
         )
-        self.guard.sent(server, work.request.attempt_id, work.suspect)
+        self.guard.ends.sent(server, work.request.attempt_id, work.suspect)
         try:
             outcome = await self._send(work, server, relay)
         finally:
@@ -131,12 +131,12 @@
         if isinstance(outcome, Answered):
             outcome = await self._pass_on(work, server, outcome, relay, begun)
         if isinstance(outcome, Lost) and outcome.is_broken:
-            await self.guard.broke(server)
+            await self.guard.ends.broke(server)
         return outcome
 
     def _note_over(self, work: Work, server: BackendReport) -> None:
         """Hear that a request is no longer under way at a server."""
-        self.guard.over(server, work.request.attempt_id)
+        self.guard.ends.over(server, work.request.attempt_id)
         if work.route.affinity:
             self.sender.silence.ended(server.instance, work.request.attempt_id)
             self.placements.ended(work)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -185,7 +185,7 @@
             if report is not None and now >= self.health.of(instance).ejected_until:
                 self.placements.fell_silent(report.service, instance)
                 self.node.events.emit(logger, Event.engine_silent, backend=instance)
-            self.guard.fell_silent(instance)
+            self.guard.ends.fell_silent(instance, report)
             for request in self.silence.give_up(instance):
                 self.silence.ended(instance, request)
 
--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -218,7 +218,7 @@
             zone=self._zone_for(number, inputs),
             inputs_of=self.plan.sole_maker(number),
             suspect=work.suspect,
-            on_trial=work.on_trial,
+            trial_at=work.trial_at,
         )
 
     def _zone_for(self, number: int, inputs: tuple[str, ...]) -> str:
--- a/ringseam/gateway/stages/jobs.py
+++ b/ringseam/gateway/stages/jobs.py
@@ -41,8 +41,8 @@
     inputs_of: str = ''
     #: What its request asks for, and for whom.
     suspect: Suspect = field(default_factory=lambda: Suspect(content=ContentId('')))
-    #: Whether this is the only run of a suspected content.
-    on_trial: bool = False
+    #: When the only run of a suspected content was granted; None: not on trial.
+    trial_at: float | None = None
 
     @functools.cached_property
     def precedence(self) -> Precedence:
--- a/ringseam/gateway/stages/messages.py
+++ b/ringseam/gateway/stages/messages.py
@@ -30,8 +30,8 @@
     inputs_of: str = ''
     content: ContentId = ContentId('')
     account: str = ''
-    #: Whether this is the only run of a suspected content.
-    on_trial: bool = False
+    #: How long ago the only run of a suspected content was granted; negative: not on trial.
+    trial_ms: int = -1
 
 
 class Waits(Message, frozen=True, kw_only=True, omit_defaults=True):
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -202,7 +202,7 @@
         held_back = [
             piece
             for piece in call.pieces
-            if not self.guard.may_make(piece.job.suspect.content, on_trial=piece.job.on_trial)
+            if not self.guard.may_make(piece.job.suspect.content, trial_at=piece.job.trial_at)
         ]
         for piece in held_back:
             works.batcher.withdraw(call, piece)
@@ -238,7 +238,7 @@
     async def _attempt(self, call: StageCall, limit_s: float) -> list[PieceResult] | CallFailure:
         """Return what a call made, or how it failed."""
         for piece in call.pieces:
-            self.guard.sent(call.server, _name_of(piece), piece.job.suspect)
+            self.guard.ends.sent(call.server, _name_of(piece), piece.job.suspect)
         try:
             async with asyncio.timeout(limit_s):
                 return await self.calls.run(call)
@@ -246,14 +246,14 @@
             return CallFailure(end=CallEnd.full, detail=str(error))
         except ChannelError as error:
             if error.sent:
-                await self.guard.broke(call.server)
+                await self.guard.ends.broke(call.server)
             end = CallEnd.broken if error.sent else CallEnd.unsent
             return CallFailure(end=end, detail=str(error))
         except (msgspec.MsgspecError, asyncio.TimeoutError) as error:
             return CallFailure(end=CallEnd.broken, detail=f'{type(error).__name__} {error}')
         finally:
             for piece in call.pieces:
-                self.guard.over(call.server, _name_of(piece))
+                self.guard.ends.over(call.server, _name_of(piece))
 
     def _judge(self, works: ServicePieces, call: StageCall, end: CallEnd) -> None:
         """Count a failed call against its server.
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -56,8 +56,8 @@
     asked_before_s: float = 0
     #: Whether it was answered within its objective.
     in_time: bool = False
-    #: Whether this is the only run of a suspected content.
-    on_trial: bool = False
+    #: When the only run of a suspected content was granted; None: not on trial.
+    trial_at: float | None = None
     #: How long the stages took, seconds.
     stages_s: float = 0
     #: How long stages and server were predicted to take, seconds.
--- a/tests/test_control/test_control_quarantining.py
+++ b/tests/test_control/test_control_quarantining.py
@@ -13,11 +13,12 @@
 from ringseam.control.follow import FollowService, HeldDocument
 from ringseam.control.replicamessages import Leadership, Linearizable, NotLeading
 from ringseam.control.state import StateMachine, encode_command
+from ringseam.evidence import LIFE_SHOWS_S, REPORTS_APART_S
 from ringseam.following import WatchNews, WatchRequest
 from ringseam.gateway.following.follower import Follower
 from ringseam.messages import Redirect
 from ringseam.node import Node
-from ringseam.quarantine import LIFE_SHOWS_S, SETTLE_S, VERDICTS_KEPT, TrialState
+from ringseam.quarantine import SETTLE_S, VERDICTS_KEPT, TrialState
 from ringseam.routes import ServiceName
 from ringseam.rpc import CallClient
 from ringseam.sealing import Received
@@ -176,7 +177,7 @@
             await asyncio.sleep(0)
             waiting.cancel()
         await host.tell('a', 'b', 'c')
-        assert not host.quarantining.book.ends
+        assert not host.quarantining.book.evidence.ends
 
     asyncio.run(run())
 
@@ -188,6 +189,7 @@
         host.clock.advance(LIFE_SHOWS_S)
         for sequence in (2, 3):
             host.service._note(report('c', sequence))
+            host.clock.advance(REPORTS_APART_S)
         await asyncio.sleep(0.01)
         assert (await host.trial()).state == TrialState.granted.value
         assert not host.machine.state.quarantined
@@ -195,6 +197,22 @@
     asyncio.run(run())
 
 
+def test_late_reports_of_a_lifetime_that_a_later_one_has_replaced_show_no_life():
+    """Load: what a server sent before its end comes seconds after its new start."""
+
+    async def run():
+        host = Host()
+        await host.tell('a#1', 'b#1', 'c#1')
+        host.service._note(report('c#2', 1))
+        host.clock.advance(LIFE_SHOWS_S)
+        for sequence in (2, 3):
+            host.service._note(report('c#1', sequence))
+            host.clock.advance(REPORTS_APART_S)
+        assert (await host.trial()).state == TrialState.quarantined.value
+
+    asyncio.run(run())
+
+
 def test_leader_that_has_not_heard_all_servers_lifts_no_verdict():
     async def run():
         host = Host()
@@ -247,7 +265,7 @@
         later.clock.advance(2 * SETTLE_S)
         later.quarantining._judge()
         assert (await later.trial()).state == TrialState.quarantined.value
-        assert len(later.quarantining.book.ends) == 3
+        assert len(later.quarantining.book.evidence.ends) == 3
 
     asyncio.run(run())
 
--- a/tests/test_entry/test_entry_guard.py
+++ b/tests/test_entry/test_entry_guard.py
@@ -6,13 +6,17 @@
 
 import asyncio
 import socket
+from types import SimpleNamespace
 
 import pytest
 
 from ringseam.agent.adapters import ServiceAdapter
 from ringseam.agent.execution import Admitted
+from ringseam.clock import PausedClock
+from ringseam.entry.guard import ContentGuard
 from ringseam.messages import StageUnknown
-from ringseam.quarantine import SETTLE_S
+from ringseam.node import Node
+from ringseam.quarantine import SETTLE_S, TrialState
 from tests.test_entry.test_entry_claims import Entry, World
 
 ENDING = b'ends its server'
@@ -83,6 +87,22 @@
     assert asyncio.run(run()) == 'unknown'
 
 
+def test_run_on_trial_whose_server_ends_is_not_tried_at_another_agent():
+    """Its third end is told by then; a retry would only cost a fourth server."""
+    clock = PausedClock(start=1)
+    guard = ContentGuard(node=Node(name='e', role='entry', address='', secret=b's', clock=clock))
+    stage = SimpleNamespace(pool='demo/signals', model='m1')
+    ended = StageUnknown(detail='connection lost', server_ended=True)
+    known = {'content_id': 'c', 'account': SimpleNamespace(name='acme'), 'left_s': lambda _: 5}
+    for server in 'abc':
+        ask = SimpleNamespace(**known, on_trial=False)
+        assert guard.admit(ask) is TrialState.granted
+        guard.note(ask, stage, SimpleNamespace(name=server), ended)
+        if server != 'c':
+            clock.advance(2 * SETTLE_S)
+    assert guard.admit(ask) is TrialState.busy
+
+
 @pytest.mark.parametrize('listens', [True, False])
 def test_agent_tells_a_server_that_ended_from_a_broken_connection(listens):
     with socket.create_server(('127.0.0.1', 0)) as server:
--- /dev/null
+++ b/tests/test_gateway/test_following/test_following_ends.py
@@ -0,0 +1,189 @@
+"""How a gateway finds out that a server has ended, over links that lose packets.
+
+The load: a server ends with requests under way; the reset, the refusal or the call to
+the leader is lost. Each loss leaves one end untold, and three of them cost a content
+three servers more.
+"""
+
+import asyncio
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from ringseam.backends import BackendReport
+from ringseam.errors import UnreachableError
+from ringseam.evidence import SAME_END_S, ServedLately
+from ringseam.gateway.following.ends import (
+    PROBE_PAUSE_S,
+    PROBE_S,
+    PROBES_AGAIN,
+    UNTOLD_S,
+    EndReports,
+)
+from ringseam.gateway.following.health import HealthBook
+from ringseam.lifetimes import BackendId
+from ringseam.messages import Redirect
+from ringseam.model.virtualtime import run_virtual
+from ringseam.node import Node
+from ringseam.routes import ServiceName
+from ringseam.verdicts import EvidenceReply, Heard, Suspect
+from ringseam.web.client import ChannelError, RefusedError
+
+SERVER = BackendReport(
+    instance=BackendId('a#1'),
+    service=ServiceName('s'),
+    address='1.1.1.1:1',
+    zone='z',
+    sequence=1,
+)
+SUSPECT = Suspect(content='c', account='acme')
+HEARD = EvidenceReply(reply=Heard())
+
+
+class Pool:
+    """Answers connections as scripted, the last one for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = 0
+
+    async def connect(self, address, *, timeout_s):
+        self.asked += 1
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer == 'listens':
+            return SimpleNamespace(close=lambda: None)
+        raise {'refused': RefusedError, 'silent': ChannelError}[answer](answer, sent=False)
+
+
+class Leader:
+    """Answers calls as scripted, the last one for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.ends = []
+
+    async def call(self, address, method, message, *, timeout_s):
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if answer == 'lost':
+            raise UnreachableError('lost')
+        self.ends.append(message.ends)
+        return SimpleNamespace(body=answer)
+
+
+def reports_of(clock, pool, leader, on_end=lambda end, at: None):
+    return EndReports(
+        node=Node(name='g', role='gateway', address='', secret=b's', clock=clock),
+        client=leader,
+        follower=SimpleNamespace(in_touch=True, leader='c1'),
+        health=HealthBook(),
+        pool=pool,
+        served=ServedLately(),
+        on_end=on_end,
+    )
+
+
+def broken(pool, leader, seconds=5):
+    """Return the clock's time when the retry may go on, and the reports, seconds later."""
+
+    async def main(clock):
+        reports = reports_of(clock, pool, leader)
+        reports.sent(SERVER, 'r1', SUSPECT)
+        await reports.broke(SERVER)
+        went_on = clock.now()
+        reports.over(SERVER, 'r1')
+        await passing(clock, reports, seconds)
+        return went_on, reports
+
+    return run_virtual(main)
+
+
+async def passing(clock, reports, seconds):
+    until = clock.now() + seconds
+    while clock.now() < until:
+        await asyncio.sleep(0.1)
+        reports.look(clock.now())
+
+
+@pytest.mark.parametrize('lost', range(PROBES_AGAIN + 1))
+def test_end_is_told_when_probes_are_lost(lost):
+    leader = Leader(HEARD)
+    went_on, reports = broken(Pool(*['silent'] * lost, 'refused'), leader)
+    ((end,),) = leader.ends
+    assert end.suspects == (SUSPECT,)
+    assert end.age_ms < SAME_END_S * 1000
+    assert went_on < PROBE_S
+    assert not reports.doubted
+
+
+def test_host_that_stays_silent_is_blamed_for_nothing():
+    pool = Pool('silent')
+    leader = Leader(HEARD)
+    broken(pool, leader)
+    assert not leader.ends
+    assert pool.asked == PROBES_AGAIN + 1
+
+
+def test_server_that_answers_after_a_lost_probe_has_not_ended():
+    leader = Leader(HEARD)
+    broken(Pool('silent', 'listens'), leader)
+    assert not leader.ends
+
+
+def test_probes_of_one_end_are_over_before_another_may_be_told():
+    """Gateways agree on the time of an end to SAME_END_S; later it is another one."""
+    assert PROBES_AGAIN * (PROBE_PAUSE_S + PROBE_S) < SAME_END_S
+
+
+def test_most_ends_are_seen_where_three_packets_in_ten_are_lost():
+    """Of a request for a connection and its refusal both must pass."""
+    dice = random.Random(1)
+
+    def probe():
+        return 'refused' if min(dice.random(), dice.random()) > 0.3 else 'silent'
+
+    told = 0
+    for _ in range(400):
+        leader = Leader(HEARD)
+        broken(Pool(*[probe() for _ in range(PROBES_AGAIN + 1)], 'silent'), leader, seconds=1)
+        told += len(leader.ends)
+    assert told / 400 > 0.9
+
+
+@pytest.mark.parametrize(
+    'answer',
+    ['lost', EvidenceReply(reply=Redirect(leader='c2'))],
+    ids=['lost', 'redirect'],
+)
+def test_end_that_the_leader_has_not_heard_is_told_again(answer):
+    leader = Leader(answer, HEARD)
+    _, reports = broken(Pool('refused'), leader)
+    ((end,),) = leader.ends[-1:]
+    assert end.suspects == (SUSPECT,)
+    assert end.age_ms >= UNTOLD_S * 1000
+    assert reports.untold_at is None
+
+
+def test_end_that_is_heard_is_told_once():
+    leader = Leader(HEARD)
+    broken(Pool('refused'), leader, seconds=10)
+    assert len(leader.ends) == 1
+
+
+def test_end_behind_a_silence_is_found_by_asking():
+    """The reset was lost: streams are given up for their silence, and nobody waits."""
+
+    async def main(clock):
+        leader = Leader(HEARD)
+        reports = reports_of(clock, Pool('refused'), leader)
+        reports.sent(SERVER, 'r1', SUSPECT)
+        reports.fell_silent(SERVER.instance, SERVER)
+        reports.over(SERVER, 'r1')
+        await reports.broke(SERVER)
+        went_on = clock.now()
+        await passing(clock, reports, 2)
+        return went_on, leader.ends
+
+    went_on, ends = run_virtual(main)
+    assert went_on == 0
+    assert [end.suspects for (end,) in ends] == [(SUSPECT,)]
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -81,8 +81,8 @@
                 await add(gateway, ScriptedServer(resetting), name)
             for number in range(6):
                 await gateway.ask('/idem/x', Attempt_Id=f'r{number}')
-            assert not gateway.role.guard.seen
-            assert not gateway.role.guard.local.ends
+            assert not gateway.role.guard.ends.seen
+            assert not gateway.role.guard.local.evidence.ends
 
     asyncio.run(run())
 
@@ -96,11 +96,11 @@
             await asyncio.sleep(0.05)
             await gateway.ask('/cut/x')
             await mate
-            ((_, end),) = gateway.role.guard.seen
+            ((_, end),) = gateway.role.guard.ends.seen
         found = {suspect.content for suspect in end.suspects}
         assert found == {content('/cut/x'), content('/cut/mate')}
         assert {suspect.account for suspect in end.suspects} == {'acme'}
-        assert not gateway.role.guard.under_way.by_server
+        assert not gateway.role.guard.ends.under_way.by_server
 
     asyncio.run(run())
 
@@ -114,10 +114,10 @@
             await add(gateway, Ending(), 'a')
             server = gateway.role.follower.view.backends[BackendId('a')]
             late = Suspect(content=content('/cut/late'), account='acme')
-            guard.sent(server, 'late', late)
+            guard.ends.sent(server, 'late', late)
             await gateway.ask('/idem/x')
-            await guard.broke(server)
-            ((_, end),) = guard.seen
+            await guard.ends.broke(server)
+            ((_, end),) = guard.ends.seen
         assert late in end.suspects
 
     asyncio.run(run())
@@ -130,9 +130,9 @@
         async with LocalGateway(key_file) as gateway:
             guard = gateway.role.guard
             await add(gateway, Ending(), 'a')
-            guard.fell_silent(BackendId('a'))
+            guard.ends.fell_silent(BackendId('a'), None)
             await gateway.ask('/idem/x')
-            assert not guard.seen
+            assert not guard.ends.seen
 
     asyncio.run(run())
 
@@ -157,6 +157,39 @@
     asyncio.run(run())
 
 
+def test_run_on_trial_whose_server_ends_is_not_sent_to_another(key_file):
+    """Its third end is told by then, so a retry would only cost a fourth server."""
+
+    async def run():
+        servers = [Ending() for _ in range(4)]
+        async with LocalGateway(key_file) as gateway:
+            for number, server in enumerate(servers):
+                await add(gateway, server, f'a{number}')
+            statuses = [
+                (await gateway.ask('/idem/x', Attempt_Id=f'r{number}'))[0] for number in range(2)
+            ]
+        assert len([server for server in servers if server.asked]) == 3
+        assert statuses == [502, 502]
+
+    asyncio.run(run())
+
+
+def test_pieces_on_trial_whose_server_ends_are_not_made_elsewhere(key_file):
+    async def run():
+        servers = [Ending() for _ in range(4)]
+        async with LocalGateway(key_file) as gateway:
+            for number, server in enumerate(servers):
+                await add(gateway, server, f'a{number}', service='crops')
+            statuses = [
+                (await gateway.ask('/staged/x', Attempt_Id=f'r{number}', Pieces='1'))[0]
+                for number in range(2)
+            ]
+        assert len([server for server in servers if server.asked]) == 3
+        assert 200 not in statuses
+
+    asyncio.run(run())
+
+
 def test_quarantined_content_reaches_no_server_under_any_id(key_file):
     async def run():
         server = ScriptedServer(good)
@@ -222,7 +255,7 @@
         async with LocalGateway(key_file) as gateway:
             await add(gateway, Ending(), 'a', service='crops')
             await gateway.ask('/staged/x', Pieces='2', Deadline_Ms='900')
-            ((_, end),) = gateway.role.guard.seen
+            ((_, end),) = gateway.role.guard.ends.seen
         assert [suspect.content for suspect in end.suspects] == [content('/staged/x')]
 
     asyncio.run(run())
@@ -255,8 +288,8 @@
             now = gateway.role.node.clock.now()
             assert guard.served.has(content('/idem/x'), '', now) is bears
             server = gateway.role.follower.view.backends[BackendId('a')]
-            guard.sent(server, 'r9', Suspect(content=content('/idem/x'), account='acme'))
-            await guard._probe(server)
-            assert not guard.seen
+            guard.ends.sent(server, 'r9', Suspect(content=content('/idem/x'), account='acme'))
+            await guard.ends._probe(server)
+            assert not guard.ends.seen
 
     asyncio.run(run())
--- a/tests/test_gateway/test_stages/test_stages_graph.py
+++ b/tests/test_gateway/test_stages/test_stages_graph.py
@@ -66,7 +66,7 @@
         deadline=20,
         precedence=Precedence(rank=1),
         suspect=Suspect(content=ContentId('c1')),
-        on_trial=False,
+        trial_at=None,
     )
     table = RouteTable(
         services={
--- a/tests/test_model/test_model_loads.py
+++ b/tests/test_model/test_model_loads.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import statistics
 from pathlib import Path
 
 import msgspec
@@ -16,6 +17,8 @@
 from ringseam.model.experiment import run_experiment
 from ringseam.model.pattern import read_pattern
 
+#: Runs of the pattern of contents that end engines.
+ENDING_SEEDS = range(1, 7)
 PATTERNS = Path(__file__).parents[2] / 'bench' / 'patterns'
 
 
@@ -82,16 +85,21 @@
     return served / sum(sum(kinds.values()) for kinds in counts)
 
 
-@pytest.mark.parametrize('seed', [1, 2, 3])
-def test_content_that_ends_engines_costs_three_of_them_and_others_little(seed):
+def test_content_that_ends_engines_costs_three_of_them_and_others_little():
     """Pattern ending: 48 asks for a chat that ends each engine that begins it.
 
-    Three ends tell it, and one ask may be under way then. Others are served 0.98 times
-    as often as without that client.
+    Three ends tell it; an ask that was under way at the second may cost a fourth. Others
+    are served 0.98 times as often as without that client: in the mean, as what one seed
+    draws elsewhere in the pattern moves that by 0.01.
     """
     whole = pattern('ending')
-    found = run_experiment(whole, seed=seed)
-    calm = run_experiment(msgspec.structs.replace(whole, events=[]), seed=seed)
-    assert 3 <= found.ended <= 4
-    assert calm.ended == 0
-    assert served_share(found) >= 0.98 * served_share(calm)
+    without = msgspec.structs.replace(whole, events=[])
+    found = [run_experiment(whole, seed=seed) for seed in ENDING_SEEDS]
+    calm = [run_experiment(without, seed=seed) for seed in ENDING_SEEDS]
+    ended = [run.ended for run in found]
+    assert min(ended) >= 3
+    assert max(ended) <= 4
+    assert statistics.median(ended) == 3
+    assert not any(run.ended for run in calm)
+    shares = zip(map(served_share, found), map(served_share, calm), strict=True)
+    assert statistics.mean(one / other for one, other in shares) >= 0.98
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,12 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ringseam.evidence import ENDS_KEPT, LIFE_SHOWS_S, REPORTS_APART_S, REPORTS_OF_LIFE
 from ringseam.quarantine import (
-    ENDS_KEPT,
+    CONFINED_S,
     ENDS_REGARDLESS,
     HELD_S,
-    LIFE_SHOWS_S,
-    REPORTS_OF_LIFE,
     SETTLE_S,
     VERDICTS_KEPT,
     VERDICTS_TO_CONFINE,
@@ -80,7 +79,7 @@
     seen.now = 100
     for age_ms in (0, 0, 5000, 5100):
         seen.book.ended(end('a', GUILTY, age_ms=age_ms), seen.now)
-    assert len(seen.book.ends) == 2
+    assert len(seen.book.evidence.ends) == 2
 
 
 def test_second_end_lets_it_run_on_trial_only_one_at_a_time():
@@ -201,10 +200,23 @@
     seen.now += LIFE_SHOWS_S
     seen.book.heard('c', seen.now)
     assert seen.ask(GUILTY) is TrialState.quarantined
+    seen.now += REPORTS_APART_S
     seen.book.heard('c', seen.now)
     assert seen.ask(GUILTY) is TrialState.granted
 
 
+def test_reports_that_arrive_together_show_no_life():
+    """Load: a cut holds up what a server sent before its end, and heals seconds later."""
+    seen = Evidence()
+    for server in 'abc':
+        seen.ended(end(server, GUILTY))
+    seen.now += 2 * LIFE_SHOWS_S
+    for _ in range(2 * REPORTS_OF_LIFE):
+        seen.book.heard('c', seen.now)
+        seen.now += REPORTS_APART_S / 10
+    assert seen.ask(GUILTY) is TrialState.quarantined
+
+
 def test_new_release_puts_a_verdict_to_the_test_with_one_server():
     seen = Evidence()
     for server in 'abc':
@@ -227,6 +239,17 @@
     assert [seen.ask(GUILTY), seen.ask(GUILTY)] == [TrialState.granted] * 2
 
 
+def test_release_that_is_taken_back_puts_no_verdict_to_the_test():
+    """Load: a release, its return and the release again; each would cost one server."""
+    seen = Evidence()
+    for server in 'abc':
+        seen.ended(end(server, GUILTY))
+    seen.book.see_software('s', {'v2'})
+    assert seen.ended(end('d', GUILTY, software='v2')) == [GUILTY]
+    assert seen.book.see_software('s', {'v1'}) == []
+    assert seen.book.see_software('s', {'v3'}) == [GUILTY]
+
+
 def test_verdict_is_put_to_the_test_after_an_hour_and_then_after_two():
     seen = Evidence()
     for server in 'abc':
@@ -252,14 +275,49 @@
     assert seen.ended(end('alien', 'other', account='acme')) == []
 
 
+def test_account_is_confined_while_it_brings_such_contents_and_no_longer():
+    """Its other requests share one server meanwhile, so it lasts no longer than it must."""
+    seen = Evidence()
+    versions = []
+    for number in range(VERDICTS_TO_CONFINE):
+        for server in 'abc':
+            seen.ended(end(f'{server}{number}', f'bad-{number}', account='mallory'))
+        versions.append((bool(seen.book.confined), seen.book.version))
+    assert [confined for confined, _ in versions] == [False, False, True]
+    seen.now += CONFINED_S
+    seen.book.judge(seen.now)
+    assert not seen.book.confined
+    assert seen.book.version > versions[-1][1]
+    assert len(seen.book.verdicts) == VERDICTS_TO_CONFINE
+
+
+def test_verdicts_far_apart_confine_no_account():
+    seen = Evidence()
+    for number in range(2 * VERDICTS_TO_CONFINE):
+        for server in 'abc':
+            seen.ended(end(f'{server}{number}', f'bad-{number}', account='mallory'))
+        seen.now += CONFINED_S / (VERDICTS_TO_CONFINE - 1)
+    assert not seen.book.confined
+
+
+def test_recorded_verdicts_confine_no_account():
+    """Load: a change of leader long after they fell."""
+    book = Quarantine()
+    for number in range(VERDICTS_TO_CONFINE):
+        held = Verdict(service='s', account='mallory', software=frozenset({'v1'}), at=0)
+        book.restore(f'bad-{number}', held)
+    book.judge(0)
+    assert not book.confined
+
+
 def test_memory_stays_bounded_in_a_flood():
     seen = Evidence()
     for number in range(VERDICTS_KEPT + 50):
         for server in 'abc':
             seen.ended(end(f'{server}{number}', f'bad-{number}', account=''))
     assert len(seen.book.verdicts) == VERDICTS_KEPT
-    assert len(seen.book.ends) <= ENDS_KEPT
-    assert len(seen.book.by_content) <= ENDS_KEPT
+    assert len(seen.book.evidence.ends) <= ENDS_KEPT
+    assert len(seen.book.evidence.by_content) <= ENDS_KEPT
 
 
 def test_recorded_verdict_is_in_force_at_once():
