--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from ringseam.backends import BackendRow, BackendState, shows_change, supersedes
 from ringseam.following import WatchNews
-from ringseam.lifetimes import Ended, born_of, name_of
+from ringseam.lifetimes import Ended, backend_id, born_of, name_of
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendReport, GatewayState
@@ -77,6 +79,20 @@
         self.lifetimes[name_of(report.instance)] = report.instance
         return changed
 
+    def with_lifetime(self, report: BackendReport, wall_ms: int) -> BackendReport | None:
+        """Return a report that doesn't tell when its server started; None: a foreign one.
+
+        A leave counts for the lifetime that is known, or for all that have begun by
+        now: it may be the first that a new leader hears of the server. Any other report
+        isn't from a server that has told its start before.
+        """
+        known = self.lifetimes.get(report.instance)
+        if report.state is not BackendState.gone:
+            return None if known is not None and self._tells_its_start(known) else report
+        if known is None:
+            known = backend_id(report.instance, wall_ms)
+        return msgspec.structs.replace(report, instance=known)
+
     def expire(self, now: float) -> list[BackendId]:
         """Drop servers that fell silent and return them."""
         silent = [name for name, row in self.rows.items() if now - row.heard > self.silent_s]
@@ -152,6 +168,10 @@
     def _gateways(self) -> tuple[GatewayState, ...]:
         return tuple(follower.state for follower in self.followers.values())
 
+    def _tells_its_start(self, backend: BackendId) -> bool:
+        row = self.rows[backend]
+        return bool(born_of(backend)) and row.report.state is not BackendState.gone
+
     def _drop(self, instance: BackendId) -> None:
         self.rows.pop(instance)
         self.lifetimes.pop(name_of(instance))
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -33,7 +33,7 @@
     ReportTaken,
     WatchReply,
 )
-from ringseam.lifetimes import Ended, backend_id, born_of, name_of
+from ringseam.lifetimes import Ended, born_of, name_of
 from ringseam.messages import Empty, Redirect
 
 if TYPE_CHECKING:
@@ -202,7 +202,7 @@
         if not self.leadership.serves:
             return self.redirect
         if not born_of(report.instance):
-            named = self._with_lifetime(report)
+            named = self.directory.with_lifetime(report, self.node.clock.wall_ms())
             if named is None:
                 return ReportForeign()
             report = named
@@ -313,24 +313,6 @@
         outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
         return outcome.newest if isinstance(outcome, DocumentPut) else None
 
-    def _with_lifetime(self, report: BackendReport) -> BackendReport | None:
-        """Return a report that doesn't tell when its server started; None: a foreign one.
-
-        A leave counts for the lifetime that is known, or for all that have begun by
-        now: it may be the first that a new leader hears of the server. Any other report
-        isn't from a server that has told its start before.
-        """
-        known = self.directory.lifetimes.get(report.instance)
-        if report.state is not BackendState.gone:
-            return None if known is not None and self._tells_its_start(known) else report
-        if known is None:
-            known = backend_id(report.instance, self.node.clock.wall_ms())
-        return msgspec.structs.replace(report, instance=known)
-
-    def _tells_its_start(self, backend: BackendId) -> bool:
-        row = self.directory.rows[backend]
-        return bool(born_of(backend)) and row.report.state is not BackendState.gone
-
     def _note(self, report: BackendReport) -> None:
         self._tell_quarantine(report)
         known = self.directory.lifetimes.get(name_of(report.instance), report.instance)
--- a/ringseam/rpc.py
+++ b/ringseam/rpc.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 from typing import TYPE_CHECKING, Any, NoReturn
 
 import msgspec
@@ -16,10 +15,11 @@
     UnaryUnaryMethod,
 )
 from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server
 
-from ringseam.errors import NotSentError, StrangerError, UnreachableError
+from ringseam.channels import CALL_ERRORS, CONNECT_S, Channels
+from ringseam.errors import StrangerError, UnreachableError
 from ringseam.events import Event
 from ringseam.ids import split_address
 from ringseam.messages import Empty
@@ -43,28 +43,7 @@
 
 logger = logging.getLogger(__name__)
 
-#: A connection that isn't made after this long won't be, seconds.
-CONNECT_S = 1.0
-#: Unacknowledged bytes break a connection after this long, ms (RFC 5482).
-_USER_TIMEOUT_MS = 1000
-#: Seconds of silence before the kernel probes a peer, and how often it does.
-_PROBE_S = 1
-_PROBES = 2
-_SILENCE_OPTIONS = (
-    (socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
-    (socket.TCP_KEEPIDLE, _PROBE_S),
-    (socket.TCP_KEEPINTVL, _PROBE_S),
-    (socket.TCP_KEEPCNT, _PROBES),
-)
 _DRILL_SILENCE_S = 60
-#: What a broken connection raises, whichever layer sees it first.
-CALL_ERRORS = (
-    OSError,
-    StreamTerminatedError,
-    GRPCError,
-    asyncio.TimeoutError,
-    StrangerError,
-)
 
 
 class Method(msgspec.Struct, frozen=True):
@@ -214,31 +193,16 @@
         raise GRPCError(Status.PERMISSION_DENIED, 'refused') from None
 
 
-def detect_silence(transport: asyncio.BaseTransport) -> None:
-    """Let the kernel break a connection whose peer has fallen silent."""
-    sock = transport.get_extra_info('socket')
-    if sock is None:
-        return
-    for option, amount in _SILENCE_OPTIONS:
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, option, amount)
-        except OSError as error:
-            logger.debug('socket option %s: %s', option, error)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-
-
 class CallClient:
     """Call typed unary methods; one channel per address, made on demand."""
 
     def __init__(self, *, node: Node) -> None:
         """Call as ``node``."""
         self.node = node
-        self.channels: dict[str, Channel] = {}
+        self.channels = Channels(node=node)
         #: Streams of multiplexed calls by address.
         self.links: dict[str, Link] = {}
         self.tasks = TaskSet()
-        #: The connection at each address whose socket has its options.
-        self.tuned: dict[str, Any] = {}
 
     async def call(
         self,
@@ -259,7 +223,7 @@
         if method.multiplexed:
             return await self._call_multiplexed(address, method, message, timeout_s)
         stub = UnaryUnaryMethod(
-            await self._connected(address, timeout_s),
+            await self.channels.connected(address, timeout_s),
             method.path,
             method.request,
             method.reply,
@@ -287,7 +251,7 @@
         :raises UnreachableError: when the frames broke off or were late.
         """
         stub = UnaryStreamMethod(
-            await self._connected(address, timeout_s),
+            await self.channels.connected(address, timeout_s),
             method.path,
             method.request,
             method.reply,
@@ -312,7 +276,7 @@
         :raises UnreachableError: when it does.
         """
         stub = StreamUnaryMethod(
-            await self._connected(address, CONNECT_S),
+            await self.channels.connected(address, CONNECT_S),
             method.path,
             method.request,
             method.reply,
@@ -327,9 +291,7 @@
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self.channels.values():
-            channel.close()
-        self.channels.clear()
+        self.channels.close()
 
     async def _call_multiplexed(
         self,
@@ -361,7 +323,7 @@
         """
         link = self.links.get(address)
         if link is None or link.broken:
-            channel = await self._connected(address, timeout_s)
+            channel = await self.channels.connected(address, timeout_s)
             # Another call may have opened one while this one connected.
             link = self.links.get(address)
         if link is None or link.broken:
@@ -385,26 +347,3 @@
     async def _pass_on(self, stream: Any, address: str, message: Any) -> None:
         if not self.node.drill.drops(address):
             await stream.send_message(message)
-
-    async def _connected(self, address: str, timeout_s: float) -> Channel:
-        channel = self._channel(address)
-        try:
-            async with asyncio.timeout(min(timeout_s, CONNECT_S)):
-                protocol = await channel.__connect__()
-        except CALL_ERRORS as error:
-            raise NotSentError(f'{address}: {type(error).__name__} {error}') from None
-        if protocol.connection.is_closing():
-            # The peer reset it between the handshake and this step.
-            raise NotSentError(f'{address}: the connection was closed before it was used')
-        if self.tuned.get(address) is not protocol:
-            self.tuned[address] = protocol
-            detect_silence(protocol.connection._transport)  # noqa: WPS437 - no public way
-        return channel
-
-    def _channel(self, address: str) -> Channel:
-        channel = self.channels.get(address)
-        if channel is None:
-            host, port = split_address(address)
-            channel = Channel(host, port, codec=SealedCodec(node=self.node))
-            self.channels[address] = channel
-        return channel
--- a/tests/test_rpc/test_rpc_connections.py
+++ b/tests/test_rpc/test_rpc_connections.py
@@ -21,7 +21,7 @@
     A process that is killed with the connection in its backlog resets it after
     the handshake and before the caller's task runs again.
     """
-    channel = client._channel(address)
+    channel = client.channels._channel(address)
     connect = channel.__connect__
 
     async def lose():
--- a/tests/test_rpc/test_rpc_multiplex.py
+++ b/tests/test_rpc/test_rpc_multiplex.py
@@ -152,7 +152,7 @@
             )
             while not peer.begun:
                 await asyncio.sleep(0.001)
-            protocol = await client.channels[peer.address].__connect__()
+            protocol = await client.channels.by_address[peer.address].__connect__()
             protocol.processor.close(reason='reset by the peer')
             with pytest.raises(UnreachableError):
                 await call
