--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -217,6 +217,8 @@
         self.tasks.spawn(self._tell_leader_served(report))
 
     async def _tell_leader_served(self, report: ServedReport) -> None:
+        if not self.follower.in_touch:
+            return
         try:
             await self.client.call(self.follower.leader, REPORT_SERVED, report, timeout_s=ASK_S)
         except UnreachableError as error:
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -190,6 +190,22 @@
     asyncio.run(run())
 
 
+def test_answer_to_a_suspected_content_needs_no_leader(key_file, caplog):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            for name in 'ab':
+                await add(gateway, Ending(), name)
+            await gateway.ask('/idem/x')
+            await add(gateway, ScriptedServer(good), 'c')
+            status, _ = await gateway.ask('/idem/x', Attempt_Id='again')
+            await asyncio.sleep(0)
+            assert not gateway.role.guard.local.suspects
+        assert status == 200
+
+    asyncio.run(run())
+    assert 'background task broke' not in caplog.text
+
+
 def test_quarantined_content_reaches_no_server_under_any_id(key_file):
     async def run():
         server = ScriptedServer(good)
