An account that is confined keeps its servers over their ends

Cause: the quarter was drawn by lifetimes of those present, so each server that ended moved the account on to another one, and in the end to all.

Change: the names are drawn once while the confinement lasts, and again when none is left.

--- a/ringseam/gateway/following/documentfetch.py
+++ b/ringseam/gateway/following/documentfetch.py
@@ -30,6 +30,8 @@
     def __init__(self, *, client: CallClient) -> None:
         """Begin with nothing collected."""
         self.client = client
+        #: Whether its owner waits for one; there is one at a time.
+        self.under_way = False
         self.number = 0
         #: The document against which the change was made; 0: against nothing.
         self.held = 0
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -14,9 +13,8 @@
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
+from ringseam.gateway.following.confinement import Confinement
 from ringseam.gateway.following.documentfetch import DocumentFetch
-from ringseam.gateway.following.ownership import rendezvous_order
-from ringseam.lifetimes import BackendId
 from ringseam.platform.manifest import decode_manifest
 from ringseam.routes import RouteTable
 from ringseam.util.tasks import TaskSet
@@ -40,9 +38,6 @@
 #: Pause after a host that couldn't tell the leader, seconds.
 _PAUSE_S = 0.1
 _CONFIRM_S = 1.0
-#: The share of a service's servers that run the requests of an account that is confined
-#: there: the others keep three quarters, and it keeps more than one server at most sizes.
-_CONFINED_SHARE = 0.25
 
 
 class Follower:
@@ -69,12 +64,12 @@
         self.heard_at = node.clock.now()
         self.fetch = DocumentFetch(client=client)
         self.tasks = TaskSet()
-        self.fetching = False
         self.view = BackendView()
         self.gateways: tuple[GatewayState, ...] = ()
         self.epoch = ''
         #: Contents that end servers, as the leader has told.
         self.quarantine = QuarantineNews(version=0)
+        self.confinement = Confinement()
         #: The directory against which missing servers were dropped.
         self.pruned = ''
         self.since = 0
@@ -108,11 +103,10 @@
         ones, so that the other accounts lose no more to it.
         """
         servers = self.view.serving(service)
-        if not servers or (account, service) not in self.quarantine.confined:
+        owner = (account, service)
+        if owner not in self.quarantine.confined:
             return servers
-        by_name = {server.instance: server for server in servers}
-        count = math.ceil(len(servers) * _CONFINED_SHARE)
-        return [by_name[BackendId(name)] for name in rendezvous_order(account, by_name)[:count]]
+        return self.confinement.among(owner, servers)
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Learn of further control hosts."""
@@ -147,8 +141,8 @@
         if news.control:
             self.addresses = list(news.control)
         self._tell_change()
-        if self.heard > self.table.number and not self.fetching:
-            self.fetching = True
+        if self.heard > self.table.number and not self.fetch.under_way:
+            self.fetch.under_way = True
             self.tasks.spawn(self._fetch_newest())
 
     async def take_document(self, document: bytes) -> None:
@@ -226,6 +220,7 @@
             both = {**self.quarantine.quarantined, **held.quarantined}
             held = msgspec.structs.replace(held, quarantined=both)
         self.quarantine = held
+        self.confinement.keep_only(held.confined)
 
     def _prune(self, news: WatchNews) -> None:
         """Drop what a directory that is complete doesn't have."""
@@ -250,7 +245,7 @@
                 else:
                     await self.take_document(document)
         finally:
-            self.fetching = False
+            self.fetch.under_way = False
 
     def _hosts(self) -> list[str]:
         """Return where documents are, the leader first."""
