A gateway tells its leader again only of ends that it has not heard

A new leader is not told of what servers were seen to bear since, either.

Tests without network, by scripted answers of the leader.

--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -6,6 +6,7 @@
 import collections
 import enum
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -24,6 +25,7 @@
     from collections.abc import Callable
 
     from ringseam.backends import BackendReport
+    from ringseam.contents import ContentId
     from ringseam.evidence import ServedLately
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthBook
@@ -65,6 +67,25 @@
     silent = 'silent'
 
 
+@dataclass(kw_only=True)
+class SeenEnd:
+    """An end that was seen here, and whether the leader of now has heard of it."""
+
+    at: float
+    end: ServerEnd
+    told: bool = False
+
+    def forget(self, content: ContentId, software: str) -> None:
+        """Hear that servers of a version bear a content."""
+        if self.end.software == software:
+            suspects = tuple(one for one in self.end.suspects if one.content != content)
+            self.end = msgspec.structs.replace(self.end, suspects=suspects)
+
+    def report(self, now: float) -> ServerEnd:
+        """Return what the leader is told of it."""
+        return msgspec.structs.replace(self.end, age_ms=int((now - self.at) * MS_PER_S))
+
+
 class EndReports:
     """Finds out which servers have ended, with what, and tells the leader."""
 
@@ -97,12 +118,9 @@
         #: Servers that are asked again.
         self.doubted: set[BackendId] = set()
         self.silent: dict[BackendId, float] = {}
-        #: Ends that were seen here, with their times.
-        self.seen: collections.deque[tuple[float, ServerEnd]] = collections.deque(
-            maxlen=_ENDS_KEPT,
-        )
-        #: When the leader last didn't hear of an end; None: it has heard all.
-        self.untold_at: float | None = None
+        self.seen: collections.deque[SeenEnd] = collections.deque(maxlen=_ENDS_KEPT)
+        #: When the leader was last told of what it had not heard.
+        self.told_at = float('-inf')
 
     def sent(self, server: BackendReport, attempt: str, suspect: Suspect) -> None:
         """Hear that a server may have begun a request."""
@@ -140,23 +158,22 @@
             probe.add_done_callback(lambda _: self.probes.pop(server.instance, None))
         await asyncio.shield(probe)
 
-    def tell_again(self) -> None:
-        """Tell the leader all that is remembered; what it knows changes nothing there."""
-        now = self.clock.now()
-        self.untold_at = None
-        ends = tuple(
-            msgspec.structs.replace(end, age_ms=int((now - at) * MS_PER_S))
-            for at, end in self.seen
-            if now - at < EVIDENCE_S
-        )
-        if ends:
-            self.tasks.spawn(self._tell(ends, UNTOLD_S))
+    def forget_content(self, content: ContentId, software: str) -> None:
+        """Hear that servers of a version bear a content: no leader is told of it again."""
+        for seen in self.seen:
+            seen.forget(content, software)
+
+    def see_leader(self) -> None:
+        """Hear of a new leadership: it is told all that is remembered."""
+        for seen in self.seen:
+            seen.told = False
+        self._tell_untold()
 
     def look(self, now: float) -> None:
         """Do what is due by now; called at short intervals."""
         self.silent = {name: at for name, at in self.silent.items() if now - at < SILENT_S}
-        if self.untold_at is not None and now - self.untold_at > UNTOLD_S:
-            self.tell_again()
+        if now - self.told_at > UNTOLD_S:
+            self._tell_untold()
 
     # -- helpers ------------------------------------------------------------
 
@@ -223,22 +240,29 @@
             under_way=len(suspects),
             contents=[suspect.content for suspect in end.suspects][:_CONTENTS_LOGGED],
         )
-        self.seen.append((at, end))
+        seen = SeenEnd(at=at, end=end)
+        self.seen.append(seen)
         self.on_end(end, at)
-        age_ms = int((self.clock.now() - at) * MS_PER_S)
-        await self._tell((msgspec.structs.replace(end, age_ms=age_ms),), ASK_S)
+        await self._tell([seen], ASK_S)
+
+    def _tell_untold(self) -> None:
+        now = self.clock.now()
+        untold = [seen for seen in self.seen if not seen.told and now - seen.at < EVIDENCE_S]
+        if untold and self.follower.in_touch:
+            self.tasks.spawn(self._tell(untold, UNTOLD_S))
 
-    async def _tell(self, ends: tuple[ServerEnd, ...], limit_s: float) -> None:
+    async def _tell(self, untold: list[SeenEnd], limit_s: float) -> None:
         if not self.follower.in_touch:
-            self.untold_at = self.clock.now()
             return
-        report = EndsReport(ends=ends)
-        leader = self.follower.leader
+        self.told_at = self.clock.now()
+        report = EndsReport(ends=tuple(seen.report(self.told_at) for seen in untold))
+        leader, epoch = self.follower.leader, self.follower.epoch
         try:
             received = await self.client.call(leader, REPORT_ENDS, report, timeout_s=limit_s)
         except UnreachableError as error:
             logger.debug('ends not told: %s', error)
-            self.untold_at = self.clock.now()
             return
-        if isinstance(received.body.reply, Redirect):
-            self.untold_at = self.clock.now()
+        if epoch == self.follower.epoch:
+            heard = not isinstance(received.body.reply, Redirect)
+            for seen in untold:
+                seen.told = heard
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -88,6 +88,7 @@
         self.served.note(content, server.software, now)
         if content in self.local.evidence.by_content or self._is_told(content):
             self.local.served(content, server.software, now)
+            self.ends.forget_content(content, server.software)
             self._tell_served(content, server.software)
 
     # -- what may run -------------------------------------------------------
@@ -137,7 +138,7 @@
         news = self.follower.quarantine
         if self.follower.epoch != self.epoch:
             self.epoch = self.follower.epoch
-            self.ends.tell_again()
+            self.ends.see_leader()
         if news is self.news:
             return
         for content in news.quarantined.keys() - self.news.quarantined.keys():
--- a/tests/test_gateway/test_following/test_following_ends.py
+++ b/tests/test_gateway/test_following/test_following_ends.py
@@ -75,7 +75,7 @@
     return EndReports(
         node=Node(name='g', role='gateway', address='', secret=b's', clock=clock),
         client=leader,
-        follower=SimpleNamespace(in_touch=True, leader='c1'),
+        follower=SimpleNamespace(in_touch=True, leader='c1', epoch='e1'),
         health=HealthBook(),
         pool=pool,
         served=ServedLately(),
@@ -161,7 +161,41 @@
     ((end,),) = leader.ends[-1:]
     assert end.suspects == (SUSPECT,)
     assert end.age_ms >= UNTOLD_S * 1000
-    assert reports.untold_at is None
+    assert all(seen.told for seen in reports.seen)
+
+
+def test_only_what_the_leader_has_not_heard_is_told_again():
+    """What it has heard it may have cleared since: told again it would be blamed anew."""
+
+    async def main(clock):
+        leader = Leader(HEARD, 'lost', HEARD)
+        reports = reports_of(clock, Pool('refused'), leader)
+        for number in range(2):
+            reports.sent(SERVER, f'r{number}', Suspect(content=f'c{number}'))
+            await reports.broke(SERVER)
+            await passing(clock, reports, 3)
+        return leader.ends
+
+    told = [[one.suspects[0].content for one in ends] for ends in run_virtual(main)]
+    assert told == [['c0'], ['c1']]
+
+
+def test_new_leader_is_told_all_but_what_servers_bear():
+    async def main(clock):
+        leader = Leader(HEARD)
+        reports = reports_of(clock, Pool('refused'), leader)
+        for content in ('bad', 'good'):
+            reports.sent(SERVER, content, Suspect(content=content))
+        await reports.broke(SERVER)
+        reports.forget_content('good', 'other version')
+        reports.forget_content('good', SERVER.software)
+        reports.see_leader()
+        await passing(clock, reports, 3)
+        return leader.ends
+
+    first, again = run_virtual(main)
+    assert {one.content for one in first[0].suspects} == {'bad', 'good'}
+    assert [one.content for one in again[0].suspects] == ['bad']
 
 
 def test_end_that_is_heard_is_told_once():
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -96,10 +96,10 @@
             await asyncio.sleep(0.05)
             await gateway.ask('/cut/x')
             await mate
-            ((_, end),) = gateway.role.guard.ends.seen
-        found = {suspect.content for suspect in end.suspects}
+            (seen,) = gateway.role.guard.ends.seen
+        found = {suspect.content for suspect in seen.end.suspects}
         assert found == {content('/cut/x'), content('/cut/mate')}
-        assert {suspect.account for suspect in end.suspects} == {'acme'}
+        assert {suspect.account for suspect in seen.end.suspects} == {'acme'}
         assert not gateway.role.guard.ends.under_way.by_server
 
     asyncio.run(run())
@@ -117,8 +117,8 @@
             guard.ends.sent(server, 'late', late)
             await gateway.ask('/idem/x')
             await guard.ends.broke(server)
-            ((_, end),) = guard.ends.seen
-        assert late in end.suspects
+            (seen,) = guard.ends.seen
+        assert late in seen.end.suspects
 
     asyncio.run(run())
 
@@ -271,8 +271,8 @@
         async with LocalGateway(key_file) as gateway:
             await add(gateway, Ending(), 'a', service='crops')
             await gateway.ask('/staged/x', Pieces='2', Deadline_Ms='900')
-            ((_, end),) = gateway.role.guard.ends.seen
-        assert [suspect.content for suspect in end.suspects] == [content('/staged/x')]
+            (seen,) = gateway.role.guard.ends.seen
+        assert [suspect.content for suspect in seen.end.suspects] == [content('/staged/x')]
 
     asyncio.run(run())
 
