A leader hears of ends before it is asked what may run, and of all of them once

Cause, from the trace of a soak in which four servers ended under one content: a gateway that had been out of touch asked for a run as soon as it had a leader again, and told of the end that it had seen only afterwards; the run was granted. In the same trace each gateway told all ends three times when it asked for the whole directory, as the epoch is empty then.

Change: what the leader has not heard is told before a run is asked for; an empty epoch is no new leadership.

--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -169,6 +169,12 @@
             seen.told = False
         self._tell_untold()
 
+    async def settle(self) -> None:
+        """Tell the leader what it has not heard, before it is asked what may run."""
+        untold = self._untold(self.clock.now())
+        if untold:
+            await self._tell(untold, ASK_S)
+
     def look(self, now: float) -> None:
         """Do what is due by now; called at short intervals."""
         self.silent = {name: at for name, at in self.silent.items() if now - at < SILENT_S}
@@ -245,9 +251,11 @@
         self.on_end(end, at)
         await self._tell([seen], ASK_S)
 
+    def _untold(self, now: float) -> list[SeenEnd]:
+        return [seen for seen in self.seen if not seen.told and now - seen.at < EVIDENCE_S]
+
     def _tell_untold(self) -> None:
-        now = self.clock.now()
-        untold = [seen for seen in self.seen if not seen.told and now - seen.at < EVIDENCE_S]
+        untold = self._untold(self.clock.now())
         if untold and self.follower.in_touch:
             self.tasks.spawn(self._tell(untold, UNTOLD_S))
 
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -136,7 +136,8 @@
     def see_news(self) -> None:
         """Take in what the follower has heard."""
         news = self.follower.quarantine
-        if self.follower.epoch != self.epoch:
+        # Empty while the whole directory is asked for: the leader is the same.
+        if self.follower.epoch not in {'', self.epoch}:
             self.epoch = self.follower.epoch
             self.ends.see_leader()
         if news is self.news:
@@ -189,6 +190,7 @@
     async def _ask(self, content: ContentId, lasts_s: float) -> TrialState:
         """Ask for a run on trial; without a leader what was seen here decides."""
         if self.follower.in_touch:
+            await self.ends.settle()
             return await self._ask_leader(content, lasts_s)
         return self.local.ask(content, self.clock.now(), lasts_s)
 
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -1,14 +1,20 @@
 """What a gateway takes for the end of a server, and what it sends to none any more."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
 from ringseam.contents import content_of
+from ringseam.gateway.following.guard import Guard
+from ringseam.gateway.following.health import HealthBook
 from ringseam.lifetimes import BackendId
+from ringseam.model.virtualtime import run_virtual
+from ringseam.node import Node
 from ringseam.platform.stages import PieceResult, decode_orders, encode_results
-from ringseam.quarantine import SETTLE_S
-from ringseam.verdicts import QuarantineNews, Suspect
+from ringseam.quarantine import SETTLE_S, TrialState
+from ringseam.verdicts import EndsReport, Heard, QuarantineNews, Suspect, TrialAnswer, TrialRequest
+from ringseam.web.client import RefusedError
 from ringseam.web.server import Request
 from tests.gateways import (
     LocalGateway,
@@ -190,6 +196,77 @@
     asyncio.run(run())
 
 
+class Leader:
+    """Records what it is called for."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def call(self, address, method, message, *, timeout_s):
+        self.calls.append(message)
+        reply = TrialAnswer(state='granted') if isinstance(message, TrialRequest) else Heard()
+        return SimpleNamespace(body=SimpleNamespace(reply=reply))
+
+
+def guard_of(clock, leader, **known):
+    follower = SimpleNamespace(
+        in_touch=True, leader='c1', epoch='e1', quarantine=QuarantineNews(version=1), **known
+    )
+    return Guard(
+        node=Node(name='g', role='gateway', address='', secret=b's', clock=clock),
+        client=leader,
+        follower=follower,
+        health=HealthBook(),
+        pool=Refusing(),
+    )
+
+
+class Refusing:
+    async def connect(self, address, *, timeout_s):
+        raise RefusedError(address, sent=False)
+
+
+def test_leader_hears_of_an_end_before_it_is_asked_for_a_run():
+    """Seen: a gateway was out of touch when a server ended, and asked for a run as soon as
+    it had a leader again. That granted it, not knowing of the end, and a fourth one ended."""
+
+    async def run(clock):
+        leader = Leader()
+        guard = guard_of(clock, leader)
+        guard.follower.quarantine = QuarantineNews(version=1, suspects=('c',))
+        guard.follower.in_touch = False
+        server = SimpleNamespace(instance='a#1', service='s', software='', address='1.1.1.1:1')
+        guard.ends.sent(server, 'r1', Suspect(content='c'))
+        await guard.ends.broke(server)
+        guard.follower.in_touch = True
+        work = SimpleNamespace(content_id='c', trial_at=None, deadline=9)
+        assert await guard.admit(work) is TrialState.granted
+        return leader.calls
+
+    first, second = run_virtual(run)
+    assert isinstance(first, EndsReport)
+    assert isinstance(second, TrialRequest)
+
+
+def test_leader_is_told_all_once_when_the_whole_directory_is_asked_for():
+    """Its epoch is empty then; what was cleared since would be blamed anew."""
+
+    async def run(clock):
+        leader = Leader()
+        guard = guard_of(clock, leader)
+        server = SimpleNamespace(instance='a#1', service='s', software='', address='1.1.1.1:1')
+        for epoch in ('e1', '', 'e1', '', 'e1'):
+            guard.follower.epoch = epoch
+            guard.see_news()
+            if not guard.ends.seen:
+                guard.ends.sent(server, 'r1', Suspect(content='c'))
+                await guard.ends.broke(server)
+            await asyncio.sleep(1)
+        return leader.calls
+
+    assert len(run_virtual(run)) == 1
+
+
 def test_answer_to_a_suspected_content_needs_no_leader(key_file, caplog):
     async def run():
         async with LocalGateway(key_file) as gateway:
