--- a/bench/soak.py
+++ b/bench/soak.py
@@ -53,8 +53,8 @@
 #: Faults that later runs draw from as well; earlier seeds keep their course.
 MORE_FAULTS = (*FAULTS, 'again', 'twice', 'foreign', 'large')
 ALL_FAULTS = (*MORE_FAULTS, 'ending', 'suspend')
-#: A run goes on until it has drawn so many: a gateway's planned stop alone takes 3.3 s,
-#: so in the shortest run, of 6 s, two long ones may be all that fits.
+#: A run goes on until it has drawn so many: a gateway's planned stop and the pause before
+#: its start take up to 3.3 s, so in the shortest run, of 6 s, two may be all that fits.
 LEAST_FAULTS = 3
 MANY_ROUTES = 1500
 #: What another writer might send in the place of a report.
