Rejections for a content raise the rank of no route

Cause: each ask that a verdict or a trial turned away counted as a request of its route that was not served in time. A route that is served less than the one before it gets its turn, so a client that repeats a content that ends servers had the requests of another route refused, 5 s and more after the verdict. The new test fails on the code before in both its cases.

--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -59,6 +59,7 @@
 
         The status is final, as no other try of it would be taken either.
         """
+        work.rejected_for_content = True
         self.log(work, Event.request_quarantined, content=work.content_id)
         self.metrics.add('requests_quarantined', route=work.route.name)
         self.metrics.add('requests', status=str(BAD_REQUEST), route=work.route.name)
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -114,8 +114,12 @@
         self.leaving.set()
 
     def _note_end(self, work: Work) -> None:
-        """Count whether a client was served in time; its later tries don't count."""
-        if not work.asked_before_s:
+        """Count whether a client was served in time.
+
+        Later tries of a client don't count, nor does a content that is turned away: its
+        client would raise the rank of all others that ask for the route.
+        """
+        if not work.asked_before_s and not work.rejected_for_content:
             self.fairness.note(
                 work.route.name,
                 work.service,
@@ -184,6 +188,7 @@
         if state is TrialState.quarantined:
             await self.answers.reject_content(work)
         elif state is TrialState.busy:
+            work.rejected_for_content = True
             await self.answers.refuse(
                 work.exchange,
                 work.request,
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -320,6 +320,29 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize('verdict', ['quarantined', 'suspects'])
+def test_rejected_content_raises_the_rank_of_no_other_request(key_file, verdict):
+    """A client repeated a content that ends servers; its route went before others.
+
+    Rejections counted as requests that were not served in time, so the route got the
+    turn of the one before it, whose requests were refused seconds after the verdict.
+    """
+
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            known = {content('/idem/x'): 0}
+            held = known if verdict == 'quarantined' else tuple(known)
+            news = QuarantineNews(version=2, **{verdict: held})
+            gateway.role.follower.quarantine = news
+            gateway.role.follower.in_touch = True
+            gateway.role.follower.leader = '127.0.0.1:1'
+            for number in range(5):
+                await gateway.ask('/idem/x', Attempt_Id=f'try-{number}')
+            return gateway.role.forwarder.fairness.shares
+
+    assert not asyncio.run(run())
+
+
 @pytest.mark.parametrize('falls', [True, False])
 def test_verdict_that_falls_while_pieces_wait_keeps_them_from_the_servers(key_file, falls):
     async def run():
