--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,12 +20,14 @@
 
 from ringseam.config import Configuration
 from ringseam.control.directory import Directory
-from ringseam.messages import AcceptedFile, AgentState, DeltaReply, Frame, Piece
+from ringseam.deltas import DeltaReply
+from ringseam.messages import AcceptedFile, AgentState, Frame, Piece
 from ringseam.node import Node
 from ringseam.routing import AgentView
 from ringseam.rpc import CallClient, CallServer
 from ringseam.sealing import SealedCodec
 from ringseam.services import DELTA, DISPATCH_STREAM, REPORT
+from ringseam.zones import DrainedZones
 from tests.conftest import PART_FILE
 
 
@@ -83,7 +85,7 @@
         tracemalloc.stop()
         began = cpu()
         for _ in range(5):
-            raw = msgspec.msgpack.encode(rows.delta('', 0, 9))
+            raw = msgspec.msgpack.encode(rows.delta('', 0, 9, zones=DrainedZones()))
         deltas.append((count, (cpu() - began) / 5 * 1e6))
         sizes.append((count, len(raw)))
         view = AgentView()
--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -9,6 +9,7 @@
 from ringseam.lifetimes import BackendId, Ended, born_of, name_of
 from ringseam.messages import Message
 from ringseam.routes import ServiceName
+from ringseam.zones import DrainedZones
 
 #: How many servers that have left are remembered.
 LEFT_KEPT = 4096
@@ -118,6 +119,16 @@
     index: BackendIndex | None = None
     #: Servers that have left; a late report doesn't bring them back.
     left: Ended = field(default_factory=lambda: Ended(kept=LEFT_KEPT))
+    #: Availability zones whose servers take no new work.
+    drained: DrainedZones = field(default_factory=DrainedZones)
+
+    def drain(self, zones: DrainedZones) -> bool:
+        """Let the servers of just these zones take no new work; False: it isn't newer."""
+        if zones.change <= self.drained.change:
+            return False
+        self.drained = zones
+        self.index = None
+        return True
 
     def take(self, report: BackendReport) -> bool:
         """Take in a report; True when it changed what is believed.
@@ -177,7 +188,7 @@
         if self.index is None:
             by_service: dict[ServiceName, list[BackendReport]] = {}
             for report in self.backends.values():
-                if report.state is BackendState.ready:
+                if report.state is BackendState.ready and report.zone not in self.drained.names:
                     by_service.setdefault(report.service, []).append(report)
             zones = {known.address: known.zone for known in self.backends.values()}
             self.index = BackendIndex(by_service=by_service, zones=zones)
--- /dev/null
+++ b/ringseam/cmd/zones.py
@@ -0,0 +1,69 @@
+"""Commands for availability zones: show, drain, use again."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from ringseam.cmd.main import ExitCode, app
+from ringseam.cmd.operate import ControlOption, JsonOption, KeyOption, with_control
+from ringseam.controlclient import ControlClient
+from ringseam.following import ORDER_ZONE, READ_ZONES, ZoneOrder
+from ringseam.messages import Empty
+from ringseam.zones import DrainedZones
+
+_ORDER_S = 10.0
+
+ZoneArgument = Annotated[str, typer.Argument(help='The availability zone.')]
+
+
+@app.command()
+def zones(addresses: ControlOption, key_file: KeyOption, as_json: JsonOption = False) -> None:
+    """Show the drained zones: ``ringseam zones --control ... --key-file cluster.key``."""
+
+    async def ask(control: ControlClient) -> Any:  # noqa: WPS430
+        return await control.ask_leader(READ_ZONES, Empty(), timeout_s=_ORDER_S)
+
+    _show(with_control(addresses, key_file, ask), as_json=as_json)
+
+
+@app.command('drain-zone')
+def drain_zone(
+    zone: ZoneArgument,
+    addresses: ControlOption,
+    key_file: KeyOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Send nothing new to the backend servers of a zone: ``ringseam drain-zone hall-a ...``."""
+    _order(ZoneOrder(zone=zone, drained=True), addresses, key_file, as_json=as_json)
+
+
+@app.command('restore-zone')
+def restore_zone(
+    zone: ZoneArgument,
+    addresses: ControlOption,
+    key_file: KeyOption,
+    as_json: JsonOption = False,
+) -> None:
+    """Use a drained zone again: ``ringseam restore-zone hall-a ...``."""
+    _order(ZoneOrder(zone=zone, drained=False), addresses, key_file, as_json=as_json)
+
+
+def _order(order: ZoneOrder, addresses: str, key_file: KeyOption, *, as_json: bool) -> None:
+    async def send(control: ControlClient) -> Any:  # noqa: WPS430
+        return await control.ask_leader(ORDER_ZONE, order, timeout_s=_ORDER_S)
+
+    _show(with_control(addresses, key_file, send), as_json=as_json)
+
+
+def _show(reply: Any, *, as_json: bool) -> None:
+    if not isinstance(reply, DrainedZones):
+        typer.echo('not taken: the control group is not complete yet', err=True)
+        raise typer.Exit(ExitCode.unreachable)
+    if as_json:
+        typer.echo(msgspec.json.encode(reply).decode())
+        return
+    drained = ', '.join(reply.names) or 'none'
+    typer.echo(f'drained zones: {drained} (change {reply.change})')
--- a/ringseam/commands.py
+++ b/ringseam/commands.py
@@ -60,6 +60,19 @@
     lifted: bool = False
 
 
+class DrainZone(Tagged, frozen=True, kw_only=True, omit_defaults=True):
+    """Send nothing new to the backend servers of an availability zone, or again."""
+
+    zone: str
+    drained: bool
+
+
+class ZoneDrained(Tagged, frozen=True, kw_only=True):
+    """The zone is as ordered; ``change`` is the newest change of zones."""
+
+    change: int
+
+
 class VerdictRecorded(Tagged, frozen=True, kw_only=True, omit_defaults=True):
     """The verdict is remembered, or forgotten."""
 
@@ -103,6 +116,7 @@
     PutDocument,
     RetireBackend,
     RecordVerdict,
+    DrainZone,
     TakeToken,
     CheckToken,
     OpenRun,
@@ -116,6 +130,7 @@
     DocumentPut,
     BackendRetired,
     VerdictRecorded,
+    ZoneDrained,
     TokenTaken,
     LedgerResult,
 ]
--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -19,6 +19,8 @@
 _CHANGES_KEPT = 4096
 #: Servers that are remembered for having started again.
 _RESTARTED_KEPT = 4096
+#: Reports are late by up to this without their server being cold for longer, seconds.
+_COLDER_S = 0.3
 
 
 @dataclass(kw_only=True)
@@ -29,6 +31,8 @@
     heard: float
     since: int = 0
     number: int = 0
+    #: The change of drained zones that it obeys.
+    zones: int = 0
 
 
 @dataclass(kw_only=True)
@@ -71,7 +75,7 @@
             if report.sequence == known.report.sequence:
                 known.heard = now
             return False
-        changed = known is None or shows_change(report, known.report)
+        changed = known is None or _is_news(report, known, now)
         if changed:
             self.change += 1
         change = self.change if changed or known is None else known.change
@@ -117,6 +121,7 @@
             heard=now,
             since=request.since if same_epoch else 0,
             number=request.number,
+            zones=request.zones,
         )
         if known is None or known.state != request.gateway:
             self._note_gateways()
@@ -127,10 +132,10 @@
         if known is not None:
             known.number = max(known.number, number)
 
-    def is_confirmed(self, *, change: int = 0, number: int = 0) -> bool:
+    def is_confirmed(self, *, change: int = 0, number: int = 0, zones: int = 0) -> bool:
         """Return whether every gateway that is heard holds this much."""
         return all(
-            follower.since >= change and follower.number >= number
+            follower.since >= change and follower.number >= number and follower.zones >= zones
             for follower in self.followers.values()
         )
 
@@ -152,7 +157,9 @@
             upto=self.change,
             whole=whole,
             warm=self.is_warm(now),
-            reports=tuple(row.report for row in self.rows.values() if whole or row.change > first),
+            reports=tuple(
+                _aged(row, now) for row in self.rows.values() if whole or row.change > first
+            ),
             silent=() if whole else tuple(name for at, name in self.dropped if at > first),
             gateways=self._gateways(),
         )
@@ -183,6 +190,24 @@
         self.gateways_change = self.change
 
 
+def _is_news(report: BackendReport, known: BackendRow, now: float) -> bool:
+    return shows_change(report, known.report) or _is_colder(report, known, now)
+
+
+def _is_colder(report: BackendReport, known: BackendRow, now: float) -> bool:
+    """Return whether a server says that it is cold for longer than it said before."""
+    until = known.heard + known.report.cold_left_s
+    return report.cold_left_s > 0 and now + report.cold_left_s > until + _COLDER_S
+
+
+def _aged(row: BackendRow, now: float) -> BackendReport:
+    """Return a report with what is left of a server's cold time."""
+    if not row.report.cold_left_s:
+        return row.report
+    left_s = max(0, row.heard + row.report.cold_left_s - now)
+    return msgspec.structs.replace(row.report, cold_left_s=left_s)
+
+
 def _leaving(report: BackendReport) -> BackendReport:
     return type(report)(
         **{name: getattr(report, name) for name in report.__struct_fields__ if name != 'state'},
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -19,9 +19,16 @@
     NotLeading,
 )
 from ringseam.control.state import RETIRED_KEPT
+from ringseam.control.zonedraining import ZoneDraining
 from ringseam.documents import PART_BYTES, DocumentHistory
 from ringseam.events import Event
 from ringseam.following import (
+    CONFIRM,
+    DOCUMENT_PART,
+    READ_DOCUMENT,
+    REPORT_BACKEND,
+    SUBMIT,
+    WATCH,
     DocumentHeld,
     DocumentPart,
     DocumentReply,
@@ -35,6 +42,7 @@
 )
 from ringseam.lifetimes import Ended, born_of, name_of
 from ringseam.messages import Empty, Redirect
+from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -44,6 +52,7 @@
     from ringseam.control.state import RecordedVerdict
     from ringseam.following import Confirmation, PartRequest, Submit, WatchRequest
     from ringseam.node import Node
+    from ringseam.rpc import CallServer
     from ringseam.sealing import Received
     from ringseam.verdicts import QuarantineNews
 
@@ -74,6 +83,8 @@
     retired: tuple[str, ...] = ()
     #: Contents that end servers.
     quarantined: Mapping[ContentId, RecordedVerdict] = field(default_factory=dict)
+    #: Availability zones whose servers get nothing new.
+    zones: DrainedZones = field(default_factory=DrainedZones)
 
 
 class FollowService:  # noqa: WPS214 - the calls of one interface
@@ -112,6 +123,7 @@
             redirect=lambda: None if self.leadership.serves else self.redirect,
             is_planned=self._is_leaving,
         )
+        self.zones = ZoneDraining(follow=self)
         #: Where backend servers should report; the open interface knows it.
         self.report_to = ''
 
@@ -146,8 +158,24 @@
         leader = self.leadership.leader
         return Redirect(leader='' if leader == self.node.address else leader)
 
+    @property
+    def bears_losses(self) -> bool:
+        """Return whether the group is, or once was, as large as it shall become."""
+        return self.held.number > 0 or self.leadership.voters >= self.voters_needed
+
     # -- calls --------------------------------------------------------------
 
+    def serve(self, server: CallServer) -> None:
+        """Take the calls of gateways and of other control hosts."""
+        server.add(WATCH, self.watch)
+        server.add(CONFIRM, self.take_confirmation)
+        server.add(DOCUMENT_PART, self.document_part)
+        server.add(REPORT_BACKEND, self.report)
+        server.add(SUBMIT, self.submit_document)
+        server.add(READ_DOCUMENT, self.read)
+        self.quarantining.serve(server)
+        self.zones.serve(server)
+
     async def watch(self, received: Received) -> WatchReply:
         """Return news to a gateway, waiting a little for some."""
         request: WatchRequest = received.body
@@ -157,7 +185,7 @@
             return WatchReply(reply=self.redirect)
         self.directory.follow(request, self.node.clock.now())
         self._wake()
-        await self._wait(lambda: self._has_news(request), WATCH_S)
+        await self.wait(lambda: self._has_news(request), WATCH_S)
         if not self.leadership.serves:
             return WatchReply(reply=self.redirect)
         news = self.directory.news(request, self.node.clock.now())
@@ -167,6 +195,7 @@
                 number=self.held.number,
                 control=self.leadership.members,
                 quarantine=self._quarantine_news(request),
+                zones=self.held.zones,
             ),
         )
 
@@ -216,7 +245,7 @@
         self._note(report)
         if leaving:
             change = self.directory.change
-            await self._wait(lambda: self.directory.is_confirmed(change=change), _CONFIRM_S)
+            await self.wait(lambda: self.directory.is_confirmed(change=change), _CONFIRM_S)
             self.node.events.emit(
                 logger,
                 Event.backend_retired,
@@ -234,7 +263,7 @@
         """Commit a document; answer once the gateways that are heard have it."""
         if not self.leadership.serves:
             return self.redirect
-        if not self.held.number and self.leadership.voters < self.voters_needed:
+        if not self.bears_losses:
             return NotYet()
         size = len(submit.document)
         if self.waiting_bytes and self.waiting_bytes + size > _WAITING_BYTES:
@@ -247,7 +276,7 @@
             self.waiting_bytes -= size
         if number is None:
             return self.redirect
-        await self._wait(lambda: self.directory.is_confirmed(number=number), _CONFIRM_S)
+        await self.wait(lambda: self.directory.is_confirmed(number=number), _CONFIRM_S)
         self.node.events.emit(
             logger,
             Event.document_accepted,
@@ -281,12 +310,27 @@
             if self.directory.change != before:
                 self._wake()
 
+    async def wait(self, condition: Callable[[], bool], limit_s: float) -> None:
+        """Return once a condition holds, or after ``limit_s`` seconds."""
+        until = self.node.clock.now() + limit_s
+        while not condition():
+            left = until - self.node.clock.now()
+            if left <= 0:
+                return
+            try:
+                async with asyncio.timeout(left):
+                    await self.changed.wait()
+            except asyncio.TimeoutError:
+                return
+
     # -- helpers ------------------------------------------------------------
 
     def _has_news(self, request: WatchRequest) -> bool:
         """Return whether a gateway lacks something."""
         if request.quarantine != self.quarantining.book.version:
             return True
+        if request.zones < self.held.zones.change:
+            return True
         return self.directory.has_news(request, self.held.number)
 
     def _quarantine_news(self, request: WatchRequest) -> QuarantineNews | None:
@@ -362,15 +406,3 @@
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
-
-    async def _wait(self, condition: Callable[[], bool], limit_s: float) -> None:
-        until = self.node.clock.now() + limit_s
-        while not condition():
-            left = until - self.node.clock.now()
-            if left <= 0:
-                return
-            try:
-                async with asyncio.timeout(left):
-                    await self.changed.wait()
-            except asyncio.TimeoutError:
-                return
--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import types
 from typing import TYPE_CHECKING, Any
@@ -11,6 +12,7 @@
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import (
+    ORDER_ZONE,
     READ_DOCUMENT,
     REPORT_BACKEND,
     SUBMIT,
@@ -28,14 +30,17 @@
     encode_accepted,
     instance_of,
 )
+from ringseam.platform.zones import decode_zone_order, is_zone_method, is_zone_path
 from ringseam.util.jsonbody import json_body
 from ringseam.util.linebudget import LineBudget
+from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ringseam.control.follow import FollowService
     from ringseam.controlclient import ControlClient
+    from ringseam.following import ZoneOrder
     from ringseam.metrics import Metrics
     from ringseam.node import Node
     from ringseam.rpc import Method
@@ -49,6 +54,11 @@
 #: A document waits for gateways; the operator gives up after four seconds.
 _SUBMIT_S = 3.0
 _READ_S = 0.9
+#: An order for a zone waits for gateways as a document does.
+_ORDER_S = 3.0
+#: An order whose sender has given up by now is dropped, seconds: the end of its
+#: connection arrives with its bytes where both were held up.
+_GIVEN_UP_S = 0.01
 #: A report has some hundred bytes; one of a server with many models a few thousand.
 _REPORT_BYTES = 64 * 2**10
 #: Refused reports that are logged at once, and then in each second: enough to see who
@@ -78,10 +88,12 @@
         addresses: Callable[[], list[str]],
         metrics: Metrics,
         document_bytes: int,
+        zones: frozenset[str],
     ) -> None:
         """Answer here when this replica leads, else through the leader.
 
         :param document_bytes: the largest document that the hosts have memory for.
+        :param zones: all availability zones; empty where they aren't known.
         """
         self.node = node
         self.follow = follow
@@ -89,6 +101,7 @@
         self.addresses = addresses
         self.metrics = metrics
         self.document_bytes = document_bytes
+        self.zones = zones
         self.refusals = LineBudget(lines=_REFUSALS_LOGGED, per_s=_REFUSALS_PER_S)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -101,8 +114,7 @@
 
     def _measure(self, exchange: Exchange, took_s: float) -> None:
         request = exchange.request
-        subject = 'backend' if instance_of(request.path) else 'document'
-        call = f'{request.method} {subject}'
+        call = f'{request.method} {_subject(request.path)}'
         self.metrics.record_ms('call', took_s * MS_PER_S, call=call)
         self.metrics.add('calls', call=call, status=str(exchange.status))
 
@@ -113,6 +125,8 @@
             await self._handle_report(exchange, name)
         elif request.path == CONFIG_PATH:
             await self._handle_document(exchange)
+        elif is_zone_path(request.path):
+            await self._handle_zone(exchange)
         else:
             await exchange.respond(_NOT_FOUND, [])
 
@@ -198,6 +212,44 @@
         self.node.events.emit(logger, Event.document_refused, findings=findings)
         await self._refuse(exchange, findings, status=status)
 
+    async def _handle_zone(self, exchange: Exchange) -> None:
+        order = await self._read_order(exchange)
+        if order is None:
+            return
+        # This task is cancelled when the connection ends.
+        await asyncio.sleep(_GIVEN_UP_S)
+        reply = await self._lead(ORDER_ZONE, order, self.follow.zones.order, _ORDER_S)
+        status = _OK if isinstance(reply, DrainedZones) else _UNAVAILABLE
+        await exchange.respond(status, [_JSON], json_body({}))
+
+    async def _read_order(self, exchange: Exchange) -> ZoneOrder | None:
+        """Return the order of a call; None: it was answered with what is wrong."""
+        request = exchange.request
+        if not is_zone_method(request.method):
+            await exchange.respond(_NOT_ALLOWED, [])
+            return None
+        try:
+            order = decode_zone_order(request.method, request.path, request.body)
+        except ValueError as error:
+            await self._refuse_order(exchange, str(error), status=_BAD_REQUEST)
+            return None
+        if self.zones and order.zone not in self.zones:
+            finding = f'unknown zone {order.zone!r}; there are {", ".join(sorted(self.zones))}'
+            await self._refuse_order(exchange, finding, status=_NOT_FOUND)
+            return None
+        return order
+
+    async def _refuse_order(self, exchange: Exchange, finding: str, *, status: int) -> None:
+        request = exchange.request
+        self.node.events.emit(
+            logger,
+            Event.zone_order_refused,
+            path=request.path[:_LOGGED_CHARACTERS],
+            method=request.method,
+            detail=finding[:_LOGGED_CHARACTERS],
+        )
+        await self._refuse(exchange, [finding], status=status)
+
     async def _refuse(
         self,
         exchange: Exchange,
@@ -229,6 +281,12 @@
             return None
 
 
+def _subject(path: str) -> str:
+    if instance_of(path):
+        return 'backend'
+    return 'zone' if is_zone_path(path) else 'document'
+
+
 def _bounded(body: bytes) -> bytes:
     """Return a report's body.
 
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -34,15 +34,8 @@
     TimePassed,
 )
 from ringseam.controlclient import ControlClient
+from ringseam.deltas import DeltaReply
 from ringseam.events import Event
-from ringseam.following import (
-    CONFIRM,
-    DOCUMENT_PART,
-    READ_DOCUMENT,
-    REPORT_BACKEND,
-    SUBMIT,
-    WATCH,
-)
 from ringseam.holder import ConfigHolder
 from ringseam.ids import split_address
 from ringseam.messages import (
@@ -50,7 +43,6 @@
     ApplyReply,
     ConfigFiles,
     ConfigReply,
-    DeltaReply,
     ReportReply,
     ShareLease,
     StatusReply,
@@ -150,6 +142,7 @@
                 document=machine.state.document,
                 retired=tuple(machine.state.retired),
                 quarantined=dict(machine.state.quarantined),
+                zones=machine.state.zones,
             )
             loop.call_soon_threadsafe(self.follow.hold, document)
 
@@ -252,7 +245,12 @@
         """Return directory changes to an entry."""
         request = received.body
         self.directory.note_process(request.process, self.node.clock.now())
-        return self.directory.delta(request.epoch, request.since, self.node.clock.now())
+        return self.directory.delta(
+            request.epoch,
+            request.since,
+            self.node.clock.now(),
+            zones=self.follow.held.zones,
+        )
 
     async def lease(self, received: Received) -> LeaseReply:
         """Grant shares of account limits, while this replica leads for sure."""
@@ -304,16 +302,7 @@
         self.server.add(DELTA, self.delta)
         self.server.add(STATUS, self.status)
         self.server.add(LEASE, self.lease)
-        self._serve_followers()
-
-    def _serve_followers(self) -> None:
-        self.server.add(WATCH, self.follow.watch)
-        self.server.add(CONFIRM, self.follow.take_confirmation)
-        self.server.add(DOCUMENT_PART, self.follow.document_part)
-        self.server.add(REPORT_BACKEND, self.follow.report)
-        self.server.add(SUBMIT, self.follow.submit_document)
-        self.server.add(READ_DOCUMENT, self.follow.read)
-        self.follow.quarantining.serve(self.server)
+        self.follow.serve(self.server)
 
     # -- applying -----------------------------------------------------------
 
@@ -337,6 +326,7 @@
             addresses=self.introduction.addresses,
             metrics=self.metrics,
             document_bytes=document_bytes,
+            zones=frozenset(self.settings.process['zones']),
         )
         limits = HttpLimits(body_bytes=_BODY_SHARE * document_bytes)
         web = HttpServer(handler=interface.handle, limits=limits)
--- /dev/null
+++ b/ringseam/control/zonedraining.py
@@ -0,0 +1,87 @@
+"""Orders of operators to drain availability zones, at the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.commands import DrainZone, ZoneDrained
+from ringseam.control.replicamessages import NotLeading
+from ringseam.events import Event
+from ringseam.following import ORDER_ZONE, READ_ZONES, NotYet, ZonesReply
+
+if TYPE_CHECKING:
+    from ringseam.control.follow import FollowService
+    from ringseam.following import ZoneOrder
+    from ringseam.messages import Redirect
+    from ringseam.rpc import CallServer
+    from ringseam.sealing import Received
+    from ringseam.zones import DrainedZones
+
+logger = logging.getLogger(__name__)
+
+#: An acknowledgement waits this long for gateways that are heard, seconds; a gateway
+#: that is out of touch hears of the order with its next watch.
+_CONFIRM_S = 1.8
+
+
+class ZoneDraining:
+    """Commit orders, and acknowledge them once the gateways obey them."""
+
+    def __init__(self, *, follow: FollowService) -> None:
+        """Tell the gateways that ``follow`` serves."""
+        self.follow = follow
+
+    def serve(self, server: CallServer) -> None:
+        """Take the calls of other control hosts and of the command line."""
+        server.add(ORDER_ZONE, self.serve_order)
+        server.add(READ_ZONES, self.serve_read)
+
+    async def serve_order(self, received: Received) -> ZonesReply:
+        """Take an order that came to another host."""
+        return ZonesReply(reply=await self.order(received.body))
+
+    async def serve_read(self, received: Received) -> ZonesReply:
+        """Return the drained zones."""
+        return ZonesReply(reply=await self.read())
+
+    async def order(self, order: ZoneOrder) -> DrainedZones | NotYet | Redirect:
+        """Return the drained zones once a majority has the order on disk.
+
+        An order that changes nothing is committed as well: only the log tells that no
+        other order came in between.
+        """
+        follow = self.follow
+        if not follow.leadership.serves:
+            return follow.redirect
+        if not follow.bears_losses:
+            return NotYet()
+        begun = follow.node.clock.now()
+        done = await follow.submit(DrainZone(zone=order.zone, drained=order.drained))
+        if not isinstance(done, ZoneDrained):
+            return follow.redirect
+        await follow.wait(lambda: self._is_obeyed(done.change), _CONFIRM_S)
+        follow.node.events.emit(
+            logger,
+            Event.zone_drained if order.drained else Event.zone_restored,
+            zone=order.zone,
+            change=done.change,
+            took_ms=round((follow.node.clock.now() - begun) * MS_PER_S),
+            confirmed=self._is_obeyed(done.change),
+        )
+        return follow.held.zones
+
+    async def read(self) -> DrainedZones | Redirect:
+        """Return the drained zones, after a quorum has confirmed the leader."""
+        follow = self.follow
+        if not follow.leadership.serves or isinstance(await follow.confirm(), NotLeading):
+            return follow.redirect
+        # What the actor applied before the barrier is on its way to this loop.
+        await asyncio.sleep(0)
+        return follow.held.zones
+
+    def _is_obeyed(self, change: int) -> bool:
+        follow = self.follow
+        return follow.held.zones.change >= change and follow.directory.is_confirmed(zones=change)
--- a/ringseam/following.py
+++ b/ringseam/following.py
@@ -8,6 +8,7 @@
 from ringseam.messages import Empty, Message, Redirect, Tagged
 from ringseam.rpc import Method
 from ringseam.verdicts import QuarantineNews
+from ringseam.zones import DrainedZones
 
 
 class WatchRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -25,6 +26,8 @@
     heard: int = 0
     #: The version of the quarantine that the gateway holds to.
     quarantine: int = 0
+    #: The newest change of drained zones that the gateway obeys.
+    zones: int = 0
 
 
 class Confirmation(Message, frozen=True, kw_only=True):
@@ -51,6 +54,7 @@
     control: tuple[str, ...] = ()
     #: Contents that end servers; None: nothing new.
     quarantine: Optional[QuarantineNews] = None
+    zones: DrainedZones = DrainedZones()
 
 
 class WatchReply(Message, frozen=True, kw_only=True):
@@ -119,6 +123,19 @@
     """Nothing was changed: the group can't bear its losses yet."""
 
 
+class ZoneOrder(Message, frozen=True, kw_only=True):
+    """An operator's order to drain an availability zone, or to use it again."""
+
+    zone: str
+    drained: bool
+
+
+class ZonesReply(Message, frozen=True, kw_only=True):
+    """The drained zones, or why an order was not taken."""
+
+    reply: Union[DrainedZones, NotYet, Redirect]
+
+
 class DocumentReply(Message, frozen=True, kw_only=True):
     """The newest document, or why there is none."""
 
@@ -130,4 +147,6 @@
 DOCUMENT_PART = Method('/ringseam.Follow/DocumentPart', PartRequest, PartReply)
 REPORT_BACKEND = Method('/ringseam.Follow/ReportBackend', BackendReport, ReportAnswer)
 SUBMIT = Method('/ringseam.Follow/Submit', Submit, DocumentReply)
+ORDER_ZONE = Method('/ringseam.Follow/OrderZone', ZoneOrder, ZonesReply)
+READ_ZONES = Method('/ringseam.Follow/ReadZones', Empty, ZonesReply)
 READ_DOCUMENT = Method('/ringseam.Follow/ReadDocument', Empty, DocumentReply)
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
-from typing import TYPE_CHECKING, Optional
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from ringseam.backends import BackendId
 from ringseam.clock import MS_PER_S
@@ -18,11 +20,13 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.gateway.engines.placement import Placement
+    from ringseam.gateway.following.coldness import ColdPace
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthBook
     from ringseam.gateway.following.ownership import Ownership
     from ringseam.gateway.work import Work
     from ringseam.node import Node
+    from ringseam.routes import BackendService
     from ringseam.rpc import CallClient
     from ringseam.sealing import Received
 
@@ -41,6 +45,8 @@
     """The chosen engine, if there is one."""
 
     instance: str = ''
+    #: How long the request has to wait before it may go there, seconds.
+    wait_s: float = 0
 
 
 class ProgressNote(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -56,6 +62,14 @@
 PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty, multiplexed=True)
 
 
+@dataclass(frozen=True, kw_only=True)
+class Chosen:
+    """Where a request shall run, and how long it has to wait before, seconds."""
+
+    engine: BackendReport
+    wait_s: float
+
+
 class PlaceClient:
     """Place requests by the owner's view, or by this gateway's own."""
 
@@ -67,6 +81,7 @@
         follower: Follower,
         health: HealthBook,
         ownership: Ownership,
+        pace: ColdPace,
     ) -> None:
         """Begin without a memory of prompts."""
         self.node = node
@@ -75,27 +90,27 @@
         self.follower = follower
         self.health = health
         self.ownership = ownership
+        self.pace = pace
         self.placers: dict[str, Placer] = {}
         self.tasks = TaskSet()
         #: Until when owners that didn't answer are not asked, by address.
         self.avoided: dict[str, float] = {}
 
-    async def choose(self, work: Work, *, dry: bool = False) -> BackendReport | None:
-        """Return where a request shall run; with ``dry``, where it would."""
-        ask = self._ask(work, dry=dry)
-        owner = self.ownership.owner_of(work.service)
-        if owner and self.avoided.get(owner, 0) <= self.clock.now():
-            chosen = await self._ask_owner(owner, ask)
-            if chosen is not None:
-                if not dry:
-                    self._placer(work.service).note(
-                        ask,
-                        chosen.instance,
-                        self._cache_tokens(work.service),
-                        self.clock.now(),
-                    )
-                return chosen
-        return self._place_here(ask)
+    async def choose(self, work: Work) -> BackendReport | None:
+        """Return where a request shall run, once it may go there."""
+        chosen = await self._choose(self._ask(work, dry=False))
+        if chosen is None:
+            return None
+        if chosen.wait_s:
+            await asyncio.sleep(chosen.wait_s)
+            if not self._is_serving(work.service, chosen.engine):
+                return None
+        return chosen.engine
+
+    async def foresee(self, work: Work) -> BackendReport | None:
+        """Return where a request would run now."""
+        chosen = await self._choose(self._ask(work, dry=True))
+        return chosen.engine if chosen else None
 
     def began(self, work: Work) -> None:
         """Tell that the first event has come."""
@@ -118,8 +133,10 @@
 
     async def serve_place(self, received: Received) -> PlaceReply:
         """Place a request for another gateway."""
-        chosen = self._place_here(received.body)
-        return PlaceReply(instance=chosen.instance if chosen else '')
+        chosen = self._place_here(received.body, deciders=1)
+        if chosen is None:
+            return PlaceReply()
+        return PlaceReply(instance=chosen.engine.instance, wait_s=chosen.wait_s)
 
     async def serve_progress(self, received: Received) -> Empty:
         """Hear how a request of another gateway goes on."""
@@ -128,6 +145,29 @@
 
     # -- helpers ------------------------------------------------------------
 
+    async def _choose(self, ask: PlaceRequest) -> Chosen | None:
+        service = ServiceName(ask.service)
+        owner = self.ownership.owner_of(service)
+        if not owner:
+            return self._place_here(ask, deciders=1)
+        if self.avoided.get(owner, 0) <= self.clock.now():
+            chosen = await self._ask_owner(owner, ask)
+            if chosen is not None:
+                if not ask.dry:
+                    self._note(ask, chosen.engine.instance)
+                return chosen
+        # Any other gateway may have to place requests by itself as well.
+        return self._place_here(ask, deciders=len(self.follower.gateways))
+
+    def _note(self, ask: PlaceRequest, instance: BackendId) -> None:
+        service = self._service(ask.service)
+        if service is not None:
+            self._placer(service.name).note(ask, instance, service, self.clock.now())
+
+    def _is_serving(self, service: ServiceName, engine: BackendReport) -> bool:
+        serving = self.follower.view.serving(service)
+        return any(known.instance == engine.instance for known in serving)
+
     def _ask(self, work: Work, *, dry: bool) -> PlaceRequest:
         now = self.clock.now()
         return PlaceRequest(
@@ -144,21 +184,25 @@
             avoid=tuple(work.tries.tried),
             dry=dry,
             account=work.suspect.account,
+            zones=None if work.zones is None else tuple(work.zones),
         )
 
-    def _place_here(self, ask: PlaceRequest) -> BackendReport | None:
-        service = ServiceName(ask.service)
-        placement = self._placer(service).place(
+    def _place_here(self, ask: PlaceRequest, *, deciders: int) -> Chosen | None:
+        service = self._service(ask.service)
+        if service is None:
+            return None
+        placement = self._placer(service.name).place(
             ask,
-            self.follower.serving(service, ask.account),
-            self._cache_tokens(service),
+            self.follower.serving(service.name, ask.account, ask.zones),
+            service,
             self.clock.now(),
+            deciders=deciders,
         )
         if placement is None:
             return None
         if not ask.dry:
             self._log(ask, placement)
-        return placement.engine
+        return Chosen(engine=placement.engine, wait_s=placement.wait_s)
 
     def _log(self, ask: PlaceRequest, placement: Placement) -> None:
         self.node.events.emit(
@@ -172,9 +216,10 @@
             disturbed=round(placement.disturbed, 3),
             prompt=ask.prompt_tokens,
             objective_ms=ask.objective_ms,
+            wait_ms=round(placement.wait_s * MS_PER_S),
         )
 
-    async def _ask_owner(self, owner: str, ask: PlaceRequest) -> Optional[BackendReport]:
+    async def _ask_owner(self, owner: str, ask: PlaceRequest) -> Chosen | None:
         try:
             received = await self.client.call(owner, PLACE, ask, timeout_s=_ASK_S)
         except UnreachableError as error:
@@ -183,7 +228,8 @@
             return None
         reply: PlaceReply = received.body
         serving = self.follower.view.serving(ServiceName(ask.service))
-        return next((engine for engine in serving if engine.instance == reply.instance), None)
+        engine = next((known for known in serving if known.instance == reply.instance), None)
+        return None if engine is None else Chosen(engine=engine, wait_s=reply.wait_s)
 
     def _tell(self, work: Work, *, over: bool) -> None:
         self._spread(
@@ -218,9 +264,8 @@
 
     def _placer(self, service: str) -> Placer:
         if service not in self.placers:
-            self.placers[service] = Placer(health=self.health)
+            self.placers[service] = Placer(health=self.health, pace=self.pace)
         return self.placers[service]
 
-    def _cache_tokens(self, service: ServiceName) -> int:
-        known = self.follower.table.services.get(service)
-        return known.engine.cache_tokens if known and known.engine else 0
+    def _service(self, name: str) -> BackendService | None:
+        return self.follower.table.services.get(ServiceName(name))
--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -12,7 +12,7 @@
 import itertools
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Optional
 
 import msgspec
 
@@ -24,7 +24,9 @@
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
+    from ringseam.gateway.following.coldness import ColdPace
     from ringseam.gateway.following.health import HealthBook
+    from ringseam.routes import BackendService
 
 #: Prompt tokens that an engine reads in a second; engines are named with 32,400 to
 #: 38,400. Not observed yet: with other engines predictions are off by as much.
@@ -88,6 +90,8 @@
     avoid: tuple[str, ...] = ()
     dry: bool = False
     account: str = ''
+    #: Availability zones in which it may run; None: all.
+    zones: Optional[tuple[str, ...]] = None
 
 
 @dataclass(kw_only=True)
@@ -113,6 +117,8 @@
     backlog: int
     #: Worth of the streams there that would pause for too long.
     disturbed: float
+    #: How long the request has to wait before it may go there, seconds.
+    wait_s: float = 0
 
 
 @dataclass(kw_only=True)
@@ -142,6 +148,7 @@
     """Place requests on the engines of one service."""
 
     health: HealthBook
+    pace: ColdPace
     books: dict[BackendId, EngineBook] = field(default_factory=dict)
     placed: dict[str, Placed] = field(default_factory=dict)
     #: The same by engine, first come first. Looked for among all that is placed, with what
@@ -154,18 +161,25 @@
         self,
         ask: PlaceRequest,
         engines: Collection[BackendReport],
-        cache_tokens: int,
+        service: BackendService,
         now: float,
+        *,
+        deciders: int = 1,
     ) -> Placement | None:
-        """Return the engine with the least cost, and remember the request."""
+        """Return the engine with the least cost, and remember the request.
+
+        :param deciders: how many gateways place requests on these engines by themselves.
+        """
         self._forget(now)
         compared = self._compared(ask, engines)
         cached = {engine.instance: self._cached(ask, engine.instance) for engine in compared}
         most = max(cached.values(), default=0)
+        left_s = ask.left_ms / MS_PER_S
         candidates = [
-            self._judge(ask, engine, now, cached=cached[engine.instance], most=most)
+            self._judge(ask, engine, now, cached=cached[engine.instance], most=most, wait_s=wait_s)
             for engine in compared
             if engine.instance not in ask.avoid
+            and (wait_s := self._wait_s(engine, service, now, deciders)) < left_s
         ]
         if not candidates:
             return None
@@ -173,10 +187,17 @@
         equal = [known for known in candidates if known.cost == least]
         best = min(equal, key=lambda known: _tie(ask, known.engine))
         if not ask.dry:
-            self.note(ask, best.engine.instance, cache_tokens, now)
+            self.pace.take(best.engine.instance, service.cold, now, deciders=deciders)
+            self.note(ask, best.engine.instance, service, now)
         return best
 
-    def note(self, ask: PlaceRequest, instance: BackendId, cache_tokens: int, now: float) -> None:
+    def note(
+        self,
+        ask: PlaceRequest,
+        instance: BackendId,
+        service: BackendService,
+        now: float,
+    ) -> None:
         """Remember that a request was placed on an engine."""
         book = self._book(instance)
         # A request that is placed again is somewhere else now.
@@ -192,8 +213,9 @@
                 until=now + ask.left_ms / MS_PER_S + _FORGET_S,
             ),
         )
+        capacity = service.engine.cache_tokens * _CACHE_SHARE if service.engine else 0
         for part in reversed(ask.prefix):
-            self._use(instance, part, cache_tokens * _CACHE_SHARE)
+            self._use(instance, part, capacity)
 
     def hold(self, request: str, placed: Placed) -> None:
         """Count a request on an engine."""
@@ -226,6 +248,15 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _wait_s(
+        self,
+        engine: BackendReport,
+        service: BackendService,
+        now: float,
+        deciders: int,
+    ) -> float:
+        return self.pace.wait_s(engine.instance, service.cold, now, deciders=deciders)
+
     def _compared(
         self,
         ask: PlaceRequest,
@@ -287,18 +318,20 @@
         *,
         cached: int,
         most: int,
+        wait_s: float,
     ) -> Placement:
         """Return what it costs to place a request on an engine.
 
         :param cached: tokens of the prompt that the engine keeps.
         :param most: the same at the engine that keeps most of them.
+        :param wait_s: how long the request has to wait before it may go there.
         """
         instance = engine.instance
         here = self._here(instance)
         unread = max(0, ask.prompt_tokens - cached)
         backlog = self._backlog(instance, here, now)
         disturbed = _disturbed(here, backlog + unread)
-        cost = self._lateness(ask, backlog + unread) + LATE_LOSS * disturbed
+        cost = self._lateness(ask, backlog + unread, wait_s) + LATE_LOSS * disturbed
         cost += (most - cached) * _AGAIN_PER_TOKEN
         crossing = sum(amount for zone, amount in ask.result_bytes.items() if zone != engine.zone)
         cost += crossing * _CROSSING_PER_BYTE
@@ -310,6 +343,7 @@
             unread=unread,
             backlog=backlog,
             disturbed=disturbed,
+            wait_s=wait_s,
         )
 
     def _here(self, instance: BackendId) -> Collection[Placed]:
@@ -329,9 +363,9 @@
         read = min(max(waiting), int(since * READ_TOKENS_PER_S / _LONG_READ))
         return sum(waiting) - read
 
-    def _lateness(self, ask: PlaceRequest, tokens: int) -> float:
-        """Return the expected loss by the time that reading ``tokens`` takes."""
-        first = _FIRST_EVENT_S + _LONG_READ * tokens / READ_TOKENS_PER_S
+    def _lateness(self, ask: PlaceRequest, tokens: int, wait_s: float) -> float:
+        """Return the expected loss by waiting ``wait_s`` and then reading ``tokens``."""
+        first = wait_s + _FIRST_EVENT_S + _LONG_READ * tokens / READ_TOKENS_PER_S
         spare = ask.objective_ms / MS_PER_S - first
         late = min(1, max(0, 1 - spare / _SPREAD_S))
         return late * LATE_LOSS * worth_of(ask.priority) + first * _PER_SECOND
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +14,7 @@
 from ringseam.errors import FindingsError, UnreachableError
 from ringseam.events import Event
 from ringseam.following import CONFIRM, WATCH, Confirmation, WatchNews, WatchRequest
+from ringseam.gateway.following.coldness import ColdBook
 from ringseam.gateway.following.confinement import Confinement
 from ringseam.gateway.following.documentfetch import DocumentFetch
 from ringseam.platform.manifest import decode_manifest
@@ -21,12 +23,13 @@
 from ringseam.verdicts import QuarantineNews
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from ringseam.backends import BackendReport
     from ringseam.node import Node
     from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient
+    from ringseam.zones import DrainedZones
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +43,16 @@
 _CONFIRM_S = 1.0
 
 
+@dataclass(kw_only=True)
+class HeldDirectory:
+    """What a gateway holds of the leader's directory of servers."""
+
+    #: The change up to which it is known.
+    since: int = 0
+    #: The epoch in which servers that are missing from it were dropped.
+    pruned: str = ''
+
+
 class Follower:
     """Hold the newest routes and backend servers; neither goes back."""
 
@@ -70,9 +83,8 @@
         #: Contents that end servers, as the leader has told.
         self.quarantine = QuarantineNews(version=0)
         self.confinement = Confinement()
-        #: The directory against which missing servers were dropped.
-        self.pruned = ''
-        self.since = 0
+        self.coldness = ColdBook()
+        self.held = HeldDirectory()
         self.leader = ''
         self.draining = False
         self.busy = False
@@ -96,13 +108,33 @@
         """Return whether requests can be served."""
         return self.table.number > 0 and bool(self.view.backends)
 
-    def serving(self, service: ServiceName, account: str) -> list[BackendReport]:
+    def zones_within(self, *limits: frozenset[str]) -> frozenset[str] | None:
+        """Return the zones of the regions that all limits allow; None: all zones.
+
+        A limit that names no region allows all of them.
+        """
+        bounds = [limit for limit in limits if limit]
+        if not bounds:
+            return None
+        regions = frozenset.intersection(*bounds)
+        return frozenset(zone for zone, region in self.node.zones.items() if region in regions)
+
+    def serving(
+        self,
+        service: ServiceName,
+        account: str,
+        zones: Collection[str] | None = None,
+    ) -> list[BackendReport]:
         """Return the servers that may run an account's requests.
 
         A share of them, where the account is confined: all gateways keep it to the same
         ones, so that the other accounts lose no more to it.
+
+        :param zones: where they may run; None: anywhere.
         """
         servers = self.view.serving(service)
+        if zones is not None:
+            servers = [server for server in servers if server.zone in zones]
         owner = (account, service)
         if owner not in self.quarantine.confined:
             return servers
@@ -128,14 +160,17 @@
         if news.number > self.heard:
             self.heard = news.number
             self.heard_at = self.node.clock.now()
+        self._take_zones(news.zones)
+        if not self.epoch and not self.view.backends:
+            self.coldness.heard_since = self.node.clock.now()
         for report in news.reports:
-            self.view.take(report)
+            self._take_report(report)
         for instance in news.silent:
             self.view.lose(instance)
         self._take_quarantine(news)
         self.epoch = news.epoch
-        self.since = news.upto
-        if news.warm and self.pruned != news.epoch:
+        self.held.since = news.upto
+        if news.warm and self.held.pruned != news.epoch:
             self._prune(news)
         self.gateways = news.gateways
         if news.control:
@@ -188,10 +223,11 @@
             gateway=self.state,
             # Without an epoch the leader answers at once.
             epoch=self.epoch if followed else '',
-            since=self.since if followed else 0,
+            since=self.held.since if followed else 0,
             number=self.table.number,
             heard=self.heard if followed else 0,
             quarantine=self.quarantine.version if followed else 0,
+            zones=self.view.drained.change,
         )
         limit_s = _WATCH_TIMEOUT_S if followed else _SEARCH_TIMEOUT_S
         try:
@@ -222,10 +258,34 @@
         self.quarantine = held
         self.confinement.keep_only(held.confined)
 
+    def _take_report(self, report: BackendReport) -> None:
+        if self.view.take(report) and report.cold_left_s:
+            self.coldness.note(report.instance, self.node.clock.now() + report.cold_left_s)
+
+    def _take_zones(self, zones: DrainedZones) -> None:
+        restored = set(self.view.drained.names) - set(zones.names)
+        if not self.view.drain(zones):
+            return
+        self._note_restored(restored)
+        self.node.events.emit(
+            logger,
+            Event.zones_in_force,
+            zones=list(zones.names),
+            change=zones.change,
+        )
+
+    def _note_restored(self, zones: set[str]) -> None:
+        """Take the servers of zones that are used again for cold: they may have started."""
+        now = self.node.clock.now()
+        for report in self.view.backends.values():
+            service = self.table.services.get(report.service)
+            if report.zone in zones and service is not None and service.cold is not None:
+                self.coldness.note(report.instance, now + service.cold.length_s)
+
     def _prune(self, news: WatchNews) -> None:
         """Drop what a directory that is complete doesn't have."""
         if news.whole:
-            self.pruned = news.epoch
+            self.held.pruned = news.epoch
             self.view.keep_only({report.instance for report in news.reports})
         else:
             self.epoch = ''
--- a/ringseam/gateway/following/health.py
+++ b/ringseam/gateway/following/health.py
@@ -34,6 +34,8 @@
     bad: float = 0
     counted_at: float = 0
     ejected_until: float = float('-inf')
+    #: When it could last not be reached at all.
+    unreachable_at: float = float('-inf')
     ejections: int = 0
     in_flight: int = 0
     slowness: float = 1.0
@@ -84,6 +86,8 @@
         standing = self.of(instance)
         standing.decay(now)
         standing.bad += 1
+        if hard:
+            standing.unreachable_at = now
         share = standing.bad / (standing.bad + standing.good)
         evident = standing.bad >= _FAILURES_TO_EJECT and share >= _SHARE_TO_EJECT
         if not (hard or evident) or now < standing.ejected_until:
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -66,6 +66,7 @@
         self.retries = retries
         self.answers = answers
         self.guard = guard
+        self.pace = placements.pace
         self.plain = MeasuredChoice(health=sender.health, zone=node.zone)
 
     async def run(self, work: Work, stages: StageRun | None) -> None:
@@ -84,10 +85,10 @@
             return await self.placements.choose(work)
         servers = [
             server
-            for server in self.follower.serving(work.service, work.suspect.account)
+            for server in self.follower.serving(work.service, work.suspect.account, work.zones)
             if server.instance not in work.tries.tried
         ]
-        return self.plain.choose(servers, self.clock.now())
+        return await self._choose_plain(work, servers)
 
     async def send_once(
         self,
@@ -119,6 +120,32 @@
             self.guard.answered(server, work.content_id)
         return outcome
 
+    async def _choose_plain(
+        self,
+        work: Work,
+        servers: list[BackendReport],
+    ) -> BackendReport | None:
+        """Return the best of ``servers``, once the request may go there.
+
+        All gateways send to each of them, so each keeps to its share of what a cold one
+        bears.
+        """
+        now = self.clock.now()
+        service = self.follower.table.services.get(work.service)
+        cold = service.cold if service else None
+        gateways = max(1, len(self.follower.gateways))
+        waits = {
+            known.instance: self.pace.wait_s(known.instance, cold, now, deciders=gateways)
+            for known in servers
+        }
+        chosen = self.plain.choose(servers, now, waits)
+        if chosen is None or now + waits[chosen.instance] >= work.deadline:
+            return None
+        wait_s = self.pace.take(chosen.instance, cold, now, deciders=gateways)
+        if wait_s:
+            await asyncio.sleep(wait_s)
+        return chosen
+
     async def _send(
         self,
         work: Work,
@@ -252,7 +279,7 @@
         """Return whether a failed request may be sent to another server."""
         if not work.tries.may_repeat:
             return False
-        serving = self.follower.serving(work.service, work.suspect.account)
+        serving = self.follower.serving(work.service, work.suspect.account, work.zones)
         return any(server.instance not in work.tries.tried for server in serving)
 
     def _count_failure(self, work: Work, server: BackendReport) -> None:
--- a/ringseam/gateway/requests/choice.py
+++ b/ringseam/gateway/requests/choice.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import abc
+import types
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
-    from ringseam.backends import BackendReport
+    from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.following.health import HealthBook, Standing
 
+_NO_WAITS: Mapping[BackendId, float] = types.MappingProxyType({})
 #: A request in another availability zone costs this, seconds: the way there
 #: and back, and the price of its bytes.
 _OTHER_ZONE_S = 0.004
@@ -32,11 +34,23 @@
         self.health = health
         self.zone = zone
 
-    def choose(self, servers: Collection[BackendReport], now: float) -> BackendReport | None:
-        """Return the best of ``servers``, or None when there is none."""
+    def choose(
+        self,
+        servers: Collection[BackendReport],
+        now: float,
+        waits: Mapping[BackendId, float] = _NO_WAITS,
+    ) -> BackendReport | None:
+        """Return the best of ``servers``, or None when there is none.
+
+        :param waits: how long a request has to wait for some of them, seconds.
+        """
         if not servers:
             return None
-        return min(servers, key=lambda server: (self.cost(server, now), server.instance))
+
+        def judged(server: BackendReport) -> tuple[float, str]:  # noqa: WPS430
+            return (self.cost(server, now) + waits.get(server.instance, 0), server.instance)
+
+        return min(servers, key=judged)
 
     @abc.abstractmethod
     def cost(self, server: BackendReport, now: float) -> float:
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -163,6 +163,10 @@
             arrived=arrived,
             deadline=arrived + limit,
             number=self.follower.table.number,
+            zones=self.follower.zones_within(
+                route.regions,
+                account.regions if account else frozenset(),
+            ),
             asked_before_s=self.admission.asked_before_s(
                 route.name,
                 request.time_left_s,
@@ -200,6 +204,14 @@
 
     async def _run(self, work: Work) -> None:
         self.attempts.retries.requested(work.service, self.clock.now())
+        if not self._may_run(work):
+            await self.answers.refuse(
+                work.exchange,
+                work.request,
+                'no server in the regions that its route and account allow',
+                route=work.route.name,
+            )
+            return
         if not has_stages(work.route, work.request.pieces):
             await self.attempts.run(work, None)
             return
@@ -218,6 +230,15 @@
         finally:
             stages.release()
 
+    def _may_run(self, work: Work) -> bool:
+        """Return whether all services that a request needs have servers in its zones."""
+        if work.zones is None:
+            return True
+        counts = zip(work.request.pieces, work.route.stages, strict=False)
+        needed = {work.service, *(stage.service for count, stage in counts if count)}
+        account = work.suspect.account
+        return all(self.follower.serving(name, account, work.zones) for name in needed)
+
     async def _is_shed(self, work: Work, stages: StageRun) -> bool:
         """Refuse a request that would be late by far; it can come back."""
         await self.pieces.ask_waits(stages.services())
@@ -280,5 +301,5 @@
         shared = sum(part.tokens for part in work.request.prefix[:-1])
         if shared < _LONG_PREFIX_TOKENS:
             return ''
-        engine = await self.attempts.placements.choose(work, dry=True)
+        engine = await self.attempts.placements.foresee(work)
         return engine.zone if engine else ''
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -11,6 +11,7 @@
 from ringseam.events import Event
 from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
 from ringseam.gateway.engines.silence import SilenceBook
+from ringseam.gateway.following.coldness import ColdPace
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import Guard
 from ringseam.gateway.following.health import HealthBook
@@ -88,6 +89,12 @@
             health=self.health,
             pool=self.pool,
         )
+        self.pace = ColdPace(
+            book=self.follower.coldness,
+            health=self.health,
+            over=own['cold_over'],
+            slack=own['cold_slack'],
+        )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
         self.placements = PlaceClient(
             node=self.node,
@@ -95,6 +102,7 @@
             follower=self.follower,
             health=self.health,
             ownership=self.ownership,
+            pace=self.pace,
         )
         self.works = PieceScheduler(
             node=self.node,
@@ -214,6 +222,7 @@
         held = self.follower.quarantine
         self.metrics.put('contents_quarantined', len(held.quarantined))
         self.metrics.put('contents_suspected', len(held.suspects))
+        self.metrics.put('zones_drained', len(self.follower.view.drained.names))
         self.retries.processes = max(1, len(self.follower.gateways))
         self.works.see_gateways(self.follower.gateways)
         self.works.refresh()
@@ -225,6 +234,7 @@
             known = set(self.follower.view.backends)
             self.health.keep_only(known)
             self.placements.keep_only(known)
+            self.pace.keep_only(known)
 
     async def _listen_always(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -274,7 +274,8 @@
         allowed = [
             piece
             for piece in looked.ordered
-            if server.instance not in piece.avoid or len(piece.avoid) >= len(servers)
+            if piece.job.may_run_in(server.zone)
+            and (server.instance not in piece.avoid or len(piece.avoid) >= len(servers))
         ]
         near = [
             piece
--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -216,6 +216,7 @@
             result_bytes=stage.result_bytes,
             expires=self._expiry_of_inputs(stage),
             zone=self._zone_for(number, inputs),
+            zones=work.zones,
             inputs_of=self.plan.sole_maker(number),
             suspect=work.suspect,
             trial_at=work.trial_at,
--- a/ringseam/gateway/stages/jobs.py
+++ b/ringseam/gateway/stages/jobs.py
@@ -37,6 +37,8 @@
     expires: float = float('inf')
     #: Where its inputs are or its result is wanted.
     zone: str = ''
+    #: Availability zones in which its request may run; None: all.
+    zones: frozenset[str] | None = None
     #: The service that made the inputs, when nothing else needs them after this.
     inputs_of: str = ''
     #: What its request asks for, and for whom.
@@ -44,6 +46,10 @@
     #: When the only run of a suspected content was granted; None: not on trial.
     trial_at: float | None = None
 
+    def may_run_in(self, zone: str) -> bool:
+        """Return whether its request may run in an availability zone."""
+        return self.zones is None or zone in self.zones
+
     @functools.cached_property
     def precedence(self) -> Precedence:
         """Return what the job goes by among those that wait."""
--- a/ringseam/gateway/stages/messages.py
+++ b/ringseam/gateway/stages/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Optional
+
 import msgspec
 
 from ringseam.contents import ContentId
@@ -24,6 +26,8 @@
     rank: int
     result_bytes: int
     zone: str
+    #: Availability zones in which its request may run; None: all.
+    zones: Optional[tuple[str, ...]] = None
     returned: bool = False
     #: Until the first input is given up, in milliseconds; negative: never.
     expires_ms: int = -1
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -56,6 +56,8 @@
     asked_before_s: float = 0
     #: Whether it was answered within its objective.
     in_time: bool = False
+    #: Availability zones in which it may run; None: all.
+    zones: frozenset[str] | None = None
     #: Whether it was turned away for what it asks for, not for how its route is served.
     rejected_for_content: bool = False
     #: When the only run of a suspected content was granted; None: not on trial.
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -12,6 +12,7 @@
 from ringseam.errors import UnreachableError
 from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
 from ringseam.gateway.engines.silence import SilenceBook
+from ringseam.gateway.following.coldness import ColdBook, ColdPace
 from ringseam.gateway.following.guard import Guard
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.ownership import Ownership
@@ -67,7 +68,10 @@
         self.leader = ''
         self.epoch = ''
 
-    def serving(self, service: ServiceName, account: str) -> list[BackendReport]:
+    def zones_within(self, *limits: frozenset[str]) -> None:
+        """Return that all zones are allowed."""
+
+    def serving(self, service: ServiceName, account: str, zones: None) -> list[BackendReport]:
         """Return the servers of a service; no account is confined."""
         return self.view.serving(service)
 
@@ -163,12 +167,14 @@
         self.follower: Any = ModelFollower(table=table)
         ownership = Ownership(follower=self.follower, name=name)
         client: Any = links
+        pace = ColdPace(book=ColdBook(), health=self.health)
         self.placements = PlaceClient(
             node=node,
             client=client,
             follower=self.follower,
             health=self.health,
             ownership=ownership,
+            pace=pace,
         )
         retries = WindowRetries(slack=_RETRY_SLACK)
         sender: Any = ModelSender(
--- a/ringseam/platform/manifest.py
+++ b/ringseam/platform/manifest.py
@@ -1,8 +1,4 @@
-"""The provider's manifest, decoded into a table of routes.
-
-Everything that makes a manifest invalid is collected as findings with its
-place; nothing is decided here beyond validity.
-"""
+"""The provider's manifest, decoded into a table of routes."""
 
 from __future__ import annotations
 
@@ -11,11 +7,13 @@
 import msgspec
 
 from ringseam.errors import Finding, FindingsError
+from ringseam.routefaults import checked
 from ringseam.routes import (
     Account,
     AccountName,
     BackendService,
     BatchSpec,
+    ColdSpec,
     EdgeLimits,
     EngineSpec,
     RequestKind,
@@ -59,6 +57,7 @@
     sticky: bool = False  # requests share prompt prefixes
     resumable: bool = False
     gap_aim_ms: _Amount = 0
+    allowed_regions: Optional[tuple[str, ...]] = None
 
 
 class _Engine(msgspec.Struct):
@@ -82,6 +81,8 @@
     max_conns: int = 1
     engine: Optional[_Engine] = None
     pieces: Optional[_Pieces] = None
+    cold_s: _Amount = 0  # how long a server is cold after its start
+    cold_per_s: _Amount = 0  # requests a second that it bears meanwhile
 
 
 class _Limits(msgspec.Struct):
@@ -95,6 +96,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: Optional[int] = None
+    allowed_regions: Optional[tuple[str, ...]] = None
 
 
 class _Manifest(msgspec.Struct):
@@ -116,11 +118,9 @@
     try:
         manifest = _DECODER.decode(document)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise FindingsError([_finding('', str(error))]) from None
-    findings = _findings(manifest)
-    if findings:
-        raise FindingsError(findings)
-    return RouteTable(
+        finding = Finding(path='manifest', line=0, section='', key='', message=str(error))
+        raise FindingsError([finding]) from None
+    table = RouteTable(
         number=manifest.version,
         routes=tuple(_route(route) for route in manifest.routes),
         services={ServiceName(service.name): _service(service) for service in manifest.services},
@@ -132,48 +132,7 @@
             idle_s=manifest.limits.idle_timeout_ms / _MS,
         ),
     )
-
-
-def _findings(manifest: _Manifest) -> list[Finding]:
-    findings: list[Finding] = []
-    services = {service.name for service in manifest.services}
-    places: set[tuple[str, str]] = set()
-    for route in manifest.routes:
-        findings.extend(_finding(route.name, text) for text in _route_faults(route, services))
-        place = (route.host, route.path_prefix)
-        if place in places:
-            findings.append(_finding(route.name, 'host and prefix are those of another route'))
-        places.add(place)
-    findings.extend(_shared_keys(manifest))
-    return findings
-
-
-def _route_faults(route: _Route, services: set[str]) -> list[str]:
-    used = [share.service for share in route.split] or [route.service]
-    used.extend(stage.service for stage in route.stages)
-    faults = [f'unknown service {name!r}' for name in used if name not in services]
-    if route.split and sum(share.weight for share in route.split) <= 0:
-        faults.append('weights add up to 0')
-    if route.timeout_ms <= 0:
-        faults.append('timeout is 0')
-    for number, stage in enumerate(route.stages):
-        if any(not 0 <= earlier < number for earlier in stage.after):
-            faults.append(f'stage {number} comes after a stage that is not before it')
-    return faults
-
-
-def _shared_keys(manifest: _Manifest) -> list[Finding]:
-    owners: dict[str, str] = {}
-    findings = []
-    for tenant in manifest.tenants:
-        for key in tenant.api_keys:
-            if owners.setdefault(key, tenant.name) != tenant.name:
-                findings.append(_finding(tenant.name, 'shares a key with another account'))
-    return findings
-
-
-def _finding(section: str, message: str) -> Finding:
-    return Finding(path='manifest', line=0, section=section, key='', message=message)
+    return checked(table, path='manifest')
 
 
 def _route(route: _Route) -> Route:
@@ -186,9 +145,7 @@
         timeout_s=route.timeout_ms / _MS,
         objective_s=route.slo_ms / _MS,
         targets=tuple(
-            Target(service=ServiceName(share.service), weight=share.weight)
-            for share in shares
-            if share.weight > 0
+            Target(service=ServiceName(share.service), weight=share.weight) for share in shares
         ),
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
@@ -204,6 +161,7 @@
         affinity=route.sticky,
         resumable=route.resumable,
         gap_objective_s=route.gap_aim_ms / _MS,
+        regions=frozenset(route.allowed_regions or ()),
     )
 
 
@@ -216,9 +174,16 @@
         max_connections=service.max_conns,
         engine=EngineSpec(slots=engine.slots, cache_tokens=engine.kv_tokens) if engine else None,
         batching=_batching(pieces) if pieces else None,
+        cold=_cold(service),
     )
 
 
+def _cold(service: _Service) -> ColdSpec | None:
+    if service.cold_s <= 0 or service.cold_per_s <= 0:
+        return None
+    return ColdSpec(length_s=service.cold_s, per_s=service.cold_per_s)
+
+
 def _batching(pieces: _Pieces) -> BatchSpec:
     return BatchSpec(
         slots=max(1, pieces.slots),
@@ -236,4 +201,5 @@
         name=AccountName(tenant.name),
         keys=frozenset(tenant.api_keys),
         priority=tenant.priority,
+        regions=frozenset(tenant.allowed_regions or ()),
     )
--- /dev/null
+++ b/ringseam/routefaults.py
@@ -0,0 +1,69 @@
+"""What makes a table of routes invalid."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ringseam.errors import Finding, FindingsError
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterator
+
+    from ringseam.routes import Account, Route, RouteTable, ServiceName
+
+
+def checked(table: RouteTable, *, path: str) -> RouteTable:
+    """Return a valid table, without targets that get no request.
+
+    :param path: names the document that the table came from.
+    :raises FindingsError: when it is invalid, with every finding.
+    """
+    faults = [*_faults_of_routes(table), *_shared_keys(table.accounts)]
+    if faults:
+        raise FindingsError(
+            [
+                Finding(path=path, line=0, section=section, key='', message=message)
+                for section, message in faults
+            ],
+        )
+    return replace(table, routes=tuple(map(_without_idle_targets, table.routes)))
+
+
+def _without_idle_targets(route: Route) -> Route:
+    targets = tuple(target for target in route.targets if target.weight > 0)
+    return replace(route, targets=targets)
+
+
+def _faults_of_routes(table: RouteTable) -> Iterator[tuple[str, str]]:
+    places: set[tuple[str, str]] = set()
+    for route in table.routes:
+        for fault in _faults_of(route, table.services):
+            yield route.name, fault
+        place = (route.host, route.prefix)
+        if place in places:
+            yield route.name, 'host and prefix are those of another route'
+        places.add(place)
+
+
+def _faults_of(route: Route, services: Collection[ServiceName]) -> Iterator[str]:
+    used = [target.service for target in route.targets]
+    used.extend(stage.service for stage in route.stages)
+    for name in used:
+        if name not in services:
+            yield f'unknown service {name!r}'
+    if sum(target.weight for target in route.targets) <= 0:
+        yield 'weights add up to 0'
+    if route.timeout_s <= 0:
+        yield 'timeout is 0'
+    for number, stage in enumerate(route.stages):
+        if any(not 0 <= earlier < number for earlier in stage.after):
+            yield f'stage {number} comes after a stage that is not before it'
+
+
+def _shared_keys(accounts: tuple[Account, ...]) -> Iterator[tuple[str, str]]:
+    owners: dict[str, str] = {}
+    for account in accounts:
+        for key in sorted(account.keys):
+            if owners.setdefault(key, account.name) != account.name:
+                yield account.name, 'shares a key with another account'
--- a/ringseam/routes.py
+++ b/ringseam/routes.py
@@ -55,6 +55,8 @@
     affinity: bool = False
     resumable: bool = False
     gap_objective_s: float = 0
+    #: Regions in which its requests may run; empty: all.
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -88,6 +90,16 @@
     cache_tokens: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class ColdSpec:
+    """What one backend server bears after it has started."""
+
+    #: How long it is cold, seconds.
+    length_s: float
+    #: Requests a second that it bears meanwhile.
+    per_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class BackendService:
     """A service and the limits of each of its backend servers."""
@@ -97,6 +109,8 @@
     max_connections: int
     engine: EngineSpec | None = None
     batching: BatchSpec | None = None
+    #: None: its servers bear all that they bear later from their start.
+    cold: ColdSpec | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -106,6 +120,8 @@
     name: AccountName
     keys: frozenset[str]
     priority: int | None = None
+    #: Regions in which its requests may run; empty: all.
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -20,6 +20,7 @@
 name = g1
 address = 127.0.0.1:0
 zone = a
+zones = a=north, b=south, c=north
 key_file = {key}
 
 [gateway]
@@ -144,11 +145,19 @@
                 route('sticky', 'stream', resumable=True, sticky=True),
                 route('short', 'idempotent', timeout_ms=200),
                 route('open', 'idempotent', public=True),
+                route('north', 'idempotent', allowed_regions=['north']),
+                route('far', 'idempotent', allowed_regions=['west']),
                 route(
                     'staged',
                     'stream',
                     stages=[{'service': 'crops', 'after': [], 'bytes': 1000}],
                 ),
+                route(
+                    'stagednorth',
+                    'stream',
+                    allowed_regions=['north'],
+                    stages=[{'service': 'crops', 'after': [], 'bytes': 1000}],
+                ),
             ],
             'services': [
                 {'name': 'plain', 'max_conns': 10},
@@ -164,7 +173,10 @@
                     },
                 },
             ],
-            'tenants': [{'name': 'acme', 'api_keys': ['key-1']}],
+            'tenants': [
+                {'name': 'acme', 'api_keys': ['key-1']},
+                {'name': 'local', 'api_keys': ['key-2'], 'allowed_regions': ['south']},
+            ],
             **fields,
         },
     ).encode()
--- /dev/null
+++ b/tests/test_control/test_control_zonedraining.py
@@ -0,0 +1,304 @@
+"""Orders for availability zones: what is acknowledged outlives what may be lost."""
+
+import asyncio
+
+import pytest
+
+from ringseam.backends import GatewayState
+from ringseam.commands import DrainZone, ZoneDrained
+from ringseam.control.follow import FollowService, HeldDocument
+from ringseam.control.openinterface import OpenInterface
+from ringseam.control.replicamessages import Leadership, Linearizable, NotLeading, Propose
+from ringseam.control.state import StateMachine, encode_command
+from ringseam.errors import UnreachableError
+from ringseam.following import NotYet, WatchRequest, ZoneOrder
+from ringseam.gateway.following.follower import Follower
+from ringseam.messages import Redirect
+from ringseam.metrics import Metrics
+from ringseam.node import Node
+from ringseam.rpc import CallClient
+from ringseam.sealing import Received
+from ringseam.web.server import HttpLimits, HttpServer
+from ringseam.zones import DrainedZones
+from tests.fakes import Network
+
+LEADS = Leadership(term=3, leader='c1', serves=True, voters=5, members=('c1', 'c2'))
+DRAIN = ZoneOrder(zone='a', drained=True)
+RESTORE = ZoneOrder(zone='a', drained=False)
+
+
+def order(network, zone, *, drained):
+    """Order until it is acknowledged, as an operator does."""
+    reply = None
+
+    def is_acknowledged():
+        nonlocal reply
+        if reply is None or isinstance(reply.sent, NotLeading):
+            leader = network.leader()
+            command = Propose(command=DrainZone(zone=zone, drained=drained))
+            reply = network.ask(leader, command) if leader else None
+        return reply is not None and isinstance(reply.sent, ZoneDrained)
+
+    network.run_until(is_acknowledged)
+    return reply.sent.change
+
+
+def drained(network):
+    return network.await_leader().machine.state.zones.names
+
+
+def test_orders_that_change_nothing_count_as_none():
+    machine = StateMachine()
+    changes = [
+        machine.apply(encode_command(DrainZone(zone=zone, drained=is_drained))).change
+        for zone, is_drained in (
+            ('a', False),
+            ('a', True),
+            ('a', True),
+            ('b', True),
+            ('a', False),
+            ('a', False),
+        )
+    ]
+    assert changes == [0, 1, 1, 2, 3, 3]
+    assert machine.state.zones == DrainedZones(change=3, names=('b',))
+
+
+def test_snapshot_holds_drained_zones():
+    machine = StateMachine()
+    machine.apply(encode_command(DrainZone(zone='a', drained=True)))
+    before = machine.version
+    again = StateMachine(snapshot=machine.snapshot())
+    assert again.state.zones == machine.state.zones
+    assert again.version == before
+
+
+def test_all_zones_at_once_and_taken_back_twice():
+    network = Network(count=3)
+    network.await_leader()
+    for zone in 'abcd':
+        order(network, zone, drained=True)
+    assert drained(network) == ('a', 'b', 'c', 'd')
+    for zone in 'dacb':
+        order(network, zone, drained=False)
+        order(network, zone, drained=False)
+    assert drained(network) == ()
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+def test_acknowledged_orders_outlive_kills_lost_disks_and_snapshots(seed):
+    """All lose power, then a disk, then another; the log is compacted in between."""
+    network = Network(count=5, seed=seed, snapshot_entries=5, wanted_voters=5)
+    network.await_leader()
+    order(network, 'a', drained=True)
+    order(network, 'b', drained=True)
+    network.apply_many(12)
+    order(network, 'a', drained=False)
+    for address in list(network.hosts):
+        network.restart(address)
+    assert drained(network) == ('b',)
+    for address in sorted(network.hosts)[:2]:
+        network.lose_disk(address)
+        network.run(12)
+        assert drained(network) == ('b',)
+    network.run(5)
+    held = {replica.machine.state.zones.names for replica in network.running()}
+    assert held == {('b',)}
+
+
+@pytest.mark.parametrize('seed', range(1, 6))
+def test_order_of_a_leader_that_was_cut_off_takes_no_later_one_back(seed):
+    network = Network(count=3, seed=seed)
+    cut = network.await_leader().node.address
+    network.isolate(cut)
+    lost = network.ask(
+        network.hosts[cut].replica, Propose(command=DrainZone(zone='a', drained=True))
+    )
+    network.run(3)
+    order(network, 'a', drained=True)
+    order(network, 'a', drained=False)
+    network.cuts.clear()
+    network.run(5)
+    assert not isinstance(lost.sent, ZoneDrained)
+    assert drained(network) == ()
+
+
+# -- the leader and its gateways ---------------------------------------------
+
+
+class Leader:
+    """A follow service whose log commits at once, or not at all."""
+
+    def __init__(self, *, leadership=LEADS, commits=True):
+        self.commits = commits
+        self.machine = StateMachine()
+        self.service = FollowService(
+            node=Node(name='c1', role='control', address='c1', secret=b'x'),
+            submit=self.submit,
+            confirm=self.confirm,
+            voters_needed=5,
+            report_s=1.2,
+        )
+        self.service.lead(leadership)
+
+    async def submit(self, command):
+        if not self.commits:
+            return NotLeading()
+        done = self.machine.apply(encode_command(command))
+        self.service.hold(HeldDocument(zones=self.machine.state.zones))
+        return done
+
+    async def confirm(self):
+        return Linearizable(term=3) if self.commits else NotLeading()
+
+
+def received(**fields):
+    gateway = GatewayState(name='g1', address='1.1.1.1:1', zone='a')
+    return Received('g1', '1.1.1.1:1', '', 0, WatchRequest(gateway=gateway, **fields))
+
+
+def test_order_is_acknowledged_once_the_gateways_obey_it():
+    async def run():
+        service = Leader().service
+        first = (await service.watch(received())).reply
+        held = {'epoch': first.epoch, 'since': first.upto}
+        watching = asyncio.ensure_future(service.watch(received(**held)))
+        await asyncio.sleep(0.01)
+        ordering = asyncio.ensure_future(service.zones.order(DRAIN))
+        news = (await watching).reply
+        assert news.zones == DrainedZones(change=1, names=('a',))
+        assert not ordering.done()
+        watching = asyncio.ensure_future(service.watch(received(zones=1, **held)))
+        assert await ordering == news.zones
+        watching.cancel()
+
+    asyncio.run(run())
+
+
+def test_order_without_a_quorum_or_a_whole_group_is_not_acknowledged():
+    async def run():
+        for leader, expected in (
+            (Leader(commits=False), Redirect),
+            (Leader(leadership=Leadership(term=3, leader='c2')), Redirect),
+            (Leader(leadership=Leadership(term=3, leader='c1', serves=True, voters=4)), NotYet),
+        ):
+            assert isinstance(await leader.service.zones.order(DRAIN), expected)
+            assert leader.machine.state.zones == DrainedZones()
+        assert isinstance(await Leader(commits=False).service.zones.read(), Redirect)
+
+    asyncio.run(run())
+
+
+def test_follower_never_goes_back_to_older_orders():
+    """Load: a leader that was cut off tells what it held before."""
+
+    async def run():
+        node = Node(name='g1', role='gateway', address='', secret=b'x', zone='a')
+        follower = Follower(
+            node=node,
+            client=CallClient(node=node),
+            addresses=('c1',),
+            on_change=lambda: None,
+        )
+        leader = Leader()
+        news = (await leader.service.watch(received())).reply
+        await leader.service.zones.order(DRAIN)
+        newer = (await leader.service.watch(received())).reply
+        for told in (news, newer, news):
+            follower.take(told)
+        assert follower.view.drained.names == ('a',)
+        await leader.service.zones.order(RESTORE)
+        follower.take((await leader.service.watch(received())).reply)
+        assert follower.view.drained.names == ()
+
+    asyncio.run(run())
+
+
+# -- the open interface ------------------------------------------------------
+
+
+class NoLeader:
+    """A client of control that finds no leader."""
+
+    async def ask_leader(self, method, message, *, timeout_s):
+        raise UnreachableError('no leader')
+
+
+async def call(leader, asked, *, zones=frozenset({'a', 'hall b'})):
+    """Return the status that a host answers some bytes with."""
+    interface = OpenInterface(
+        node=leader.service.node,
+        follow=leader.service,
+        leader=NoLeader(),
+        addresses=list,
+        metrics=Metrics(),
+        document_bytes=1000,
+        zones=zones,
+    )
+    server = HttpServer(handler=interface.handle, limits=HttpLimits())
+    port = await server.start('127.0.0.1', 0)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(asked.encode())
+    raw = await reader.readuntil(b'\r\n')
+    writer.close()
+    await server.close()
+    return int(raw.split()[1])
+
+
+@pytest.mark.parametrize(
+    ('line', 'body', 'status'),
+    [
+        ('POST /api/evacuate/a', '', 200),
+        ('DELETE /api/evacuate/a', '', 200),
+        ('POST /api/evacuate/hall%20b', '', 200),
+        ('POST /api/evacuate/c', '', 404),
+        ('DELETE /api/evacuate/c', '', 404),
+        ('POST /api/evacuate/a', '{}', 400),
+        ('POST /api/evacuate/%zz', '', 400),
+        ('POST /api/evacuate/', '', 400),
+        ('PUT /api/evacuate/a', '', 405),
+    ],
+)
+def test_open_interface_answers_orders(line, body, status):
+    leader = Leader()
+    asked = f'{line} HTTP/1.1\r\nHost: c\r\nContent-Length: {len(body)}\r\n\r\n{body}'
+    assert asyncio.run(call(leader, asked)) == status
+    changed = leader.machine.state.zones.change
+    assert changed == int(status == 200 and line.startswith('POST'))
+
+
+def test_open_interface_that_knows_no_zones_takes_any():
+    asked = 'POST /api/evacuate/c HTTP/1.1\r\nHost: c\r\n\r\n'
+    assert asyncio.run(call(Leader(), asked, zones=frozenset())) == 200
+
+
+def test_order_that_can_not_be_committed_may_come_again():
+    """A 4xx would end the operator's call."""
+    asked = 'POST /api/evacuate/a HTTP/1.1\r\nHost: c\r\n\r\n'
+    assert asyncio.run(call(Leader(commits=False), asked)) == 503
+
+
+def test_order_whose_sender_has_given_up_is_dropped():
+    """Load: a host stands still; when it wakes, the order and its sender's leave are there."""
+
+    async def run():
+        leader = Leader()
+        interface = OpenInterface(
+            node=leader.service.node,
+            follow=leader.service,
+            leader=NoLeader(),
+            addresses=list,
+            metrics=Metrics(),
+            document_bytes=1000,
+            zones=frozenset({'a'}),
+        )
+        server = HttpServer(handler=interface.handle, limits=HttpLimits())
+        port = await server.start('127.0.0.1', 0)
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(b'POST /api/evacuate/a HTTP/1.1\r\nHost: c\r\n\r\n')
+        writer.close()
+        await asyncio.sleep(0.1)
+        await server.close()
+        return leader.machine.state.zones.change
+
+    assert asyncio.run(run()) == 0
--- a/tests/test_deploy/test_deploy_settings.py
+++ b/tests/test_deploy/test_deploy_settings.py
@@ -15,8 +15,12 @@
 ROOT = Path(__file__).parent.parent.parent
 ROLES = ('gateway', 'control')
 _PLACE = re.compile(r'\{\{([a-z_.0-9]+)\}\}')
+#: A table of which each entry is written as its key, a sign and its value.
+_TABLE = re.compile(r'\{\{#([a-z_]+)\}\}\{\{@\}\}=\{\{\.\}\}\{\{,\}\}\{\{/\1\}\}')
 _SECTION = re.compile(r'\{\{([#^])([a-z_.0-9]+)\}\}(.*?)\{\{/\2\}\}')
 
+ZONES = {'hall-a': 'thies', 'server room': 'thies', 'Klang': 'selangor'}
+
 #: Settings of the platform that name places; their figures are drawn.
 PLACES = {
     'node_name': 'front-hall-a-1',
@@ -47,6 +51,8 @@
         'bounds.retry_ratio': figures(0, 3),
         'bounds.retry_window_s': figures(0, 600),
         'bounds.grace_s': figures(0, 600),
+        'bounds.cold_over': st.one_of(st.just(''), figures(0, 100)),
+        'bounds.cold_slack': st.one_of(st.just(''), figures(0, 1000)),
         'heartbeat_ms': figures(100, 60_000),
         'fault_tolerance.machines': st.integers(0, 10).map(str),
         'bootstrap': st.sampled_from(('true', 'false')),
@@ -62,7 +68,12 @@
         sign, name, inner = match.groups()
         return inner if (known.get(name) == 'true') == (sign == '#') else ''
 
-    return _PLACE.sub(lambda match: known[match[1]], _SECTION.sub(chosen, text))
+    def listed(match):
+        assert match[1] == 'zones'
+        return ','.join(f'{zone}={region}' for zone, region in ZONES.items())
+
+    text = _SECTION.sub(chosen, _TABLE.sub(listed, text))
+    return _PLACE.sub(lambda match: known[match[1]], text)
 
 
 @pytest.mark.parametrize('role', ROLES)
@@ -73,6 +84,8 @@
         'bounds.retry_ratio': '0.15',
         'bounds.retry_window_s': '9.5',
         'bounds.grace_s': '7.25',
+        'bounds.cold_over': '1.5',
+        'bounds.cold_slack': '',
         'heartbeat_ms': '1200.5',
         'fault_tolerance.machines': '2',
         'bootstrap': 'false',
@@ -81,11 +94,14 @@
 def test_any_figures_of_the_platform_are_read(role, drawn):
     """Lost a whole day of a fleet: a slack with a fraction ended every gateway."""
     settings = read_settings(role, rendered(role, PLACES | drawn), path='settings.conf')
+    assert settings.process['zones'] == ZONES
     if role == 'gateway':
         assert settings.own['retry_slack'] == float(drawn['bounds.retry_slack'])
         assert settings.own['retry_ratio'] == float(drawn['bounds.retry_ratio'])
         assert settings.own['retry_window_s'] == float(drawn['bounds.retry_window_s'])
         assert settings.own['grace_s'] == float(drawn['bounds.grace_s'])
+        assert settings.own['cold_over'] == float(drawn['bounds.cold_over'] or 1.5)
+        assert settings.own['cold_slack'] == float(drawn['bounds.cold_slack'] or 5)
     else:
         assert settings.own['backend_report_ms'] == float(drawn['heartbeat_ms'])
         assert settings.own['tolerated_losses'] == int(drawn['fault_tolerance.machines'])
@@ -99,6 +115,8 @@
         'bounds.retry_ratio': '0.2',
         'bounds.retry_window_s': '10',
         'bounds.grace_s': '8',
+        'bounds.cold_over': '',
+        'bounds.cold_slack': '',
         'fault_tolerance.machines': '2',
     }
     with pytest.raises(FindingsError) as caught:
--- a/tests/test_entry/test_entry_claims.py
+++ b/tests/test_entry/test_entry_claims.py
@@ -179,7 +179,7 @@
 
 
 def _delta(state):
-    from ringseam.messages import DeltaReply
+    from ringseam.deltas import DeltaReply
 
     return DeltaReply(epoch='e', upto=1, whole=True, agents=(state,))
 
--- a/tests/test_gateway/test_engines/test_engines_placement.py
+++ b/tests/test_gateway/test_engines/test_engines_placement.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
 from ringseam.gateway.engines.placement import Placed, PlacedPart, Placer, PlaceRequest, _tie
+from ringseam.gateway.following.coldness import ColdBook, ColdPace
 from ringseam.gateway.following.health import HealthBook
-from ringseam.routes import ServiceName
-
-CACHE = 100_000
+from ringseam.routes import BackendService, EngineSpec, ServiceName
+
+#: The service whose engines requests are placed on.
+LLM = BackendService(
+    name=ServiceName('llm'),
+    health_path='/health',
+    max_connections=100,
+    engine=EngineSpec(slots=128, cache_tokens=100_000),
+)
 
 
 def engine(name, zone='a'):
@@ -38,13 +47,14 @@
     return PlaceRequest(request=request, service='llm', prompt_tokens=tokens, **known)
 
 
-def placer():
-    return Placer(health=HealthBook())
+def placer(kind=Placer):
+    health = HealthBook()
+    return kind(health=health, pace=ColdPace(book=ColdBook(), health=health))
 
 
-def placed(works, request, cache=CACHE, now=0):
+def placed(works, request, service=LLM, now=0):
     """Place a request and return its engine."""
-    placement = works.place(request, ENGINES, cache, now)
+    placement = works.place(request, ENGINES, service, now)
     return placement and placement.engine
 
 
@@ -64,7 +74,7 @@
     works = placer()
     first = placed(works, ask('r0'))
     for number in range(1, 12):
-        works.note(ask(f'r{number}', 30_000), first.instance, CACHE, 0)
+        works.note(ask(f'r{number}', 30_000), first.instance, LLM, 0)
     assert placed(works, ask('r99')) is not first
 
 
@@ -73,16 +83,16 @@
     first = placed(works, ask('r0', session='t'))
     works.began('r0', 0)
     long = ask('r1', 14_000, session='t', objective_ms=8000)
-    works.note(ask('r2', 9000, session='u'), first.instance, CACHE, 0)
+    works.note(ask('r2', 9000, session='u'), first.instance, LLM, 0)
     assert placed(works, long) is not first
 
 
 def test_stream_that_is_yet_to_begin_counts_as_disturbed_by_what_follows():
     works = placer()
     engine_id = ENGINES[0].instance
-    works.note(ask('r0', 9000, session='t'), engine_id, CACHE, 0)
-    works.note(ask('r1', 9000, session='u'), engine_id, CACHE, 0)
-    found = works.place(ask('r2', 9000, session='v', avoid=('e2', 'e3')), ENGINES, CACHE, 0)
+    works.note(ask('r0', 9000, session='t'), engine_id, LLM, 0)
+    works.note(ask('r1', 9000, session='u'), engine_id, LLM, 0)
+    found = works.place(ask('r2', 9000, session='v', avoid=('e2', 'e3')), ENGINES, LLM, 0)
     # r1 reads 6,500 tokens after r0, r2 as many after r1.
     assert found.backlog == 9000 + 6500
     assert found.disturbed == 1
@@ -102,11 +112,11 @@
 def test_backlog_is_what_was_not_read_since_a_prompt_was_done(now, began, backlog):
     works = placer()
     engine_id = ENGINES[0].instance
-    works.note(ask('r0', 9000, session='t', left_ms=60_000), engine_id, CACHE, 0)
+    works.note(ask('r0', 9000, session='t', left_ms=60_000), engine_id, LLM, 0)
     works.hold('r1', Placed(instance=engine_id, unread=9000, worth=1, until=99))
     if began:
         works.began('r0', now)
-    found = works.place(ask('r2', avoid=('e2', 'e3'), dry=True), ENGINES, CACHE, now)
+    found = works.place(ask('r2', avoid=('e2', 'e3'), dry=True), ENGINES, LLM, now)
     assert found.backlog == backlog
 
 
@@ -135,8 +145,9 @@
 def test_memory_drops_the_least_recently_used_parts():
     works = placer()
     engine_id = BackendId('e1')
-    works.note(ask('r1', session='old'), engine_id, 12_000, 0)
-    works.note(ask('r2', session='new'), engine_id, 12_000, 0)
+    small = replace(LLM, engine=EngineSpec(slots=128, cache_tokens=12_000))
+    works.note(ask('r1', session='old'), engine_id, small, 0)
+    works.note(ask('r2', session='new'), engine_id, small, 0)
     assert works.unread(ask('r3', session='new'), engine_id) < 9000
     assert 'old' not in works.books[engine_id].parts
 
@@ -154,7 +165,7 @@
     def _here(self, instance):
         return [placed for placed in self.placed.values() if placed.instance == instance]
 
-    def place(self, ask, engines, cache_tokens, now):
+    def place(self, ask, engines, service, now):
         self._forget(now)
         costs = {}
         for engine in engines:
@@ -162,12 +173,12 @@
                 continue
             most = max((self._cached(ask, other) for other in self.books), default=0)
             own = self._cached(ask, engine.instance)
-            costs[engine.instance] = self._judge(ask, engine, now, cached=own, most=most)
+            costs[engine.instance] = self._judge(ask, engine, now, cached=own, most=most, wait_s=0)
         if not costs:
             return None
         best = min(costs.values(), key=lambda known: (known.cost, _tie(ask, known.engine)))
         if not ask.dry:
-            self.note(ask, best.engine.instance, cache_tokens, now)
+            self.note(ask, best.engine.instance, service, now)
         return best
 
 
@@ -184,7 +195,7 @@
     ),
 )
 def test_choice_is_that_of_the_naive_policy(steps):
-    quick, naive = placer(), NaivePlacer(health=HealthBook())
+    quick, naive = placer(), placer(NaivePlacer)
     now = 0.0
     for number, tokens, session, step, passed in steps:
         now += passed
@@ -202,9 +213,7 @@
             quick.ended(known.request)
             naive.ended(known.request)
         else:
-            assert quick.place(known, ENGINES, CACHE, now) == naive.place(
-                known, ENGINES, CACHE, now
-            )
+            assert quick.place(known, ENGINES, LLM, now) == naive.place(known, ENGINES, LLM, now)
         assert quick.placed == naive.placed
 
 
@@ -223,31 +232,32 @@
         lambda self, *args, **fields: compared.append(1) or whole(self, *args, **fields),
     )
     for number in range(200):
-        works.place(ask(f'r{number}', session=f's{number % 40}'), MANY, CACHE, number / 10)
+        works.place(ask(f'r{number}', session=f's{number % 40}'), MANY, LLM, number / 10)
     assert len(compared) <= 200 * 32
 
 
 def test_prompt_is_found_among_many_engines():
     works = placer()
-    first = works.place(ask('r1', session='t'), MANY, CACHE, 0).engine
+    first = works.place(ask('r1', session='t'), MANY, LLM, 0).engine
     works.ended('r1')
     for number in range(50):
-        works.place(ask(f'q{number}', session=f's{number}'), MANY, CACHE, 0)
+        works.place(ask(f'q{number}', session=f's{number}'), MANY, LLM, 0)
         works.ended(f'q{number}')
-    assert works.place(ask('r2', session='t'), MANY, CACHE, 0).engine is first
+    assert works.place(ask('r2', session='t'), MANY, LLM, 0).engine is first
 
 
 def test_all_engines_are_left_when_those_that_are_compared_are_tried():
     works = placer()
     tried = tuple(one.instance for one in MANY[:-1])
-    assert works.place(ask('r', avoid=tried), MANY, CACHE, 0).engine is MANY[-1]
+    assert works.place(ask('r', avoid=tried), MANY, LLM, 0).engine is MANY[-1]
 
 
 @given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from('stuvw'), st.booleans())))
 def test_who_keeps_a_part_is_what_the_books_say(steps):
     works = placer()
+    small = replace(LLM, engine=EngineSpec(slots=128, cache_tokens=14_000))
     for number, (which, session, forgets) in enumerate(steps):
-        works.note(ask(f'r{number}', session=session), MANY[which].instance, 14_000, 0)
+        works.note(ask(f'r{number}', session=session), MANY[which].instance, small, 0)
         if forgets:
             works.keep_only({MANY[0].instance, MANY[which].instance})
     kept = {}
--- /dev/null
+++ b/tests/test_gateway/test_following/test_following_coldness.py
@@ -0,0 +1,190 @@
+"""What all gateways together send to a cold backend server in any second."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ringseam.backends import BackendId, BackendReport, GatewayState
+from ringseam.control.backenddirectory import BackendDirectory
+from ringseam.following import WatchNews, WatchRequest
+from ringseam.gateway.engines.placement import PlacedPart, Placer, PlaceRequest
+from ringseam.gateway.following.coldness import ColdBook, ColdPace
+from ringseam.gateway.following.follower import Follower
+from ringseam.gateway.following.health import HealthBook
+from ringseam.node import Node
+from ringseam.routes import BackendService, ColdSpec, EngineSpec, RouteTable, ServiceName
+from ringseam.rpc import CallClient
+from ringseam.zones import DrainedZones
+
+COLD = ColdSpec(length_s=3, per_s=9)
+#: What a cold server bears in any second: 1.5 times its rate and 5 more.
+BOUND = 18.5
+LLM = BackendService(
+    name=ServiceName('llm'),
+    health_path='/health',
+    max_connections=100,
+    engine=EngineSpec(slots=128, cache_tokens=100_000),
+    cold=COLD,
+)
+ONE = BackendId('e0')
+
+
+def pace(**cold_until):
+    book = ColdBook(until={BackendId(name): until for name, until in cold_until.items()})
+    return ColdPace(book=book, health=HealthBook(), over=1.5, slack=5)
+
+
+def most_in_a_second(times):
+    ordered = sorted(times)
+    return max(
+        (sum(1 for at in ordered if begin <= at < begin + 1) for begin in ordered), default=0
+    )
+
+
+def report(name, zone='a', cold_left_s=0.0, sequence=1):
+    return BackendReport(
+        instance=BackendId(name),
+        service=ServiceName('llm'),
+        address=f'{name}:1',
+        zone=zone,
+        sequence=sequence,
+        cold_left_s=cold_left_s,
+    )
+
+
+def ask(number, dice):
+    session = f's{dice.randrange(4)}'
+    parts = (PlacedPart(name=session, tokens=4000), PlacedPart(name=f'o{number}', tokens=500))
+    return PlaceRequest(
+        request=f'r{number}',
+        service='llm',
+        prompt_tokens=4500,
+        prefix=parts,
+        objective_ms=1800,
+        left_ms=8000,
+    )
+
+
+@given(
+    st.lists(st.floats(0, 0.2), min_size=1, max_size=120),
+    st.floats(0, 3),
+    st.integers(1, 4),
+)
+def test_no_second_has_more_than_a_cold_server_bears(gaps, turns_cold_at, deciders):
+    """It may turn cold unnoticed at any moment, and be told cold some time later."""
+    paces = [pace(e0=turns_cold_at + 3) for _ in range(deciders)]
+    now = 0.0
+    sent = []
+    for number, gap in enumerate(gaps):
+        now += gap
+        one = paces[number % deciders]
+        one.random.seed(number % deciders)
+        if now >= turns_cold_at:
+            sent.append(now + one.take(ONE, COLD, now, deciders=deciders))
+    assert most_in_a_second(sent) <= BOUND
+
+
+def test_server_of_a_service_without_such_a_time_is_never_held_back():
+    held = pace(e0=100)
+    assert [held.take(ONE, None, 0) for _ in range(100)] == [0] * 100
+
+
+@pytest.mark.parametrize('cold', [0, 14, 28])
+def test_burst_while_a_zone_comes_back_cold_is_spread(cold):
+    """Pattern: 200 requests in one second, four shared prompts, 14 of 28 engines cold.
+
+    Without the pace the engines that keep a prompt get all that ask for it. Nobody is
+    refused, and each can still be in time.
+    """
+    until = {f'e{number}': 3.0 for number in range(cold)}
+    placer = Placer(health=HealthBook(), pace=pace(**until))
+    engines = [report(f'e{number}') for number in range(28)]
+    dice = random.Random(1)
+    sent = {}
+    waits = []
+    for number in range(200):
+        now = number / 200
+        found = placer.place(ask(number, dice), engines, LLM, now)
+        assert found is not None
+        sent.setdefault(found.engine.instance, []).append(now + found.wait_s)
+        waits.append(found.wait_s)
+    assert max(map(most_in_a_second, sent.values())) <= BOUND
+    assert max(waits) < 1.2
+
+
+def test_gateways_that_decide_alone_keep_to_their_shares():
+    """Pattern: the owner is gone as a zone comes back; 30 gateways place by themselves."""
+    engines = [report(f'e{number}') for number in range(4)]
+    until = {f'e{number}': 3.0 for number in range(4)}
+    placers = [Placer(health=HealthBook(), pace=pace(**until)) for _ in range(30)]
+    dice = random.Random(1)
+    sent = {}
+    for number in range(300):
+        now = number / 300
+        placer = placers[number % 30]
+        found = placer.place(ask(number, dice), engines, LLM, now, deciders=30)
+        if found is not None:
+            sent.setdefault(found.engine.instance, []).append(now + found.wait_s)
+    assert max(map(most_in_a_second, sent.values())) <= BOUND
+
+
+def test_server_that_could_not_be_reached_is_taken_for_cold_when_it_is_back():
+    held = pace()
+    held.health.failed(ONE, 10, hard=True)
+    waits = [held.take(ONE, COLD, 12) for _ in range(3)]
+    assert waits == pytest.approx([0, 1 / 9, 2 / 9])
+    assert pace().take(ONE, COLD, 12) == 0
+
+
+def test_server_is_known_to_be_cold_by_all_that_follow():
+    directory = BackendDirectory(epoch='e', started=0, silent_s=4, follower_s=2)
+    assert directory.report(report('e0', cold_left_s=3.0), 0)
+    # Later reports tell the same end of it, a little late.
+    assert not directory.report(report('e0', cold_left_s=1.8, sequence=2), 1.3)
+    assert not directory.report(report('e0', sequence=3), 4)
+    assert directory.report(report('e0', cold_left_s=2.0, sequence=4), 9)
+    request = WatchRequest(gateway=GatewayState(name='g', address='1.1.1.1:1', zone='a'))
+    assert directory.news(request, 10).reports[0].cold_left_s == 1.0
+
+
+def told(**fields):
+    known = {'epoch': 'e', 'upto': 1, 'whole': True, 'warm': False}
+    return WatchNews(**(known | fields))
+
+
+def test_servers_of_a_zone_that_is_used_again_are_taken_for_cold():
+    async def run():
+        node = Node(name='g1', role='gateway', address='', secret=b'x', zone='a')
+        follower = Follower(
+            node=node, client=CallClient(node=node), addresses=('c1',), on_change=lambda: None
+        )
+        follower.table = RouteTable(number=1, services={LLM.name: LLM})
+        both = (report('e0', zone='a'), report('e1', zone='b'))
+        follower.take(told(reports=both, zones=DrainedZones(change=1, names=('a',))))
+        follower.coldness.heard_since = float('-inf')
+        now = node.clock.now()
+        assert not follower.coldness.is_cold(BackendId('e0'), COLD, now)
+        follower.take(told(zones=DrainedZones(change=2)))
+        assert follower.coldness.is_cold(BackendId('e0'), COLD, now + 2.9)
+        assert not follower.coldness.is_cold(BackendId('e1'), COLD, now + 0.1)
+
+    asyncio.run(run())
+
+
+def test_gateway_that_has_just_started_knows_no_server_to_be_warm():
+    async def run():
+        node = Node(name='g1', role='gateway', address='', secret=b'x', zone='a')
+        follower = Follower(
+            node=node, client=CallClient(node=node), addresses=('c1',), on_change=lambda: None
+        )
+        follower.take(told(reports=(report('e0'),)))
+        now = node.clock.now()
+        assert follower.coldness.is_cold(BackendId('e0'), COLD, now)
+        assert not follower.coldness.is_cold(BackendId('e0'), COLD, now + 3)
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_gateway/test_following/test_following_zones.py
@@ -0,0 +1,128 @@
+"""Nothing new reaches the servers of a drained availability zone, by any way."""
+
+import asyncio
+
+import pytest
+
+from ringseam.backends import GatewayState
+from ringseam.platform.stages import PieceResult, decode_orders, encode_results
+from ringseam.zones import DrainedZones
+from tests.gateways import LocalGateway, ScriptedServer, answer, chunk, event, reset, stream_head
+
+PROMPT = {'Prompt_Prefix': 'aa:100,bb:20', 'Token_Counts': '120,10'}
+
+
+async def good(asked, writer):
+    writer.write(answer(asked))
+
+
+async def make(asked, writer):
+    orders = decode_orders(asked.body)
+    made = [PieceResult(handle=f'a/{order.attempt_id}-{order.piece}') for order in orders]
+    writer.write(answer(asked, encode_results(made), attempt=''))
+
+
+async def break_off(asked, writer):
+    writer.write(stream_head(asked) + chunk(event(1)))
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    reset(writer)
+
+
+def drain(gateway, change, *names):
+    gateway.role.follower.view.drain(DrainedZones(change=change, names=names))
+    gateway.role.works.refresh()
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers'),
+    [('/idem/x', {}), ('/once/x', {}), ('/flow/x', {}), ('/sticky/x', PROMPT)],
+)
+def test_requests_go_to_the_other_zones_and_come_back(key_file, path, headers):
+    async def run():
+        servers = {zone: ScriptedServer(good) for zone in 'ab'}
+        async with LocalGateway(key_file) as gateway:
+            for zone, server in servers.items():
+                gateway.add(await server.start(), zone=zone)
+            drain(gateway, 1, 'a')
+            statuses = [(await gateway.ask(path, **headers))[0] for _ in range(6)]
+            assert statuses == [200] * 6
+            assert (len(servers['a'].asked), len(servers['b'].asked)) == (0, 6)
+            drain(gateway, 2, 'b')
+            assert (await gateway.ask(path, **headers))[0] == 200
+            assert len(servers['a'].asked) == 1
+
+    asyncio.run(run())
+
+
+def test_request_that_no_zone_is_left_for_is_refused_at_once(key_file):
+    async def run():
+        server = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start(), zone='a')
+            drain(gateway, 1, 'a')
+            async with asyncio.timeout(1):
+                status, raw = await gateway.ask('/idem/x')
+        assert status == 503
+        assert b'retry-after' in raw.lower()
+        assert not server.asked
+
+    asyncio.run(run())
+
+
+def test_stream_that_breaks_off_is_resumed_in_another_zone_only(key_file):
+    async def run():
+        server = ScriptedServer(break_off)
+        other = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start(), zone='b')
+            gateway.add(await other.start(), zone='a', name='a')
+            # The stream begins while both zones serve.
+            gateway.role.health.of('a').latency_s = 9
+            asking = asyncio.create_task(gateway.ask('/flow/x'))
+            await asyncio.sleep(0.03)
+            drain(gateway, 1, 'a')
+            await asking
+        assert len(server.asked) == 1
+        assert not other.asked
+
+    asyncio.run(run())
+
+
+def test_pieces_are_made_in_the_other_zones(key_file):
+    async def run():
+        servers = {zone: ScriptedServer(make) for zone in 'ab'}
+        last = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            for zone, server in servers.items():
+                gateway.add(await server.start(), service='crops', zone=zone)
+            gateway.add(await last.start(), zone='b')
+            drain(gateway, 1, 'a')
+            asks = [gateway.ask('/staged/x', Attempt_Id=f'r{n}', Pieces='3') for n in range(5)]
+            found = await asyncio.gather(*asks)
+        assert [status for status, _ in found] == [200] * 5
+        assert not servers['a'].asked
+        assert servers['b'].asked
+
+    asyncio.run(run())
+
+
+def test_choice_of_an_owner_that_has_not_heard_is_not_followed(key_file):
+    """Load: the deciding gateway is out of touch and names a server of the zone."""
+
+    async def run():
+        servers = {zone: ScriptedServer(good) for zone in 'ab'}
+        async with LocalGateway(key_file) as gateway, LocalGateway(key_file) as owner:
+            for zone, server in servers.items():
+                address = await server.start()
+                gateway.add(address, zone=zone, name=zone)
+                if zone == 'a':
+                    owner.add(address, zone=zone, name=zone)
+            address = owner.role.node.address
+            gateway.know_gateways(GatewayState(name='g2', address=address, zone='a'))
+            drain(gateway, 1, 'a')
+            status, _ = await gateway.ask('/sticky/x', **PROMPT)
+        assert status == 200
+        assert not servers['a'].asked
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_gateway/test_requests/test_requests_regions.py
@@ -0,0 +1,62 @@
+"""Requests stay in the regions that their route and their account allow."""
+
+import asyncio
+
+import pytest
+
+from ringseam.platform.stages import PieceResult, decode_orders, encode_results
+from tests.gateways import LocalGateway, ScriptedServer, answer
+
+
+async def good(asked, writer):
+    writer.write(answer(asked))
+
+
+async def make(asked, writer):
+    orders = decode_orders(asked.body)
+    made = [PieceResult(handle=f'a/{order.attempt_id}-{order.piece}') for order in orders]
+    writer.write(answer(asked, encode_results(made), attempt=''))
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'expected'),
+    [
+        ('/north/x', 'key-1', ['a']),
+        ('/idem/x', 'key-2', ['b']),
+        # Both bind: no region is left.
+        ('/north/x', 'key-2', []),
+        # No zone is known to be there.
+        ('/far/x', 'key-1', []),
+    ],
+)
+def test_request_runs_where_route_and_account_allow_it(key_file, path, key, expected):
+    async def run():
+        servers = {zone: ScriptedServer(good) for zone in 'ab'}
+        async with LocalGateway(key_file) as gateway:
+            for zone, server in servers.items():
+                gateway.add(await server.start(), zone=zone)
+            for number in range(5):
+                bearer = f'Bearer {key}'
+                status, raw = await gateway.ask(path, Attempt_Id=f'r{number}', Authorization=bearer)
+                assert status == (200 if expected else 503)
+                assert expected or b'retry-after' in raw.lower()
+        assert [zone for zone, server in servers.items() if server.asked] == expected
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('zones', ['ab', 'b'])
+def test_pieces_are_made_in_the_allowed_regions_only(key_file, zones):
+    async def run():
+        makers = {zone: ScriptedServer(make) for zone in zones}
+        last = ScriptedServer(good)
+        async with LocalGateway(key_file) as gateway:
+            for zone, server in makers.items():
+                gateway.add(await server.start(), service='crops', zone=zone)
+            gateway.add(await last.start(), zone='c')
+            async with asyncio.timeout(1):
+                status, _ = await gateway.ask('/stagednorth/x', Pieces='3')
+        assert status == (200 if 'a' in zones else 503)
+        assert not makers['b'].asked
+
+    asyncio.run(run())
--- a/tests/test_gateway/test_stages/test_stages_graph.py
+++ b/tests/test_gateway/test_stages/test_stages_graph.py
@@ -65,6 +65,7 @@
         goal=10,
         deadline=20,
         precedence=Precedence(rank=1),
+        zones=None,
         suspect=Suspect(content=ContentId('c1')),
         trial_at=None,
     )
--- a/tests/test_routing/test_routing_choice.py
+++ b/tests/test_routing/test_routing_choice.py
@@ -9,8 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ringseam.messages import AgentState, DeltaReply
+from ringseam.deltas import DeltaReply
+from ringseam.messages import AgentState
 from ringseam.routing import AdaptiveRouter, AgentView, RoundRobinRouter, Routable, Router
+from ringseam.zones import DrainedZones
 
 WANTED = Routable(pool='p/q', zone='zone-1', est_ms=10)
 
@@ -88,6 +90,16 @@
     )
 
 
+def test_agents_of_a_drained_zone_get_nothing_new():
+    view = AgentView()
+    view.merge('c1', delta([agent(1, zone='a'), agent(2, zone='b')], whole=True), 0)
+    drained = msgspec.structs.replace(delta([]), zones=DrainedZones(change=1, names=('a',)))
+    view.merge('c1', drained, 1)
+    # A host that lags tells what it held before.
+    view.merge('c2', delta([agent(1, zone='a'), agent(2, zone='b')], whole=True), 2)
+    assert [state.zone for state in view.of_pool('p/q')] == ['b']
+
+
 states = st.builds(
     lambda number, sequence: msgspec.structs.replace(agent(number), sequence=sequence),
     st.integers(1, 3),
