--- a/tests/test_deploy/test_deploy_days.py
+++ b/tests/test_deploy/test_deploy_days.py
@@ -32,5 +32,12 @@
 
 def test_there_are_days_of_the_faults_that_were_seen():
     texts = ' '.join(path.read_text(encoding='utf-8') for path in DAYS)
-    for kind in ('big_config', 'core_cut', 'srv_crash', 'power_off_all', 'wipe_after_ack'):
+    for kind in (
+        'big_config',
+        'core_cut',
+        'srv_crash',
+        'power_off_all',
+        'wipe_after_ack',
+        'evacuate',
+    ):
         assert re.search(rf'"{kind}"', texts), kind
