--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -17,6 +17,7 @@
 from ringseam.model.stageservers import Results, StageServer
 from ringseam.model.virtualtime import run_virtual
 from ringseam.routes import ServiceName
+from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
     from ringseam.clock import PausedClock
@@ -110,6 +111,7 @@
         ]
         self.leader = ModelLeader(clock=clock, links=self.links)
         self.leader.gateways = self.gateways
+        self.drained = DrainedZones()
 
     async def run(self) -> Summary:
         """Play the pattern."""
@@ -187,6 +189,9 @@
         if event.kind in {EventKind.burst, EventKind.ending}:
             return
         await asyncio.sleep(event.at)
+        if event.kind is EventKind.drained:
+            await self._drain(event)
+            return
         present = [
             report
             for report in self._reports()
@@ -203,6 +208,18 @@
         for report in hit:
             self._mend(report)
 
+    async def _drain(self, event: PatternEvent) -> None:
+        self._tell_drained({*self.drained.names, event.of})
+        await asyncio.sleep(event.for_s)
+        self._tell_drained({*self.drained.names} - {event.of})
+
+    def _tell_drained(self, names: set[str]) -> None:
+        change = self.drained.change + 1
+        self.drained = DrainedZones(change=change, names=tuple(sorted(names)))
+        for gateway in self.gateways:
+            gateway.follower.view.drain(self.drained)
+            gateway.works.refresh()
+
     async def _strike(self, event: PatternEvent, report: BackendReport) -> None:
         server = self._server(report)
         if event.kind is EventKind.leave:
--- a/ringseam/model/pattern.py
+++ b/ringseam/model/pattern.py
@@ -129,6 +129,8 @@
     #: A client asks for one content, ``factor`` times a second, that ends each engine
     #: that runs it; the engine is back after two seconds.
     ending = 'ending'
+    #: The servers of the zone ``of`` get nothing new, and are used again later.
+    drained = 'drained'
 
 
 class PatternEvent(msgspec.Struct, frozen=True, kw_only=True):
@@ -137,7 +139,7 @@
     kind: EventKind
     at: float
     for_s: float = math.inf
-    #: A service, or for bursts and endings a route; none: all routes.
+    #: A service, for bursts and endings a route, for drains a zone; none: all routes.
     of: str = ''
     count: int = 1
     factor: float = 2
