Inputs of pieces that surely fit are given up though others of their call may not

Cause: where a server of the third service might refuse the last pieces of a call, the inputs of all of them were kept until its answer (28 % of the calls, 38 pieces each). Change: inputs are given up for the pieces that its server has room for, for sure. Ruled out: capacity (full calls bear 453 pieces a second with six servers, 330 to 390 left), zones (the stage has none), jobs that aren't split (24 of 28).

--- a/ringseam/gateway/stages/rooms.py
+++ b/ringseam/gateway/stages/rooms.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ringseam.backends import BackendId, BackendReport
+    from ringseam.backends import BackendId
+    from ringseam.gateway.stages.jobs import StageCall
     from ringseam.routes import BatchSpec
 
 #: Results are a little larger than the routes say; measured: one of 60,000 bytes
@@ -67,9 +68,14 @@
             left -= others.amount
         return left
 
-    def is_ample(self, server: BackendReport, spec: BatchSpec) -> bool:
-        """Return whether a server takes all that it keeps and works on, for sure."""
-        return self.kept_bytes.get(server.instance, 0) <= _AMPLE_SHARE * spec.room_bytes
+    def sure_bytes(self, call: StageCall, spec: BatchSpec) -> float:
+        """Return how many bytes of a call's results its server has room for, for sure.
+
+        A server gives room to the pieces of a call in their order.
+        """
+        own = sum(piece.job.result_bytes for piece in call.pieces)
+        others = self.kept_bytes.get(call.server.instance, 0) - own
+        return _AMPLE_SHARE * spec.room_bytes - others
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget servers that are gone."""
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 from typing import TYPE_CHECKING
 
@@ -281,15 +282,20 @@
 
         A call's inputs are fetched when its turn comes, and calls are sent to
         idle servers only. But while gateways come and go, two of them call the
-        same servers, and a server that is nearly full may refuse some pieces;
-        then inputs are kept until the call has been answered.
+        same servers, and a server that is nearly full may refuse the last pieces;
+        the inputs of those are kept until the call has been answered.
         """
-        if not self._owns_alone() or not works.batcher.rooms.is_ample(call.server, spec):
+        if not self._owns_alone():
             return
-        jobs = {piece.job for piece in call.pieces}
-        for job in jobs:
-            here = sum(1 for piece in call.pieces if piece.job is job)
-            if job.inputs_of and here == len(job.pieces):
+        room = works.batcher.rooms.sure_bytes(call, spec)
+        here: collections.Counter[PieceJob] = collections.Counter()
+        for piece in call.pieces:
+            room -= piece.job.result_bytes
+            if room < 0:
+                break
+            here[piece.job] += 1
+        for job, count in here.items():
+            if job.inputs_of and count == len(job.pieces):
                 self.give_up(ServiceName(job.inputs_of), job.inputs)
 
     def _take_results(
