An owner is settled while gateways that decide for others come and go

Hypothesis: any gateway that stops or changes unsettled all owners, so inputs were kept until the answers of calls for as long as gateways restart in turn, and for 2 s after each change. Change: a service is unsettled while a gateway that goes before its owner (rendezvous order) is there and stops or is behind, and 2 s after it is gone; no others count.

--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -13,6 +13,9 @@
 
 #: Gateways that are behind are passed over while this share of all are not.
 _SHARE_IN_TIME = 0.5
+#: A gateway that was an owner may have calls under way for this long after
+#: another took its place, seconds: two calls that wait at a server and their like.
+_SETTLING_S = 2.0
 
 
 class Ownership:
@@ -27,20 +30,47 @@
         #: Addresses by service. Working one out over 68 gateways takes 80 us, and a
         #: request asks a dozen times.
         self.owners: dict[str, str] = {}
+        #: Since when this gateway decides for a service, and no gateway before it may
+        #: still have calls under way: one that stops, or is behind.
+        self.sole_since: dict[str, float] = {}
 
     def is_present(self, address: str) -> bool:
         """Return whether a gateway is still there, be it on its way out."""
         return any(state.address == address for state in self.follower.gateways)
 
+    def refresh(self) -> None:
+        """Look which gateways there are; owners change with them."""
+        if self.follower.gateways == self.gateways:
+            return
+        self.gateways = self.follower.gateways
+        self.owners.clear()
+        for service in list(self.sole_since):
+            if not self._is_sole(service):
+                self.sole_since.pop(service)
+
     def owner_of(self, service: str) -> str:
         """Return the address of the deciding gateway; empty: this one."""
-        if self.follower.gateways != self.gateways:
-            self.gateways = self.follower.gateways
-            self.owners.clear()
+        self.refresh()
         if service not in self.owners:
             self.owners[service] = self._work_out(service)
         return self.owners[service]
 
+    def is_settled(self, service: str, now: float) -> bool:
+        """Return whether no other gateway has decided for a service for a while.
+
+        Gateways that come and go change nothing for services that others decide for.
+        """
+        self.refresh()
+        if service not in self.sole_since:
+            if not self._is_sole(service):
+                return False
+            self.sole_since[service] = now
+        return now >= self.sole_since[service] + _SETTLING_S
+
+    def _is_sole(self, service: str) -> bool:
+        names = {state.name for state in self.gateways} | {self.name}
+        return rendezvous(service, names) == self.name
+
     def _work_out(self, service: str) -> str:
         staying = [state for state in self.gateways if not state.draining]
         in_time = [state for state in staying if not state.busy]
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -111,6 +111,7 @@
             health=self.health,
             retries=self.retries,
             guard=self.guard,
+            ownership=self.ownership,
         )
         self.pieces = PieceClient(
             clock=self.node.clock,
@@ -224,7 +225,7 @@
         self.metrics.put('contents_suspected', len(held.suspects))
         self.metrics.put('zones_drained', len(self.follower.view.drained.names))
         self.retries.processes = max(1, len(self.follower.gateways))
-        self.works.see_gateways(self.follower.gateways)
+        self.ownership.refresh()
         self.works.refresh()
 
     async def _sweep_always(self) -> None:
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -24,12 +24,13 @@
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable
 
-    from ringseam.backends import BackendReport, GatewayState
+    from ringseam.backends import BackendReport
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.guard import Guard
     from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.following.ownership import Ownership
     from ringseam.gateway.stages.calls import PieceCalls
     from ringseam.gateway.stages.jobs import (
         Piece,
@@ -51,9 +52,6 @@
 #: A server has fetched the inputs of a call this long after it was sent,
 #: seconds: megabytes take milliseconds at the links' speed.
 FETCH_S = 0.06
-#: A gateway that was an owner may have calls under way for this long after
-#: another took its place, seconds: two calls that wait at a server and their like.
-_SETTLING_S = 2.0
 #: Results that are given up within this time are named to their maker together,
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
@@ -78,6 +76,7 @@
         health: HealthBook,
         retries: RetryPolicy,
         guard: Guard,
+        ownership: Ownership,
     ) -> None:
         """Work with the servers that ``follower`` knows."""
         self.node = node
@@ -86,12 +85,10 @@
         self.health = health
         self.retries = retries
         self.guard = guard
+        self.ownership = ownership
         self.log = PieceLog(node=node)
         self.services: dict[ServiceName, ServicePieces] = {}
         self.tasks = TaskSet()
-        self.gateways: set[GatewayState] = set()
-        #: Until when another gateway may still call servers of services owned here.
-        self.unsettled_until = float('-inf')
         #: Set, and replaced, whenever servers, routes or gateways change.
         self.changed = asyncio.Event()
         #: Gives up inputs; the facade over all gateways knows their owners.
@@ -132,12 +129,6 @@
                 self.tasks.spawn(self._release_soon(works, maker))
             works.released[maker].append(handle)
 
-    def see_gateways(self, gateways: Collection[GatewayState]) -> None:
-        """Hear which gateways there are; owners change with them."""
-        if set(gateways) != self.gateways:
-            self.gateways = set(gateways)
-            self.unsettled_until = self.node.clock.now() + _SETTLING_S
-
     def refresh(self) -> None:
         """Look again: servers, routes or gateways have changed."""
         for service, works in self.services.items():
@@ -271,12 +262,6 @@
             hard = end is CallEnd.unsent
             self.health.failed(call.server.instance, now, hard=hard)
 
-    def _owns_alone(self) -> bool:
-        """Return whether no other gateway calls the servers of services owned here."""
-        if any(state.draining for state in self.gateways):
-            return False
-        return self.node.clock.now() >= self.unsettled_until
-
     def _inputs_fetched(self, works: ServicePieces, call: StageCall, spec: BatchSpec) -> None:
         """Give up inputs once all pieces that need them have fetched them.
 
@@ -285,7 +270,7 @@
         same servers, and a server that is nearly full may refuse the last pieces;
         the inputs of those are kept until the call has been answered.
         """
-        if not self._owns_alone():
+        if not self.ownership.is_settled(works.batcher.service, self.node.clock.now()):
             return
         room = works.batcher.rooms.sure_bytes(call, spec)
         here: collections.Counter[PieceJob] = collections.Counter()
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -211,7 +211,7 @@
     async def _drain(self, event: PatternEvent) -> None:
         self._tell_drained({*self.drained.names, event.of})
         await asyncio.sleep(event.for_s)
-        self._tell_drained({*self.drained.names} - {event.of})
+        self._tell_drained(set(self.drained.names) - {event.of})
 
     def _tell_drained(self, names: set[str]) -> None:
         change = self.drained.change + 1
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -201,6 +201,7 @@
             health=self.health,
             retries=retries,
             guard=self.guard,
+            ownership=ownership,
         )
         self.pieces = PieceClient(clock=clock, client=client, works=self.works, ownership=ownership)
         self.works.give_up = self.pieces.release
@@ -236,9 +237,10 @@
     def know(self, gateways: tuple[GatewayState, ...]) -> None:
         """Hear which gateways there are."""
         self.follower.gateways = gateways
-        self.works.see_gateways(gateways)
         # The gateways of a pattern have been there for long.
-        self.works.unsettled_until = float('-inf')
+        services = self.follower.table.services
+        self.works.ownership.sole_since = dict.fromkeys(services, float('-inf'))
+        self.works.ownership.refresh()
 
     def _listen(self, links: ModelLinks) -> None:
         for method, handler in (
--- a/tests/test_gateway/test_following/test_following_ownership.py
+++ b/tests/test_gateway/test_following/test_following_ownership.py
@@ -65,3 +65,50 @@
     first = owner_among(gateways(9))
     assert owner_among(gateways(9, busy=set(range(9)))) == first
     assert owner_among(gateways(9, busy=set(range(5)))) == first
+
+
+def owner_name(known):
+    return owner_among(known).partition(':')[0]
+
+
+def settled(owners, follower, now, **fields):
+    follower.gateways = gateways(9, **fields)
+    return owners.is_settled('crops', now)
+
+
+def test_gateways_that_come_and_go_leave_an_owner_settled():
+    """Pattern: all gateways restart in turn, one each two seconds.
+
+    Any of them that stopped unsettled all owners, so that inputs were kept twice as long
+    as they were needed, for as long as the restarts went on.
+    """
+    name = owner_name(gateways(9))
+    others = [number for number in range(9) if f'g{number}' != name]
+    follower = SimpleNamespace(gateways=gateways(9))
+    owners = Ownership(follower=follower, name=name)
+    assert not settled(owners, follower, 0)
+    for step, number in enumerate(others):
+        assert settled(owners, follower, 3 + step, draining={number})
+        assert settled(owners, follower, 3.5 + step)
+
+
+def test_owner_is_unsettled_while_one_before_it_stops_and_a_while_after():
+    first = owner_name(gateways(9))
+    number = int(first[1:])
+    staying = tuple(state for state in gateways(9) if state.name != first)
+    second = owner_name(staying)
+    follower = SimpleNamespace(gateways=gateways(9))
+    owners = Ownership(follower=follower, name=second)
+    assert not settled(owners, follower, 0)
+    assert not settled(owners, follower, 5, draining={number})
+    assert owners.owner_of('crops') == ''
+    assert not settled(owners, follower, 9, draining={number})
+    follower.gateways = staying
+    assert not owners.is_settled('crops', 10)
+    assert not owners.is_settled('crops', 11.9)
+    assert owners.is_settled('crops', 12)
+    # The first is back for a moment, and gone again before anything was sent.
+    follower.gateways = gateways(9)
+    owners.refresh()
+    follower.gateways = staying
+    assert not owners.is_settled('crops', 20)
