--- /dev/null
+++ b/ringseam/control/documentservice.py
@@ -0,0 +1,129 @@
+"""Documents of routes at the leader: accepted, read and handed out in parts."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.commands import DocumentPut, PutDocument
+from ringseam.control.replicamessages import NotLeading
+from ringseam.documents import PART_BYTES, DocumentHistory
+from ringseam.events import Event
+from ringseam.following import (
+    DOCUMENT_PART,
+    READ_DOCUMENT,
+    SUBMIT,
+    DocumentHeld,
+    DocumentPart,
+    DocumentReply,
+    NotYet,
+    PartLacking,
+    PartReply,
+)
+
+if TYPE_CHECKING:
+    from ringseam.control.follow import FollowService
+    from ringseam.following import PartRequest, Submit
+    from ringseam.messages import Redirect
+    from ringseam.rpc import CallServer
+    from ringseam.sealing import Received
+
+logger = logging.getLogger(__name__)
+
+#: An acknowledgement waits this long for gateways, seconds; below the two seconds in
+#: which a change must be in force and well below the operator's patience.
+CONFIRM_S = 1.8
+#: Bytes of documents that may wait for their commit; while a disk stalls, operators
+#: send the same ones again each second or so, to a host of 300 MB.
+_WAITING_BYTES = 16 * 2**20
+
+
+class DocumentService:
+    """Accept documents by number, and serve the newest."""
+
+    def __init__(self, *, follow: FollowService) -> None:
+        """Tell the gateways that ``follow`` serves."""
+        self.follow = follow
+        self.history = DocumentHistory()
+        #: Bytes of submitted documents that aren't committed yet.
+        self.waiting_bytes = 0
+
+    def serve(self, server: CallServer) -> None:
+        """Take the calls of gateways and of other control hosts."""
+        server.add(DOCUMENT_PART, self.document_part)
+        server.add(SUBMIT, self.submit_document)
+        server.add(READ_DOCUMENT, self.read)
+
+    async def document_part(self, received: Received) -> PartReply:
+        """Return a part of an accepted document; any host that holds it may."""
+        request: PartRequest = received.body
+        held = request.held
+        change = self.history.change(held, request.number)
+        if change is None:
+            held = 0
+            change = self.history.change(held, request.number)
+        if change is None:
+            return PartReply(reply=PartLacking())
+        part = change[request.offset : request.offset + PART_BYTES]
+        return PartReply(reply=DocumentPart(held=held, total=len(change), part=part))
+
+    async def submit_document(self, received: Received) -> DocumentReply:
+        """Accept a checked document, and answer once it is in force."""
+        return DocumentReply(reply=await self.accept(received.body))
+
+    async def accept(self, submit: Submit) -> DocumentHeld | NotYet | Redirect:
+        """Commit a document; answer once the gateways that are heard have it."""
+        if not self.follow.leadership.serves:
+            return self.follow.redirect
+        if not self.follow.bears_losses:
+            return NotYet()
+        size = len(submit.document)
+        if self.waiting_bytes and self.waiting_bytes + size > _WAITING_BYTES:
+            return NotYet()
+        begun = self.follow.node.clock.now()
+        self.waiting_bytes += size
+        try:
+            number = await self._newest_with(submit)
+        finally:
+            self.waiting_bytes -= size
+        if number is None:
+            return self.follow.redirect
+        await self.follow.wait(lambda: self.follow.directory.is_confirmed(number=number), CONFIRM_S)
+        self.follow.node.events.emit(
+            logger,
+            Event.document_accepted,
+            number=submit.number,
+            newest=number,
+            document_bytes=size,
+            took_ms=round((self.follow.node.clock.now() - begun) * MS_PER_S),
+            confirmed=self.follow.directory.is_confirmed(number=number),
+        )
+        return DocumentHeld(number=number)
+
+    async def read(self, received: Received) -> DocumentReply:
+        """Return the newest document, after a quorum has confirmed the leader."""
+        return DocumentReply(reply=await self.newest())
+
+    async def newest(self) -> DocumentHeld | Redirect:
+        """Return the newest document, after a quorum has confirmed the leader."""
+        if not self.follow.leadership.serves or isinstance(await self.follow.confirm(), NotLeading):
+            return self.follow.redirect
+        # What the actor applied before the barrier is on its way to this loop.
+        await asyncio.sleep(0)
+        return DocumentHeld(number=self.follow.held.number, document=self.follow.held.document)
+
+    async def _newest_with(self, submit: Submit) -> int | None:
+        """Return the newest number, at least the submitted one; None: not leading.
+
+        A document that isn't newer than the one in force changes nothing, so it needs
+        a quorum's word that this host leads and no entry in the log.
+        """
+        if submit.number <= self.follow.held.number:
+            confirmed = await self.follow.confirm()
+            return None if isinstance(confirmed, NotLeading) else self.follow.held.number
+        outcome = await self.follow.submit(
+            PutDocument(number=submit.number, document=submit.document)
+        )
+        return outcome.newest if isinstance(outcome, DocumentPut) else None
--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -10,9 +10,9 @@
 import msgspec
 
 from ringseam.backends import BackendState
-from ringseam.clock import MS_PER_S
-from ringseam.commands import DocumentPut, PutDocument, RetireBackend
+from ringseam.commands import RetireBackend
 from ringseam.control.backenddirectory import BackendDirectory
+from ringseam.control.documentservice import CONFIRM_S, DocumentService
 from ringseam.control.quarantining import QuarantineService
 from ringseam.control.replicamessages import (
     Leadership,
@@ -20,21 +20,11 @@
 )
 from ringseam.control.state import RETIRED_KEPT
 from ringseam.control.zonedraining import ZoneDraining
-from ringseam.documents import PART_BYTES, DocumentHistory
 from ringseam.events import Event
 from ringseam.following import (
     CONFIRM,
-    DOCUMENT_PART,
-    READ_DOCUMENT,
     REPORT_BACKEND,
-    SUBMIT,
     WATCH,
-    DocumentHeld,
-    DocumentPart,
-    DocumentReply,
-    NotYet,
-    PartLacking,
-    PartReply,
     ReportAnswer,
     ReportForeign,
     ReportTaken,
@@ -50,7 +40,7 @@
     from ringseam.backends import BackendId, BackendReport
     from ringseam.contents import ContentId
     from ringseam.control.state import RecordedVerdict
-    from ringseam.following import Confirmation, PartRequest, Submit, WatchRequest
+    from ringseam.following import Confirmation, WatchRequest
     from ringseam.node import Node
     from ringseam.rpc import CallServer
     from ringseam.sealing import Received
@@ -65,13 +55,7 @@
 _SILENT_REPORTS = 3.75
 #: A gateway whose watch is overdue by half a watch isn't waited for, seconds.
 _SILENT_GATEWAY_S = 1.6
-#: An acknowledgement waits this long for gateways; below the two seconds in
-#: which a change must be in force and well below the operator's patience.
-_CONFIRM_S = 1.8
 _EXPIRE_S = 0.25
-#: Bytes of documents that may wait for their commit; while a disk stalls, operators
-#: send the same ones again each second or so, to a host of 300 MB.
-_WAITING_BYTES = 16 * 2**20
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -109,10 +93,7 @@
         self.voters_needed = voters_needed
         self.silent_s = _SILENT_REPORTS * report_s
         self.held = HeldDocument()
-        self.history = DocumentHistory()
         self.retired = Ended(kept=RETIRED_KEPT)
-        #: Bytes of submitted documents that aren't committed yet.
-        self.waiting_bytes = 0
         self.leadership = Leadership()
         self.directory = self._new_directory()
         self.changed = asyncio.Event()
@@ -123,6 +104,7 @@
             redirect=lambda: None if self.leadership.serves else self.redirect,
             is_planned=self._is_leaving,
         )
+        self.documents = DocumentService(follow=self)
         self.zones = ZoneDraining(follow=self)
         #: Where backend servers should report; the open interface knows it.
         self.report_to = ''
@@ -134,7 +116,7 @@
         if held.number < self.held.number:
             return
         if held.number > self.held.number:
-            self.history.add(held.number, held.document)
+            self.documents.history.add(held.number, held.document)
         if held.retired != self.held.retired:
             self.retired = Ended(kept=RETIRED_KEPT)
             for backend in held.retired:
@@ -169,11 +151,9 @@
         """Take the calls of gateways and of other control hosts."""
         server.add(WATCH, self.watch)
         server.add(CONFIRM, self.take_confirmation)
-        server.add(DOCUMENT_PART, self.document_part)
         server.add(REPORT_BACKEND, self.report)
-        server.add(SUBMIT, self.submit_document)
-        server.add(READ_DOCUMENT, self.read)
         self.quarantining.serve(server)
+        self.documents.serve(server)
         self.zones.serve(server)
 
     async def watch(self, received: Received) -> WatchReply:
@@ -206,19 +186,6 @@
         self._wake()
         return Empty()
 
-    async def document_part(self, received: Received) -> PartReply:
-        """Return a part of an accepted document; any host that holds it may."""
-        request: PartRequest = received.body
-        held = request.held
-        change = self.history.change(held, request.number)
-        if change is None:
-            held = 0
-            change = self.history.change(held, request.number)
-        if change is None:
-            return PartReply(reply=PartLacking())
-        part = change[request.offset : request.offset + PART_BYTES]
-        return PartReply(reply=DocumentPart(held=held, total=len(change), part=part))
-
     async def report(self, received: Received) -> ReportAnswer:
         """Take a backend server's report; a leave only once it is known."""
         return ReportAnswer(reply=await self.take_report(received.body))
@@ -245,7 +212,7 @@
         self._note(report)
         if leaving:
             change = self.directory.change
-            await self.wait(lambda: self.directory.is_confirmed(change=change), _CONFIRM_S)
+            await self.wait(lambda: self.directory.is_confirmed(change=change), CONFIRM_S)
             self.node.events.emit(
                 logger,
                 Event.backend_retired,
@@ -255,51 +222,6 @@
             )
         return ReportTaken(report_to=self.report_to)
 
-    async def submit_document(self, received: Received) -> DocumentReply:
-        """Accept a checked document, and answer once it is in force."""
-        return DocumentReply(reply=await self.accept(received.body))
-
-    async def accept(self, submit: Submit) -> DocumentHeld | NotYet | Redirect:
-        """Commit a document; answer once the gateways that are heard have it."""
-        if not self.leadership.serves:
-            return self.redirect
-        if not self.bears_losses:
-            return NotYet()
-        size = len(submit.document)
-        if self.waiting_bytes and self.waiting_bytes + size > _WAITING_BYTES:
-            return NotYet()
-        begun = self.node.clock.now()
-        self.waiting_bytes += size
-        try:
-            number = await self._newest_with(submit)
-        finally:
-            self.waiting_bytes -= size
-        if number is None:
-            return self.redirect
-        await self.wait(lambda: self.directory.is_confirmed(number=number), _CONFIRM_S)
-        self.node.events.emit(
-            logger,
-            Event.document_accepted,
-            number=submit.number,
-            newest=number,
-            document_bytes=size,
-            took_ms=round((self.node.clock.now() - begun) * MS_PER_S),
-            confirmed=self.directory.is_confirmed(number=number),
-        )
-        return DocumentHeld(number=number)
-
-    async def read(self, received: Received) -> DocumentReply:
-        """Return the newest document, after a quorum has confirmed the leader."""
-        return DocumentReply(reply=await self.newest())
-
-    async def newest(self) -> DocumentHeld | Redirect:
-        """Return the newest document, after a quorum has confirmed the leader."""
-        if not self.leadership.serves or isinstance(await self.confirm(), NotLeading):
-            return self.redirect
-        # What the actor applied before the barrier is on its way to this loop.
-        await asyncio.sleep(0)
-        return DocumentHeld(number=self.held.number, document=self.held.document)
-
     async def expire_always(self) -> None:
         """Drop what has fallen silent."""
         while True:  # noqa: WPS457 - ends with the role
@@ -345,18 +267,6 @@
         leaving = row is not None and row.report.state is not BackendState.ready
         return leaving or instance in self.retired
 
-    async def _newest_with(self, submit: Submit) -> int | None:
-        """Return the newest number, at least the submitted one; None: not leading.
-
-        A document that isn't newer than the one in force changes nothing, so it needs
-        a quorum's word that this host leads and no entry in the log.
-        """
-        if submit.number <= self.held.number:
-            confirmed = await self.confirm()
-            return None if isinstance(confirmed, NotLeading) else self.held.number
-        outcome = await self.submit(PutDocument(number=submit.number, document=submit.document))
-        return outcome.newest if isinstance(outcome, DocumentPut) else None
-
     def _note(self, report: BackendReport) -> None:
         self._tell_quarantine(report)
         known = self.directory.lifetimes.get(name_of(report.instance), report.instance)
--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -184,7 +184,7 @@
             await self._refuse_document(exchange, [str(finding) for finding in error.findings])
             return
         submit = Submit(number=table.number, document=document)
-        reply = await self._lead(SUBMIT, submit, self.follow.accept, _SUBMIT_S)
+        reply = await self._lead(SUBMIT, submit, self.follow.documents.accept, _SUBMIT_S)
         if isinstance(reply, DocumentHeld):
             await exchange.respond(_OK, [_JSON], json_body({}))
         else:
@@ -194,7 +194,7 @@
         reply = await self._lead(
             READ_DOCUMENT,
             Empty(),
-            lambda _: self.follow.newest(),
+            lambda _: self.follow.documents.newest(),
             _READ_S,
         )
         if isinstance(reply, DocumentHeld) and reply.number:
--- a/ringseam/control/zonedraining.py
+++ b/ringseam/control/zonedraining.py
@@ -8,6 +8,7 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.commands import DrainZone, ZoneDrained
+from ringseam.control.documentservice import CONFIRM_S
 from ringseam.control.replicamessages import NotLeading
 from ringseam.events import Event
 from ringseam.following import ORDER_ZONE, READ_ZONES, NotYet, ZonesReply
@@ -22,10 +23,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: An acknowledgement waits this long for gateways that are heard, seconds; a gateway
-#: that is out of touch hears of the order with its next watch.
-_CONFIRM_S = 1.8
-
 
 class ZoneDraining:
     """Commit orders, and acknowledge them once the gateways obey them."""
@@ -62,7 +59,7 @@
         done = await follow.submit(DrainZone(zone=order.zone, drained=order.drained))
         if not isinstance(done, ZoneDrained):
             return follow.redirect
-        await follow.wait(lambda: self._is_obeyed(done.change), _CONFIRM_S)
+        await follow.wait(lambda: self._is_obeyed(done.change), CONFIRM_S)
         follow.node.events.emit(
             logger,
             Event.zone_drained if order.drained else Event.zone_restored,
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -150,8 +150,10 @@
     async def run():
         bench = Bench(leads=False)
         assert isinstance(await bench.service.take_report(report()), Redirect)
-        assert isinstance(await bench.service.accept(Submit(number=1, document=b'')), Redirect)
-        assert isinstance(await bench.service.newest(), Redirect)
+        assert isinstance(
+            await bench.service.documents.accept(Submit(number=1, document=b'')), Redirect
+        )
+        assert isinstance(await bench.service.documents.newest(), Redirect)
         watched = await bench.service.watch(received(request()))
         assert isinstance(watched.reply, Redirect)
 
@@ -163,8 +165,10 @@
         bench = Bench(commits=False)
         leaving = report(state=BackendState.draining)
         assert isinstance(await bench.service.take_report(leaving), Redirect)
-        assert isinstance(await bench.service.accept(Submit(number=1, document=b'')), Redirect)
-        assert isinstance(await bench.service.newest(), Redirect)
+        assert isinstance(
+            await bench.service.documents.accept(Submit(number=1, document=b'')), Redirect
+        )
+        assert isinstance(await bench.service.documents.newest(), Redirect)
 
     asyncio.run(run())
 
@@ -175,14 +179,14 @@
     async def run():
         bench = Bench()
         submit = Submit(number=3, document=b'd')
-        assert (await bench.service.accept(submit)).number == 3
-        again = await asyncio.gather(*(bench.service.accept(submit) for _ in range(20)))
-        older = await bench.service.accept(Submit(number=2, document=b'other'))
+        assert (await bench.service.documents.accept(submit)).number == 3
+        again = await asyncio.gather(*(bench.service.documents.accept(submit) for _ in range(20)))
+        older = await bench.service.documents.accept(Submit(number=2, document=b'other'))
         assert {reply.number for reply in [*again, older]} == {3}
         assert len(bench.submitted) == 1
         assert bench.service.held.document == b'd'
         bench.commits = False
-        assert isinstance(await bench.service.accept(submit), Redirect)
+        assert isinstance(await bench.service.documents.accept(submit), Redirect)
 
     asyncio.run(run())
 
@@ -202,7 +206,7 @@
 
         bench.service.submit = submit_late
         orders = [Submit(number=number, document=bytes(2 * 2**20)) for number in range(1, 40)]
-        tasks = [asyncio.ensure_future(bench.service.accept(order)) for order in orders]
+        tasks = [asyncio.ensure_future(bench.service.documents.accept(order)) for order in orders]
         await asyncio.sleep(0)
         refused = [task for task in tasks if task.done()]
         assert len(refused) == len(orders) - 8
@@ -210,7 +214,7 @@
         replies = await asyncio.gather(*tasks)
         assert sum(isinstance(reply, DocumentHeld) for reply in replies) == 8
         assert bench.service.held.number == 8
-        assert not bench.service.waiting_bytes
+        assert not bench.service.documents.waiting_bytes
 
     asyncio.run(run())
 
@@ -302,10 +306,10 @@
         few = Leadership(term=3, leader='c1', serves=True, voters=4)
         bench.service.lead(few)
         submit = Submit(number=1, document=b'd')
-        assert isinstance(await bench.service.accept(submit), NotYet)
+        assert isinstance(await bench.service.documents.accept(submit), NotYet)
         assert not bench.submitted
         bench.service.lead(LEADS)
-        assert isinstance(await bench.service.accept(submit), DocumentHeld)
+        assert isinstance(await bench.service.documents.accept(submit), DocumentHeld)
 
     asyncio.run(run())
 
--- a/tests/test_gateway/test_following/test_following_documentfetch.py
+++ b/tests/test_gateway/test_following/test_following_documentfetch.py
@@ -50,7 +50,7 @@
             await asyncio.sleep(timeout_s)
             raise UnreachableError(address)
         received = Received(sender='', address='', group='', revision=0, body=message)
-        reply = await self.hosts[address].document_part(received)
+        reply = await self.hosts[address].documents.document_part(received)
         size = len(getattr(reply.reply, 'part', b''))
         self.bytes += size
         try:
