--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -60,7 +60,8 @@
 
         Gateways that come and go change nothing for services that others decide for.
         """
-        self.refresh()
+        if self.owner_of(service):
+            return False
         if service not in self.sole_since:
             if not self._is_sole(service):
                 return False
--- a/tests/test_gateway/test_following/test_following_ownership.py
+++ b/tests/test_gateway/test_following/test_following_ownership.py
@@ -112,3 +112,14 @@
     owners.refresh()
     follower.gateways = staying
     assert not owners.is_settled('crops', 20)
+
+
+def test_owner_that_stops_is_settled_no_more():
+    """Another one calls the same servers while this one finishes what waits."""
+    name = owner_name(gateways(9))
+    follower = SimpleNamespace(gateways=gateways(9))
+    owners = Ownership(follower=follower, name=name)
+    owners.is_settled('crops', 0)
+    assert settled(owners, follower, 5)
+    assert not settled(owners, follower, 6, draining={int(name[1:])})
+    assert not settled(owners, follower, 9, busy={int(name[1:])})
