--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -99,13 +99,12 @@
     async def choose(self, work: Work) -> BackendReport | None:
         """Return where a request shall run, once it may go there."""
         chosen = await self._choose(self._ask(work, dry=False))
-        if chosen is None:
-            return None
-        if chosen.wait_s:
+        while chosen is not None and chosen.wait_s:
             await asyncio.sleep(chosen.wait_s)
-            if not self._is_serving(work.service, chosen.engine):
-                return None
-        return chosen.engine
+            if self.follower.is_serving(chosen.engine):
+                break
+            chosen = await self._choose(self._ask(work, dry=False))
+        return chosen.engine if chosen else None
 
     async def foresee(self, work: Work) -> BackendReport | None:
         """Return where a request would run now."""
@@ -164,10 +163,6 @@
         if service is not None:
             self._placer(service.name).note(ask, instance, service, self.clock.now())
 
-    def _is_serving(self, service: ServiceName, engine: BackendReport) -> bool:
-        serving = self.follower.view.serving(service)
-        return any(known.instance == engine.instance for known in serving)
-
     def _ask(self, work: Work, *, dry: bool) -> PlaceRequest:
         now = self.clock.now()
         return PlaceRequest(
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -140,6 +140,10 @@
             return servers
         return self.confinement.among(owner, servers)
 
+    def is_serving(self, server: BackendReport) -> bool:
+        """Return whether a server takes new work."""
+        return any(known.instance == server.instance for known in self.view.serving(server.service))
+
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Learn of further control hosts."""
         self.addresses.extend(one for one in addresses if one not in self.addresses)
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -144,6 +144,8 @@
         wait_s = self.pace.take(chosen.instance, cold, now, deciders=gateways)
         if wait_s:
             await asyncio.sleep(wait_s)
+            if not self.follower.is_serving(chosen):
+                return await self.choose(work)
         return chosen
 
     async def _send(
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -75,6 +75,10 @@
         """Return the servers of a service; no account is confined."""
         return self.view.serving(service)
 
+    def is_serving(self, server: BackendReport) -> bool:
+        """Return whether a server takes new work."""
+        return server in self.view.serving(server.service)
+
     async def await_routes(self, limit_s: float) -> None:
         """Return: there always are routes."""
 
--- a/tests/test_gateway/test_following/test_following_zones.py
+++ b/tests/test_gateway/test_following/test_following_zones.py
@@ -1,11 +1,13 @@
 """Nothing new reaches the servers of a drained availability zone, by any way."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
-from ringseam.backends import GatewayState
+from ringseam.backends import BackendId, GatewayState
 from ringseam.platform.stages import PieceResult, decode_orders, encode_results
+from ringseam.routes import ColdSpec, ServiceName
 from ringseam.zones import DrainedZones
 from tests.gateways import LocalGateway, ScriptedServer, answer, chunk, event, reset, stream_head
 
@@ -126,3 +128,29 @@
         assert not servers['a'].asked
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(('path', 'headers'), [('/idem/x', {}), ('/sticky/x', PROMPT)])
+def test_request_that_waits_for_its_turn_goes_elsewhere_when_the_zone_is_drained(
+    key_file, path, headers
+):
+    """Load: its server is cold, and its zone is drained before the request may go there."""
+
+    async def run():
+        servers = {zone: ScriptedServer(good) for zone in 'ab'}
+        async with LocalGateway(key_file) as gateway:
+            services = gateway.role.follower.table.services
+            cold = ColdSpec(length_s=60, per_s=4)
+            services[ServiceName('plain')] = replace(services[ServiceName('plain')], cold=cold)
+            gateway.add(await servers['a'].start(), zone='a', name='a')
+            gateway.role.follower.coldness.note(BackendId('a'), gateway.role.node.clock.now() + 60)
+            assert (await gateway.ask(path, Attempt_Id='first', **headers))[0] == 200
+            waiting = asyncio.create_task(gateway.ask(path, Attempt_Id='second', **headers))
+            await asyncio.sleep(0.05)
+            gateway.add(await servers['b'].start(), zone='b', name='b')
+            drain(gateway, 1, 'a')
+            status, _ = await waiting
+        assert status == 200
+        assert [len(server.asked) for server in servers.values()] == [1, 1]
+
+    asyncio.run(run())
