Soak: a zone is drained and used again

The soak drew no orders for zones. A third of its servers stand in a zone that an operator drains for up to 7 s, at any host, until it is acknowledged; they get nothing later than 4 s after that.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,8 +4,8 @@
 stopped and started by signals; backend servers of this process sit behind a proxy that
 delays, resets and silences their connections, cut off streams, leave, and start
 again under their names; some contents end each server that runs them, and come again
-and again. Documents grow to 1,500 routes, and others send reports that
-aren't a server's. What callers and servers see is checked while it runs.
+and again. A zone is drained and used again, documents grow to 1,500 routes, and others send
+reports that aren't a server's. What callers and servers see is checked while it runs.
 """
 
 from __future__ import annotations
@@ -53,6 +53,12 @@
 #: Faults that later runs draw from as well; earlier seeds keep their course.
 MORE_FAULTS = (*FAULTS, 'again', 'twice', 'foreign', 'large')
 ALL_FAULTS = (*MORE_FAULTS, 'ending', 'suspend')
+ZONE_FAULTS = (*ALL_FAULTS, 'drain', 'drain')
+#: The zone of a third of the servers, which is drained for a while, seconds; they get
+#: nothing later than this after the acknowledgement, seconds.
+ZONE = 'zone-2'
+DRAINED_S = (0.5, 7.0)
+OBEYED_S = 4.0
 #: A run goes on until it has drawn so many: a gateway's planned stop and the pause before
 #: its start take up to 3.3 s, so in the shortest run, of 6 s, two may be all that fits.
 LEAST_FAULTS = 3
@@ -83,6 +89,8 @@
     told: collections.Counter = field(default_factory=collections.Counter)
     broken: list = field(default_factory=list)
     accepted: int = 0
+    #: When the order to drain the zone was acknowledged; None: it is used.
+    drained_at: float | None = None
     refused: list = field(default_factory=list)
     #: When each content that ends servers was sent to one, and ended one.
     ending_sent: dict = field(default_factory=lambda: collections.defaultdict(list))
@@ -203,6 +211,12 @@
         late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
         if late and exchange.request.path != FREE_PATH:
             self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
+        since = self.book.drained_at
+        if self.zone == ZONE and since is not None and time.monotonic() - since > OBEYED_S:
+            self.book.check(
+                exchange.request.path == FREE_PATH,
+                f'EVAC {self.instance} got {exchange.request.path}',
+            )
         content = ending_of(exchange.request)
         if content:
             await self.run_ending(content)
@@ -250,7 +264,7 @@
 class Soak:
     """One run: processes, servers, clients, an operator and faults."""
 
-    def __init__(self, *, folder, seed, kinds=ALL_FAULTS):
+    def __init__(self, *, folder, seed, kinds=ZONE_FAULTS):
         self.dice = random.Random(seed)
         self.kinds = kinds
         self.routes = 0
@@ -261,6 +275,7 @@
         self.number = 0
         self.ending = False
         self.insisting = set()
+        self.draining = None
         self.faults = collections.Counter()
 
     def http_of(self, name):
@@ -284,6 +299,8 @@
             await self.disturb(seconds)
             self.ending = True
             await asyncio.gather(*tasks[1:], *self.insisting)
+            if self.draining is not None:
+                await self.draining
             tasks[0].cancel()
             await self.check_end()
         finally:
@@ -302,6 +319,7 @@
             instance=backend_id(f'i-{service}-{self.number}', int(time.time() * 1000)),
             service=ServiceName(service),
             control=self.http_of(CONTROL[0]),
+            zone='zone-1' if self.number % 3 else ZONE,
         )
         await server.begin()
         self.servers.append(server)
@@ -343,6 +361,24 @@
             await asyncio.sleep(0.1)
         self.book.check(False, f'CONFIG {version} was never acknowledged')
 
+    async def drain_for_a_while(self):
+        await self.order('POST')
+        self.book.drained_at = time.monotonic()
+        await asyncio.sleep(self.dice.uniform(*DRAINED_S))
+        self.book.drained_at = None
+        await self.order('DELETE')
+
+    async def order(self, method):
+        """Send an order for the zone until it is acknowledged."""
+        for _ in range(200):
+            host = self.address(self.dice.choice(CONTROL))
+            status, _ = await call(host, method, f'/api/evacuate/{ZONE}', b'', [])
+            self.book.check(not 400 <= status < 500, f'{method} of the zone refused with {status}')
+            if status == 200:
+                return
+            await asyncio.sleep(0.1)
+        self.book.check(False, f'{method} of the zone was never acknowledged')
+
     async def operate_always(self):
         version = 1
         while not self.ending:
@@ -452,6 +488,9 @@
             content = f'{ENDING}{len(self.insisting)}'
             way = self.dice.choice(('plain', 'stream', 'piece'))
             self.insisting.add(asyncio.create_task(self.insist(content, way)))
+        elif kind == 'drain':
+            if self.draining is None or self.draining.done():
+                self.draining = asyncio.create_task(self.drain_for_a_while())
         elif kind == 'leave':
             await self.leave()
         elif kind in {'again', 'twice'}:
@@ -606,7 +645,7 @@
     return whole
 
 
-def soak(seed, seconds, folder, kinds=ALL_FAULTS):
+def soak(seed, seconds, folder, kinds=ZONE_FAULTS):
     """Return the book and the faults of one run."""
     run = Soak(folder=Path(folder), seed=seed, kinds=kinds)
     return asyncio.run(run.run(seconds)), run.faults
@@ -617,7 +656,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--kinds', default=','.join(ALL_FAULTS))
+    parser.add_argument('--kinds', default=','.join(ZONE_FAULTS))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -38,11 +38,19 @@
 class DirectServer:
     """Answer plain requests, streams and calls for pieces of one service."""
 
-    def __init__(self, *, instance: BackendId, service: ServiceName, control: str) -> None:
+    def __init__(
+        self,
+        *,
+        instance: BackendId,
+        service: ServiceName,
+        control: str,
+        zone: str = 'zone-1',
+    ) -> None:
         """Report to the HTTP address of a control host."""
         self.instance = instance
         self.service = service
         self.control = control
+        self.zone = zone
         self.address = ''
         self.sequence = 0
         #: Identities of the requests and pieces that ran here, in order.
@@ -62,7 +70,7 @@
             instance=self.instance,
             service=self.service,
             address=self.address,
-            zone='zone-1',
+            zone=self.zone,
             sequence=self.sequence,
             slots=4,
             state=state,
--- a/tests/test_system/test_system_soak.py
+++ b/tests/test_system/test_system_soak.py
@@ -4,15 +4,24 @@
 
 import pytest
 
-from bench.soak import ALL_FAULTS, FAULTS, LEAST_FAULTS, MORE_FAULTS, parse, soak, unchunked
+from bench.soak import (
+    ALL_FAULTS,
+    FAULTS,
+    LEAST_FAULTS,
+    MORE_FAULTS,
+    ZONE_FAULTS,
+    parse,
+    soak,
+    unchunked,
+)
 
 pytestmark = pytest.mark.processes
 
 #: Seeds and what they draw from; those that ever failed join, with a line on the cause.
-SEEDS = ((1, FAULTS), (2, MORE_FAULTS), (3, ALL_FAULTS))
+SEEDS = ((1, FAULTS), (2, MORE_FAULTS), (3, ALL_FAULTS), (4, ZONE_FAULTS))
 
 
-@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3'])
+@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4'])
 def test_promises_hold_under_faults(seed, kinds, tmp_path):
     book, faults = soak(seed, 6, tmp_path, kinds)
     assert book.broken == []
