--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -20,6 +20,10 @@
 LEDGER = 'tests/test_ledger/test_ledger_differential.py'
 GUARD = 'tests/test_gateway/test_following/test_following_guard.py'
 QUARANTINE = 'tests/test_quarantine.py'
+ORDERS = 'tests/test_control/test_control_zonedraining.py'
+ZONES = 'tests/test_gateway/test_following/test_following_zones.py'
+COLDNESS = 'tests/test_gateway/test_following/test_following_coldness.py'
+REGIONS = 'tests/test_gateway/test_requests/test_requests_regions.py'
 
 
 @dataclass(frozen=True)
@@ -34,6 +38,55 @@
 
 
 MUTATIONS = (
+    Mutation(
+        'servers of drained zones get work',
+        'ringseam/backends.py',
+        ' and report.zone not in self.drained.names',
+        '',
+        ZONES,
+    ),
+    Mutation(
+        'gateways take older orders for zones',
+        'ringseam/backends.py',
+        'if zones.change <= self.drained.change:',
+        'if zones.change == self.drained.change:',
+        ORDERS,
+    ),
+    Mutation(
+        'orders for zones are acknowledged before gateways obey them',
+        'ringseam/control/zonedraining.py',
+        'await follow.wait(lambda: self._is_obeyed(done.change), CONFIRM_S)',
+        'await asyncio.sleep(0)',
+        ORDERS,
+    ),
+    Mutation(
+        'orders whose sender has given up are taken',
+        'ringseam/control/openinterface.py',
+        'await asyncio.sleep(_GIVEN_UP_S)',
+        'await asyncio.sleep(0)',
+        ORDERS,
+    ),
+    Mutation(
+        'requests to a cold server are not spaced',
+        'ringseam/gateway/following/coldness.py',
+        'self.next_at[instance] = now + wait_s + deciders / spec.per_s',
+        'self.next_at[instance] = now',
+        COLDNESS,
+    ),
+    Mutation(
+        'servers of a restored zone count as warm',
+        'ringseam/gateway/following/follower.py',
+        'self._note_restored(restored)',
+        'pass',
+        COLDNESS,
+    ),
+    Mutation(
+        'pieces are made in any region',
+        'ringseam/gateway/stages/batching.py',
+        'if piece.job.may_run_in(server.zone)',
+        'if True',
+        REGIONS,
+    ),
     Mutation(
         'commit counts entries that are not synced',
         'ringseam/control/storage.py',
