--- a/tests/test_system/test_system_control.py
+++ b/tests/test_system/test_system_control.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import importlib
+import json
 import shutil
 import signal
 import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from typer.testing import CliRunner
 
+from ringseam.cmd.main import app
 from ringseam.messages import ApplyAccepted, ApplyConflict
 from tests.processes import eventually
 
 pytestmark = pytest.mark.processes
 
+for module in ('operate', 'zones'):
+    importlib.import_module(f'ringseam.cmd.{module}')
 CONTROL = ('control-1', 'control-2', 'control-3')
 
 
@@ -224,3 +230,29 @@
     assert again.data == first.data
     assert len(whole_system.executions('signaller', '.demo/reject')) == 3
     assert {status.parts['demo'] for status in whole_system.statuses().values()} == {2}
+
+
+def test_drained_zone_outlives_the_kill_of_all_hosts(control):
+    """By the commands of operators, also twice."""
+    planned = control.layout.planned
+    where = [
+        '--control',
+        ','.join(planned[name].address for name in CONTROL),
+        '--key-file',
+        str(control.layout.key_file),
+    ]
+
+    def run(*command):
+        done = CliRunner().invoke(app, [*command, *where, '--json'])
+        assert done.exit_code == 0, done.output
+        return json.loads(done.output)
+
+    for _ in range(2):
+        assert run('drain-zone', 'hall a')['names'] == ['hall a']
+    for name in CONTROL:
+        control.kill(name)
+    for name in CONTROL:
+        control.start(name)
+    found = run('zones')
+    assert (found['change'], found['names']) == (1, ['hall a'])
+    assert run('restore-zone', 'hall a').get('names', []) == []
