--- a/tests/test_control/test_control_zonedraining.py
+++ b/tests/test_control/test_control_zonedraining.py
@@ -224,8 +224,8 @@
         raise UnreachableError('no leader')
 
 
-async def call(leader, asked, *, zones=frozenset({'a', 'hall b'})):
-    """Return the status that a host answers some bytes with."""
+async def listen(leader, zones=frozenset({'a', 'hall b'})):
+    """Return a server of the open interface of a host, and its port."""
     interface = OpenInterface(
         node=leader.service.node,
         follow=leader.service,
@@ -236,7 +236,12 @@
         zones=zones,
     )
     server = HttpServer(handler=interface.handle, limits=HttpLimits())
-    port = await server.start('127.0.0.1', 0)
+    return server, await server.start('127.0.0.1', 0)
+
+
+async def call(leader, asked, **known):
+    """Return the status that a host answers some bytes with."""
+    server, port = await listen(leader, **known)
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(asked.encode())
     raw = await reader.readuntil(b'\r\n')
@@ -283,17 +288,7 @@
 
     async def run():
         leader = Leader()
-        interface = OpenInterface(
-            node=leader.service.node,
-            follow=leader.service,
-            leader=NoLeader(),
-            addresses=list,
-            metrics=Metrics(),
-            document_bytes=1000,
-            zones=frozenset({'a'}),
-        )
-        server = HttpServer(handler=interface.handle, limits=HttpLimits())
-        port = await server.start('127.0.0.1', 0)
+        server, port = await listen(leader)
         _, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(b'POST /api/evacuate/a HTTP/1.1\r\nHost: c\r\n\r\n')
         writer.close()
