Stages: the other branches are given up once one can't be made

Cause: a request's stages ran to their end also after one of them had failed or was refused as late. The client heard of it later, too.

Change: the first fault cancels what is left.

--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -13,6 +13,8 @@
 from ringseam.platform.stages import PieceFault, maker_of
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ringseam.clock import Clock
     from ringseam.gateway.stages.client import PieceClient
     from ringseam.gateway.work import Work
@@ -147,8 +149,7 @@
         async with asyncio.TaskGroup() as group:
             for number, stage in enumerate(stages):
                 tasks[number] = group.create_task(self._stage(number, stage, tasks))
-        faults = [task.result() for task in tasks.values()]
-        return next((fault for fault in faults if fault is not None), None)
+            return await _first_fault_of(tasks.values())
 
     async def _stage(
         self,
@@ -260,5 +261,24 @@
     return any(count for count, _ in zip(pieces, route.stages, strict=False))
 
 
+async def _first_fault_of(
+    tasks: Iterable[asyncio.Task[PieceFault | None]],
+) -> PieceFault | None:
+    """Return the first fault of some stages, or None once all are made.
+
+    The stages that are left are cancelled: nobody has a use for them any more.
+    """
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        ended = [task.result() for task in done]
+        faults = [fault for fault in ended if fault is not None]
+        if faults:
+            for task in pending:
+                task.cancel()
+            return faults[0]
+    return None
+
+
 def _first_fault(made: list[PieceResult]) -> PieceFault | None:
     return next((result.fault for result in made if result.fault is not None), None)
--- a/tests/test_gateway/test_stages/test_stages_graph.py
+++ b/tests/test_gateway/test_stages/test_stages_graph.py
@@ -53,6 +53,23 @@
         return self.waits.get(service, 0)
 
 
+class EndlessPieces(RecordedPieces):
+    """One stage is never made."""
+
+    def __init__(self, *, endless, fault_at):
+        super().__init__(fault_at=fault_at)
+        self.endless = endless
+        self.cancelled = []
+
+    async def make(self, job):
+        if job.stage != self.endless:
+            return await super().make(job)
+        try:
+            return await asyncio.get_running_loop().create_future()
+        finally:
+            self.cancelled.append(job.stage)
+
+
 def stage(*after, size=1000):
     return RouteStage(service=CROPS, after=after, result_bytes=size)
 
@@ -234,3 +251,17 @@
     for steps in range(12):
         jobs = asyncio.run(leave_as_the_first_stage_ends())
         assert 1 not in jobs or jobs[1].inputs == ('a:1/0-0',), steps
+
+
+@pytest.mark.parametrize(('endless', 'fault_at'), [(0, 1), (1, 0)])
+def test_other_branches_are_given_up_once_a_stage_can_not_be_made(endless, fault_at):
+    """Pattern: two branches, and the service of one is short of servers.
+
+    Nobody uses what the other one makes, and its places are free for others at once.
+    """
+    pieces = EndlessPieces(endless=endless, fault_at=fault_at)
+    pieces.fault = PieceFault.late
+    run = run_of([stage(), stage()], [1, 1], pieces)
+    assert asyncio.run(asyncio.wait_for(run.run(), 5)).fault is PieceFault.late
+    assert pieces.cancelled == [endless]
+    assert run.handles == {}
