--- a/ringseam/gateway/following/coldness.py
+++ b/ringseam/gateway/following/coldness.py
@@ -128,12 +128,12 @@
         return wait_s
 
     def keep_only(self, instances: set[BackendId]) -> None:
-        """Forget servers that are gone."""
+        """Forget servers that are gone, and shares: a service may name another rate by now."""
         self.book.keep_only(instances)
+        self.shares.clear()
         for instance in set(self.lately) - instances:
             self.lately.pop(instance)
             self.next_at.pop(instance, None)
-            self.shares.pop(instance, None)
 
     def _cold_until(self, instance: BackendId, spec: ColdSpec) -> float:
         lost_at = self.health.of(instance).unreachable_at
@@ -149,17 +149,23 @@
         return max(known, self._cold_until(instance, spec) + share.after_s)
 
     def _share(self, instance: BackendId, spec: ColdSpec, peers: Collection[str]) -> ColdShare:
+        """Return what this process may send to a server while it is cold."""
         if not peers:
             return ColdShare(spacing_s=1 / spec.per_s)
         if peers != self.peers:
             self.shares.clear()
             self.peers = peers
         if instance not in self.shares:
-            self.shares[instance] = self._work_out(instance, spec, peers)
+            self.shares[instance] = self._share_among(instance, spec, peers)
         return self.shares[instance]
 
-    def _work_out(self, instance: BackendId, spec: ColdSpec, peers: Collection[str]) -> ColdShare:
-        """Return this process's share; all work out the same order."""
+    def _share_among(
+        self,
+        instance: BackendId,
+        spec: ColdSpec,
+        peers: Collection[str],
+    ) -> ColdShare:
+        """Return this process's share of a server; all peers find the same order."""
         order = rendezvous_order(instance, peers)
         most = max(1, int(self._bound(spec) - spec.per_s))
         rank = order.index(self.name)
--- a/tests/test_gateway/test_following/test_following_coldness.py
+++ b/tests/test_gateway/test_following/test_following_coldness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 
 import pytest
@@ -135,6 +136,16 @@
     assert max(map(most_in_a_second, sent.values())) <= BOUND
 
 
+def test_share_follows_the_rate_that_a_service_names():
+    held = pace(name='g0', e0=100)
+    peers = frozenset({'g0', 'g1'})
+    faster = dataclasses.replace(COLD, per_s=18)
+    assert [held.take(ONE, COLD, 0, peers=peers) for _ in range(2)] == pytest.approx([0, 2 / 9])
+    held.keep_only({ONE})
+    assert held.take(ONE, faster, 0.5, peers=peers) == 0
+    assert held.take(ONE, faster, 0.5, peers=peers) == pytest.approx(2 / 18)
+
+
 def test_server_that_could_not_be_reached_is_taken_for_cold_when_it_is_back():
     held = pace()
     held.health.failed(ONE, 10, hard=True)
