--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -11,10 +11,17 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
-from ringseam.gateway.engines.placement import PlacedPart, Placer, PlaceRequest
-from ringseam.messages import Empty, Message
+from ringseam.gateway.engines.messages import (
+    PLACE,
+    PROGRESS,
+    PlacedPart,
+    PlaceReply,
+    PlaceRequest,
+    ProgressNote,
+)
+from ringseam.gateway.engines.placement import Placer
+from ringseam.messages import Empty
 from ringseam.routes import ServiceName
-from ringseam.rpc import Method
 from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -43,27 +50,6 @@
 _AVOID_S = 1.0
 
 
-class PlaceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """The chosen engine, if there is one."""
-
-    instance: str = ''
-    #: How long the request has to wait before it may go there, seconds.
-    wait_s: float = 0
-
-
-class ProgressNote(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """A request's first event has come, or it is over; or an engine is silent."""
-
-    service: str
-    request: str = ''
-    over: bool = False
-    silent: str = ''
-
-
-PLACE = Method('/ringseam.Gateway/Place', PlaceRequest, PlaceReply, multiplexed=True)
-PROGRESS = Method('/ringseam.Gateway/Progress', ProgressNote, Empty, multiplexed=True)
-
-
 @dataclass(frozen=True, kw_only=True)
 class Chosen:
     """Where a request shall run, and how long it has to wait before, seconds."""
--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -7,23 +7,21 @@
 
 from __future__ import annotations
 
-import collections
 import hashlib
 import itertools
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Optional
-
-import msgspec
+from typing import TYPE_CHECKING
 
 from ringseam.clock import MS_PER_S
+from ringseam.gateway.engines.enginebook import EngineBook
 from ringseam.gateway.worth import LATE_LOSS, worth_of
-from ringseam.messages import Message
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from ringseam.backends import BackendId, BackendReport
+    from ringseam.gateway.engines.messages import PlacedPart, PlaceRequest
     from ringseam.gateway.following.coldness import ColdPace
     from ringseam.gateway.following.health import HealthBook
     from ringseam.routes import BackendService
@@ -66,34 +64,6 @@
 _OTHERS = 16
 
 
-class PlacedPart(Message, frozen=True, kw_only=True):
-    """A part of a prompt, with its tokens."""
-
-    name: str
-    tokens: int
-
-
-class PlaceRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """What must be known to place a request; durations in milliseconds.
-
-    With ``dry`` nothing is remembered.
-    """
-
-    request: str
-    service: str
-    prompt_tokens: int
-    prefix: tuple[PlacedPart, ...] = ()
-    priority: int = 0
-    objective_ms: int = 0
-    left_ms: int = 0
-    result_bytes: dict[str, int] = msgspec.field(default_factory=dict)
-    avoid: tuple[str, ...] = ()
-    dry: bool = False
-    account: str = ''
-    #: Availability zones in which it may run; None: all.
-    zones: Optional[tuple[str, ...]] = None
-
-
 @dataclass(kw_only=True)
 class Placed:
     """A request on an engine."""
@@ -121,28 +91,6 @@
     wait_s: float = 0
 
 
-@dataclass(kw_only=True)
-class EngineBook:
-    """What is believed of one engine's memory, least recently used first."""
-
-    parts: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
-    tokens: int = 0
-    #: When the engine was last seen to have read a prompt, or began to read one.
-    read_at: float = float('-inf')
-
-    def use(self, part: PlacedPart, capacity: float) -> list[str]:
-        """Remember a part as the newest; return those dropped beyond the memory."""
-        self.tokens -= self.parts.pop(part.name, 0)
-        self.parts[part.name] = part.tokens
-        self.tokens += part.tokens
-        dropped = []
-        while self.tokens > capacity and len(self.parts) > 1:
-            name, tokens = self.parts.popitem(last=False)
-            self.tokens -= tokens
-            dropped.append(name)
-        return dropped
-
-
 @dataclass(kw_only=True)
 class Placer:
     """Place requests on the engines of one service."""
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -9,7 +9,8 @@
 from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
-from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
+from ringseam.gateway.engines.client import PlaceClient
+from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceBook
 from ringseam.gateway.following.coldness import ColdPace
 from ringseam.gateway.following.follower import Follower
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -10,7 +10,8 @@
 from ringseam.backends import BackendView, GatewayState
 from ringseam.control.quarantining import QuarantineService
 from ringseam.errors import UnreachableError
-from ringseam.gateway.engines.client import PLACE, PROGRESS, PlaceClient
+from ringseam.gateway.engines.client import PlaceClient
+from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceBook
 from ringseam.gateway.following.coldness import ColdBook, ColdPace
 from ringseam.gateway.following.guard import Guard
--- a/tests/test_gateway/test_engines/test_engines_placement.py
+++ b/tests/test_gateway/test_engines/test_engines_placement.py
@@ -9,7 +9,8 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.engines.placement import Placed, PlacedPart, Placer, PlaceRequest, _tie
+from ringseam.gateway.engines.messages import PlacedPart, PlaceRequest
+from ringseam.gateway.engines.placement import Placed, Placer, _tie
 from ringseam.gateway.following.coldness import ColdBook, ColdPace
 from ringseam.gateway.following.health import HealthBook
 from ringseam.routes import BackendService, EngineSpec, ServiceName
--- a/tests/test_gateway/test_following/test_following_coldness.py
+++ b/tests/test_gateway/test_following/test_following_coldness.py
@@ -13,7 +13,8 @@
 from ringseam.backends import BackendId, BackendReport, GatewayState
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.following import WatchNews, WatchRequest
-from ringseam.gateway.engines.placement import PlacedPart, Placer, PlaceRequest
+from ringseam.gateway.engines.messages import PlacedPart, PlaceRequest
+from ringseam.gateway.engines.placement import Placer
 from ringseam.gateway.following.coldness import ColdBook, ColdPace
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.health import HealthBook
