--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -26,8 +26,7 @@
     from ringseam.gateway.following.health import HealthBook
     from ringseam.routes import BackendService
 
-#: Prompt tokens that an engine reads in a second; engines are named with 32,400 to
-#: 38,400. Not observed yet: with other engines predictions are off by as much.
+#: Prompt tokens that an engine is taken to read in a second.
 READ_TOKENS_PER_S = 32_400.0
 #: Attention over what was read before makes long prompts slower by about this.
 _LONG_READ = 1.3
@@ -39,10 +38,9 @@
 #: The first token is predicted this well, seconds: lateness becomes certain
 #: over this span.
 _SPREAD_S = 0.6
-#: A shared token that is read again costs this: a prompt of 6,300 of them as much as
-#: a third of the dearest request.
+#: A shared token that is read again costs this.
 _AGAIN_PER_TOKEN = 0.055e-3
-#: A byte that crosses zones costs this; from the same prices.
+#: A byte that crosses zones costs this.
 _CROSSING_PER_BYTE = 0.016e-6
 #: A second of waiting costs this even where it makes nothing late.
 _PER_SECOND = 0.05
@@ -53,13 +51,11 @@
 #: A request that nobody reported the end of is forgotten this long after its
 #: deadline, seconds.
 _FORGET_S = 1.0
-#: Up to this many engines all are compared, at 11 us each; of more, some that keep the
-#: prompt and some others are. With 390 engines a choice takes 0.4 ms instead of 4.5, and
-#: costs no more (0.044 against 0.050 in the mean of 18,000 choices).
+#: Up to this many engines all are compared; of more, some that keep the prompt and some
+#: others are.
 _COMPARED = 48
 #: Of more engines: how many that keep the longest part of the prompt, newest first, and
-#: how many of all. Of sixteen by chance one is among the tenth that has least to do four
-#: times in five.
+#: how many of all.
 _KEEPING = 16
 _OTHERS = 16
 
@@ -99,8 +95,7 @@
     pace: ColdPace
     books: dict[BackendId, EngineBook] = field(default_factory=dict)
     placed: dict[str, Placed] = field(default_factory=dict)
-    #: The same by engine, first come first. Looked for among all that is placed, with what
-    #: is cached counted for each pair of engines, a choice among 39 took 1.9 ms, not 0.5.
+    #: The same by engine, first come first.
     by_engine: dict[BackendId, dict[str, Placed]] = field(default_factory=dict)
     #: The engines that keep a part, the newest last.
     keeping: dict[str, dict[BackendId, None]] = field(default_factory=dict)
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -29,18 +29,15 @@
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.server import Exchange
 
-#: A gateway that still has no routes has them after this long, seconds: an
-#: election takes 0.4 s after a start, and 1 s when the first one fails.
+#: A gateway that still has no routes has them after this long, seconds: an election
+#: takes less, unless the first one fails.
 _NO_ROUTES_S = 0.6
 #: A request waits for the first routes for this share of the time that its
 #: client gives it, and for this long at most, seconds. Objectives are a sixth to
 #: a half of such limits, so it can still be in time afterwards.
 _ROUTES_WAIT_SHARE = 1 / 16
 _ROUTES_WAIT_S = 0.6
-#: No route is served in time less often than this share of those before it. Between
-#: 0 and 0.8 it made no difference to the worth (0.003, standard error 0.007); with
-#: 0.7 the last of three routes got 0.60 and 0.54 of its worth instead of 0.55 and
-#: 0.47 where a service is short of servers.
+#: No route is served in time less often than this share of those before it.
 _FAIR_SHARE = 0.7
 #: A prompt with this many shared tokens is served where they are kept; fewer
 #: are read in under 50 ms.
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -34,8 +34,7 @@
 #: A server that has said that it is full is left alone this long, seconds.
 FULL_S = 0.06
 #: Of more idle servers than this only so many are looked at, by chance: there are some of
-#: each zone and of the quick ones among them. With 660 idle a piece costs its decider
-#: 179 us of processor instead of 456.
+#: each zone and of the quick ones among them.
 _LOOKED_AT = 48
 #: What a call doesn't take of a job may follow in the next one if that leaves soon: after
 #: this share of the time that a call takes whatever its size.
@@ -156,9 +155,8 @@
         others fill the next call of each server that doesn't come, so who waits
         for them is better told at once. What is begun is finished.
 
-        Together with later tries being ranked by their limit it bought 0.03 of the
-        worth (standard error 0.01) over five days with lost servers. What no call can make
-        before its client's time is over is given up whatever else waits.
+        What no call can make before its client's time is over is given up whatever
+        else waits.
         """
         vain = [piece for piece in self.waiting if _is_vain(piece, spec, now)]
         next_calls = len(servers) * spec.slots * spec.batch
--- a/ringseam/gateway/stages/order.py
+++ b/ringseam/gateway/stages/order.py
@@ -20,8 +20,7 @@
 #: under way and one of its own.
 _EXPIRY_S = 1.2
 #: A piece goes to another zone when fewer whole calls than this fit before it is
-#: due: one of its own. With two, a third more bytes crossed zones, and as many
-#: requests were in time.
+#: due: its own.
 _PATIENCE_CALLS = 1.0
 
 
--- a/ringseam/gateway/stages/outlook.py
+++ b/ringseam/gateway/stages/outlook.py
@@ -17,9 +17,8 @@
 class Outlook:
     """What new pieces find before them, counted once for all precedences.
 
-    The gateway that decides for a service tells it with each answer. Counted for each
-    precedence anew, an answer cost 4.5 ms with 700 pieces waiting, and the time that it
-    took let more of them gather.
+    The gateway that decides for a service tells it with each answer, so it must be cheap
+    while many wait.
     """
 
     #: When the next server is free, seconds from now.
@@ -38,8 +37,7 @@
 
         What goes before it leaves at the observed pace. Pieces of clients that
         came back go after all others, so what is expected to come meanwhile
-        counts for them as well: without it they wait for a turn that never
-        comes, which costs 0.14 of the worth where a service is short of servers.
+        counts for them as well: without it they wait for a turn that never comes.
         """
         if not self.leaving_per_s:
             return 0
--- a/ringseam/gateway/stages/rooms.py
+++ b/ringseam/gateway/stages/rooms.py
@@ -10,15 +10,13 @@
     from ringseam.gateway.stages.jobs import StageCall
     from ringseam.routes import BatchSpec
 
-#: Results are a little larger than the routes say; measured: one of 60,000 bytes
-#: more than fits by its name doesn't fit in the last twentieth of the room.
+#: Results are larger than the routes say by up to this factor.
 _SIZE_MARGIN = 1.05
-#: Results differ in size by more than the margin; of a server that is filled up
-#: to this share of its room, no piece is refused (53 refusals measured, all at
-#: 0.91 and more).
+#: Some results are larger still; a server that is filled up to this share of its room
+#: refuses no piece.
 _AMPLE_SHARE = 0.85
 #: Room that was found taken by unknown results is believed taken this long,
-#: seconds; a try costs a call of 0.2 s.
+#: seconds: a try costs a call.
 UNKNOWN_S = 0.5
 
 
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -56,11 +56,10 @@
 #: seconds; their room is missed while they wait.
 _RELEASE_S = 0.01
 _RELEASE_TIMEOUT_S = 1.0
-#: What waits is counted anew after this, seconds: a tenth of the shortest call. Those
-#: who are told believe it for seven times as long.
+#: What waits is counted anew after this, seconds: well within a call.
 _OUTLOOK_S = 0.02
-#: Pieces that can't be in time are looked for this often, seconds: a quarter of the
-#: shortest call. With each decision it took a seventh of the time with 700 waiting.
+#: Pieces that can't be in time are looked for this often, seconds: not with each decision,
+#: as all that waits is looked at.
 _LOOK_S = 0.05
 
 
--- a/ringseam/gateway/worth.py
+++ b/ringseam/gateway/worth.py
@@ -4,10 +4,9 @@
 
 import msgspec
 
-#: Each step of priority is worth this much less: a weight of ours, near requests that
-#: are worth 5, 1.1 and 0.4. No setting yet.
+#: Each step of priority is worth this much less.
 WORTH_RATIO = 0.25
-#: A late answer loses this share of its worth, a weight of ours too.
+#: A late answer loses this share of its worth.
 LATE_LOSS = 0.85
 
 #: Ranks of the requests of one client account; priorities of routes are below.
@@ -22,8 +21,7 @@
 
     Clients that were turned away and came back go after all others: they are late
     already, or have the time, and what they earn by being served is a part of
-    what another one loses by being late. Bought 0.05 of the worth (standard error
-    0.01) where a service is short of servers.
+    what another one loses by being late.
     """
 
     returned: bool = False
