--- a/tests/test_model/test_model_loads.py
+++ b/tests/test_model/test_model_loads.py
@@ -15,6 +15,7 @@
 import msgspec
 import pytest
 
+from ringseam.gateway.engines import placement
 from ringseam.model.experiment import run_experiment
 from ringseam.model.pattern import read_pattern
 
@@ -80,6 +81,30 @@
     assert found.wasted_s < 0.1 * found.stage_s
 
 
+def with_engines_turned(whole, factor):
+    """Return ten seconds of a pattern whose engines read ``factor`` times as fast."""
+    services = {
+        name: msgspec.structs.replace(load, read_tokens_per_s=factor * load.read_tokens_per_s)
+        for name, load in whole.services.items()
+    }
+    basics = msgspec.structs.replace(whole.basics, seconds=10)
+    return msgspec.structs.replace(whole, services=services, basics=basics)
+
+
+@pytest.mark.parametrize('factor', [1 / 3, 3])
+def test_engines_of_another_speed_are_served_as_if_it_were_known(monkeypatch, factor):
+    """Pattern bursts, engines that read three times as slowly or as fast as expected.
+
+    Placement compares engines with each other, so a common error changes little.
+    """
+    turned = with_engines_turned(pattern('bursts'), factor)
+    untold = run_experiment(turned, seed=1)
+    known = factor * placement.READ_TOKENS_PER_S
+    monkeypatch.setattr(placement, 'READ_TOKENS_PER_S', known)
+    told = run_experiment(turned, seed=1)
+    assert untold.net > told.net - 0.05
+
+
 def served_share(found):
     counts = list(found.ends.values())
     served = sum(kinds.get('in time', 0) + kinds.get('late', 0) for kinds in counts)
