--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -36,9 +36,6 @@
 #: Of more idle servers than this only so many are looked at, by chance: there are some of
 #: each zone and of the quick ones among them.
 _LOOKED_AT = 48
-#: What a call doesn't take of a job may follow in the next one if that leaves soon: after
-#: this share of the time that a call takes whatever its size.
-_SOON_SHARE = 0.25
 
 
 @dataclass(kw_only=True)
@@ -60,16 +57,6 @@
         """Return the pieces that the next calls of their zones don't reach."""
         return beyond_next_calls(self.ordered, self.servers, self.spec)
 
-    @property
-    def splits_jobs(self) -> bool:
-        """Return whether a call may take a part of a job.
-
-        Of many servers another one is soon free for the rest, so the job is done as soon
-        as if it had waited for that one, and no place is left empty.
-        """
-        until_next_s = self.spec.whole_call_s / (self.spec.slots * len(self.servers))
-        return until_next_s <= _SOON_SHARE * self.spec.call_s
-
 
 @dataclass(kw_only=True)
 class Batcher:
@@ -297,30 +284,30 @@
             or (piece.job.zone not in idle_zones and may_leave(piece, spec, now))
         ]
         late = [piece for piece in allowed if piece.job.due <= now]
-        return self._fit(near, server, looked) or self._fit(late, server, looked)
+        return self._fit(near, server, spec, now) or self._fit(late, server, spec, now)
 
     def _fit(
         self,
         pieces: list[Piece],
         server: BackendReport,
-        looked: Round,
+        spec: BatchSpec,
+        now: float,
     ) -> list[Piece]:
         """Return the first pieces that a call and the server's room take.
 
         The results of one job are of use together, so a job that a call doesn't
-        take whole is left to the next one, unless the rest follows soon: a part of it
-        would hold room, and all of it would be as late.
+        take whole is left to the next one: a part of it would hold room, and all
+        of it would be as late.
         """
-        spec = looked.spec
-        room = self.rooms.left(server.instance, spec, looked.now)
+        room = self.rooms.left(server.instance, spec, now)
         if room >= self.rooms.whole(spec):
             # An empty server takes one piece, whatever its size.
             room = max(room, pieces[0].job.result_bytes if pieces else 0)
         picked: list[Piece] = []
         for job_pieces in _by_job(pieces):
             free = spec.batch - len(picked)
-            in_part = free < len(job_pieces) <= spec.batch
-            if in_part and not (looked.splits_jobs or job_pieces[0].group.begun):
+            splits = free < len(job_pieces) <= spec.batch
+            if splits and not job_pieces[0].group.begun:
                 continue
             size = job_pieces[0].job.result_bytes
             fitting = max(0, int(room // size)) if size else free
--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -29,8 +29,6 @@
 #: Pieces that wait longer than this show that a service has no time or room to
 #: spare, seconds: half of a call of no pieces.
 _SCARCE_WAIT_S = 0.1
-#: A wait at a stage that uses results of others is taken for this many times as long.
-_AT_STAKE_MARGIN = 1.5
 #: A stage graph is run this often, when results are lost on the way.
 _GRAPH_TRIES = 2
 
@@ -99,11 +97,13 @@
 
     def predicted_s(self) -> float:
         """Return how long the stages would take from now, with what waits there."""
+        stages = self.stages
         ends: list[float] = []
-        for number, stage in enumerate(self.stages):
+        for number, stage in enumerate(stages):
             begin = max((ends[before] for before in stage.after), default=0)
             if self.plan.pieces_of(number):
-                begin += self._predicted_wait_s(stage) + self.plan.call_s(number)
+                begin += self.pieces.wait_s(stage.service, self.work.precedence)
+                begin += self.plan.call_s(number)
             ends.append(begin)
         return max(ends, default=0)
 
@@ -143,16 +143,6 @@
         """Return whether the stages could be run from the beginning."""
         return self.clock.now() + self.predicted_s() + FIRST_EVENT_S < self.work.deadline
 
-    def _predicted_wait_s(self, stage: RouteStage) -> float:
-        """Return how long a stage would wait, with a margin if work is at stake.
-
-        A request that is given up at a later stage has had the stages before made for
-        nothing. Clients that came back have no other chance.
-        """
-        wait_s = self.pieces.wait_s(stage.service, self.work.precedence)
-        at_stake = stage.after and not self.work.precedence.returned
-        return wait_s * _AT_STAKE_MARGIN if at_stake else wait_s
-
     async def _run_once(self) -> PieceFault | None:
         stages = self.stages
         tasks: dict[int, asyncio.Task[PieceFault | None]] = {}
