--- a/bench/losses.py
+++ b/bench/losses.py
@@ -16,6 +16,7 @@
 
 import typer
 
+from bench.stageaccount import lines_of
 from ringseam.plots import Column, column_plot
 
 #: Answers whose stages took this share of their time and more are late by them.
@@ -107,11 +108,14 @@
     log: Path,
     into: Annotated[Path, typer.Option(help='The page to write.')],
 ) -> None:
-    """Write the page and print the causes."""
-    losses = losses_of(rows_of(log.read_text()))
+    """Write the page; print the causes, and what the stages did."""
+    rows = rows_of(log.read_text())
+    losses = losses_of(rows)
     into.write_text(page_of(report.stem, json.loads(report.read_text()), losses))
     for cause, count in collections.Counter(loss.cause for loss in losses).most_common(20):
         typer.echo(f'{count:6} {cause}')
+    for line in lines_of(rows):
+        typer.echo(line)
 
 
 if __name__ == '__main__':
