Stages: a server that left a call unanswered gets one piece until it answers

Cause: a server that answers nothing is sent a full call again as soon as the last one was given up, after four times its length and more; two such failures within that time don't eject it beside earlier successes. Ruled out: the owner of the service, which decides all the time; admission.

Change: such a server comes last among idle ones, and gets the least urgent piece alone. A call that breaks off says nothing of this kind.

Conclusion: it answers silent servers; whether it helps where answers are lost isn't shown.

--- a/ringseam/gateway/following/health.py
+++ b/ringseam/gateway/following/health.py
@@ -34,6 +34,8 @@
     bad: float = 0
     counted_at: float = 0
     ejected_until: float = float('-inf')
+    #: Whether it left a call without an answer and has given none since.
+    silent: bool = False
     #: When it could last not be reached at all.
     unreachable_at: float = float('-inf')
     ejections: int = 0
@@ -75,9 +77,15 @@
         standing = self.of(instance)
         standing.decay(now)
         standing.good += 1
+        standing.silent = False
         if standing.good > 4 * standing.bad:
             standing.ejections = 0
 
+    def fell_silent(self, instance: BackendId, now: float) -> bool:
+        """Count a call that was not answered in time; True when it ejects the server."""
+        self.of(instance).silent = True
+        return self.failed(instance, now)
+
     def failed(self, instance: BackendId, now: float, *, hard: bool = False) -> bool:
         """Count a failure; True when it ejects the server.
 
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -242,9 +242,10 @@
         )
         return int((slowness - 1) * spec.batch * spec.slots * faster)
 
-    def _preference(self, server: BackendReport, now: float) -> tuple[float, int, str]:
+    def _preference(self, server: BackendReport, now: float) -> tuple[bool, float, int, str]:
         standing = self.health.of(server.instance)
         return (
+            standing.silent,
             round(standing.slowness_at(now), 1),
             self.rooms.kept_bytes.get(server.instance, 0),
             server.instance,
@@ -258,7 +259,9 @@
     ) -> list[Piece]:
         """Return the pieces of a call: those of its zone or in a hurry.
 
-        A server that would stay idle takes late pieces of other zones.
+        A server that would stay idle takes late pieces of other zones. One that left its
+        last call unanswered shows by the least urgent piece whether it answers again: until
+        then each call is lost for several times its length.
         """
         spec, now, servers = looked.spec, looked.now, looked.servers
         spared = self._spared(server, servers, spec, now)
@@ -284,6 +287,8 @@
             or (piece.job.zone not in idle_zones and may_leave(piece, spec, now))
         ]
         late = [piece for piece in allowed if piece.job.due <= now]
+        if self.health.of(server.instance).silent:
+            near, late = near[-1:], late[-1:]
         return self._fit(near, server, spec, now) or self._fit(late, server, spec, now)
 
     def _fit(
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -241,7 +241,9 @@
             end = CallEnd.broken if error.sent else CallEnd.unsent
             return CallFailure(end=end, detail=str(error))
         except (msgspec.MsgspecError, asyncio.TimeoutError) as error:
-            return CallFailure(end=CallEnd.broken, detail=f'{type(error).__name__} {error}')
+            in_vain = isinstance(error, asyncio.TimeoutError)
+            end = CallEnd.unanswered if in_vain else CallEnd.broken
+            return CallFailure(end=end, detail=f'{type(error).__name__} {error}')
         finally:
             for piece in call.pieces:
                 self.guard.ends.over(call.server, _name_of(piece))
@@ -257,6 +259,8 @@
         if end is CallEnd.full:
             # It works for another gateway, be it for one that is just gone.
             works.batcher.full_until[call.server.instance] = now + FULL_S
+        elif end is CallEnd.unanswered:
+            self.health.fell_silent(call.server.instance, now)
         else:
             hard = end is CallEnd.unsent
             self.health.failed(call.server.instance, now, hard=hard)
--- a/ringseam/gateway/stages/waiters.py
+++ b/ringseam/gateway/stages/waiters.py
@@ -22,6 +22,7 @@
     full = 'full'
     unsent = 'unsent'
     broken = 'broken'
+    unanswered = 'unanswered'
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/test_gateway/test_stages/test_stages_batching.py
+++ b/tests/test_gateway/test_stages/test_stages_batching.py
@@ -167,6 +167,27 @@
     assert works.next_call([slow], SPEC, 0).server is slow
 
 
+def test_silent_server_gets_one_piece_until_it_answers():
+    """Pattern silent: a zone is cut off for seconds, and every call there is lost for
+    several times its length. It is the least urgent piece that finds out."""
+    works = batcher()
+    servers = [server('silent'), server('sound')]
+    works.health.fell_silent(BackendId('silent'), 0)
+    works.add(job('dear', rank=0, pieces=3), 0)
+    works.add(job('plain', pieces=3), 0)
+    works.add(job('last', pieces=3, due=20), 0)
+    call = works.next_call(servers, SPEC, 0)
+    assert call.server.instance == 'sound'
+    assert requests_of(call) == ['dear'] * 3
+    call = works.next_call(servers, SPEC, 0)
+    assert call.server.instance == 'silent'
+    assert requests_of(call) == ['last']
+    works.health.succeeded(BackendId('silent'), 1)
+    works.ended(call)
+    call = works.next_call([server('silent')], SPEC, 1)
+    assert len(call.pieces) > 1
+
+
 def test_piece_waits_for_its_zone_while_it_has_the_time():
     works = batcher()
     near, far = server('near', 'a'), server('far', 'b')
--- a/tests/test_gateway/test_stages/test_stages_scheduler.py
+++ b/tests/test_gateway/test_stages/test_stages_scheduler.py
@@ -139,6 +139,34 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(('first', 'silent'), [(hanging, True), (reset, False), (full, False)])
+def test_server_is_silent_from_a_call_without_an_answer_to_its_next_answer(key_file, first, silent):
+    async def run():
+        place = {}
+        seen = []
+        script, _ = piece_worker(lambda: place['crops'])
+
+        async def fail_once(asked, writer):
+            if 'stage-run' in asked.lines[0]:
+                seen.append(gateway.role.health.of(BackendId('worker')).silent)
+            if len(seen) == 1:
+                await first(asked, writer)
+            else:
+                await script(asked, writer)
+
+        crops, engine = ScriptedServer(fail_once), ScriptedServer(streaming(1, 3))
+        async with LocalGateway(key_file) as gateway:
+            place['crops'] = await crops.start()
+            gateway.add(place['crops'], service='crops', name='worker')
+            gateway.add(await engine.start())
+            found, _ = await gateway.ask('/staged/x', Pieces='1', Piece_Key='k')
+            seen.append(gateway.role.health.of(BackendId('worker')).silent)
+        assert found == 200
+        assert seen == [False, silent, False]
+
+    asyncio.run(run())
+
+
 def test_owner_that_is_stopping_is_waited_for(key_file):
     async def run():
         script, calls = piece_worker(lambda: '')
