Gateways log and count the limits that backend servers name

No line or counter showed a limit that a server named, so the hypotheses of the incident could not be told apart. Each answer's head, of plain requests, streams and calls for pieces, is heard in one place (ServerWords); events 350 to 352 and the gauge servers_limited show what was said. Nothing is decided by it yet.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,6 +23,7 @@
 from pathlib import Path
 
 from ringseam.backends import BackendReport, BackendState
+from ringseam.calls import ClientRequest
 from ringseam.layout import Layout, free_address
 from ringseam.lifetimes import backend_id, born_of, name_of
 from ringseam.platform.example import (
@@ -36,7 +37,7 @@
     example_document,
 )
 from ringseam.platform.registration import CONFIG_PATH, encode_report, report_path
-from ringseam.platform.requests import ClientRequest, decode_request, encode_request
+from ringseam.platform.requests import decode_request, encode_request
 from ringseam.platform.stages import FREE_PATH, RUN_PATH, decode_orders
 from ringseam.routes import ServiceName
 from ringseam.standin.direct import DirectServer
--- a/ringseam/cmd/demogateway.py
+++ b/ringseam/cmd/demogateway.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from ringseam.backends import BackendId, BackendState
+from ringseam.calls import ClientRequest
 from ringseam.control.role import ControlRole
 from ringseam.errors import UnreachableError
 from ringseam.gateway.role import GatewayRole
@@ -26,7 +27,7 @@
     example_document,
 )
 from ringseam.platform.registration import CONFIG_PATH, READY_PATH
-from ringseam.platform.requests import ClientRequest, encode_request
+from ringseam.platform.requests import encode_request
 from ringseam.routes import ServiceName
 from ringseam.settings import read_settings
 from ringseam.standin.direct import DirectServer
--- /dev/null
+++ b/ringseam/gateway/following/serverwords.py
@@ -0,0 +1,65 @@
+"""What backend servers say of themselves in the heads of their answers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.events import Event
+from ringseam.gateway.following.limits import LimitBook
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendId
+    from ringseam.calls import AnswerMarks
+    from ringseam.metrics import Metrics
+    from ringseam.node import Node
+
+logger = logging.getLogger(__name__)
+
+
+class ServerWords:
+    """Hear each answer's head, whatever the call was, and keep what it says."""
+
+    def __init__(self, *, node: Node, metrics: Metrics) -> None:
+        """Know nothing of any server."""
+        self.node = node
+        self.clock = node.clock
+        self.metrics = metrics
+        self.limits = LimitBook()
+        #: Servers whose unreadable words were logged.
+        self.unreadable: set[BackendId] = set()
+
+    def heard(self, instance: BackendId, marks: AnswerMarks) -> None:
+        """Take in what an answer says of its server."""
+        if marks.limit_unreadable:
+            self._note_unreadable(instance)
+        else:
+            self._note_limit(instance, marks)
+
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget servers that are gone."""
+        self.limits.keep_only(instances)
+        self.unreadable &= instances
+        self.metrics.put('servers_limited', self.limits.count)
+
+    # -- helpers ------------------------------------------------------------
+
+    def _note_limit(self, instance: BackendId, marks: AnswerMarks) -> None:
+        was_limited = self.limits.of(instance) is not None
+        self.limits.heard(instance, marks.limit_per_s, self.clock.now())
+        if was_limited == (marks.limit_per_s is not None):
+            return
+        event = Event.limit_ended if was_limited else Event.limit_named
+        self.node.events.emit(
+            logger,
+            event,
+            backend=instance,
+            per_s=marks.limit_per_s,
+            request=marks.attempt_id,
+        )
+
+    def _note_unreadable(self, instance: BackendId) -> None:
+        """Log an unreadable limit once; what the server said before it still holds."""
+        if instance not in self.unreadable:
+            self.unreadable.add(instance)
+            self.node.events.emit(logger, Event.limit_unreadable, backend=instance)
--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -10,10 +10,10 @@
 from ringseam.platform.requests import attempt_header, claimed_headers, retry_after
 
 if TYPE_CHECKING:
+    from ringseam.calls import ClientRequest
     from ringseam.gateway.work import Work
     from ringseam.metrics import Metrics
     from ringseam.node import Node
-    from ringseam.platform.requests import ClientRequest
     from ringseam.web.bodies import Headers
     from ringseam.web.server import Exchange
 
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -20,12 +20,12 @@
 from ringseam.util.tasks import cancelled
 
 if TYPE_CHECKING:
+    from ringseam.calls import ClientRequest
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.requests.answers import Answers
     from ringseam.gateway.requests.attempts import Attempts
     from ringseam.gateway.stages.client import PieceClient
     from ringseam.node import Node
-    from ringseam.platform.requests import ClientRequest
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.server import Exchange
 
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -6,10 +6,11 @@
 import logging
 from typing import TYPE_CHECKING
 
+from ringseam.calls import CallHeaders
 from ringseam.gateway.engines.silence import OpenAnswer
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
 from ringseam.gateway.worth import urgency_of
-from ringseam.platform.requests import CallHeaders, decode_marks, encode_call
+from ringseam.platform.requests import decode_marks, encode_call
 from ringseam.web.bodies import end_to_end
 from ringseam.web.client import ChannelError
 
@@ -18,6 +19,7 @@
     from ringseam.clock import Clock
     from ringseam.gateway.engines.silence import SilenceBook
     from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.following.serverwords import ServerWords
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.web.client import Channel, ChannelPool, ResponseHead
 
@@ -40,12 +42,14 @@
         health: HealthBook,
         silence: SilenceBook,
         clock: Clock,
+        words: ServerWords,
     ) -> None:
-        """Send over the connections of ``pool``."""
+        """Send over the connections of ``pool``; ``words`` hears all answers."""
         self.pool = pool
         self.health = health
         self.silence = silence
         self.clock = clock
+        self.words = words
 
     async def send(
         self,
@@ -126,6 +130,7 @@
             await channel.whole_body()
             channel.skip_answer()
         self.silence.heard(server.instance, marks.attempt_id, self.clock.now(), event=False)
+        self.words.heard(server.instance, marks)
         if marks.load is not None:
             self._note_load(server, marks.load.running, marks.load.waiting)
         if marks.not_run:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -18,6 +18,7 @@
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.lag import LoopLag
 from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.following.serverwords import ServerWords
 from ringseam.gateway.requests.answers import Answers
 from ringseam.gateway.requests.attempts import Attempts
 from ringseam.gateway.requests.forwarding import Forwarder
@@ -83,6 +84,7 @@
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._changed,
         )
+        self.words = ServerWords(node=self.node, metrics=self.metrics)
         self.guard = Guard(
             node=self.node,
             client=self.client,
@@ -109,7 +111,7 @@
         self.works = PieceScheduler(
             node=self.node,
             follower=self.follower,
-            calls=PieceCalls(pool=self.pool, clock=self.node.clock),
+            calls=PieceCalls(pool=self.pool, clock=self.node.clock, words=self.words),
             health=self.health,
             retries=self.retries,
             guard=self.guard,
@@ -135,6 +137,7 @@
                     health=self.health,
                     silence=self.silence,
                     clock=self.node.clock,
+                    words=self.words,
                 ),
                 placements=self.placements,
                 retries=self.retries,
@@ -238,6 +241,7 @@
             self.health.keep_only(known)
             self.placements.keep_only(known)
             self.pace.keep_only(known)
+            self.words.keep_only(known)
 
     async def _listen_always(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -17,11 +17,12 @@
 from ringseam.web.client import ChannelError
 
 if TYPE_CHECKING:
+    from ringseam.backends import BackendId
     from ringseam.clock import Clock
+    from ringseam.gateway.following.serverwords import ServerWords
     from ringseam.gateway.stages.jobs import (
         StageCall,
     )
-    from ringseam.web.bodies import Headers
     from ringseam.web.client import ChannelPool
 
 #: A new connection that isn't made after this long won't be, seconds.
@@ -37,10 +38,11 @@
 class PieceCalls:
     """Call servers over kept connections."""
 
-    def __init__(self, *, pool: ChannelPool, clock: Clock) -> None:
-        """Use the connections of ``pool``."""
+    def __init__(self, *, pool: ChannelPool, clock: Clock, words: ServerWords) -> None:
+        """Use the connections of ``pool``; ``words`` hears all answers."""
         self.pool = pool
         self.clock = clock
+        self.words = words
 
     async def run(self, call: StageCall) -> list[PieceResult]:
         """Return the results of a call, in the order of its pieces.
@@ -61,31 +63,32 @@
             )
             for piece in call.pieces
         ]
-        headers = stage_headers(call.server.instance)
-        body = await self._post(call.server.address, RUN_PATH, headers, encode_orders(orders))
+        server = call.server
+        body = await self._post(server.address, server.instance, RUN_PATH, encode_orders(orders))
         return decode_results(body, len(orders))
 
-    async def release(self, maker: str, handles: list[str]) -> None:
+    async def release(self, maker: str, instance: BackendId, handles: list[str]) -> None:
         """Give results up at their maker.
 
         :raises ChannelError: when it can't be told.
         """
-        await self._post(maker, FREE_PATH, stage_headers(''), encode_release(handles))
+        await self._post(maker, instance, FREE_PATH, encode_release(handles))
 
-    async def _post(self, address: str, path: str, headers: Headers, body: bytes) -> bytes:
+    async def _post(self, address: str, instance: BackendId, path: str, body: bytes) -> bytes:
         channel = await self.pool.acquire(address, timeout_s=_CONNECT_S)
         try:
-            await channel.send('POST', path, headers, body)
+            await channel.send('POST', path, stage_headers(instance), body)
             head = await channel.head()
             answer = await channel.whole_body()
         except BaseException:
             channel.close()
             raise
         self.pool.release(channel)
+        marks = decode_marks(head)
+        self.words.heard(instance, marks)
         if head.status != _OK:
             detail = f'{address}: status {head.status}'
-            not_run = decode_marks(head).not_run
-            if head.status == _UNAVAILABLE and not_run:
+            if head.status == _UNAVAILABLE and marks.not_run:
                 raise FullError(detail, sent=False)
-            raise ChannelError(detail, sent=not not_run)
+            raise ChannelError(detail, sent=not marks.not_run)
         return answer
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -367,7 +367,7 @@
         handles = works.released.pop(maker, [])
         try:
             async with asyncio.timeout(_RELEASE_TIMEOUT_S):
-                await self.calls.release(maker, handles)
+                await self.calls.release(maker, works.maker_of(handles), handles)
         except (ChannelError, asyncio.TimeoutError) as error:
             # The maker gives results up by itself after a while.
             logger.debug('results not released: %s', error)
--- a/ringseam/gateway/stages/waiters.py
+++ b/ringseam/gateway/stages/waiters.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.backends import BackendId
 from ringseam.gateway.stages.outlook import Outlook
 from ringseam.platform.stages import PieceFault, PieceResult
 
 if TYPE_CHECKING:
-    from ringseam.backends import BackendId
     from ringseam.gateway.stages.batching import Batcher
     from ringseam.gateway.stages.jobs import Piece
 
@@ -78,9 +78,14 @@
         self.kept[handle] = (instance, amount)
         self.batcher.rooms.kept(instance, amount)
 
+    def maker_of(self, handles: list[str]) -> BackendId:
+        """Return the server that made results, all of them the same; empty: not known."""
+        makers = (self.kept[handle][0] for handle in handles if handle in self.kept)
+        return next(makers, BackendId(''))
+
     def forget(self, handle: str) -> None:
         """Count a result's room no more."""
-        instance, amount = self.kept.pop(handle, ('', 0))
+        instance, amount = self.kept.pop(handle, (BackendId(''), 0))
         if instance:
             self.batcher.rooms.freed(instance, amount)
 
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -11,8 +11,8 @@
 from ringseam.verdicts import Suspect
 
 if TYPE_CHECKING:
+    from ringseam.calls import AnswerMarks, ClientRequest
     from ringseam.contents import ContentId
-    from ringseam.platform.requests import AnswerMarks, ClientRequest
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.web.client import Channel, ResponseHead
     from ringseam.web.server import Exchange
--- a/ringseam/model/clients.py
+++ b/ringseam/model/clients.py
@@ -9,11 +9,10 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
+from ringseam.calls import ClientRequest, PromptPart
 from ringseam.model.engines import ENDING
 from ringseam.model.pattern import HOST, Amount, EventKind
 from ringseam.platform.requests import (
-    ClientRequest,
-    PromptPart,
     decode_request,
     encode_request,
     retry_after,
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.calls import AnswerMarks
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
 from ringseam.model.stageservers import way_between
-from ringseam.platform.requests import AnswerMarks
 from ringseam.web.client import ChannelError, RefusedError, ResponseHead
 
 if TYPE_CHECKING:
--- a/ringseam/model/stageservers.py
+++ b/ringseam/model/stageservers.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from ringseam.backends import BackendReport
+    from ringseam.backends import BackendId, BackendReport
     from ringseam.clock import Clock
     from ringseam.gateway.stages.jobs import Piece, StageCall
     from ringseam.model.pattern import ServiceLoad
@@ -173,7 +173,7 @@
         await asyncio.sleep(way_s)
         return made
 
-    async def release(self, maker: str, handles: list[str]) -> None:
+    async def release(self, maker: str, instance: BackendId, handles: list[str]) -> None:
         """Give results up at their maker."""
         server = self.servers[maker]
         way_s = way_between(server.report.zone, self.zone, self.zone_s)
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
 from typing import TYPE_CHECKING
 
+from ringseam.calls import AnswerMarks, ClientRequest, PromptPart, ServerLoad
 from ringseam.clock import MS_PER_S
 from ringseam.lifetimes import name_of
 
 if TYPE_CHECKING:
+    from ringseam.calls import CallHeaders
     from ringseam.web.bodies import Headers
     from ringseam.web.client import ResponseHead
     from ringseam.web.server import Request
@@ -39,6 +41,8 @@
 # Running requests, waiting requests and slots.
 _LOAD = 'Worker-Load'
 _RETRY_AFTER = 'Retry-After'
+# Requests a second that a backend server takes from all gateways together, while it says so.
+_LIMIT = 'Server-Limit'
 _MISDIRECTED = 421
 #: Headers of an answer that are for the system alone.
 WITHHELD_FROM_CLIENTS = frozenset(name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id'))
@@ -65,65 +69,6 @@
 _REPLACED = SYSTEM_ONLY | {_DEADLINE.lower(), _AUTHORIZATION.lower()}
 
 
-@dataclass(frozen=True, kw_only=True)
-class PromptPart:
-    """A part of a prompt that may be cached."""
-
-    name: str
-    tokens: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class ClientRequest:
-    """What a client asks for beside the body, decoded."""
-
-    attempt_id: str
-    host: str
-    path: str
-    time_left_s: float | None
-    key: str
-    prompt_tokens: int = 0
-    #: Tokens to be generated: the client's estimate, else the most.
-    output_tokens: int = 0
-    prefix: tuple[PromptPart, ...] = ()
-    #: Pieces of each stage, and what marks the request's own pieces.
-    pieces: tuple[int, ...] = ()
-    piece_key: str = ''
-    last_event: int | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class CallHeaders:
-    """What the system tells a backend server beside the client's headers."""
-
-    instance: str
-    time_left_s: float
-    account: str = ''
-    urgency: int | None = None
-    inputs: tuple[str, ...] = ()
-    last_event: int | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServerLoad:
-    """A backend server's load as it told it."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class AnswerMarks:
-    """What a backend server's answer says of itself."""
-
-    attempt_id: str
-    authentic: bool
-    not_run: bool
-    encoded: bool
-    load: ServerLoad | None
-
-
 def decode_request(request: Request) -> ClientRequest:
     """Return what a client asks for; unreadable optional headers count as absent."""
     tokens = _numbers(request.header(_TOKENS))
@@ -183,6 +128,8 @@
 def decode_marks(head: ResponseHead) -> AnswerMarks:
     """Return what an answer's headers say."""
     load = _numbers(head.header(_LOAD))
+    limit = head.header(_LIMIT)
+    limit_per_s = _amount(limit)
     return AnswerMarks(
         attempt_id=head.header(_ATTEMPT_ID),
         authentic=bool(head.header(_SEAL)),
@@ -191,6 +138,8 @@
         load=ServerLoad(running=load[0], waiting=load[1], slots=load[2])
         if len(load) == 3
         else None,
+        limit_per_s=limit_per_s,
+        limit_unreadable=bool(limit) and limit_per_s is None,
     )
 
 
@@ -223,6 +172,11 @@
     return headers
 
 
+def limit_header(per_s: float) -> tuple[str, str]:
+    """Return the header by which a backend server names its limit."""
+    return (_LIMIT, f'{per_s:g}')
+
+
 def answer_marks(attempt_id: str) -> Headers:
     """Return the marks by which a backend server's answer is known as its own."""
     return [(_ATTEMPT_ID, attempt_id), (_SEAL, 'stand-in')]
@@ -232,6 +186,15 @@
     return int(text) if text.isascii() and text.isdigit() else None
 
 
+def _amount(text: str) -> float | None:
+    """Return a decimal number that is finite and not negative, else None."""
+    try:
+        amount = float(text)
+    except ValueError:
+        return None
+    return amount if math.isfinite(amount) and amount >= 0 else None
+
+
 def _numbers(text: str) -> tuple[int, ...]:
     found = [_number(piece.strip()) for piece in text.split(',')]
     return tuple(piece for piece in found if piece is not None)
--- a/tests/test_gateway/test_requests/test_requests_admission.py
+++ b/tests/test_gateway/test_requests/test_requests_admission.py
@@ -6,10 +6,10 @@
 
 import pytest
 
+from ringseam.calls import ClientRequest
 from ringseam.contents import ContentId
 from ringseam.gateway.requests.admission import Admission
 from ringseam.gateway.work import Work
-from ringseam.platform.requests import ClientRequest
 from ringseam.routes import RequestKind, Route, ServiceName, Target
 
 ROUTE = Route(
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendReport, BackendState
+from ringseam.calls import CallHeaders
 from ringseam.platform.registration import decode_leave, decode_report, instance_of
 from ringseam.platform.requests import (
     SYSTEM_ONLY,
-    CallHeaders,
     claimed_headers,
     decode_marks,
     decode_request,
--- a/tests/test_system/test_system_crashing.py
+++ b/tests/test_system/test_system_crashing.py
@@ -20,6 +20,7 @@
 import pytest
 
 from ringseam.backends import BackendState
+from ringseam.calls import ClientRequest
 from ringseam.clock import RuntimeClock
 from ringseam.control.role import ControlRole
 from ringseam.gateway.role import GatewayRole
@@ -28,7 +29,7 @@
 from ringseam.lifetimes import backend_id, name_of
 from ringseam.platform.example import HOST, KEY, example_document
 from ringseam.platform.registration import CONFIG_PATH
-from ringseam.platform.requests import ClientRequest, encode_request
+from ringseam.platform.requests import encode_request
 from ringseam.routes import ServiceName
 from ringseam.settings import read_settings
 from ringseam.standin.direct import DirectServer
