--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -191,6 +191,7 @@
 
     async def __aenter__(self) -> LocalGateway:
         role = self.role
+        role._serve_methods()
         await role.server.start()
         role.stack.push_async_callback(role.server.close)
         role.stack.callback(role.pool.close)
