Gateways log and count pauses that servers ask for, and servers that say they leave

A refusal that was followed by another server had no line at all, and what a server asked for with it was not shown. Events 353 to 355 and the gauges servers_paused and servers_leaving show it; nothing is decided by it yet.

--- a/ringseam/calls.py
+++ b/ringseam/calls.py
@@ -66,3 +66,7 @@
     limit_per_s: float | None = None
     #: Whether it names a limit that can't be read.
     limit_unreadable: bool = False
+    #: For how long the server wants nothing more from this gateway, seconds.
+    pause_s: float | None = None
+    #: Whether it leaves: it takes no new work.
+    leaving: bool = False
--- /dev/null
+++ b/ringseam/gateway/following/pauses.py
@@ -0,0 +1,43 @@
+"""Pauses that backend servers have asked this gateway for; a plain class."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.backends import BackendId
+
+#: A server is tried again after this long, whatever it asked for, seconds: it can't shut
+#: itself out for good.
+_LONGEST_S = 300.0
+
+
+@dataclass(kw_only=True)
+class PauseBook:
+    """Until when servers want nothing from this gateway."""
+
+    until: dict[BackendId, float] = field(default_factory=dict)
+
+    def heard(self, instance: BackendId, pause_s: float, now: float) -> None:
+        """Take in a pause; a shorter one doesn't end a longer one."""
+        until = now + min(pause_s, _LONGEST_S)
+        self.until[instance] = max(until, self.until.get(instance, until))
+
+    def left_s(self, instance: BackendId, now: float) -> float:
+        """Return how long a server's pause still lasts, seconds; 0: it takes requests."""
+        return max(0, self.until.get(instance, now) - now)
+
+    def first_end_s(self, instances: Collection[BackendId], now: float) -> float:
+        """Return when the first of some servers takes requests, seconds from now."""
+        return min((self.left_s(instance, now) for instance in instances), default=0)
+
+    def count(self, now: float) -> int:
+        """Return how many servers have a pause."""
+        return sum(1 for until in self.until.values() if until > now)
+
+    def keep_only(self, instances: set[BackendId]) -> None:
+        """Forget servers that are gone."""
+        self.until = {name: until for name, until in self.until.items() if name in instances}
--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -7,6 +7,7 @@
 
 from ringseam.events import Event
 from ringseam.gateway.following.limits import LimitBook
+from ringseam.gateway.following.pauses import PauseBook
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
@@ -26,6 +27,9 @@
         self.clock = node.clock
         self.metrics = metrics
         self.limits = LimitBook()
+        self.pauses = PauseBook()
+        #: Servers that have said that they leave.
+        self.leaving: set[BackendId] = set()
         #: Servers whose unreadable words were logged.
         self.unreadable: set[BackendId] = set()
 
@@ -35,12 +39,26 @@
             self._note_unreadable(instance)
         else:
             self._note_limit(instance, marks)
+        if marks.pause_s is not None:
+            self._note_pause(instance, marks, marks.pause_s)
+        if marks.leaving and instance not in self.leaving:
+            self.leaving.add(instance)
+            self.node.events.emit(
+                logger,
+                Event.server_leaving,
+                backend=instance,
+                request=marks.attempt_id,
+            )
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget servers that are gone."""
         self.limits.keep_only(instances)
+        self.pauses.keep_only(instances)
+        self.leaving &= instances
         self.unreadable &= instances
         self.metrics.put('servers_limited', self.limits.count)
+        self.metrics.put('servers_paused', self.pauses.count(self.clock.now()))
+        self.metrics.put('servers_leaving', len(self.leaving))
 
     # -- helpers ------------------------------------------------------------
 
@@ -58,6 +76,19 @@
             request=marks.attempt_id,
         )
 
+    def _note_pause(self, instance: BackendId, marks: AnswerMarks, pause_s: float) -> None:
+        now = self.clock.now()
+        began = not self.pauses.left_s(instance, now)
+        self.pauses.heard(instance, pause_s, now)
+        if began and pause_s:
+            self.node.events.emit(
+                logger,
+                Event.pause_requested,
+                backend=instance,
+                request=marks.attempt_id,
+                pause_s=pause_s,
+            )
+
     def _note_unreadable(self, instance: BackendId) -> None:
         """Log an unreadable limit once; what the server said before it still holds."""
         if instance not in self.unreadable:
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -118,6 +118,7 @@
             self._note_over(work, server)
         self._forget_replaced(server, outcome)
         self._note_lost(work, server, outcome)
+        self._note_refused(work, server, outcome)
         # An error may be given before anything is run.
         if isinstance(outcome, Answered) and outcome.head.status < _BAD_REQUEST:
             self.guard.answered(server, work.content_id)
@@ -185,6 +186,15 @@
             self.sender.silence.ended(server.instance, work.request.attempt_id)
             self.placements.ended(work)
 
+    def _note_refused(self, work: Work, server: BackendReport, outcome: TryOutcome) -> None:
+        if isinstance(outcome, NotRun) and outcome.reached:
+            self.answers.log(
+                work,
+                Event.request_turned_away,
+                backend=server.instance,
+                status=outcome.status,
+            )
+
     def _forget_replaced(self, server: BackendReport, outcome: TryOutcome) -> None:
         """Forget a server whose address another one has: a late report named it."""
         if isinstance(outcome, NotRun) and outcome.status == _MISDIRECTED:
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -43,7 +43,10 @@
 _RETRY_AFTER = 'Retry-After'
 # Requests a second that a backend server takes from all gateways together, while it says so.
 _LIMIT = 'Server-Limit'
+# "1" while a backend server leaves.
+_LEAVING = 'Server-Leaving'
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 #: Headers of an answer that are for the system alone.
 WITHHELD_FROM_CLIENTS = frozenset(name.lower() for name in (_LOAD, _NOT_RUN, 'Instance-Id'))
 #: Headers that are the system's alone to set on a call: the account, the server,
@@ -140,6 +143,8 @@
         else None,
         limit_per_s=limit_per_s,
         limit_unreadable=bool(limit) and limit_per_s is None,
+        pause_s=_amount(head.header(_RETRY_AFTER)) if head.status == _UNAVAILABLE else None,
+        leaving=head.header(_LEAVING).strip() == '1',
     )
 
 
