Tests that fail: a server that asked for a pause goes on getting requests

From half a second after its answer, 4 to 15 requests reach it from the gateway that was turned away, where two are allowed: plain requests, streams, engines placed here and by an owner, calls for pieces, results that are given up.

--- /dev/null
+++ b/tests/test_gateway/test_requests/test_requests_pauses.py
@@ -0,0 +1,186 @@
+"""Backend servers that turn requests away and ask for a pause, on each way to them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from ringseam.gateway.following.pauses import PauseBook
+from tests.gateways import LocalGateway, ScriptedServer, answer, stream_head
+
+#: From half a second after it was asked for, this many requests may come within a pause.
+ALLOWED = 2
+LATER = 8
+
+
+async def turning_away(asked, writer):
+    writer.write(
+        b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n',
+    )
+
+
+async def free(asked, writer):
+    writer.write(answer(asked))
+
+
+async def free_stream(asked, writer):
+    writer.write(stream_head(asked) + b'8\r\nid: 1\n\n\n\r\n0\r\n\r\n')
+
+
+async def ask_later(gateway, path, **headers):
+    """Ask once and, past the time in which requests were under way, some times more."""
+    await gateway.ask(path, Attempt_Id='first', **headers)
+    await asyncio.sleep(0.5)
+    asks = (gateway.ask(path, Attempt_Id=f'r{number}', **headers) for number in range(LATER))
+    return await asyncio.gather(*asks)
+
+
+# A server that had asked for a pause went on getting requests, on every way to it.
+@pytest.mark.parametrize('path', ['/idem/x', '/once/x', '/flow/x', '/sticky/x'])
+def test_server_that_asked_for_a_pause_gets_nothing_more(key_file, path):
+    async def run():
+        server = ScriptedServer(turning_away)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            answers = await ask_later(gateway, path)
+        assert len(server.asked) - 1 <= ALLOWED
+        assert [status for status, _ in answers] == [503] * LATER
+        for _, raw in answers:
+            head = raw.lower()
+            come_back_s = float(head.partition(b'retry-after: ')[2].split(b'\r\n')[0])
+            assert 1.5 <= come_back_s <= 3
+
+    asyncio.run(run())
+
+
+# An idle server that turns all away was preferred to one that works.
+@pytest.mark.parametrize(
+    ('path', 'script'),
+    [('/flow/x', free_stream), ('/sticky/x', free_stream)],
+)
+def test_requests_go_to_the_others_while_a_server_pauses(key_file, path, script):
+    async def run():
+        server, other = ScriptedServer(turning_away), ScriptedServer(script)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start(), name='a')
+            await gateway.ask(path)
+            gateway.add(await other.start(), name='b')
+            answers = await ask_later(gateway, path)
+        assert [status for status, _ in answers] == [200] * LATER
+        assert len(server.asked) - 1 <= ALLOWED
+
+    asyncio.run(run())
+
+
+# The owner that places for others isn't told of a pause by the server.
+def test_owner_places_elsewhere_for_a_gateway_that_was_turned_away(key_file):
+    async def run():
+        server, other = ScriptedServer(turning_away), ScriptedServer(free_stream)
+        async with LocalGateway(key_file) as owner, LocalGateway(key_file) as teller:
+            address = await server.start()
+            for gateway in (owner, teller):
+                gateway.add(address, name='a')
+                gateway.role.ownership.owners['plain'] = ''
+            teller.role.ownership.owners['plain'] = owner.role.node.address
+            await teller.ask('/sticky/x')
+            address = await other.start()
+            for gateway in (owner, teller):
+                gateway.add(address, name='b')
+            answers = await ask_later(teller, '/sticky/x')
+        assert [status for status, _ in answers] == [200] * LATER
+        assert len(server.asked) - 1 <= ALLOWED
+
+    asyncio.run(run())
+
+
+# Calls for pieces went back to the server after milliseconds.
+def test_stage_server_that_asked_for_a_pause_gets_no_calls(key_file):
+    async def run():
+        crops, engine = ScriptedServer(turning_away), ScriptedServer(free)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await crops.start(), service='crops')
+            gateway.add(await engine.start())
+            headers = {'Pieces': '2', 'Piece_Key': 'pk', 'Deadline_Ms': '900'}
+            await ask_later(gateway, '/staged/x', **headers)
+        assert len(crops.asked) - 1 <= ALLOWED
+
+    asyncio.run(run())
+
+
+def test_results_are_not_given_up_at_a_server_that_pauses(key_file):
+    async def run():
+        place = {}
+
+        async def crops_script(asked, writer):
+            if 'stage-run' not in asked.lines[0]:
+                await turning_away(asked, writer)
+                return
+            items = json.loads(asked.body)['items']
+            made = [{'handle': f'{place["crops"]}/{item["id"]}'} for item in items]
+            writer.write(answer(asked, json.dumps({'items': made}).encode()))
+
+        crops, engine = ScriptedServer(crops_script), ScriptedServer(free)
+        async with LocalGateway(key_file) as gateway:
+            place['crops'] = await crops.start()
+            gateway.add(place['crops'], service='crops')
+            gateway.add(await engine.start())
+            headers = {'Pieces': '2', 'Piece_Key': 'pk', 'Deadline_Ms': '900'}
+            await gateway.ask('/staged/x', Attempt_Id='first', **headers)
+            await asyncio.sleep(0.1)
+            came = len(crops.asked)
+            await ask_later(gateway, '/staged/x', **headers)
+        assert len(crops.asked) - came <= ALLOWED
+
+    asyncio.run(run())
+
+
+def test_server_is_used_again_after_its_pause(key_file):
+    async def run():
+        asked_for = []
+
+        async def script(asked, writer):
+            if asked_for:
+                await free(asked, writer)
+                return
+            asked_for.append(asked)
+            writer.write(
+                b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 0.4\r\n'
+                b'Content-Length: 0\r\n\r\n',
+            )
+
+        server = ScriptedServer(script)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            await gateway.ask('/idem/x')
+            await asyncio.sleep(0.45)
+            status, _ = await gateway.ask('/idem/x')
+        assert status == 200
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('value', ['nan', '-1', 'Wed, 21 Oct 2026 07:28:00 GMT', '', '1, 2'])
+def test_pause_that_is_no_number_is_none(key_file, value):
+    async def run():
+        async def script(asked, writer):
+            head = f'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: {value}\r\n'
+            writer.write(f'{head}Content-Length: 0\r\n\r\n'.encode())
+
+        server = ScriptedServer(script)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await server.start())
+            await gateway.ask('/idem/x', Attempt_Id='first')
+            await gateway.ask('/idem/x', Attempt_Id='second')
+        assert len(server.asked) == 2
+
+    asyncio.run(run())
+
+
+def test_pause_of_a_day_ends_after_minutes():
+    book = PauseBook()
+    book.heard('s', 86400, 0)
+    assert book.left_s('s', 0) == 300
+    book.heard('s', 1, 10)
+    assert book.left_s('s', 10) == 290
