Servers that asked a gateway for a pause get nothing from it until it is over

Cause: Retry-After of a server's answer was read by nobody, and a refusal with proof that nothing ran counts neither for nor against its server; idle as it is, it looked the best. Class: backpressure that is dropped at the edge. The gateway that is turned away keeps the pause (PauseBook, five minutes at most); its own choice, the owner that places for it (as servers to avoid), calls for pieces and results that are given up hold to it, a request that waited for a turn is chosen for anew. Where no server is left the request is refused at once with the end of the first pause, before its stages if all engines pause.

--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -93,24 +93,26 @@
             was_limited = self._is_limited(chosen.engine)
             await asyncio.sleep(chosen.wait_s)
             stays = was_limited or not self._is_limited(chosen.engine)
-            if stays and self.follower.is_serving(chosen.engine):
+            if stays and self._takes(chosen.engine):
                 break
             chosen = await self._choose(self._ask(work, dry=False))
-        work.turn_in_s = self._turn_in_s(chosen)
+        self._note_turn(work, chosen)
         return chosen.engine if chosen else None
 
     async def foresee(self, work: Work) -> BackendReport | None:
         """Return where a request would run now."""
         chosen = await self._choose(self._ask(work, dry=True))
-        work.turn_in_s = self._turn_in_s(chosen)
+        self._note_turn(work, chosen)
         return chosen.engine if chosen else None
 
     def is_limited(self, work: Work) -> bool:
-        """Return whether each server that a request may run on names a limit."""
-        if not self.turns.limits.count:
-            return False
+        """Return whether each server that a request may run on names a limit, or pauses."""
+        now = self.clock.now()
         serving = self.follower.serving(work.service, work.suspect.account, work.zones)
-        return bool(serving) and all(self._is_limited(server) for server in serving)
+        return bool(serving) and all(
+            self._is_limited(server) or self.pace.pauses.left_s(server.instance, now)
+            for server in serving
+        )
 
     def began(self, work: Work) -> None:
         """Tell that the first event has come."""
@@ -173,8 +175,28 @@
     def _is_limited(self, server: BackendReport) -> bool:
         return self.turns.limits.of(server.instance) is not None
 
-    def _turn_in_s(self, chosen: Chosen | None) -> float:
-        return chosen.wait_s if chosen is not None and chosen.engine is None else 0
+    def _takes(self, server: BackendReport) -> bool:
+        """Return whether a server takes new work from this gateway."""
+        paused = self.pace.pauses.left_s(server.instance, self.clock.now())
+        return not paused and self.follower.is_serving(server)
+
+    def _note_turn(self, work: Work, chosen: Chosen | None) -> None:
+        """Note after how long a request that was not placed may be."""
+        if chosen is not None and chosen.engine is not None:
+            work.turn_in_s = 0
+            return
+        end_s = self.pace.pauses.first_end_s(self._paused(work), self.clock.now())
+        turn_s = chosen.wait_s if chosen else 0
+        work.turn_in_s = min((wait_s for wait_s in (end_s, turn_s) if wait_s), default=0)
+
+    def _paused(self, work: Work) -> list[BackendId]:
+        """Return the servers that want nothing from this gateway now."""
+        now = self.clock.now()
+        return [
+            server.instance
+            for server in self.follower.view.serving(work.service)
+            if self.pace.pauses.left_s(server.instance, now)
+        ]
 
     def _ask(self, work: Work, *, dry: bool) -> PlaceRequest:
         now = self.clock.now()
@@ -189,7 +211,7 @@
             objective_ms=int((work.objective - now) * MS_PER_S),
             left_ms=int((work.deadline - now) * MS_PER_S),
             result_bytes=work.input_bytes,
-            avoid=tuple(work.tries.tried),
+            avoid=tuple(work.tries.tried.union(self._paused(work))),
             dry=dry,
             account=work.suspect.account,
             zones=None if work.zones is None else tuple(work.zones),
--- a/ringseam/gateway/following/pacing.py
+++ b/ringseam/gateway/following/pacing.py
@@ -14,6 +14,7 @@
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.limits import UNHEARD_S, WINDOW_S, LimitBook
 from ringseam.gateway.following.ownership import rendezvous_order
+from ringseam.gateway.following.pauses import PauseBook
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -72,6 +73,8 @@
     book: ColdBook = field(default_factory=ColdBook)
     health: HealthBook = field(default_factory=HealthBook)
     limits: LimitBook = field(default_factory=LimitBook)
+    #: The pauses that servers asked this gateway for; other gateways have their own.
+    pauses: PauseBook = field(default_factory=PauseBook)
     #: What a cold server bears: ``over`` times the rate that its service names, and
     #: ``slack`` requests besides, in any second.
     over: float = 1.5
@@ -129,6 +132,10 @@
         turn = self.last_at.get(instance, -_NEVER) + spacing_s
         return max(0, turn - now, self._limit_window_wait_s(instance, limit, now))
 
+    def call_wait_s(self, instance: BackendId, now: float) -> float:
+        """Return how long a call of this gateway, the owner, has to wait, seconds."""
+        return max(self.pauses.left_s(instance, now), self.limit_wait_s(instance, now))
+
     def take(
         self,
         instance: BackendId,
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING
 
 from ringseam.events import Event
-from ringseam.gateway.following.pacing import longest_wait_s
 from ringseam.gateway.requests.answers import BAD_GATEWAY, COME_BACK_S, GATEWAY_TIMEOUT
 from ringseam.gateway.requests.choice import MeasuredChoice
 from ringseam.gateway.requests.directtries import DirectTries
+from ringseam.gateway.requests.plainchoice import PlainChoice
 from ringseam.gateway.requests.relay import StreamEnd, StreamRelay, client_headers, is_stream
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun, Quarantined
 from ringseam.web.client import ChannelError
@@ -21,7 +21,6 @@
     from ringseam.gateway.engines.client import PlaceClient
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.guard import Guard
-    from ringseam.gateway.following.turns import Turn
     from ringseam.gateway.requests.answers import Answers
     from ringseam.gateway.requests.sending import Sender
     from ringseam.gateway.stages.graph import StageRun
@@ -31,6 +30,8 @@
 
 logger = logging.getLogger(__name__)
 
+#: Why a request is refused that some server would take later.
+NO_TURN = 'all servers that are left have asked for a pause or have no turn left'
 _BAD_REQUEST = 400
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
@@ -68,9 +69,12 @@
         self.retries = retries
         self.answers = answers
         self.guard = guard
-        self.turns = placements.turns
-        self.pace = placements.pace
-        self.plain = MeasuredChoice(health=sender.health, zone=node.zone)
+        self.plain = PlainChoice(
+            clock=node.clock,
+            follower=follower,
+            turns=placements.turns,
+            choice=MeasuredChoice(health=sender.health, zone=node.zone),
+        )
 
     async def run(self, work: Work, stages: StageRun | None) -> None:
         """Send until an answer is passed on, else give the final answer."""
@@ -86,12 +90,7 @@
         """Return the server that is expected to answer first."""
         if work.route.affinity:
             return await self.placements.choose(work)
-        servers = [
-            server
-            for server in self.follower.serving(work.service, work.suspect.account, work.zones)
-            if server.instance not in work.tries.tried
-        ]
-        return await self._choose_plain(work, servers)
+        return await self.plain.choose(work)
 
     async def send_once(
         self,
@@ -124,46 +123,6 @@
             self.guard.answered(server, work.content_id)
         return outcome
 
-    async def _choose_plain(
-        self,
-        work: Work,
-        servers: list[BackendReport],
-    ) -> BackendReport | None:
-        """Return the best of ``servers``, once the request may go there.
-
-        All gateways send to each of them, so each keeps to its share of what a cold one
-        bears. One that names a limit is passed over when it has no turn left.
-        """
-        now = self.clock.now()
-        service = self.follower.table.services.get(work.service)
-        cold = service.cold if service else None
-        peers = self.follower.gateway_names
-        waits = {
-            known.instance: self.pace.wait_s(known.instance, cold, now, peers=peers)
-            for known in servers
-        }
-        chosen = self.plain.choose(servers, now, waits)
-        if chosen is None or now + waits[chosen.instance] >= work.deadline:
-            return None
-        turn = await self._turn(work, chosen)
-        if not turn.granted:
-            work.turn_in_s = min(turn.wait_s, work.turn_in_s or turn.wait_s)
-            others = [known for known in servers if known.instance != chosen.instance]
-            return await self._choose_plain(work, others)
-        wait_s = max(turn.wait_s, waits[chosen.instance])
-        self.pace.sent(chosen.instance, now + wait_s)
-        if wait_s:
-            await asyncio.sleep(wait_s)
-            if not self.follower.is_serving(chosen):
-                return await self.choose(work)
-        return chosen
-
-    async def _turn(self, work: Work, server: BackendReport) -> Turn:
-        """Return a turn at a server, at once where it names no limit."""
-        longest_s = longest_wait_s(work.route.priority)
-        left_s = max(0, work.deadline - self.clock.now())
-        return await self.turns.take(server, min(longest_s, left_s))
-
     async def _send(
         self,
         work: Work,
@@ -306,8 +265,7 @@
         """Return whether a failed request may be sent to another server."""
         if not work.tries.may_repeat:
             return False
-        serving = self.follower.serving(work.service, work.suspect.account, work.zones)
-        return any(server.instance not in work.tries.tried for server in serving)
+        return self.plain.has_another(work)
 
     def _count_failure(self, work: Work, server: BackendReport) -> None:
         if self.health.failed(server.instance, self.clock.now()):
@@ -332,12 +290,12 @@
             await self._refuse(work, detail)
 
     async def _refuse(self, work: Work, detail: str) -> None:
-        """Say that nothing has run, and when a server with a limit may have a turn."""
+        """Say that nothing has run, and when a server may take it."""
         left_s = max(0, work.deadline - self.clock.now())
         await self.answers.refuse(
             work.exchange,
             work.request,
-            'no turn left at servers that name a limit' if work.turn_in_s else detail,
+            NO_TURN if work.turn_in_s else detail,
             come_back_s=max(COME_BACK_S, min(work.turn_in_s, left_s)),
             route=work.route.name,
         )
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -11,6 +11,7 @@
 from ringseam.gateway.following.guard import COME_BACK_S as SUSPECT_COME_BACK_S
 from ringseam.gateway.requests.admission import LAST_SERVER_S, Admission
 from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
+from ringseam.gateway.requests.attempts import NO_TURN
 from ringseam.gateway.requests.fairness import Fairness
 from ringseam.gateway.stages.graph import StageFault, StageRun, has_stages
 from ringseam.gateway.work import Work
@@ -255,7 +256,7 @@
         return True
 
     async def _has_no_turn(self, work: Work) -> bool:
-        """Refuse a request before its stages where all its servers name a limit in vain."""
+        """Refuse a request before its stages where no server will take it soon."""
         placements = self.attempts.placements
         if not work.route.affinity or not placements.is_limited(work):
             return False
@@ -265,7 +266,7 @@
         await self.answers.refuse(
             work.exchange,
             work.request,
-            'no turn left at servers that name a limit',
+            NO_TURN,
             come_back_s=self.admission.come_back_s(
                 work.turn_in_s,
                 work.deadline - self.clock.now(),
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -104,6 +104,7 @@
                 book=self.follower.coldness,
                 health=self.health,
                 limits=self.words.limits,
+                pauses=self.words.pauses,
                 over=own['cold_over'],
                 slack=own['cold_slack'],
             ),
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -212,7 +212,7 @@
             for server in servers
             if calls.get(server.instance, 0) < spec.slots
             and self.full_until.get(server.instance, 0) <= now
-            and not self.pace.limit_wait_s(server.instance, now)
+            and not self.pace.call_wait_s(server.instance, now)
         ]
         if len(idle) > _LOOKED_AT:
             idle = self.random.sample(idle, _LOOKED_AT)
@@ -330,7 +330,12 @@
         spec: BatchSpec,
         now: float,
     ) -> float:
-        sound = sum(self._part(server, spec) for server in servers if self._is_sound(server, now))
+        working = [
+            server
+            for server in servers
+            if self._is_sound(server, now) and not self.pace.pauses.left_s(server.instance, now)
+        ]
+        sound = sum(self._part(server, spec) for server in working)
         return self.flow.pieces_per_s(sound, spec)
 
     def _part(self, server: BackendReport, spec: BatchSpec) -> float:
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -192,12 +192,12 @@
                 works.resolve(piece, PieceResult(fault=PieceFault.late))
 
     def _dispatch_at_turn(self, works: ServicePieces, now: float) -> None:
-        """Look again when a server with a limit has a turn, if pieces wait for it."""
+        """Look again when a server has a turn, or its pause ends, if pieces wait for it."""
         if not works.batcher.waiting or works.turn_at > now:
             return
         service = works.batcher.service
         servers = (server.instance for server in self._servers(service))
-        waits = [wait_s for one in servers if (wait_s := self.pace.limit_wait_s(one, now))]
+        waits = [wait_s for one in servers if (wait_s := self.pace.call_wait_s(one, now))]
         if waits:
             works.turn_at = now + min(waits)
             loop = asyncio.get_running_loop()
@@ -395,11 +395,14 @@
         self._dispatch(works.batcher.service)
 
     def _release_wait_s(self, works: ServicePieces, maker: str) -> float:
-        """Return how long results are gathered, seconds: longer for one with a limit."""
+        """Return how long results are gathered, seconds.
+
+        Longer for a server that names a limit, and until the end of a pause.
+        """
         instance = works.maker_of(works.released[maker])
-        if self.pace.limits.of(instance) is None:
-            return _RELEASE_S
         now = self.node.clock.now()
+        if self.pace.limits.of(instance) is None:
+            return max(_RELEASE_S, self.pace.pauses.left_s(instance, now))
         last_at = works.released_at.get(instance, float('-inf'))
         released_at = max(now + _RELEASE_S, last_at + _RELEASE_LIMITED_S)
         works.released_at[instance] = released_at
--- a/ringseam/gateway/work.py
+++ b/ringseam/gateway/work.py
@@ -62,8 +62,8 @@
     rejected_for_content: bool = False
     #: When the only run of a suspected content was granted; None: not on trial.
     trial_at: float | None = None
-    #: After how long a server with a limit may have a turn for it, seconds; 0: it has found
-    #: one, or none that names a limit.
+    #: After how long a server that names a limit or has asked for a pause may take it,
+    #: seconds; 0: it has found one, or there is none.
     turn_in_s: float = 0
     #: How long the stages took, seconds.
     stages_s: float = 0
--- a/tests/test_gateway/test_requests/test_requests_pauses.py
+++ b/tests/test_gateway/test_requests/test_requests_pauses.py
@@ -58,7 +58,7 @@
 # An idle server that turns all away was preferred to one that works.
 @pytest.mark.parametrize(
     ('path', 'script'),
-    [('/flow/x', free_stream), ('/sticky/x', free_stream)],
+    [('/idem/x', free), ('/flow/x', free_stream), ('/sticky/x', free_stream)],
 )
 def test_requests_go_to_the_others_while_a_server_pauses(key_file, path, script):
     async def run():
