A server that says in an answer that it leaves gets no new work from who was told

Cause: the same as for limits and pauses, a word in an answer's head that nobody read; only reports that came through control counted, so a gateway out of touch with control, or one whose report was late, went on.

The view of servers keeps who has said so (BackendView.leaving): they serve nothing new, whatever a report says later, and an owner that hasn't heard is asked to avoid them. What runs there ends, results there are still fetched; the next lifetime counts as a new server.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -103,6 +103,8 @@
 
     #: Servers that take new work.
     by_service: dict[ServiceName, list[BackendReport]]
+    #: Servers that have said in an answer to this gateway that they leave.
+    leaving: dict[ServiceName, list[BackendId]]
     #: Availability zones by address.
     zones: dict[str, str]
 
@@ -119,6 +121,9 @@
     index: BackendIndex | None = None
     #: Servers that have left; a late report doesn't bring them back.
     left: Ended = field(default_factory=lambda: Ended(kept=LEFT_KEPT))
+    #: Servers that have said in an answer that they leave; a report that came by another
+    #: way and calls them ready doesn't bring them back.
+    leaving: Ended = field(default_factory=lambda: Ended(kept=LEFT_KEPT))
     #: Availability zones whose servers take no new work.
     drained: DrainedZones = field(default_factory=DrainedZones)
 
@@ -155,6 +160,12 @@
         self.left.add(instance)
         self.lose(instance)
 
+    def note_leaving(self, instance: BackendId) -> None:
+        """Hear from a server itself that it takes no new work; what it runs goes on."""
+        if instance not in self.leaving:
+            self.leaving.add(instance)
+            self.index = None
+
     def lose(self, instance: BackendId) -> None:
         """Forget a server that fell silent; it may come back."""
         if self.backends.pop(instance, None) is not None:
@@ -170,6 +181,10 @@
         """Return the servers of a service that take new work."""
         return self._indexed().by_service.get(service, [])
 
+    def leaving_of(self, service: ServiceName) -> list[BackendId]:
+        """Return the servers of a service that have said in an answer that they leave."""
+        return self._indexed().leaving.get(service, [])
+
     @property
     def zones(self) -> dict[str, str]:
         """Return the availability zones by address."""
@@ -187,9 +202,12 @@
     def _indexed(self) -> BackendIndex:
         if self.index is None:
             by_service: dict[ServiceName, list[BackendReport]] = {}
+            leaving: dict[ServiceName, list[BackendId]] = {}
             for report in self.backends.values():
-                if report.state is BackendState.ready and report.zone not in self.drained.names:
+                if report.instance in self.leaving:
+                    leaving.setdefault(report.service, []).append(report.instance)
+                elif report.state is BackendState.ready and report.zone not in self.drained.names:
                     by_service.setdefault(report.service, []).append(report)
             zones = {known.address: known.zone for known in self.backends.values()}
-            self.index = BackendIndex(by_service=by_service, zones=zones)
+            self.index = BackendIndex(by_service=by_service, leaving=leaving, zones=zones)
         return self.index
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -189,6 +189,11 @@
         turn_s = chosen.wait_s if chosen else 0
         work.turn_in_s = min((wait_s for wait_s in (end_s, turn_s) if wait_s), default=0)
 
+    def _avoided(self, work: Work) -> tuple[str, ...]:
+        """Return the servers that the owner, which may not know it, shall not choose."""
+        leaving = self.follower.view.leaving_of(work.service)
+        return tuple(work.tries.tried.union(self._paused(work), leaving))
+
     def _paused(self, work: Work) -> list[BackendId]:
         """Return the servers that want nothing from this gateway now."""
         now = self.clock.now()
@@ -211,7 +216,7 @@
             objective_ms=int((work.objective - now) * MS_PER_S),
             left_ms=int((work.deadline - now) * MS_PER_S),
             result_bytes=work.input_bytes,
-            avoid=tuple(work.tries.tried.union(self._paused(work))),
+            avoid=self._avoided(work),
             dry=dry,
             account=work.suspect.account,
             zones=None if work.zones is None else tuple(work.zones),
--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -10,7 +10,7 @@
 from ringseam.gateway.following.pauses import PauseBook
 
 if TYPE_CHECKING:
-    from ringseam.backends import BackendId
+    from ringseam.backends import BackendId, BackendView
     from ringseam.calls import AnswerMarks
     from ringseam.metrics import Metrics
     from ringseam.node import Node
@@ -21,11 +21,12 @@
 class ServerWords:
     """Hear each answer's head, whatever the call was, and keep what it says."""
 
-    def __init__(self, *, node: Node, metrics: Metrics) -> None:
-        """Know nothing of any server."""
+    def __init__(self, *, node: Node, metrics: Metrics, view: BackendView) -> None:
+        """Know nothing of any server; ``view`` hears which ones leave."""
         self.node = node
         self.clock = node.clock
         self.metrics = metrics
+        self.view = view
         self.limits = LimitBook()
         self.pauses = PauseBook()
         #: Servers that have said that they leave.
@@ -43,6 +44,7 @@
             self._note_pause(instance, marks, marks.pause_s)
         if marks.leaving and instance not in self.leaving:
             self.leaving.add(instance)
+            self.view.note_leaving(instance)
             self.node.events.emit(
                 logger,
                 Event.server_leaving,
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -85,7 +85,11 @@
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._changed,
         )
-        self.words = ServerWords(node=self.node, metrics=self.metrics)
+        self.words = ServerWords(
+            node=self.node,
+            metrics=self.metrics,
+            view=self.follower.view,
+        )
         self.guard = Guard(
             node=self.node,
             client=self.client,
