Soak and stand-in: servers name limits, ask for pauses and say that they leave

A third list of faults; what reaches a server meanwhile is checked in runs of its own and beside all other faults, where a restart, freeze or cut excuses.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,7 +5,8 @@
 delays, resets and silences their connections, cut off streams, leave, and start
 again under their names; some contents end each server that runs them, and come again
 and again. A zone is drained and used again, documents grow to 1,500 routes, and others send
-reports that aren't a server's. What callers and servers see is checked while it runs.
+reports that aren't a server's. Servers name limits, ask for pauses and say that they
+leave. What callers and servers see is checked while it runs.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from bench.soakwords import WORD_FAULTS, Words
 from ringseam.backends import BackendReport, BackendState
 from ringseam.calls import ClientRequest
 from ringseam.layout import Layout, free_address
@@ -55,6 +57,10 @@
 MORE_FAULTS = (*FAULTS, 'again', 'twice', 'foreign', 'large')
 ALL_FAULTS = (*MORE_FAULTS, 'ending', 'suspend')
 ZONE_FAULTS = (*ALL_FAULTS, 'drain', 'drain')
+#: Faults of one process, and of connections to servers or of servers.
+PROCESS_FAULTS = {'kill', 'stop', 'freeze', 'suspend'}
+WAY_FAULTS = {'both', 'delay', 'silence', 'reset', 'again', 'twice', 'ending'}
+EVERY_FAULT = (*ZONE_FAULTS, *WORD_FAULTS)
 #: The zone of a third of the servers, which is drained for a while, seconds; they get
 #: nothing later than this after the acknowledgement, seconds.
 ZONE = 'zone-2'
@@ -168,6 +174,8 @@
         self.left_at = None
         self.ended = False
         self.ender = None
+        #: When calls came and for what, while somebody looks.
+        self.arrivals = None
         self.proxy = Proxy(dice)
 
     async def begin(self):
@@ -209,6 +217,8 @@
         return earlier
 
     async def serve(self, exchange):
+        if self.arrivals is not None:
+            self.arrivals.append((time.monotonic(), exchange.request.path))
         late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
         if late and exchange.request.path != FREE_PATH:
             self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
@@ -265,7 +275,7 @@
 class Soak:
     """One run: processes, servers, clients, an operator and faults."""
 
-    def __init__(self, *, folder, seed, kinds=ZONE_FAULTS):
+    def __init__(self, *, folder, seed, kinds=EVERY_FAULT):
         self.dice = random.Random(seed)
         self.kinds = kinds
         self.routes = 0
@@ -278,6 +288,11 @@
         self.insisting = set()
         self.draining = None
         self.faults = collections.Counter()
+        self.saying = set()
+        #: How many faults have hit gateways or the ways to servers.
+        self.disturbed = 0
+        self.clients = CLIENTS
+        self.gateways = GATEWAYS
 
     def http_of(self, name):
         return self.system.layout.planned[name].http
@@ -299,7 +314,7 @@
             tasks.append(asyncio.create_task(self.operate_always()))
             await self.disturb(seconds)
             self.ending = True
-            await asyncio.gather(*tasks[1:], *self.insisting)
+            await asyncio.gather(*tasks[1:], *self.insisting, *self.saying)
             if self.draining is not None:
                 await self.draining
             tasks[0].cancel()
@@ -470,6 +485,7 @@
 
     async def inject(self, kind):
         name = self.dice.choice((*CONTROL, *GATEWAYS))
+        self.disturbed += kind in WAY_FAULTS or (kind in PROCESS_FAULTS and name in GATEWAYS)
         if kind == 'both':
             await asyncio.gather(self.inject('kill'), self.inject('silence'))
         elif kind == 'kill':
@@ -492,6 +508,10 @@
         elif kind == 'drain':
             if self.draining is None or self.draining.done():
                 self.draining = asyncio.create_task(self.drain_for_a_while())
+        elif kind in WORD_FAULTS:
+            server = self.a_staying_server()
+            if server.arrivals is None:
+                self.saying.add(asyncio.create_task(Words(self, server).say(kind)))
         elif kind == 'leave':
             await self.leave()
         elif kind in {'again', 'twice'}:
@@ -528,10 +548,15 @@
         """Let a server start again; what it sent before comes late."""
         server = self.a_staying_server()
         for _ in range(times):
-            earlier = await server.start_again()
-            await self.report(server, BackendState.ready)
+            earlier = await self.begin_again(server)
             await self.report_late(server, earlier)
 
+    async def begin_again(self, server):
+        """Let a server start again and report; return its earlier lifetime."""
+        earlier = await server.start_again()
+        await self.report(server, BackendState.ready)
+        return earlier
+
     async def report_late(self, server, earlier):
         late = encode_report(
             BackendReport(
@@ -646,7 +671,7 @@
     return whole
 
 
-def soak(seed, seconds, folder, kinds=ZONE_FAULTS):
+def soak(seed, seconds, folder, kinds=EVERY_FAULT):
     """Return the book and the faults of one run."""
     run = Soak(folder=Path(folder), seed=seed, kinds=kinds)
     return asyncio.run(run.run(seconds)), run.faults
@@ -657,7 +682,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--kinds', default=','.join(ZONE_FAULTS))
+    parser.add_argument('--kinds', default=','.join(EVERY_FAULT))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -182,6 +182,16 @@
     return (_LIMIT, f'{per_s:g}')
 
 
+def leaving_header() -> tuple[str, str]:
+    """Return the header by which a backend server says that it leaves."""
+    return (_LEAVING, '1')
+
+
+def not_run_header() -> tuple[str, str]:
+    """Return the header that says that a backend server did not run a request."""
+    return (_NOT_RUN, '1')
+
+
 def answer_marks(attempt_id: str) -> Headers:
     """Return the marks by which a backend server's answer is known as its own."""
     return [(_ATTEMPT_ID, attempt_id), (_SEAL, 'stand-in')]
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -11,7 +11,14 @@
 
 from ringseam.backends import BackendId, BackendReport, BackendState
 from ringseam.platform.registration import encode_report, report_path
-from ringseam.platform.requests import answer_marks, decode_request
+from ringseam.platform.requests import (
+    answer_marks,
+    decode_request,
+    leaving_header,
+    limit_header,
+    not_run_header,
+    retry_after,
+)
 from ringseam.platform.stages import (
     FREE_PATH,
     RUN_PATH,
@@ -23,12 +30,14 @@
 
 if TYPE_CHECKING:
     from ringseam.routes import ServiceName
+    from ringseam.web.bodies import Headers
     from ringseam.web.server import Exchange
 
 logger = logging.getLogger(__name__)
 
 _OK = 200
 _BAD_REQUEST = 400
+_UNAVAILABLE = 503
 _REPORT_S = 3.0
 _PIECE_S = 0.005
 _EVENT_S = 0.01
@@ -53,6 +62,11 @@
         self.zone = zone
         self.address = ''
         self.sequence = 0
+        #: What its answers say of itself: requests a second that it takes; that it leaves.
+        self.limit_per_s: float | None = None
+        self.says_leaving = False
+        #: While it is positive, all that comes is turned away with this pause, seconds.
+        self.pause_s: float = 0
         #: Identities of the requests and pieces that ran here, in order.
         self.ran: list[str] = []
         self.http = HttpServer(handler=self.serve, limits=HttpLimits())
@@ -87,25 +101,35 @@
     async def serve(self, exchange: Exchange) -> None:
         """Answer one call of a gateway."""
         path = exchange.request.path
-        if path == RUN_PATH:
+        if self.pause_s:
+            await exchange.respond(_UNAVAILABLE, [not_run_header(), retry_after(self.pause_s)])
+        elif path == RUN_PATH:
             await self._make_pieces(exchange)
         elif path == FREE_PATH:
-            await exchange.respond(_OK, [], b'{}')
+            await exchange.respond(_OK, self._words(), b'{}')
         elif exchange.request.header('Accept') == 'text/event-stream':
             await self._stream(exchange)
         else:
             await self._answer(exchange)
 
+    def _words(self) -> Headers:
+        """Return what each answer says of this server."""
+        words = [leaving_header()] if self.says_leaving else []
+        if self.limit_per_s is not None:
+            words.append(limit_header(self.limit_per_s))
+        return words
+
     async def _answer(self, exchange: Exchange) -> None:
         request = decode_request(exchange.request)
         self.ran.append(request.attempt_id)
         body = f'{self.instance} answers {request.attempt_id}\n'
-        await exchange.respond(_OK, answer_marks(request.attempt_id), body.encode())
+        marks = [*answer_marks(request.attempt_id), *self._words()]
+        await exchange.respond(_OK, marks, body.encode())
 
     async def _stream(self, exchange: Exchange) -> None:
         request = decode_request(exchange.request)
         self.ran.append(request.attempt_id)
-        marks = answer_marks(request.attempt_id)
+        marks = [*answer_marks(request.attempt_id), *self._words()]
         exchange.start(_OK, [*marks, ('Content-Type', 'text/event-stream')])
         for number in range((request.last_event or 0) + 1, _EVENTS + 1):
             await asyncio.sleep(_EVENT_S)
@@ -123,4 +147,4 @@
         names = [f'{order.attempt_id}-{order.stage}-{order.piece}' for order in orders]
         self.ran.extend(names)
         made = [PieceResult(handle=f'{self.address}/{name}') for name in names]
-        await exchange.respond(_OK, [], encode_results(made))
+        await exchange.respond(_OK, self._words(), encode_results(made))
--- a/tests/test_deploy/test_deploy_days.py
+++ b/tests/test_deploy/test_deploy_days.py
@@ -11,7 +11,8 @@
 ROOT = Path(__file__).parent.parent.parent
 DAYS = sorted((ROOT / 'deploy' / 'days').glob('*.toml'))
 KINDS = tomllib.loads((ROOT / 'bench' / 'days' / 'kinds.toml').read_text())
-KNOWN = {entry['kind'] for part in ('plan', 'faults') for entry in KINDS[part]}
+#: Contents that end servers are played besides what a deployment lists.
+KNOWN = {entry['kind'] for part in ('plan', 'faults') for entry in KINDS[part]} | {'poison'}
 #: Entries that have a place name it by the deployment's first one.
 PLACES = {'class': '@c0', 'service': '@s0', 'zone': '@z0', 'to_zone': '@z0'}
 LENGTH_S = 34.0
--- a/tests/test_system/test_system_soak.py
+++ b/tests/test_system/test_system_soak.py
@@ -6,6 +6,7 @@
 
 from bench.soak import (
     ALL_FAULTS,
+    EVERY_FAULT,
     FAULTS,
     LEAST_FAULTS,
     MORE_FAULTS,
@@ -14,14 +15,22 @@
     soak,
     unchunked,
 )
+from bench.soakwords import WORD_FAULTS
 
 pytestmark = pytest.mark.processes
 
 #: Seeds and what they draw from; those that ever failed join, with a line on the cause.
-SEEDS = ((1, FAULTS), (2, MORE_FAULTS), (3, ALL_FAULTS), (4, ZONE_FAULTS))
+SEEDS = (
+    (1, FAULTS),
+    (2, MORE_FAULTS),
+    (3, ALL_FAULTS),
+    (4, ZONE_FAULTS),
+    (5, EVERY_FAULT),
+    (6, WORD_FAULTS),
+)
 
 
-@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4'])
+@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6'])
 def test_promises_hold_under_faults(seed, kinds, tmp_path):
     book, faults = soak(seed, 6, tmp_path, kinds)
     assert book.broken == []
