--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -105,8 +105,8 @@
         self._note_turn(work, chosen)
         return chosen.engine if chosen else None
 
-    def is_limited(self, work: Work) -> bool:
-        """Return whether each server that a request may run on names a limit, or pauses."""
+    def must_wait(self, work: Work) -> bool:
+        """Return whether each server that a request may run on names a limit or pauses."""
         now = self.clock.now()
         serving = self.follower.serving(work.service, work.suspect.account, work.zones)
         return bool(serving) and all(
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -258,7 +258,7 @@
     async def _has_no_turn(self, work: Work) -> bool:
         """Refuse a request before its stages where no server will take it soon."""
         placements = self.attempts.placements
-        if not work.route.affinity or not placements.is_limited(work):
+        if not work.route.affinity or not placements.must_wait(work):
             return False
         await placements.foresee(work)
         if not work.turn_in_s:
