Stages: pauses and turns of all servers count in the predicted wait

While all stage servers had asked for a pause a request was taken in and held until nearly all of its time was over (0.80 s of 0.9 s in the new test); it is refused on arrival now. The pauses of other servers cost placement nothing while there are none.

--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -107,11 +107,12 @@
 
     def must_wait(self, work: Work) -> bool:
         """Return whether each server that a request may run on names a limit or pauses."""
-        now = self.clock.now()
+        paused = self.pace.pauses.paused(self.clock.now())
+        if not (paused or self.turns.limits.count):
+            return False
         serving = self.follower.serving(work.service, work.suspect.account, work.zones)
         return bool(serving) and all(
-            self._is_limited(server) or self.pace.pauses.left_s(server.instance, now)
-            for server in serving
+            server.instance in paused or self._is_limited(server) for server in serving
         )
 
     def began(self, work: Work) -> None:
@@ -196,12 +197,11 @@
 
     def _paused(self, work: Work) -> list[BackendId]:
         """Return the servers that want nothing from this gateway now."""
-        now = self.clock.now()
-        return [
-            server.instance
-            for server in self.follower.view.serving(work.service)
-            if self.pace.pauses.left_s(server.instance, now)
-        ]
+        paused = self.pace.pauses.paused(self.clock.now())
+        if not paused:
+            return []
+        serving = self.follower.view.serving(work.service)
+        return [server.instance for server in serving if server.instance in paused]
 
     def _ask(self, work: Work, *, dry: bool) -> PlaceRequest:
         now = self.clock.now()
--- a/ringseam/gateway/following/pauses.py
+++ b/ringseam/gateway/following/pauses.py
@@ -34,9 +34,9 @@
         """Return when the first of some servers takes requests, seconds from now."""
         return min((self.left_s(instance, now) for instance in instances), default=0)
 
-    def count(self, now: float) -> int:
-        """Return how many servers have a pause."""
-        return sum(1 for until in self.until.values() if until > now)
+    def paused(self, now: float) -> set[BackendId]:
+        """Return the servers whose pauses still last."""
+        return {instance for instance, until in self.until.items() if until > now}
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Forget servers that are gone."""
--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -59,7 +59,7 @@
         self.leaving &= instances
         self.unreadable &= instances
         self.metrics.put('servers_limited', self.limits.count)
-        self.metrics.put('servers_paused', self.pauses.count(self.clock.now()))
+        self.metrics.put('servers_paused', len(self.pauses.paused(self.clock.now())))
         self.metrics.put('servers_leaving', len(self.leaving))
 
     # -- helpers ------------------------------------------------------------
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -173,7 +173,10 @@
         if not servers:
             return Outlook(waiting=len(self.waiting))
         return Outlook(
-            until_free_s=self.flow.until_free_s(servers, spec, now),
+            until_free_s=max(
+                self.flow.until_free_s(servers, spec, now),
+                min(self.pace.call_wait_s(server.instance, now) for server in servers),
+            ),
             leaving_per_s=self._pieces_per_s(servers, spec, now),
             coming_per_s=self.flow.coming.per_s(now),
             ahead=collections.Counter(
--- a/tests/test_gateway/test_requests/test_requests_pauses.py
+++ b/tests/test_gateway/test_requests/test_requests_pauses.py
@@ -109,6 +109,26 @@
     asyncio.run(run())
 
 
+# What waits for servers that all pause is hopeless at once, not when its time is over.
+def test_request_is_refused_before_its_stages_while_all_stage_servers_pause(key_file):
+    async def run():
+        crops, engine = ScriptedServer(turning_away), ScriptedServer(free)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add(await crops.start(), service='crops')
+            gateway.add(await engine.start())
+            headers = {'Pieces': '2', 'Piece_Key': 'pk', 'Deadline_Ms': '900'}
+            await gateway.ask('/staged/x', Attempt_Id='first', **headers)
+            begun = gateway.role.node.clock.now()
+            status, raw = await gateway.ask('/staged/x', Attempt_Id='second', **headers)
+            took_s = gateway.role.node.clock.now() - begun
+        assert status == 503
+        assert b'Retry-After' in raw
+        assert took_s < 0.5
+        assert len(crops.asked) == 1
+
+    asyncio.run(run())
+
+
 def test_results_are_not_given_up_at_a_server_that_pauses(key_file):
     async def run():
         place = {}
