--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.calls import AnswerMarks
 from ringseam.gateway.work import Answered, LossCause, Lost, NotRun
+from ringseam.model.saying import Saying
 from ringseam.model.stageservers import way_between
 from ringseam.web.client import ChannelError, RefusedError, ResponseHead
 
@@ -20,6 +20,7 @@
     from ringseam.clock import Clock
     from ringseam.gateway.engines.silence import SilenceBook
     from ringseam.gateway.following.health import HealthBook
+    from ringseam.gateway.following.serverwords import ServerWords
     from ringseam.gateway.work import TryOutcome, Work
     from ringseam.model.pattern import ServiceLoad
     from ringseam.model.stageservers import Results
@@ -29,6 +30,7 @@
 _AGAIN_S = 9.3
 _CONFLICT = 409
 _OK = 200
+_UNAVAILABLE = 503
 
 
 @dataclass(kw_only=True, eq=False)
@@ -79,6 +81,7 @@
     cache: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     task: asyncio.Task[None] | None = None
+    saying: Saying = field(default_factory=Saying)
     #: Called when a content ends this engine.
     on_end: Callable[[], None] = lambda: None
 
@@ -238,6 +241,7 @@
     #: How many events a request is answered with.
     events_of: dict[str, int]
     health: HealthBook
+    words: ServerWords
     pool: ModelPool = field(init=False)
 
     def __post_init__(self) -> None:
@@ -257,6 +261,10 @@
         await asyncio.sleep(way_s)
         if engine.down:
             return NotRun(detail='down')
+        attempt = work.request.attempt_id
+        if engine.saying.turns_away(engine.clock.now()):
+            self.words.heard(server.instance, engine.saying.marks(attempt, engine.clock.now()))
+            return NotRun(detail='paused', reached=True, status=_UNAVAILABLE)
         if not await self.kept.fetch(work.inputs, server.zone):
             return NotRun(detail='input gone', reached=True, status=_CONFLICT)
         events = self.events_of[work.request.attempt_id]
@@ -272,13 +280,8 @@
         channel.first = first
         await asyncio.sleep(way_s)
         head = ResponseHead(status=_OK, headers=[('Content-Type', 'text/event-stream')])
-        marks = AnswerMarks(
-            attempt_id=work.request.attempt_id,
-            authentic=True,
-            not_run=False,
-            encoded=False,
-            load=None,
-        )
+        marks = engine.saying.marks(attempt, engine.clock.now())
+        self.words.heard(server.instance, marks)
         # The channel stands in for one of the pool's.
         return Answered(head=head, marks=marks, channel=channel)  # type: ignore[arg-type]
 
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -37,6 +37,8 @@
 _WHOLE_SHARE = 3 / 4
 #: A server that fell silent is out of the directory after this, seconds.
 _NOTICED_S = 4.5
+#: Servers say something of themselves, and go on.
+_WORDS = frozenset((EventKind.limited, EventKind.paused, EventKind.saying))
 #: An engine that a content has ended is back after this, seconds.
 _AWAY_S = 2.0
 
@@ -206,7 +208,19 @@
             await self._strike(event, report)
         await asyncio.sleep(event.for_s)
         for report in hit:
-            self._mend(report)
+            if event.kind in _WORDS:
+                self._server(report).saying.limit_per_s = None
+            else:
+                self._mend(report)
+
+    def _let_say(self, event: PatternEvent, server: StageServer | ModelEngine) -> None:
+        """Let a server say something of itself from now on."""
+        if event.kind is EventKind.limited:
+            server.saying.limit_per_s = event.factor
+        elif event.kind is EventKind.paused:
+            server.saying.paused_until = self.clock.now() + event.for_s
+        else:
+            server.saying.leaving = True
 
     async def _drain(self, event: PatternEvent) -> None:
         self._tell_drained({*self.drained.names, event.of})
@@ -228,6 +242,8 @@
             server.factor = event.factor
         elif event.kind is EventKind.silent:
             server.silent = True
+        elif event.kind in _WORDS:
+            self._let_say(event, server)
         else:
             server.crash()
             loop = asyncio.get_running_loop()
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -17,7 +17,7 @@
 from ringseam.gateway.following.health import HealthBook
 from ringseam.gateway.following.ownership import Ownership
 from ringseam.gateway.following.pacing import Pace
-from ringseam.gateway.following.turnmessages import TURN
+from ringseam.gateway.following.serverwords import ServerWords
 from ringseam.gateway.following.turns import Turns
 from ringseam.gateway.requests.answers import Answers
 from ringseam.gateway.requests.attempts import Attempts
@@ -175,16 +175,23 @@
             incarnation=name,
         )
         self.node = node
+        self.links = links
         self.health = HealthBook()
         self.follower: Any = ModelFollower(table=table)
         ownership = Ownership(follower=self.follower, name=name)
         client: Any = links
+        words = ServerWords(node=node, metrics=Metrics(), view=self.follower.view)
         turns = Turns(
             node=node,
             client=client,
             follower=self.follower,
             ownership=ownership,
-            pace=Pace(name=name, health=self.health),
+            pace=Pace(
+                name=name,
+                health=self.health,
+                limits=words.limits,
+                pauses=words.pauses,
+            ),
         )
         self.placements = PlaceClient(
             node=node,
@@ -203,6 +210,7 @@
             zone_s=links.zone_s,
             events_of=servers.events_of,
             health=self.health,
+            words=words,
         )
         self.guard = Guard(
             node=node,
@@ -211,7 +219,12 @@
             health=self.health,
             pool=sender.pool,
         )
-        calls: Any = ModelPieceCalls(servers=servers.stages, zone=zone, zone_s=links.zone_s)
+        calls: Any = ModelPieceCalls(
+            servers=servers.stages,
+            zone=zone,
+            zone_s=links.zone_s,
+            words=words,
+        )
         self.works = PieceScheduler(
             node=node,
             follower=self.follower,
@@ -240,7 +253,7 @@
             attempts=attempts,
             answers=answers,
         )
-        self._listen(links, turns)
+        self._listen(turns)
 
     @property
     def state(self) -> GatewayState:
@@ -260,13 +273,18 @@
         self.works.ownership.sole_since = dict.fromkeys(services, float('-inf'))
         self.works.ownership.refresh()
 
-    def _listen(self, links: ModelLinks, turns: Turns) -> None:
+    def add(self, method: Any, handler: Any) -> None:
+        """Take calls of a method from other gateways."""
+        self.links.handlers[self.node.address, method.path] = handler
+
+    def _listen(self, turns: Turns) -> None:
         for method, handler in (
             (PIECES, self.pieces.serve_pieces),
             (WAITS, self.pieces.serve_waits),
             (RELEASE, self.pieces.serve_release),
             (PLACE, self.placements.serve_place),
             (PROGRESS, self.placements.serve_progress),
-            (TURN, turns.serve),
         ):
-            links.handlers[self.node.address, method.path] = handler
+            self.add(method, handler)
+        listener: Any = self
+        turns.listen(listener)
--- a/ringseam/model/pattern.py
+++ b/ringseam/model/pattern.py
@@ -131,6 +131,12 @@
     ending = 'ending'
     #: The servers of the zone ``of`` get nothing new, and are used again later.
     drained = 'drained'
+    #: Servers name a limit of ``factor`` requests a second.
+    limited = 'limited'
+    #: Servers turn all away and ask for a pause.
+    paused = 'paused'
+    #: Servers say in their answers alone that they leave.
+    saying = 'saying'
 
 
 class PatternEvent(msgspec.Struct, frozen=True, kw_only=True):
--- a/ringseam/model/stageservers.py
+++ b/ringseam/model/stageservers.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.stages.calls import FullError
+from ringseam.model.saying import Saying
 from ringseam.platform.stages import PieceFault, PieceResult, maker_of
 from ringseam.web.client import ChannelError
 
@@ -17,6 +18,7 @@
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.clock import Clock
+    from ringseam.gateway.following.serverwords import ServerWords
     from ringseam.gateway.stages.jobs import Piece, StageCall
     from ringseam.model.pattern import ServiceLoad
 
@@ -75,6 +77,7 @@
     silent: bool = False
     down: bool = False
     waiting: int = 0
+    saying: Saying = field(default_factory=Saying)
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
     room: float = 0
     #: Bytes of the results that are kept here.
@@ -163,19 +166,26 @@
     servers: dict[str, StageServer]
     zone: str
     zone_s: float
+    words: ServerWords
 
     async def run(self, call: StageCall) -> list[PieceResult]:
         """Return the results of a call; see :class:`StageServer`."""
         server = self.servers[call.server.address]
         way_s = way_between(server.report.zone, self.zone, self.zone_s)
         await asyncio.sleep(way_s)
+        instance = call.server.instance
+        if server.saying.turns_away(server.clock.now()):
+            self.words.heard(instance, server.saying.marks('', server.clock.now()))
+            raise FullError('paused', sent=False)
         made = await server.run(call)
+        self.words.heard(instance, server.saying.marks('', server.clock.now()))
         await asyncio.sleep(way_s)
         return made
 
     async def release(self, maker: str, instance: BackendId, handles: list[str]) -> None:
         """Give results up at their maker."""
         server = self.servers[maker]
+        server.saying.arrived.append(server.clock.now())
         way_s = way_between(server.report.zone, self.zone, self.zone_s)
         await asyncio.sleep(way_s)
         for handle in handles:
