Turns are counted once, and answers of unknown servers say nothing

Read in the diff: who took a turn counted it, and the choice of a plain server counted it again, so half of a limit stayed unused at its owner; the answer to results that were given up at a server that isn't known any more was kept under an empty name; at a server with a limit and a pause results were given up within the pause.

--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -35,7 +35,9 @@
         self.unreadable: set[BackendId] = set()
 
     def heard(self, instance: BackendId, marks: AnswerMarks) -> None:
-        """Take in what an answer says of its server."""
+        """Take in what an answer says of its server; empty: it isn't known which."""
+        if not instance:
+            return
         if marks.limit_unreadable:
             self._note_unreadable(instance)
         else:
--- a/ringseam/gateway/following/turns.py
+++ b/ringseam/gateway/following/turns.py
@@ -69,7 +69,10 @@
         server.add(TURN, self.serve)
 
     async def take(self, server: BackendReport, longest_s: float) -> Turn:
-        """Return a turn at a server within ``longest_s``, if it has one left."""
+        """Return a turn at a server within ``longest_s``, if it has one left.
+
+        Who takes it counts the request in the pace.
+        """
         limit = self.limits.of(server.instance)
         if limit is None:
             return Turn(granted=True)
@@ -89,6 +92,8 @@
         self.learn([request.limit])
         self._count_unheard(request)
         turn = self._take_here(instance, request.longest_ms / MS_PER_S, frozenset())
+        if turn.granted:
+            self.pace.sent(instance, self.clock.now() + turn.wait_s)
         known = self.told([instance])
         return TurnReply(
             granted=turn.granted,
@@ -126,12 +131,8 @@
     # -- helpers ------------------------------------------------------------
 
     def _take_here(self, instance: BackendId, longest_s: float, beside: frozenset[str]) -> Turn:
-        now = self.clock.now()
-        wait_s = self.pace.limit_wait_s(instance, now, peers=beside)
-        if wait_s > longest_s:
-            return Turn(granted=False, wait_s=wait_s)
-        self.pace.sent(instance, now + wait_s)
-        return Turn(granted=True, wait_s=wait_s)
+        wait_s = self.pace.limit_wait_s(instance, self.clock.now(), peers=beside)
+        return Turn(granted=wait_s <= longest_s, wait_s=wait_s)
 
     async def _ask(
         self,
@@ -153,10 +154,7 @@
         except UnreachableError as error:
             logger.debug('turn sought here: %s', error)
             return None
-        reply: TurnReply = received.body
-        if reply.granted:
-            self.pace.sent(server.instance, self.clock.now() + reply.wait_s)
-        return reply
+        return received.body
 
     def _count_unheard(self, request: TurnRequest) -> None:
         """Count what a gateway sent before it was told, once for each limit."""
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -404,7 +404,8 @@
         if self.pace.limits.of(instance) is None:
             return max(_RELEASE_S, self.pace.pauses.left_s(instance, now))
         last_at = works.released_at.get(instance, float('-inf'))
-        released_at = max(now + _RELEASE_S, last_at + _RELEASE_LIMITED_S)
+        pause_s = self.pace.pauses.left_s(instance, now)
+        released_at = max(now + max(_RELEASE_S, pause_s), last_at + _RELEASE_LIMITED_S)
         works.released_at[instance] = released_at
         self.pace.count(instance, released_at)
         return released_at - now
--- a/tests/test_gateway/test_requests/test_requests_limits.py
+++ b/tests/test_gateway/test_requests/test_requests_limits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ringseam.backends import BackendId
+from ringseam.calls import AnswerMarks
 from tests.gateways import (
     LocalGateway,
     ScriptedServer,
@@ -124,6 +125,26 @@
     asyncio.run(run())
 
 
+def test_answer_of_an_unknown_server_says_nothing(key_file):
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            marks = AnswerMarks(
+                attempt_id='',
+                authentic=False,
+                not_run=True,
+                encoded=False,
+                load=None,
+                limit_per_s=1,
+                pause_s=3,
+                leaving=True,
+            )
+            words = gateway.role.words
+            words.heard(BackendId(''), marks)
+        assert (words.limits.named, words.pauses.until, words.leaving) == ({}, {}, set())
+
+    asyncio.run(run())
+
+
 def test_limit_ends_with_an_answer_that_names_none(key_file):
     async def run():
         says = {'extra': LIMIT}
