--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -33,7 +33,7 @@
     from ringseam.node import Node
     from ringseam.quarantinemessages import Suspect
     from ringseam.rpc import CallClient
-    from ringseam.web.client import HttpChannelPool
+    from ringseam.web.pool import HttpChannelPool
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -35,7 +35,7 @@
     from ringseam.gateway.requestcontext import RequestContext
     from ringseam.node import Node
     from ringseam.rpc import CallClient
-    from ringseam.web.client import HttpChannelPool
+    from ringseam.web.pool import HttpChannelPool
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -21,7 +21,8 @@
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.following.serverwords import ServerNotices
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
-    from ringseam.web.client import HttpChannel, HttpChannelPool, ResponseHead
+    from ringseam.web.client import HttpChannel, ResponseHead
+    from ringseam.web.pool import HttpChannelPool
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -33,7 +33,7 @@
 from ringseam.platform.registration import READY_PATH
 from ringseam.retries import WindowRetries
 from ringseam.role import Role
-from ringseam.web.client import HttpChannelPool
+from ringseam.web.pool import HttpChannelPool
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -23,7 +23,7 @@
     from ringseam.gateway.stages.jobs import (
         StageCall,
     )
-    from ringseam.web.client import HttpChannelPool
+    from ringseam.web.pool import HttpChannelPool
 
 #: Timeout for opening a connection, seconds.
 _CONNECT_S = 0.4
--- a/tests/test_system/test_system_crashing.py
+++ b/tests/test_system/test_system_crashing.py
@@ -33,7 +33,8 @@
 from ringseam.routes import ServiceName
 from ringseam.settings import read_settings
 from ringseam.standin.direct import DirectServer
-from ringseam.web.client import ChannelError, HttpChannelPool
+from ringseam.web.client import ChannelError
+from ringseam.web.pool import HttpChannelPool
 from ringseam.web.server import HttpLimits, HttpServer
 
 SERVICE = 'writers'
