--- /dev/null
+++ b/ringseam/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares of scarce capacity between client accounts."""
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -10,7 +10,8 @@
 from ringseam.events import Event
 from ringseam.gateway.following.guard import RETRY_AFTER_S as SUSPECT_RETRY_AFTER_S
 from ringseam.gateway.requestcontext import RequestContext
-from ringseam.gateway.requests.admission import FINAL_SERVER_S, Admission
+from ringseam.gateway.requests.admission import Admission
+from ringseam.gateway.requests.admissionpolicy import AdmissionPolicy, PredictedDelayPolicy
 from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.requests.attempts import SERVERS_LIMITED
 from ringseam.gateway.requests.fairness import Fairness
@@ -67,6 +68,9 @@
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
         self.admission = Admission(seed=node.incarnation)
+        self.policy: AdmissionPolicy = PredictedDelayPolicy(
+            clock=self.clock, pieces=pieces, admission=self.admission
+        )
         self.fairness = Fairness(min_ratio=_MIN_ON_TIME_RATIO)
         self.random = random.Random(node.incarnation)  # noqa: S311 - weighted routing only
 
@@ -227,6 +231,7 @@
             await self._run_stages(context, stages)
         finally:
             stages.release()
+            self.policy.ended(context)
 
     def _has_servers(self, context: RequestContext) -> bool:
         """Return whether all services that a request needs have servers in its allowed zones."""
@@ -241,9 +246,7 @@
         """Refuse a request that would be late; return whether it was refused."""
         if await self._refuse_if_rate_limited(context):
             return True
-        await self.pieces.refresh_waits(stages.services())
-        context.predicted_duration_s = stages.predicted_s() + FINAL_SERVER_S
-        refusal = self.admission.check(context, context.predicted_duration_s, self.clock.now())
+        refusal = await self.policy.admit(context, stages)
         if refusal is None:
             return False
         await self.responder.refuse(
--- /dev/null
+++ b/ringseam/gateway/reservations/messages.py
@@ -0,0 +1,64 @@
+"""Messages by which a gateway reserves capacity at the owners of services."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ringseam.messages import Empty, Message
+from ringseam.routes import ServiceName
+from ringseam.rpc import Method
+
+
+class StageDemand(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """The pieces of one stage of a request; times are milliseconds from now."""
+
+    stage: int
+    service: ServiceName
+    pieces: int
+    #: When the pieces are expected to arrive at the owner if no stage before them waits.
+    starts_ms: int
+    #: When the stage must finish for the request to meet its objective.
+    due_ms: int
+
+
+class ReserveRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Ask the owner of services to reserve capacity for a request that is being admitted.
+
+    The owner reserves at once; a gateway that doesn't admit the request withdraws. A
+    reservation ends when the pieces arrive, and otherwise by itself soon after it is due.
+    """
+
+    attempt_id: str
+    account: str = ''
+    rank: int
+    returned: bool = False
+    demands: tuple[StageDemand, ...]
+
+
+class StageForecast(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """When the pieces of one stage would be sent, as the owner of its service expects."""
+
+    stage: int
+    #: Expected wait of the pieces after their arrival.
+    wait_ms: int = 0
+    #: Error that the owner's forecasts have exceeded in few recent cases.
+    spread_ms: int = 0
+    #: Added wait because the account has used more than its share.
+    share_wait_ms: int = 0
+
+
+class ReserveReply(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """A forecast for each demand whose service the receiver owns."""
+
+    forecasts: tuple[StageForecast, ...] = ()
+
+
+class WithdrawRequest(Message, frozen=True, kw_only=True):
+    """Give up the reservations of a request."""
+
+    attempt_id: str
+    services: tuple[ServiceName, ...] = msgspec.field(default=())
+
+
+RESERVE = Method('/ringseam.Gateway/Reserve', ReserveRequest, ReserveReply, multiplexed=True)
+WITHDRAW = Method('/ringseam.Gateway/Withdraw', WithdrawRequest, Empty, multiplexed=True)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -69,6 +69,7 @@
         super().__init__(settings=settings)
         self.node.adopts_group = False
         own = settings.role_options
+        self.features = settings.features
         self.metrics = Metrics()
         self.health = HealthTracker()
         self.lag = EventLoopLag()
--- /dev/null
+++ b/ringseam/gateway/serverload/__init__.py
@@ -0,0 +1,1 @@
+"""Load, speed, connections and outstanding work of each backend server."""
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -17,7 +17,12 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.stages.capacity import ResultCapacity
 from ringseam.gateway.stages.jobs import Piece, PieceGroup, StageCall
-from ringseam.gateway.stages.order import dispatch_order, may_leave_zone, overflow_pieces
+from ringseam.gateway.stages.order import (
+    DispatchOrder,
+    UrgencyOrder,
+    may_leave_zone,
+    overflow_pieces,
+)
 from ringseam.gateway.stages.throughput import Throughput
 from ringseam.gateway.stages.waitestimate import WaitEstimate
 
@@ -66,6 +71,7 @@
     service: ServiceName
     health: HealthTracker
     pacer: Pacer = field(default_factory=Pacer)
+    order: DispatchOrder = field(default_factory=UrgencyOrder)
     #: Queued pieces, in order of arrival.
     waiting: dict[Piece, None] = field(default_factory=dict)
     capacity: ResultCapacity = field(default_factory=ResultCapacity)
@@ -122,7 +128,7 @@
             return None
         feasible = [piece for piece in self.waiting if not _is_unmeetable(piece, spec, now)]
         snapshot = QueueSnapshot(
-            servers=servers, spec=spec, now=now, ordered=dispatch_order(feasible, now)
+            servers=servers, spec=spec, now=now, ordered=self.order.order(feasible, now)
         )
         idle.sort(key=lambda server: self._server_preference(server, now))
         zones = collections.Counter(server.zone for server in idle)
@@ -374,6 +380,7 @@
             expected_s=spec.call_s + spec.piece_s * len(pieces),
         )
         self.throughput.call_started(call, now, has_backlog=bool(self.waiting))
+        self.order.sent(pieces, now)
         self.capacity.reserve(server.instance, sum(piece.job.result_bytes for piece in pieces))
         for piece in pieces:
             piece.group.started = True
--- a/ringseam/gateway/stages/order.py
+++ b/ringseam/gateway/stages/order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections
 import enum
 from typing import TYPE_CHECKING
@@ -71,6 +72,25 @@
     return spare < 0 < job.due - now
 
 
+class DispatchOrder(abc.ABC):
+    """Base class of orders in which queued pieces are sent."""
+
+    @abc.abstractmethod
+    def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
+        """Return the pieces in the order in which they are sent."""
+
+    def sent(self, pieces: Collection[Piece], now: float) -> None:  # noqa: B027 - optional
+        """Record that pieces have left the queue in a call."""
+
+
+class UrgencyOrder(DispatchOrder):
+    """Order by dispatch class, precedence and due time, whatever the account."""
+
+    def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
+        """Return the pieces, the most urgent job first."""
+        return dispatch_order(waiting, now)
+
+
 def dispatch_order(waiting: Collection[Piece], now: float) -> list[Piece]:
     """Return pieces in the order in which they are sent.
 
--- a/tests/test_config/test_config_findings.py
+++ b/tests/test_config/test_config_findings.py
@@ -8,6 +8,7 @@
 
 from ringseam.config import read_part
 from ringseam.errors import FindingsError
+from ringseam.features import Feature
 from ringseam.settings import ROLES, default_settings_text, read_settings
 
 DIGEST = 'a' * 64
@@ -81,3 +82,37 @@
     text = f'[process]\nname = e\nkey_file = {key}\ncontrol = control.example:7001\n[entry]\n'
     with pytest.raises(FindingsError, match='host names are not supported'):
         read_settings('entry', text, path='x.ini')
+
+
+def test_unknown_feature_is_a_finding_at_its_line(tmp_path):
+    """A misspelt feature would silently leave the feature off."""
+    text = GATEWAY.format(key=_key_file(tmp_path)) + 'features = account-share\n'
+    with pytest.raises(FindingsError) as caught:
+        read_settings('gateway', text, path='x.ini')
+    assert 'x.ini:9: [gateway] features: unknown feature account-share' in str(caught.value)
+
+
+def test_features_are_named_or_asked_for_by_a_contract(tmp_path):
+    plain = GATEWAY.format(key=_key_file(tmp_path))
+    named = read_settings('gateway', f'{plain}features = account-shares\n', path='x.ini')
+    asked = read_settings('gateway', f'{plain}contracts = base,pressure,new\n', path='x.ini')
+    assert read_settings('gateway', plain, path='x.ini').features == frozenset()
+    assert named.features == {Feature.account_shares}
+    assert asked.features == {Feature.account_shares, Feature.reserved_admission}
+
+
+GATEWAY = """[process]
+name = g
+key_file = {key}
+[gateway]
+http = 127.0.0.1:1
+ready = 127.0.0.1:2
+seeds = 127.0.0.1:3
+cluster_ports = 4,5
+"""
+
+
+def _key_file(folder):
+    path = folder / 'key'
+    path.write_bytes(b'0123456789abcdef')
+    return path
--- a/tests/test_deploy/test_deploy_settings.py
+++ b/tests/test_deploy/test_deploy_settings.py
@@ -35,6 +35,12 @@
     'listen.control': '10.1.0.41:8628',
     'data_dir': '/data/my-core',
     'bootstrap': 'true',
+    'contracts': 'base,drain',
+    'limits.cpu_share': '0.817',
+    'limits.cores': '1',
+    'limits.memory_mb': '300',
+    'limits.max_fds': '4100',
+    'limits.link_mbps': '1000.0',
 }
 
 
@@ -53,6 +59,11 @@
         'bounds.grace_s': number_texts(0, 600),
         'bounds.cold_over': st.one_of(st.just(''), number_texts(0, 100)),
         'bounds.cold_slack': st.one_of(st.just(''), number_texts(0, 1000)),
+        'limits.cpu_share': st.one_of(st.just(''), number_texts(0, 16)),
+        'limits.cores': st.one_of(st.just(''), number_texts(0, 256)),
+        'limits.memory_mb': st.one_of(st.just(''), number_texts(0, 1_000_000)),
+        'limits.max_fds': st.one_of(st.just(''), number_texts(0, 1_000_000)),
+        'limits.link_mbps': st.one_of(st.just(''), number_texts(0, 100_000)),
         'heartbeat_ms': number_texts(100, 60_000),
         'fault_tolerance.machines': st.integers(0, 10).map(str),
         'bootstrap': st.sampled_from(('true', 'false')),
@@ -86,6 +97,11 @@
         'bounds.grace_s': '7.25',
         'bounds.cold_over': '1.5',
         'bounds.cold_slack': '',
+        'limits.cpu_share': '0.2925',
+        'limits.cores': '1',
+        'limits.memory_mb': '160.5',
+        'limits.max_fds': '1638.4',
+        'limits.link_mbps': '3.75',
         'heartbeat_ms': '1200.5',
         'fault_tolerance.machines': '2',
         'bootstrap': 'false',
@@ -104,6 +120,8 @@
         assert settings.role_options['grace_s'] == float(drawn['bounds.grace_s'])
         assert settings.role_options['cold_over'] == float(drawn['bounds.cold_over'] or 1.5)
         assert settings.role_options['cold_slack'] == float(drawn['bounds.cold_slack'] or 5)
+        assert settings.role_options['host_memory_mb'] == float(drawn['limits.memory_mb'] or 0)
+        assert settings.role_options['host_link_mbps'] == float(drawn['limits.link_mbps'] or 0)
     else:
         assert settings.role_options['backend_report_ms'] == float(drawn['heartbeat_ms'])
         assert settings.role_options['tolerated_losses'] == int(drawn['fault_tolerance.machines'])
