--- /dev/null
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -0,0 +1,143 @@
+"""Weighted max-min fair shares of a place between client accounts."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ringseam.gateway.accounts.policy import SharePolicy
+from ringseam.gateway.accounts.usage import UsageTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad
+    from ringseam.routes import AccountName
+
+#: Time constant of the decay of demand and use, seconds: short enough that shares follow
+#: the start of a burst, long enough to hold several requests of each account.
+_DECAY_S = 1.5
+#: Longest wait for a share, seconds.
+_MAX_WAIT_S = 6.0
+#: A backlog up to this is room for everybody, seconds: less than the duration of a call,
+#: whose servers find their next pieces in it.
+_ROOM_S = 0.15
+#: From this backlog on, shares apply in full, seconds.
+_CROWDED_S = 0.3
+#: What the place has done is at least this share of what was admitted. A decider that has
+#: just started knows of a backlog, but not of the use that it comes from.
+_MIN_DONE_SHARE = 0.5
+#: An account waits for its share in full when the others of its rank ask for at least this
+#: share of what all ask for; one that is alone doesn't wait.
+_COMPANY_SHARE = 0.05
+
+
+def _equal_weight(account: AccountName) -> float:
+    return 1
+
+
+class AccountShare(NamedTuple):
+    """What an account asks, uses and may use of a place, per second."""
+
+    rank: int
+    account: AccountName
+    asked_per_s: float
+    used_per_s: float
+    #: Infinite while all demands are covered.
+    share_per_s: float
+
+
+@dataclass(kw_only=True)
+class MaxMinShares(SharePolicy):
+    """Share a place between the accounts of each rank by weighted max-min fairness.
+
+    What the place has done in the last seconds is what was admitted less the backlog. The
+    work of more urgent ranks comes off first; the rest is divided so that each account gets
+    what it asks for or an equal share, whichever is less. While there is a backlog, an
+    account that was admitted for more than its share waits until its use has decayed to its
+    share, so the backlog is taken out of the largest accounts and the others find room.
+
+    The wait grows continuously with the backlog and with the use. Returning clients belong
+    to the rank of their first attempt, which has counted their demand already.
+    """
+
+    weight_of: Callable[[AccountName], float] = _equal_weight
+    room_s: float = _ROOM_S
+    crowded_s: float = _CROWDED_S
+    decay_s: float = _DECAY_S
+    ranks: dict[int, UsageTable] = field(default_factory=dict)
+
+    def asked(self, demand: AccountDemand, now: float) -> None:
+        """Count work that an account asks for, whether it is admitted or not."""
+        if not demand.precedence.returned:
+            self._count(demand, now, asked=demand.amount)
+
+    def admitted(self, demand: AccountDemand, now: float) -> None:
+        """Count admitted work as used by its account."""
+        self._count(demand, now, used=demand.amount)
+
+    def withdrawn(self, demand: AccountDemand, now: float) -> None:
+        """Take back work that was counted as used but never ran."""
+        self._count(demand, now, used=-demand.amount)
+
+    def share_wait_s(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
+        """Return how long an account must wait until its share covers a demand, seconds.
+
+        The size of the demand doesn't matter, so large requests wait no longer than small
+        ones. The less urgent work of an account never waits for a shorter time.
+        """
+        crowding = (load.backlog_s - self.room_s) / (self.crowded_s - self.room_s)
+        if crowding <= 0:
+            return 0
+        waits = [
+            self._wait_in_rank(rank, demand.account, load, now)
+            for rank in self.ranks
+            if rank <= demand.precedence.rank
+        ]
+        return min(1, crowding) * max(waits, default=0)
+
+    def shares(self, load: PlaceLoad, count: int, now: float) -> list[AccountShare]:
+        """Return the accounts with the largest demand in each rank, and their shares."""
+        found: list[AccountShare] = []
+        for rank, table in sorted(self.ranks.items()):
+            level = table.water_level(self._available(rank, load, now), now)
+            found.extend(
+                AccountShare(
+                    rank,
+                    use.account,
+                    use.asked / self.decay_s,
+                    use.used / self.decay_s,
+                    level * self.weight_of(use.account) / self.decay_s,
+                )
+                for use in table.largest(count, now)
+            )
+        return found
+
+    def _count(
+        self, demand: AccountDemand, now: float, *, asked: float = 0, used: float = 0
+    ) -> None:
+        table = self.ranks.setdefault(demand.precedence.rank, UsageTable(decay_s=self.decay_s))
+        weight = self.weight_of(demand.account)
+        table.count(demand.account, now, asked=asked, used=used, weight=weight)
+
+    def _wait_in_rank(self, rank: int, account: AccountName, load: PlaceLoad, now: float) -> float:
+        """Return how long the use of an account in one rank takes to decay to its share."""
+        table = self.ranks[rank]
+        used = table.used_by(account, now)
+        if not used:
+            return 0
+        share = self.weight_of(account) * table.water_level(self._available(rank, load, now), now)
+        if used <= share:
+            return 0
+        wait_s = self.decay_s * math.log(used / share) if share else _MAX_WAIT_S
+        company = min(1, table.others_share(account) / _COMPANY_SHARE)
+        return min(wait_s, _MAX_WAIT_S) * company
+
+    def _available(self, rank: int, load: PlaceLoad, now: float) -> float:
+        """Return what the place had for a rank, in units of the place."""
+        total = sum(table.used(now) for table in self.ranks.values())
+        urgent = sum(table.used(now) for other, table in self.ranks.items() if other < rank)
+        own = self.ranks[rank].used(now)
+        left = total - load.backlog_s * load.capacity_per_s - urgent
+        return max(left, _MIN_DONE_SHARE * own)
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -20,6 +20,7 @@
 from ringseam.gateway.stages.order import (
     DispatchOrder,
     UrgencyOrder,
+    by_job,
     may_leave_zone,
     overflow_pieces,
 )
@@ -333,7 +334,7 @@
             # An empty server accepts one piece, whatever its size.
             free_bytes = max(free_bytes, pieces[0].job.result_bytes if pieces else 0)
         selected: list[Piece] = []
-        for job_pieces in _by_job(pieces):
+        for job_pieces in by_job(pieces):
             free = spec.batch - len(selected)
             splits = free < len(job_pieces) <= spec.batch
             if splits and not job_pieces[0].group.started:
@@ -390,11 +391,3 @@
 def _is_unmeetable(piece: Piece, spec: BatchSpec, now: float) -> bool:
     """Return whether no call that starts now can finish a piece before its deadline."""
     return piece.job.deadline < now + spec.call_s
-
-
-def _by_job(pieces: list[Piece]) -> list[list[Piece]]:
-    """Group pieces by job, in the order of the first piece of each job."""
-    jobs: dict[PieceGroup, list[Piece]] = {}
-    for piece in pieces:
-        jobs.setdefault(piece.group, []).append(piece)
-    return list(jobs.values())
--- a/ringseam/gateway/stages/order.py
+++ b/ringseam/gateway/stages/order.py
@@ -103,18 +103,29 @@
     The pieces of a job stay together, so jobs are sorted instead of pieces, which takes a
     third of the time at six pieces per job.
     """
+    ordered = sorted(by_job(waiting), key=lambda pieces: urgency(pieces[0], now))
+    return in_piece_order(ordered)
+
+
+def by_job(pieces: Collection[Piece]) -> list[list[Piece]]:
+    """Group pieces by job, in the order of the first piece of each job."""
     groups: dict[PieceGroup, list[Piece]] = {}
-    for one in waiting:
-        groups.setdefault(one.group, []).append(one)
-    ordered = sorted(groups.values(), key=lambda pieces: _urgency(pieces[0], now))
-    return [piece for pieces in ordered for piece in sorted(pieces, key=_piece_number)]
+    for piece in pieces:
+        groups.setdefault(piece.group, []).append(piece)
+    return list(groups.values())
+
+
+def in_piece_order(jobs: list[list[Piece]]) -> list[Piece]:
+    """Return the pieces of jobs, those of each job by their numbers."""
+    return [piece for pieces in jobs for piece in sorted(pieces, key=_piece_number)]
 
 
 def _piece_number(piece: Piece) -> int:
     return piece.number
 
 
-def _urgency(piece: Piece, now: float) -> tuple[int, Precedence, float, str, int]:
+def urgency(piece: Piece, now: float) -> tuple[DispatchClass, Precedence, float, str, int]:
+    """Return the sort key of a job: dispatch class, precedence and due time."""
     job = piece.job
     return (dispatch_class_of(piece, now), job.precedence, job.due, job.attempt_id, piece.arrival)
 
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -16,6 +16,7 @@
 from ringseam.gateway.stages.calls import FullError
 from ringseam.gateway.stages.capacity import UNKNOWN_USAGE_S
 from ringseam.gateway.stages.messages import Waits
+from ringseam.gateway.stages.order import UrgencyOrder
 from ringseam.gateway.stages.servicestate import (
     CallFailure,
     CallFailureKind,
@@ -42,6 +43,7 @@
         PieceJob,
         StageCall,
     )
+    from ringseam.gateway.stages.order import DispatchOrder
     from ringseam.gateway.stages.waitestimate import WaitEstimate
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
@@ -102,6 +104,8 @@
         self.changed = asyncio.Event()
         #: Releases inputs; replaced by a function that reaches the owner of their service.
         self.release_inputs: Callable[[ServiceName, tuple[str, ...]], None] = self.release
+        #: Creates the order of the pieces of one service; replaced where accounts have shares.
+        self.new_order: Callable[[], DispatchOrder] = UrgencyOrder
 
     async def run(self, job: PieceJob) -> list[PieceResult]:
         """Run a job and return a result for each of its pieces."""
@@ -441,7 +445,9 @@
 
     def _state(self, service: ServiceName) -> ServiceState:
         if service not in self.services:
-            batcher = Batcher(service=service, health=self.health, pacer=self.pacer)
+            batcher = Batcher(
+                service=service, health=self.health, pacer=self.pacer, order=self.new_order()
+            )
             self.services[service] = ServiceState(batcher=batcher)
         return self.services[service]
 
