Pieces leave a zone by the expected end of the next call there

Cause: calls at the last stage left with 10 to 20 of 26 pieces while pieces of zones whose servers were busy waited; the rule compared their due time with a call that starts at once, not with one that starts when a server of their zone is free. Change: ZonePolicy with the rule that stands (LastMomentPolicy) and one by expected completion, in force with the feature zone-overflow.

--- a/ringseam/features.py
+++ b/ringseam/features.py
@@ -16,3 +16,5 @@
     server_load = 'server-load'
     #: Owners, admission and memory follow what each host has.
     host_capacity = 'host-capacity'
+    #: Pieces leave a zone whose servers are busy for too long.
+    zone_overflow = 'zone-overflow'
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -9,6 +9,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
+from ringseam.features import Feature
 from ringseam.gateway.engines.client import PlacementClient
 from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceDetector
@@ -28,6 +29,7 @@
 from ringseam.gateway.stages.client import PieceClient
 from ringseam.gateway.stages.messages import PIECES, RELEASE, WAITS
 from ringseam.gateway.stages.scheduler import PieceScheduler
+from ringseam.gateway.stages.zonechoice import ExpectedCompletionPolicy
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
 from ringseam.platform.registration import READY_PATH
@@ -138,6 +140,8 @@
             ownership=self.ownership,
         )
         self.piece_scheduler.release_inputs = self.pieces.release
+        if Feature.zone_overflow in self.features:
+            self.piece_scheduler.zone_policy = ExpectedCompletionPolicy()
         responder = Responder(node=self.node, metrics=self.metrics)
         self.forwarder = Forwarder(
             node=self.node,
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -21,11 +21,11 @@
     DispatchOrder,
     UrgencyOrder,
     by_job,
-    may_leave_zone,
     overflow_pieces,
 )
 from ringseam.gateway.stages.throughput import Throughput
 from ringseam.gateway.stages.waitestimate import WaitEstimate
+from ringseam.gateway.stages.zonechoice import LastMomentPolicy, ZoneLoad, ZonePolicy
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -53,6 +53,8 @@
     spec: BatchSpec
     now: float
     ordered: list[Piece]
+    #: Time until a server of a zone has room for a result of a size, seconds.
+    available_in_s: dict[tuple[str, int], float] = field(default_factory=dict)
 
     @functools.cached_property
     def zones(self) -> set[str]:
@@ -73,6 +75,7 @@
     health: HealthTracker
     pacer: Pacer = field(default_factory=Pacer)
     order: DispatchOrder = field(default_factory=UrgencyOrder)
+    zone_policy: ZonePolicy = field(default_factory=LastMomentPolicy)
     #: Queued pieces, in order of arrival.
     waiting: dict[Piece, None] = field(default_factory=dict)
     capacity: ResultCapacity = field(default_factory=ResultCapacity)
@@ -307,7 +310,9 @@
             if piece.job.zone == server.zone
             or piece.job.zone not in snapshot.zones
             or piece in snapshot.overflow
-            or (piece.job.zone not in idle_zones and may_leave_zone(piece, spec, now))
+            or self.zone_policy.may_leave(
+                piece, spec, self._zone_load(piece.job, snapshot, idle_zones), now
+            )
         ]
         late = [piece for piece in allowed if piece.job.due <= now]
         if self.health.of(server.instance).unresponsive:
@@ -316,6 +321,36 @@
             late, server, spec, now
         )
 
+    def _zone_load(
+        self, job: PieceJob, snapshot: QueueSnapshot, idle_zones: Collection[str]
+    ) -> ZoneLoad:
+        """Return the load of the zone that a job prefers."""
+        return ZoneLoad(
+            idle=job.zone in idle_zones,
+            available_in_s=lambda: self._zone_available_in_s(job, snapshot),
+        )
+
+    def _zone_available_in_s(self, job: PieceJob, snapshot: QueueSnapshot) -> float:
+        """Return when a server of a job's zone takes its pieces, the same for all its pieces."""
+        key = (job.zone, job.result_bytes)
+        if key not in snapshot.available_in_s:
+            snapshot.available_in_s[key] = min(
+                self._available_in_s(server, job.result_bytes, snapshot)
+                for server in snapshot.servers
+                if server.zone == job.zone
+            )
+        return snapshot.available_in_s[key]
+
+    def _available_in_s(self, server: BackendReport, size: int, snapshot: QueueSnapshot) -> float:
+        """Return when a server should have a free slot and room for a result, seconds.
+
+        A server without room gets some when the results of its last call are consumed.
+        """
+        spec, now = snapshot.spec, snapshot.now
+        busy_s = self.throughput.until_free_s((server,), spec, now)
+        has_room = self.capacity.free_bytes(server.instance, spec, now) >= size
+        return busy_s if has_room else busy_s + spec.call_s
+
     def _pieces_that_fit(
         self,
         pieces: list[Piece],
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -23,6 +23,7 @@
     JobResults,
     ServiceState,
 )
+from ringseam.gateway.stages.zonechoice import LastMomentPolicy
 from ringseam.platform.stages import PieceFault, PieceResult, server_address_of
 from ringseam.retries import Retry
 from ringseam.routes import ServiceName
@@ -45,6 +46,7 @@
     )
     from ringseam.gateway.stages.order import DispatchOrder
     from ringseam.gateway.stages.waitestimate import WaitEstimate
+    from ringseam.gateway.stages.zonechoice import ZonePolicy
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
     from ringseam.routes import BatchSpec
@@ -106,6 +108,8 @@
         self.release_inputs: Callable[[ServiceName, tuple[str, ...]], None] = self.release
         #: Creates the order of the pieces of one service; replaced where accounts have shares.
         self.new_order: Callable[[], DispatchOrder] = UrgencyOrder
+        #: Decides which pieces run outside their zone.
+        self.zone_policy: ZonePolicy = LastMomentPolicy()
 
     async def run(self, job: PieceJob) -> list[PieceResult]:
         """Run a job and return a result for each of its pieces."""
@@ -446,7 +450,11 @@
     def _state(self, service: ServiceName) -> ServiceState:
         if service not in self.services:
             batcher = Batcher(
-                service=service, health=self.health, pacer=self.pacer, order=self.new_order()
+                service=service,
+                health=self.health,
+                pacer=self.pacer,
+                order=self.new_order(),
+                zone_policy=self.zone_policy,
             )
             self.services[service] = ServiceState(batcher=batcher)
         return self.services[service]
