Reference of the ledger: a new claim has no answer

Cause: the reference kept the answer of the claim before when a stage that did not run was claimed again. The claim is a new execution under a new generation, which has not answered yet; with the old answer beside the state 'claimed', a reader could take it for a result of a stage that never ran. Ruled out: the ledger. It refuses a claim unless the latest generation is 'not run', never concludes an earlier generation, and stores a result only by concluding the current one, so that no result is lost with the replaced record. Change: the reference drops the answer with the claim; what it compares is as before.

--- a/tests/test_ledger/test_ledger_differential.py
+++ b/tests/test_ledger/test_ledger_differential.py
@@ -39,7 +39,9 @@
         generation, state, claimant, answer = 0, None, None, None
         for kind, *rest in self.history:
             if kind == 'claim' and rest[:2] == [key, stage]:
-                generation, state, claimant = generation + 1, StageState.claimed, rest[2]
+                # A new claim is a new execution, which has no answer yet.
+                generation, state = generation + 1, StageState.claimed
+                claimant, answer = rest[2], None
             if kind == 'end' and rest[:3] == [key, stage, generation]:
                 state, answer = rest[3], rest[4]
         return generation, state, claimant, answer
