An empty resumed stream is not complete until the last event is repeated

Cause: a stream that ended properly counted as complete whatever it had carried. A resumed stream without any event ends alike whether the client has all events or the server skipped the last one, so that a response without its last event could be reported as complete. Ruled out: the test's model. Events have increasing ids, their number is not announced (Token-Counts gives a maximum, and an event may contain several tokens), so a proper end alone doesn't show that none is missing. Change: such a stream has the outcome 'empty'. The next server, within the same limits of tries and retry budget, is asked for the last event once more; its repetition, which is not forwarded, confirms the end. Without a try left the response is broken off. No server failure is recorded. Streams with events, and those that begin with the first event, are served as before.

--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -42,6 +42,7 @@
         StreamOutcome.broken: LossCause.broken,
         StreamOutcome.silent: LossCause.gap,
         StreamOutcome.out_of_order: LossCause.gap,
+        StreamOutcome.empty: LossCause.not_whole,
     },
 )
 
@@ -132,8 +133,7 @@
         relay: StreamRelay,
     ) -> TryOutcome:
         started_at = self.clock.now()
-        last = relay.last_event if relay.started else None
-        outcome = await self.sender.send(context, server, last_event=last)
+        outcome = await self.sender.send(context, server, last_event=relay.resume_after)
         if isinstance(outcome, Answered):
             outcome = await self._forward_response(context, server, outcome, relay, started_at)
         if isinstance(outcome, Lost) and outcome.is_connection_loss:
@@ -259,7 +259,8 @@
                 context, answered.head.status, relay.first_event_at, relay.longest_gap
             )
             return answered
-        self._record_server_failure(context, server)
+        if end is not StreamOutcome.empty:
+            self._record_server_failure(context, server)
         self.responder.log(
             context,
             Event.stream_broken,
--- a/ringseam/gateway/requests/relay.py
+++ b/ringseam/gateway/requests/relay.py
@@ -35,6 +35,8 @@
     broken = 'broken'
     silent = 'silent'
     out_of_order = 'out-of-order'
+    #: The stream ended properly without an event, although some events came before it.
+    empty = 'empty'
     deadline = 'deadline'
 
 
@@ -67,6 +69,10 @@
     #: The longest pause between two events, seconds.
     longest_gap: float = 0
     rest: bytes = b''
+    #: Events of the current server's stream, including a repetition of the last one.
+    events_of_server: int = 0
+    #: Whether the last stream was empty, which doesn't show that no event is missing.
+    is_end_unconfirmed: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
     #: Called once, on the first event: the server has all its inputs then.
     on_first_event: Callable[[], None] = lambda: None
@@ -75,9 +81,21 @@
     #: Called with the seconds from the arrival of a chunk until it was forwarded.
     on_forwarded: Callable[[float], None] = lambda latency_s: None
 
+    @property
+    def resume_after(self) -> int | None:
+        """Return the event after which the next server continues; None: as the client asked.
+
+        After an empty stream the last event is requested once more: if it is repeated and
+        the stream ends then, no event is missing.
+        """
+        if self.is_end_unconfirmed and self.last_event:
+            return self.last_event - 1
+        return self.last_event if self.started else None
+
     async def forward(self, answered: Answered) -> StreamOutcome:
         """Forward the events of one server until its stream ends."""
         self.splitter = EventSplitter()
+        self.events_of_server = 0
         if not self.started:
             self.started = True
             self.context.exchange.start(answered.head.status, client_headers(answered.head))
@@ -97,12 +115,19 @@
                 chunk = await channel.read_chunk()
             self.on_chunk()
             if chunk is None:
-                return StreamOutcome.broken if self.splitter.remainder else StreamOutcome.complete
+                return self._outcome_at_end()
             complete = await self._forward_chunk(chunk)
             self.on_forwarded(asyncio.get_running_loop().time() - channel.received_at)
             if not complete:
                 return StreamOutcome.out_of_order
 
+    def _outcome_at_end(self) -> StreamOutcome:
+        if self.splitter.remainder:
+            return StreamOutcome.broken
+        # A server that skips the last event ends its stream like one that has none left.
+        self.is_end_unconfirmed = bool(self.last_event) and not self.events_of_server
+        return StreamOutcome.empty if self.is_end_unconfirmed else StreamOutcome.complete
+
     def _record_event_time(self, now: float) -> None:
         if self.first_event_at:
             self.longest_gap = max(self.longest_gap, now - self.last_event_at)
@@ -119,6 +144,7 @@
             in_order = self._is_next(event.number)
             if not in_order:
                 break
+            self.events_of_server += 1
             if event.number is None or event.number != self.last_event:
                 forwarded.append(event.raw)
                 self.last_event = self.last_event if event.number is None else event.number
--- a/tests/test_gateway/test_requests/test_requests_relay.py
+++ b/tests/test_gateway/test_requests/test_requests_relay.py
@@ -13,7 +13,14 @@
 from ringseam.gateway.requestcontext import Answered
 from ringseam.gateway.requests.relay import StreamOutcome, StreamRelay
 from ringseam.web.client import ChannelError, ResponseHead
-from tests.gateways import event
+from tests.gateways import (
+    LocalGateway,
+    ScriptedServer,
+    event,
+    event_ids,
+    stream_head,
+    stream_script,
+)
 
 LAST_EVENT = 12
 HEAD = ResponseHead(status=200, headers=[('Content-Type', 'text/event-stream')])
@@ -122,3 +129,80 @@
     """The second server skips the last event: its stream is empty and ends properly."""
     check = test_client_gets_each_event_once_and_in_order.hypothesis.inner_test
     check(servers=[(0, 164, 1), (1, 0, 1)], first_seen=1)
+
+
+@given(server_plans(), st.integers(1, 3))
+def test_end_is_complete_only_with_the_last_event(servers, first_seen):
+    """The servers continue where the relay asks; one that repeats the last event confirms it."""
+
+    async def run():
+        context = SimpleNamespace(exchange=Client(), deadline=1000.0)
+        relay = StreamRelay(context=context, clock=PausedClock(), last_event=first_seen)
+        for offset, cut, size in [*servers, (0, 300, 9), (0, 300, 9)]:
+            after = first_seen if relay.resume_after is None else relay.resume_after
+            server = server_after(after + offset, cut, size)
+            end = await relay.forward(Answered(head=HEAD, marks=None, channel=server))
+            if end is StreamOutcome.complete:
+                return relay.last_event
+        return None
+
+    assert asyncio.run(run()) == LAST_EVENT
+
+
+async def end_at_once(request, writer):
+    """Answer with a stream that has no event and ends properly."""
+    writer.write(stream_head(request) + b'0\r\n\r\n')
+    await writer.drain()
+
+
+def answers_of_two_servers(key_file, first_script, second_script, **headers):
+    """Return the client's bytes and the Last-Event-Id that each server was sent."""
+
+    async def run():
+        first, second = ScriptedServer(first_script), ScriptedServer(second_script)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add_server(await first.start(), name='a-first')
+            gateway.add_server(await second.start(), name='b-second')
+            reader, _ = await gateway.open_request('/flow/x', **headers)
+            raw = b''
+            try:
+                while data := await reader.read(65536):
+                    raw += data
+            except ConnectionResetError:
+                pass
+        asked = [server.requests[0].header('Last-Event-Id') for server in (first, second)]
+        return raw, asked
+
+    return asyncio.run(run())
+
+
+def test_server_that_skips_the_last_event_does_not_end_the_response(key_file):
+    raw, asked = answers_of_two_servers(
+        key_file, end_at_once, stream_script(1, 6), Last_Event_Id='5'
+    )
+    assert asked == ['5', '4']
+    assert event_ids(raw) == [6]
+    assert raw.endswith(b'0\r\n\r\n')
+
+
+def test_repeated_last_event_confirms_the_end(key_file):
+    """The client lost its connection after the last event and before the end of the stream."""
+    raw, asked = answers_of_two_servers(
+        key_file, stream_script(1, 6), stream_script(1, 6), Last_Event_Id='6'
+    )
+    assert asked == ['6', '5']
+    assert event_ids(raw) == []
+    assert raw.endswith(b'0\r\n\r\n')
+
+
+def test_unconfirmed_end_does_not_look_complete(key_file):
+    raw, _ = answers_of_two_servers(key_file, end_at_once, end_at_once, Last_Event_Id='5')
+    assert not raw.endswith(b'0\r\n\r\n')
+
+
+def test_empty_stream_after_a_broken_one_does_not_look_complete(key_file):
+    broken = stream_script(1, 2, end=False)
+    raw, asked = answers_of_two_servers(key_file, broken, end_at_once)
+    assert asked == ['', '2']
+    assert event_ids(raw) == [1, 2]
+    assert not raw.endswith(b'0\r\n\r\n')
