Soak: what a server that left or ended may still do, and details of what is broken

Cause: three races of the soak itself, each of which reports a rule as broken that held. A server that announced its leave in answers started again at the end of its announcement also after it had left by a report meanwhile; its new lifetime reported itself ready and was rightly sent requests. A leave that was acknowledged for an earlier lifetime counted for the next one, which may have been ready. A content that ends its server ran to its end if the server was away already and its gateway was frozen beyond the client's deadline. Change: a server that left isn't started again; a leave counts for the lifetime that reported it and is repeated for a later one; such a content is never answered. Broken rules are printed with request ids, bodies, times and all faults with their times.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -99,10 +99,15 @@
     #: When the order to drain the zone was acknowledged; None: it is used.
     drained_at: float | None = None
     refused: list = field(default_factory=list)
+    #: Each fault with its time of day and what it hits, shown if something is broken.
+    injected: list = field(default_factory=list)
     #: When each content that ends servers was sent to one, and ended one.
     ending_sent: dict = field(default_factory=lambda: collections.defaultdict(list))
     ending_ended: dict = field(default_factory=lambda: collections.defaultdict(list))
 
+    def inject(self, *fault):
+        self.injected.append(' '.join((f'{time.time():.2f}', *fault)))
+
     def check(self, holds, detail):
         if not holds:
             self.broken.append(detail)
@@ -201,7 +206,8 @@
         self.book.ending_sent[content].append(time.monotonic())
         await asyncio.sleep(ENDING_S)
         self.ender = asyncio.create_task(self.end(content))
-        await asyncio.sleep(5)
+        # Never answered: the connection ends with the server, or with its client's patience.
+        await asyncio.Event().wait()
 
     async def start_again(self):
         """End all that is under way, and begin a later lifetime at the same address."""
@@ -221,7 +227,12 @@
             self.arrivals.append((time.monotonic(), exchange.request.path))
         late = self.left_at is not None and time.monotonic() - self.left_at > DRAIN_S
         if late and exchange.request.path != RELEASE_PATH:
-            self.book.check(False, f'DRAIN {self.instance} got {exchange.request.path}')
+            after = time.monotonic() - self.left_at
+            self.book.check(
+                False,
+                f'DRAIN {self.instance} got {exchange.request.path} {named(exchange.request)} '
+                f'{after:.2f} s after it left, at {time.time():.2f}',
+            )
         since = self.book.drained_at
         if self.zone == ZONE and since is not None and time.monotonic() - since > OBEYED_S:
             self.book.check(
@@ -235,7 +246,11 @@
 
     async def _respond(self, exchange):
         asked = decode_request(exchange.request).attempt_id
-        self.book.check(exchange.request.body == asked.encode(), f'UNASKED body of {asked}')
+        body = exchange.request.body
+        self.book.check(
+            body == asked.encode(),
+            f'UNASKED body of {asked} at {self.instance}, {time.time():.2f}: {body[:80]!r}',
+        )
         await asyncio.sleep(self.dice.uniform(0, 0.05))
         await super()._respond(exchange)
 
@@ -346,7 +361,8 @@
                 server for server in self.servers if server.left_at is None and not server.ended
             ]
             for server in staying:
-                await self.report(server, BackendState.ready)
+                if server.left_at is None and not server.ended:
+                    await self.report(server, BackendState.ready)
             await asyncio.sleep(REPORT_S)
 
     async def report(self, server, state):
@@ -485,6 +501,7 @@
 
     async def inject(self, kind):
         name = self.dice.choice((*CONTROL, *GATEWAYS))
+        self.book.inject(kind, *((name,) if kind in PROCESS_FAULTS else ()))
         self.disturbed += kind in WAY_FAULTS or (kind in PROCESS_FAULTS and name in GATEWAYS)
         if kind == 'both':
             await asyncio.gather(self.inject('kill'), self.inject('silence'))
@@ -535,8 +552,12 @@
         await self.add_server(server.service)
         await self.report(self.servers[-1], BackendState.ready)
         for _ in range(50):
-            if await self.report(server, BackendState.draining):
+            lifetime = server.instance
+            acknowledged = await self.report(server, BackendState.draining)
+            # A lifetime that began meanwhile has reported nothing of it.
+            if acknowledged and server.instance == lifetime:
                 server.left_at = time.monotonic()
+                self.book.inject('left', server.instance)
                 return
             await asyncio.sleep(0.1)
 
@@ -580,7 +601,9 @@
             self.book.check(status in {0, 400}, f'foreign report got {status}')
 
     async def harm(self, kind):
-        proxy = self.dice.choice(self.servers).proxy
+        server = self.dice.choice(self.servers)
+        proxy = server.proxy
+        self.book.inject(kind, 'of', server.instance)
         if kind == 'reset':
             proxy.reset()
             return
@@ -630,6 +653,13 @@
     return body if body.startswith(ENDING) else ''
 
 
+def named(request):
+    """Return the id of a request, or those of the pieces in a call."""
+    if request.path == RUN_PATH:
+        return ' '.join(piece.attempt_id for piece in decode_piece_requests(request.body))
+    return decode_request(request).attempt_id
+
+
 async def call(host, method, path, body, headers):
     """Return the status and body of one call; 0 when it has no whole answer."""
     lines = [*headers, ('Content-Length', str(len(body))), ('Connection', 'close')]
@@ -697,6 +727,8 @@
             print(f'  faults {dict(faults)}')
             for broken in book.broken[:10]:
                 print(f'  BROKEN {broken}')
+            for fault in book.injected if book.broken else ():
+                print(f'  {fault}')
             failed += bool(book.broken)
     raise SystemExit(1 if failed else 0)
 
--- a/bench/soakwords.py
+++ b/bench/soakwords.py
@@ -44,7 +44,8 @@
             await self.leave(begun)
         self.server.arrivals = None
         ended = self.server.instance != lifetime
-        if kind == 'say-leaving':
+        # A later lifetime of a server that left meanwhile would be ready.
+        if kind == 'say-leaving' and self.server.left_at is None:
             await self.soak.begin_again(self.server)
         # A restart, freeze or cut excuses who sends; a new lifetime has said nothing yet.
         if self.soak.disturbed != disturbed or ended:
