Reservations of stage capacity, and admission by their forecasts

Cause: admission compares the sum of the waits of the moment with the objective: it counts neither what is admitted and on its way nor how far its forecasts were off, and lets in more than can be in time. Change: with the feature reserved-admission, owners keep a book of reservations and tell wait, spread of their recent errors and wait for the account's share; gateways ask for the whole path, again where a stage moves, and withdraw what is not used. Answers and refusals name account, forecast, spread and what decided. Without the feature no new message is sent.

--- a/ringseam/gateway/requestcontext.py
+++ b/ringseam/gateway/requestcontext.py
@@ -69,6 +69,10 @@
     stages_duration_s: float = 0
     #: Predicted time for the stages and the final server, seconds.
     predicted_duration_s: float = 0
+    #: Spread of recent prediction errors that was added, seconds.
+    predicted_spread_s: float = 0
+    #: What decided whether the request was admitted; empty: it has no stages.
+    decided_by: str = ''
 
     def __post_init__(self) -> None:
         """Create an empty record of tries."""
@@ -76,11 +80,15 @@
             repeatable=self.route.repeatable, max_servers=self.route.max_attempts
         )
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the client account; empty: it has none."""
+        return self.account.name if self.account else ''
+
     @property
     def suspect(self) -> Suspect:
         """Return what is reported of the request if its server crashes."""
-        account = self.account.name if self.account else ''
-        return Suspect(content=self.content_id, account=account)
+        return Suspect(content=self.content_id, account=self.account_name)
 
     @property
     def objective_deadline(self) -> float:
--- a/ringseam/gateway/requests/admission.py
+++ b/ringseam/gateway/requests/admission.py
@@ -102,10 +102,18 @@
         delay_s = _MIN_RETRY_AFTER_S + predicted_s + self.random.random() * _RETRY_AFTER_JITTER_S
         return max(0, min(delay_s, remaining_s * _MAX_RETRY_AFTER_SHARE))
 
-    def check(self, context: RequestContext, predicted_s: float, now: float) -> Refusal | None:
+    def check(
+        self,
+        context: RequestContext,
+        predicted_s: float,
+        now: float,
+        *,
+        min_delay_s: float = 0,
+    ) -> Refusal | None:
         """Return a refusal if a request should not be started, else None.
 
         :param predicted_s: predicted seconds until its first event.
+        :param min_delay_s: the client should not retry before, seconds.
         """
         left = context.deadline - now
         limit = left if context.since_first_attempt_s else context.objective_deadline - now
@@ -113,5 +121,5 @@
             return None
         return Refusal(
             predicted_s=predicted_s,
-            retry_after_s=self.retry_after_s(predicted_s - limit, left),
+            retry_after_s=self.retry_after_s(max(min_delay_s, predicted_s - limit), left),
         )
--- a/ringseam/gateway/requests/admissionpolicy.py
+++ b/ringseam/gateway/requests/admissionpolicy.py
@@ -39,4 +39,5 @@
         """Compare the sum of the reported waits with the request's objective."""
         await self.pieces.refresh_waits(stages.services())
         context.predicted_duration_s = stages.predicted_s() + FINAL_SERVER_S
+        context.decided_by = 'waits'
         return self.admission.check(context, context.predicted_duration_s, self.clock.now())
--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -73,8 +73,12 @@
         *,
         retry_after_s: float = DEFAULT_RETRY_AFTER_S,
         route: str = '',
+        context: RequestContext | None = None,
     ) -> None:
-        """Respond that the request has not run, with a Retry-After."""
+        """Respond that the request has not run, with a Retry-After.
+
+        :param context: the request, if its route and account are known.
+        """
         waited_s = self.node.clock.now() - exchange.request.arrived
         self.node.events.emit(
             logger,
@@ -84,6 +88,7 @@
             detail=detail,
             waited_ms=round(waited_s * MS_PER_S),
             come_back_s=round(retry_after_s, 2),
+            **(_admission_fields(context) if context else {}),
         )
         self.metrics.add('requests', status=str(UNAVAILABLE), route='')
         await exchange.respond(
@@ -102,7 +107,13 @@
 
     def log_failure(self, context: RequestContext, status: int, detail: str) -> None:
         """Log and count a failed request; status 0 means an aborted response."""
-        self.log(context, Event.request_failed, status=status, detail=detail)
+        self.log(
+            context,
+            Event.request_failed,
+            status=status,
+            detail=detail,
+            account=context.account_name,
+        )
         self.metrics.add('requests', status=str(status), route=context.route.name)
 
     def record_event_latency(self, latency_s: float) -> None:
@@ -127,13 +138,12 @@
             context,
             Event.request_answered,
             status=status,
-            rank=context.rank,
             took_ms=round(took_ms),
-            predicted_ms=round(context.predicted_duration_s * MS_PER_S),
             stages_ms=round(context.stages_duration_s * MS_PER_S),
             first_ms=round((first_event_at - context.arrived) * MS_PER_S),
             gap_ms=round(gap * MS_PER_S),
             late=late,
+            **_admission_fields(context),
         )
 
     def log(self, context: RequestContext, event: Event, **fields: object) -> None:
@@ -148,5 +158,16 @@
         )
 
 
+def _admission_fields(context: RequestContext) -> dict[str, object]:
+    """Return account and rank of a request, what was predicted, and what decided."""
+    return {
+        'account': context.account_name,
+        'rank': context.rank,
+        'predicted_ms': round(context.predicted_duration_s * MS_PER_S),
+        'spread_ms': round(context.predicted_spread_s * MS_PER_S),
+        'decided_by': context.decided_by,
+    }
+
+
 def _attempt_headers(request: ClientRequest) -> Headers:
     return [attempt_id_header(request.attempt_id)] if request.attempt_id else []
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -307,4 +307,5 @@
             SERVERS_LIMITED if context.available_in_s else detail,
             retry_after_s=max(DEFAULT_RETRY_AFTER_S, min(context.available_in_s, remaining_s)),
             route=context.route.name,
+            context=context,
         )
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -8,6 +8,7 @@
 
 from ringseam.contents import request_content_id
 from ringseam.events import Event
+from ringseam.features import Feature
 from ringseam.gateway.following.guard import RETRY_AFTER_S as SUSPECT_RETRY_AFTER_S
 from ringseam.gateway.requestcontext import RequestContext
 from ringseam.gateway.requests.admission import Admission
@@ -15,6 +16,8 @@
 from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.requests.attempts import SERVERS_LIMITED
 from ringseam.gateway.requests.fairness import Fairness
+from ringseam.gateway.requests.reservedpolicy import ReservedAdmission
+from ringseam.gateway.requests.reserving import ReservationClient
 from ringseam.gateway.stages.graph import StageFault, StageRun, has_stages
 from ringseam.platform.requests import decode_request
 from ringseam.platform.stages import PieceFault
@@ -22,6 +25,8 @@
 from ringseam.util.tasks import cancel_and_wait
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ringseam.calls import ClientRequest
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.requests.answers import Responder
@@ -57,6 +62,7 @@
         pieces: PieceClient,
         attempts: AttemptRunner,
         responder: Responder,
+        features: Collection[Feature] = (),
     ) -> None:
         """Create a forwarder that runs stages by ``pieces`` and sends by ``attempts``."""
         self.node = node
@@ -68,9 +74,8 @@
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
         self.admission = Admission(seed=node.incarnation)
-        self.policy: AdmissionPolicy = PredictedDelayPolicy(
-            clock=self.clock, pieces=pieces, admission=self.admission
-        )
+        self.features = features
+        self.policy = self._create_policy()
         self.fairness = Fairness(min_ratio=_MIN_ON_TIME_RATIO)
         self.random = random.Random(node.incarnation)  # noqa: S311 - weighted routing only
 
@@ -130,6 +135,15 @@
                 on_time=context.on_time,
             )
 
+    def _create_policy(self) -> AdmissionPolicy:
+        if Feature.reserved_admission in self.features:
+            return ReservedAdmission(
+                clock=self.clock,
+                reservations=ReservationClient(pieces=self.pieces),
+                admission=self.admission,
+            )
+        return PredictedDelayPolicy(clock=self.clock, pieces=self.pieces, admission=self.admission)
+
     async def _await_routes(self, request: ClientRequest) -> None:
         """Wait briefly for the first routes after the start of this process."""
         if self.follower.table.number:
@@ -201,6 +215,7 @@
                 'content is suspected of crashing servers; a trial run is in progress',
                 retry_after_s=SUSPECT_RETRY_AFTER_S,
                 route=context.route.name,
+                context=context,
             )
         return state is TrialState.granted
 
@@ -212,6 +227,7 @@
                 context.request,
                 'no server in the regions allowed by route and account',
                 route=context.route.name,
+                context=context,
             )
             return
         if not has_stages(context.route, context.request.pieces):
@@ -255,6 +271,7 @@
             f'predicted time for stages and server is {refusal.predicted_s:.2f} s',
             retry_after_s=refusal.retry_after_s,
             route=context.route.name,
+            context=context,
         )
         return True
 
@@ -275,6 +292,7 @@
                 context.deadline - self.clock.now(),
             ),
             route=context.route.name,
+            context=context,
         )
         return True
 
@@ -315,6 +333,7 @@
             f'stages: {fault.fault.value}',
             retry_after_s=self.admission.retry_after_s(predicted_s, remaining_s),
             route=context.route.name,
+            context=context,
         )
 
     async def _preferred_zone(self, context: RequestContext) -> str:
--- /dev/null
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -0,0 +1,143 @@
+"""Admission of requests with reservations for all of their stages."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.gateway.requests.admission import FINAL_SERVER_S
+from ringseam.gateway.requests.admissionpolicy import AdmissionPolicy
+from ringseam.gateway.requests.pathforecast import PathForecast
+from ringseam.gateway.reservations.messages import ReserveRequest, StageDemand
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.clock import Clock
+    from ringseam.gateway.requestcontext import RequestContext
+    from ringseam.gateway.requests.admission import Admission, Refusal
+    from ringseam.gateway.requests.reserving import ReservationClient
+    from ringseam.gateway.reservations.messages import StageForecast
+    from ringseam.gateway.stages.graph import StageRun
+
+#: A stage that starts this much later than its owner was told is asked about again, seconds: a
+#: part of a call, which is the least by which waits change.
+_MOVED_S = 0.1
+
+
+class Ground(enum.Enum):
+    """What decided whether a request was admitted."""
+
+    #: Expected waits and durations, with or without the spread of recent errors.
+    forecast = 'forecast'
+    spread = 'spread'
+    #: The wait for the account's share.
+    share = 'share'
+    #: No owner replied, so the last reports of the owners decided.
+    reports = 'reports'
+
+
+class ReservedAdmission(AdmissionPolicy):
+    """Admit what is in time with the forecasts of all owners, and reserve its capacity."""
+
+    def __init__(
+        self, *, clock: Clock, reservations: ReservationClient, admission: Admission
+    ) -> None:
+        """Reserve through ``reservations``."""
+        self.clock = clock
+        self.reservations = reservations
+        self.admission = admission
+        #: Stage runs of admitted requests that are not over.
+        self.running: dict[str, StageRun] = {}
+
+    async def admit(self, context: RequestContext, stages: StageRun) -> Refusal | None:
+        """Reserve capacity on the whole path, and withdraw it if the request is refused."""
+        attempt_id = context.request.attempt_id
+        refusal = None
+        self.running[attempt_id] = stages
+        try:
+            path = await self._reserve(context, stages)
+            refusal = self._decide(context, path)
+        except asyncio.CancelledError:
+            self.ended(context)
+            raise
+        if refusal is not None:
+            self.ended(context)
+        return refusal
+
+    def ended(self, context: RequestContext) -> None:
+        """Withdraw the reservations of stages that are no longer run."""
+        stages = self.running.pop(context.request.attempt_id, None)
+        if stages is None:
+            return
+        left = stages.unstarted_services()
+        if left:
+            self.reservations.withdraw(context.request.attempt_id, left)
+
+    # -- helpers ------------------------------------------------------------
+
+    async def _reserve(self, context: RequestContext, stages: StageRun) -> PathForecast:
+        path = PathForecast(plan=stages.plan, default_wait_s=stages.wait_s)
+        starts = path.starts()
+        path.forecasts = await self._ask(context, stages, starts, starts)
+        later = path.starts()
+        moved = [
+            number for number in path.forecasts if abs(later[number] - starts[number]) > _MOVED_S
+        ]
+        if moved:
+            path.forecasts.update(await self._ask(context, stages, later, moved))
+        return path
+
+    async def _ask(
+        self,
+        context: RequestContext,
+        stages: StageRun,
+        starts: dict[int, float],
+        numbers: Collection[int],
+    ) -> dict[int, StageForecast]:
+        now = self.clock.now()
+        precedence = context.precedence
+        return await self.reservations.reserve(
+            ReserveRequest(
+                attempt_id=context.request.attempt_id,
+                account=context.suspect.account,
+                rank=precedence.rank,
+                returned=precedence.returned,
+                demands=tuple(
+                    StageDemand(
+                        stage=number,
+                        service=stages.stages[number].service,
+                        pieces=stages.plan.piece_count(number),
+                        starts_ms=round(starts[number] * MS_PER_S),
+                        due_ms=round((stages.due_at(number) - now) * MS_PER_S),
+                    )
+                    for number in numbers
+                ),
+            )
+        )
+
+    def _decide(self, context: RequestContext, path: PathForecast) -> Refusal | None:
+        """Compare the forecast with the objective, or for a retry with its time limit.
+
+        A retry is admitted if it is expected in time: a second refusal leaves its client
+        without a response, so the spread is not added.
+        """
+        now = self.clock.now()
+        expected_s = path.end_s + FINAL_SERVER_S
+        spread_s = 0 if context.precedence.returned else path.spread_s
+        context.predicted_duration_s = expected_s
+        context.predicted_spread_s = spread_s
+        grounds = (
+            (Ground.forecast if path.forecasts else Ground.reports, expected_s),
+            (Ground.spread, expected_s + spread_s),
+            (Ground.share, expected_s + spread_s + path.share_wait_s),
+        )
+        context.decided_by = grounds[0][0].value
+        for ground, predicted_s in grounds:
+            refusal = self.admission.check(context, predicted_s, now, min_delay_s=path.share_wait_s)
+            if refusal is not None:
+                context.decided_by = ground.value
+                return refusal
+        return None
--- /dev/null
+++ b/ringseam/gateway/reservations/book.py
@@ -0,0 +1,282 @@
+"""Reservations of one service, and the waits that follow from them, without I/O."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, NamedTuple
+
+from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
+from ringseam.gateway.reservations.accuracy import ErrorSummary, ForecastErrors
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ringseam.gateway.accounts.policy import SharePolicy
+    from ringseam.gateway.priorities import Precedence
+    from ringseam.routes import AccountName
+
+#: A reservation ends this long after its pieces are due, seconds.
+_EXPIRY_S = 1.0
+#: A reservation also ends this long after its pieces should have arrived, seconds. Pieces arrive
+#: later than that only if the stages before them took much longer than forecast.
+_OVERDUE_S = 1.0
+#: Interval between searches for expired reservations, seconds.
+_EXPIRY_INTERVAL_S = 0.1
+
+
+class ReservationEnd(enum.Enum):
+    """How a reservation ended."""
+
+    used = 'used'
+    withdrawn = 'withdrawn'
+    expired = 'expired'
+
+
+class StageKey(NamedTuple):
+    """Identifies the pieces of one stage of a request."""
+
+    attempt_id: str
+    stage: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class StageWork:
+    """The pieces of one stage of a request that are expected at their owner."""
+
+    key: StageKey
+    pieces: int
+    precedence: Precedence
+    account: AccountName
+    #: When the pieces should arrive, and when the stage must finish.
+    starts_at: float
+    due_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServiceLoad:
+    """Queue and servers of a service at one moment."""
+
+    #: Pieces processed per second as observed; 0: there is no server.
+    pieces_per_s: float
+    #: The same for pieces of clients that retry after a refusal.
+    retry_pieces_per_s: float = 0
+    #: Time until the next server is free, seconds.
+    until_free_s: float = 0
+    #: Expected duration of the call that runs the pieces, seconds.
+    call_s: float = 0
+    #: Time of a server per piece in a full call, seconds: the unit of shares.
+    server_s_per_piece: float = 0
+    queued: Mapping[Precedence, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Forecast:
+    """When reserved pieces should be sent and done; times in seconds."""
+
+    wait_s: float
+    spread_s: float = 0
+    share_wait_s: float = 0
+    call_s: float = 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reservation:
+    """Reserved capacity, and the forecast without the correction by recent errors."""
+
+    work: StageWork
+    expected_s: float
+    share_wait_s: float
+    demand: AccountDemand
+
+    @property
+    def expires_at(self) -> float:
+        """Return when the reservation ends if the pieces don't arrive."""
+        return min(
+            max(self.work.due_at, self.work.starts_at) + _EXPIRY_S,
+            self.work.starts_at + _OVERDUE_S,
+        )
+
+
+@dataclass(frozen=True, kw_only=True)
+class ArrivedWork:
+    """Pieces that arrived with a reservation and aren't done."""
+
+    precedence: Precedence
+    arrived_at: float
+    expected_s: float
+
+
+@dataclass(kw_only=True)
+class ReservationBook:
+    """Reserve capacity of one service at its owner, and forecast waits."""
+
+    shares: SharePolicy = field(default_factory=UnsharedPolicy)
+    reserved: dict[StageKey, Reservation] = field(default_factory=dict)
+    #: The stages of a request that have a reservation.
+    stages: dict[str, set[int]] = field(default_factory=dict)
+    #: All reservations by expected arrival.
+    by_start: list[Reservation] = field(default_factory=list)
+    arrived: dict[StageKey, ArrivedWork] = field(default_factory=dict)
+    errors: dict[Precedence, ForecastErrors] = field(default_factory=dict)
+    #: Number of reservations that ended, by how.
+    ended: collections.Counter[ReservationEnd] = field(default_factory=collections.Counter)
+    expiry_checked_at: float = float('-inf')
+
+    def reserve(self, work: StageWork, load: ServiceLoad, now: float) -> Forecast:
+        """Reserve capacity and forecast the wait; replace an earlier reservation."""
+        self.expire(now)
+        earlier = self._remove(work.key)
+        wait_s = self.wait_s(work, load, now)
+        if earlier is None:
+            demand = _account_demand(work, load)
+            share_wait_s = self._count_demand(demand, load, now)
+        else:
+            demand, share_wait_s = earlier.demand, earlier.share_wait_s
+        self._insert(
+            Reservation(
+                work=work,
+                expected_s=wait_s + load.call_s,
+                share_wait_s=share_wait_s,
+                demand=demand,
+            )
+        )
+        seen = self._errors_of(work.precedence, now)
+        return Forecast(
+            wait_s=max(0, wait_s + seen.median_s),
+            spread_s=seen.spread_s,
+            share_wait_s=share_wait_s,
+            call_s=load.call_s,
+        )
+
+    def wait_s(self, work: StageWork, load: ServiceLoad, now: float) -> float:
+        """Return how long pieces wait after their arrival, by queue and reservations.
+
+        They are sent once all work of equal or higher precedence that is queued, or reserved to
+        arrive before that, has been sent. So they don't displace an earlier reservation, even
+        one whose pieces arrive later.
+        """
+        precedence = work.precedence
+        rate = load.retry_pieces_per_s if precedence.returned else load.pieces_per_s
+        if not rate:
+            return 0
+        starts_s = max(0, work.starts_at - now)
+        ahead = sum(count for other, count in load.queued.items() if other <= precedence)
+        clear_s = load.until_free_s + ahead / rate
+        for reservation in self.by_start:
+            other = reservation.work
+            arrives_s = max(0, other.starts_at - now)
+            if arrives_s > max(clear_s, starts_s):
+                break
+            # The rate for retries already accounts for the arrival of first attempts.
+            if other.precedence <= precedence and other.precedence.returned == precedence.returned:
+                clear_s = max(clear_s, arrives_s) + other.pieces / rate
+        return max(0, clear_s - starts_s)
+
+    def arrive(self, key: StageKey, now: float) -> bool:
+        """Use a reservation for pieces that have arrived; return False if there is none."""
+        reservation = self._remove(key)
+        if reservation is None:
+            return False
+        self.ended[ReservationEnd.used] += 1
+        self.arrived[key] = ArrivedWork(
+            precedence=reservation.work.precedence,
+            arrived_at=now,
+            expected_s=reservation.expected_s,
+        )
+        return True
+
+    def finish(self, key: StageKey, now: float, *, done: bool) -> None:
+        """Compare a forecast with its outcome; not ``done``: the pieces were given up."""
+        work = self.arrived.pop(key, None)
+        if work is None:
+            return
+        error_s = now - work.arrived_at - work.expected_s
+        if done or error_s > 0:
+            self.errors.setdefault(work.precedence, ForecastErrors()).record(error_s, now)
+
+    def withdraw(self, attempt_id: str, now: float) -> None:
+        """End all reservations of a request."""
+        for stage in list(self.stages.get(attempt_id, ())):
+            self._give_back(StageKey(attempt_id, stage), ReservationEnd.withdrawn, now)
+
+    def expire(self, now: float) -> int:
+        """End reservations whose pieces did not arrive; return their number."""
+        if now < self.expiry_checked_at + _EXPIRY_INTERVAL_S:
+            return 0
+        self.expiry_checked_at = now
+        expired = [key for key, held in self.reserved.items() if held.expires_at <= now]
+        for key in expired:
+            self._give_back(key, ReservationEnd.expired, now)
+        return len(expired)
+
+    @property
+    def reserved_pieces(self) -> int:
+        """Return the number of pieces that are expected."""
+        return sum(reservation.work.pieces for reservation in self.by_start)
+
+    # -- helpers ------------------------------------------------------------
+
+    def _insert(self, reservation: Reservation) -> None:
+        key = reservation.work.key
+        self.reserved[key] = reservation
+        self.stages.setdefault(key.attempt_id, set()).add(key.stage)
+        bisect.insort(self.by_start, reservation, key=_start_of)
+
+    def _remove(self, key: StageKey) -> Reservation | None:
+        reservation = self.reserved.pop(key, None)
+        if reservation is None:
+            return None
+        first = bisect.bisect_left(self.by_start, _start_of(reservation), key=_start_of)
+        self.by_start.pop(self.by_start.index(reservation, first))
+        stages = self.stages[key.attempt_id]
+        stages.discard(key.stage)
+        if not stages:
+            self.stages.pop(key.attempt_id)
+        return reservation
+
+    def _give_back(self, key: StageKey, end: ReservationEnd, now: float) -> None:
+        reservation = self._remove(key)
+        if reservation is not None:
+            self.ended[end] += 1
+            self.shares.withdrawn(reservation.demand, now)
+
+    def _count_demand(self, demand: AccountDemand, load: ServiceLoad, now: float) -> float:
+        """Count work that is asked for; return the wait for the account's share, seconds."""
+        self.shares.asked(demand, now)
+        share_wait_s = self.shares.share_wait_s(demand, self._place_load(load), now)
+        self.shares.admitted(demand, now)
+        return share_wait_s
+
+    def _place_load(self, load: ServiceLoad) -> PlaceLoad:
+        backlog = sum(load.queued.values()) + self.reserved_pieces
+        rate = load.pieces_per_s
+        return PlaceLoad(
+            capacity_per_s=rate * load.server_s_per_piece,
+            backlog_s=backlog / rate if rate else 0,
+        )
+
+    def _errors_of(self, precedence: Precedence, now: float) -> ErrorSummary:
+        errors = self.errors.setdefault(precedence, ForecastErrors())
+        if not errors.is_outdated(now):
+            return errors.cached
+        overdue_s = (
+            now - work.arrived_at - work.expected_s
+            for work in self.arrived.values()
+            if work.precedence == precedence and now - work.arrived_at > work.expected_s
+        )
+        return errors.summarize(overdue_s, now)
+
+
+def _start_of(reservation: Reservation) -> float:
+    return reservation.work.starts_at
+
+
+def _account_demand(work: StageWork, load: ServiceLoad) -> AccountDemand:
+    return AccountDemand(
+        account=work.account,
+        precedence=work.precedence,
+        amount=work.pieces * load.server_s_per_piece,
+    )
--- a/ringseam/gateway/reservations/messages.py
+++ b/ringseam/gateway/reservations/messages.py
@@ -15,7 +15,7 @@
     stage: int
     service: ServiceName
     pieces: int
-    #: When the pieces are expected to arrive at the owner if no stage before them waits.
+    #: When the pieces are expected to arrive at the owner.
     starts_ms: int
     #: When the stage must finish for the request to meet its objective.
     due_ms: int
@@ -24,8 +24,9 @@
 class ReserveRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Ask the owner of services to reserve capacity for a request that is being admitted.
 
-    The owner reserves at once; a gateway that doesn't admit the request withdraws. A
-    reservation ends when the pieces arrive, and otherwise by itself soon after it is due.
+    The owner reserves at once, and replaces what was reserved for the same stage; a gateway
+    that doesn't admit the request withdraws. A reservation ends when the pieces arrive, and
+    otherwise by itself soon after it is due.
     """
 
     attempt_id: str
@@ -45,6 +46,8 @@
     spread_ms: int = 0
     #: Added wait because the account has used more than its share.
     share_wait_ms: int = 0
+    #: Expected duration of the call that runs the pieces.
+    call_ms: int = 0
 
 
 class ReserveReply(Message, frozen=True, kw_only=True, omit_defaults=True):
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -26,7 +26,6 @@
 from ringseam.gateway.requests.sending import Sender
 from ringseam.gateway.stages.calls import PieceCalls
 from ringseam.gateway.stages.client import PieceClient
-from ringseam.gateway.stages.messages import PIECES, RELEASE, WAITS
 from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
@@ -159,6 +158,7 @@
                 guard=self.guard,
             ),
             responder=responder,
+            features=self.features,
         )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
@@ -223,9 +223,7 @@
                 self.silence.response_ended(instance, request)
 
     def _register_methods(self) -> None:
-        self.server.add(PIECES, self.pieces.serve_pieces)
-        self.server.add(WAITS, self.pieces.serve_waits)
-        self.server.add(RELEASE, self.pieces.serve_release)
+        self.pieces.register(self.server)
         self.server.add(PLACE, self.placements.serve_place)
         self.server.add(PROGRESS, self.placements.serve_progress)
         self.permits.register(self.server)
@@ -263,6 +261,13 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self._count_reservations()
+
+    def _count_reservations(self) -> None:
+        reservations = self.pieces.reservations
+        reservations.expire()
+        for (service, end), count in reservations.counts().items():
+            self.metrics.put('reservations', count, service=service, end=end)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/client.py
+++ b/ringseam/gateway/stages/client.py
@@ -16,6 +16,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.gateway.priorities import Precedence
+from ringseam.gateway.reservations.messages import RESERVE, WITHDRAW
 from ringseam.gateway.stages.jobs import PieceJob
 from ringseam.gateway.stages.messages import (
     PIECES,
@@ -28,6 +29,7 @@
     WaitsReply,
     WaitsRequest,
 )
+from ringseam.gateway.stages.reserving import OwnerReservations
 from ringseam.messages import Empty
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.quarantinemessages import Suspect
@@ -39,9 +41,14 @@
     from ringseam.clock import Clock
     from ringseam.envelopes import ReceivedMessage
     from ringseam.gateway.following.ownership import Ownership
+    from ringseam.gateway.reservations.messages import (
+        ReserveReply,
+        ReserveRequest,
+        WithdrawRequest,
+    )
     from ringseam.gateway.stages.scheduler import PieceScheduler
     from ringseam.routes import ServiceName
-    from ringseam.rpc import CallClient
+    from ringseam.rpc import CallClient, CallServer
 
 logger = logging.getLogger(__name__)
 
@@ -86,6 +93,7 @@
         self.client = client
         self.scheduler = scheduler
         self.ownership = ownership
+        self.reservations = OwnerReservations(scheduler=scheduler)
         self.tasks = TaskSet()
         self.reported_waits: dict[ServiceName, ReportedWaits] = {}
 
@@ -141,6 +149,14 @@
 
     # -- calls of other gateways --------------------------------------------
 
+    def register(self, server: CallServer) -> None:
+        """Register the methods that other gateways call."""
+        server.add(PIECES, self.serve_pieces)
+        server.add(WAITS, self.serve_waits)
+        server.add(RESERVE, self.serve_reserve)
+        server.add(WITHDRAW, self.serve_withdraw)
+        server.add(RELEASE, self.serve_release)
+
     async def serve_waits(self, received: ReceivedMessage) -> WaitsReply:
         """Report to another gateway how long new pieces would wait here."""
         request: WaitsRequest = received.body
@@ -148,6 +164,17 @@
             waits={service: self.scheduler.waits(service) for service in request.services},
         )
 
+    async def serve_reserve(self, received: ReceivedMessage) -> ReserveReply:
+        """Reserve capacity for a request that another gateway admits."""
+        request: ReserveRequest = received.body
+        return self.reservations.reserve(request)
+
+    async def serve_withdraw(self, received: ReceivedMessage) -> Empty:
+        """End the reservations of a request that another gateway does not run."""
+        request: WithdrawRequest = received.body
+        self.reservations.withdraw(request.attempt_id, request.services)
+        return Empty()
+
     async def serve_pieces(self, received: ReceivedMessage) -> PieceReply:
         """Run pieces for another gateway."""
         request: PieceRequest = received.body
--- a/ringseam/gateway/stages/graph.py
+++ b/ringseam/gateway/stages/graph.py
@@ -53,6 +53,8 @@
     #: Availability zones by the addresses of backend servers.
     zone_by_address: dict[str, str]
     handles: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    #: Stages whose pieces were sent to their owner.
+    started: set[int] = field(default_factory=set)
     completed: set[int] = field(default_factory=set)
     #: When each stage was completed.
     completed_at: dict[int, float] = field(default_factory=dict)
@@ -115,6 +117,23 @@
             if self.plan.piece_count(number)
         }
 
+    def unstarted_services(self) -> set[ServiceName]:
+        """Return the services of stages whose pieces have not been sent to their owner."""
+        return {
+            stage.service
+            for number, stage in enumerate(self.stages)
+            if self.plan.piece_count(number) and number not in self.started
+        }
+
+    def wait_s(self, number: int) -> float:
+        """Return the wait that the owner of a stage's service last reported, seconds."""
+        return self.pieces.wait_s(self.stages[number].service, self.context.precedence)
+
+    def due_at(self, number: int) -> float:
+        """Return when a stage must finish for the request to meet its objective."""
+        remaining_s = self.plan.remaining_s(number)
+        return self.context.scheduling_deadline - _ENGINE_BUDGET_S - remaining_s
+
     def inputs(self) -> tuple[str, ...]:
         """Return the result handles of the final stages."""
         return tuple(
@@ -171,6 +190,7 @@
         if len(inputs) < sum(map(self.plan.piece_count, stage.after)):
             # The inputs were released meanwhile, because this run is being cancelled.
             return PieceFault.input_lost
+        self.started.add(number)
         piece_results = await self.pieces.run(self._job(number, stage, count, inputs))
         self.handles[number] = tuple(result.handle for result in piece_results if result.handle)
         fault = _first_fault(piece_results)
@@ -212,7 +232,7 @@
             pieces=tuple(range(count)),
             key='' if inputs else context.request.piece_key,
             inputs=inputs,
-            due=context.scheduling_deadline - _ENGINE_BUDGET_S - self.plan.remaining_s(number),
+            due=self.due_at(number),
             deadline=context.deadline - self.plan.min_remaining_s(number),
             rank=context.precedence.rank,
             returned=context.precedence.returned,
--- /dev/null
+++ b/ringseam/gateway/stages/reserving.py
@@ -0,0 +1,109 @@
+"""Reservations at the gateway that forms the batches of a service."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.events import Event
+from ringseam.gateway.priorities import Precedence
+from ringseam.gateway.reservations.book import ServiceLoad, StageKey, StageWork
+from ringseam.gateway.reservations.messages import ReserveReply, StageForecast
+from ringseam.routes import AccountName
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from ringseam.gateway.reservations.book import Forecast
+    from ringseam.gateway.reservations.messages import ReserveRequest, StageDemand
+    from ringseam.gateway.stages.scheduler import PieceScheduler
+    from ringseam.routes import BatchSpec, ServiceName
+
+logger = logging.getLogger(__name__)
+
+
+class OwnerReservations:
+    """Keep the reservations of the services that this gateway owns."""
+
+    def __init__(self, *, scheduler: PieceScheduler) -> None:
+        """Forecast by the queues of ``scheduler``."""
+        self.scheduler = scheduler
+
+    def reserve(self, request: ReserveRequest) -> ReserveReply:
+        """Reserve capacity for the stages of a request, and forecast their waits."""
+        forecasts = []
+        for demand in request.demands:
+            spec = self.scheduler.spec_of(demand.service)
+            if spec is not None:
+                forecast = self._reserve_stage(request, demand, spec)
+                forecasts.append(_encode_forecast(demand.stage, forecast))
+        return ReserveReply(forecasts=tuple(forecasts))
+
+    def withdraw(self, attempt_id: str, services: Collection[ServiceName]) -> None:
+        """End the reservations of a request."""
+        now = self.scheduler.node.clock.now()
+        for service in services:
+            state = self.scheduler.services.get(service)
+            if state is not None:
+                state.book.withdraw(attempt_id, now)
+
+    def expire(self) -> None:
+        """End the reservations of pieces that did not arrive."""
+        node = self.scheduler.node
+        for service, state in self.scheduler.services.items():
+            expired = state.book.expire(node.clock.now())
+            if expired:
+                node.events.emit(
+                    logger, Event.reservation_expired, service=service, reservations=expired
+                )
+
+    def counts(self) -> dict[tuple[ServiceName, str], int]:
+        """Return the number of reservations that ended, by service and how they ended."""
+        return {
+            (service, end.value): count
+            for service, state in self.scheduler.services.items()
+            for end, count in state.book.ended.items()
+        }
+
+    # -- helpers ------------------------------------------------------------
+
+    def _reserve_stage(
+        self, request: ReserveRequest, demand: StageDemand, spec: BatchSpec
+    ) -> Forecast:
+        now = self.scheduler.node.clock.now()
+        work = StageWork(
+            key=StageKey(request.attempt_id, demand.stage),
+            pieces=demand.pieces,
+            precedence=Precedence(rank=request.rank, returned=request.returned),
+            account=AccountName(request.account),
+            starts_at=now + demand.starts_ms / MS_PER_S,
+            due_at=now + demand.due_ms / MS_PER_S,
+        )
+        load = self._load(demand, spec)
+        return self.scheduler.state_of(demand.service).book.reserve(work, load, now)
+
+    def _load(self, demand: StageDemand, spec: BatchSpec) -> ServiceLoad:
+        """Return the load that a call with the pieces of a stage meets."""
+        estimate = self.scheduler.estimate(demand.service)
+        throughput = self.scheduler.state_of(demand.service).batcher.throughput
+        own_call_s = spec.call_s + spec.piece_s * min(spec.batch, demand.pieces)
+        return ServiceLoad(
+            pieces_per_s=estimate.departures_per_s,
+            retry_pieces_per_s=estimate.retry_departures_per_s,
+            until_free_s=estimate.until_free_s,
+            call_s=max(own_call_s, throughput.observed_call_s),
+            server_s_per_piece=spec.full_call_s / spec.batch,
+            queued=estimate.counts_by_precedence,
+        )
+
+
+def _encode_forecast(stage: int, forecast: Forecast) -> StageForecast:
+    return StageForecast(
+        stage=stage,
+        wait_ms=round(forecast.wait_s * MS_PER_S),
+        spread_ms=round(forecast.spread_s * MS_PER_S),
+        share_wait_ms=math.ceil(forecast.share_wait_s * MS_PER_S),
+        call_ms=round(forecast.call_s * MS_PER_S),
+    )
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -10,7 +10,9 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
+from ringseam.gateway.accounts.policy import UnsharedPolicy
 from ringseam.gateway.priorities import Precedence
+from ringseam.gateway.reservations.book import StageKey
 from ringseam.gateway.stages.batching import FULL_BACKOFF_S, Batcher
 from ringseam.gateway.stages.calllog import CallLog
 from ringseam.gateway.stages.calls import FullError
@@ -32,6 +34,7 @@
     from collections.abc import Callable
 
     from ringseam.backends import BackendReport
+    from ringseam.gateway.accounts.policy import SharePolicy
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.guard import QuarantineGuard
     from ringseam.gateway.following.ownership import Ownership
@@ -75,7 +78,7 @@
 class PieceScheduler:  # noqa: WPS214 - the driver of all batches
     """Form batches for this gateway and for others, and send them to stage servers."""
 
-    def __init__(
+    def __init__(  # noqa: WPS211 - one more than the limit
         self,
         *,
         node: Node,
@@ -85,8 +88,12 @@
         guard: QuarantineGuard,
         ownership: Ownership,
         pacer: Pacer,
+        new_shares: Callable[[], SharePolicy] = UnsharedPolicy,
     ) -> None:
-        """Use the servers that ``follower`` knows."""
+        """Use the servers that ``follower`` knows.
+
+        :param new_shares: creates the shares of client accounts of one service.
+        """
         self.node = node
         self.follower = follower
         self.calls = calls
@@ -95,6 +102,7 @@
         self.guard = guard
         self.ownership = ownership
         self.pacer = pacer
+        self.new_shares = new_shares
         self.log = CallLog(node=node)
         self.services: dict[ServiceName, ServiceState] = {}
         self.tasks = TaskSet()
@@ -107,11 +115,12 @@
         """Run a job and return a result for each of its pieces."""
         if job.deadline <= self.node.clock.now():
             return [PieceResult(fault=PieceFault.late) for _ in job.pieces]
-        state = self._state(job.service)
+        state = self.state_of(job.service)
         pieces = state.batcher.add(job, self.node.clock.now())
         job_results = JobResults(pieces=pieces)
         state.waiters.update(dict.fromkeys(pieces, job_results))
         self.retries.record_request(job.service, self.node.clock.now())
+        self._use_reservation(state, job)
         self._dispatch(job.service)
         try:
             async with asyncio.timeout(max(0, job.deadline - self.node.clock.now())):
@@ -123,14 +132,12 @@
             self._abandon(state, job_results)
             raise
         finally:
-            state.batcher.cancel(pieces)
-            for piece in pieces:
-                state.waiters.pop(piece, None)
+            self._end_job(state, job, job_results)
         return job_results.ordered()
 
     def release(self, service: ServiceName, handles: tuple[str, ...]) -> None:
         """Release results at the servers that store them, in batches."""
-        state = self._state(service)
+        state = self.state_of(service)
         for handle in handles:
             address = server_address_of(handle)
             if address not in state.pending_releases:
@@ -148,11 +155,11 @@
 
     def wait_s(self, service: ServiceName, precedence: Precedence) -> float:
         """Estimate how long a new piece would wait here, seconds."""
-        return self._estimate(service).wait_s(precedence)
+        return self.estimate(service).wait_s(precedence)
 
     def waits(self, service: ServiceName) -> Waits:
         """Return the estimated waits of new pieces and the time to clear the queue."""
-        estimate = self._estimate(service)
+        estimate = self.estimate(service)
         first = {
             precedence.rank
             for precedence in estimate.counts_by_precedence
@@ -174,7 +181,29 @@
 
     def backlog_s(self, service: ServiceName) -> float:
         """Return the estimated time to clear the queue here, seconds."""
-        return self._estimate(service).backlog_s
+        return self.estimate(service).backlog_s
+
+    def estimate(self, service: ServiceName) -> WaitEstimate:
+        """Return the wait estimate for new pieces, from a short-lived cache."""
+        state = self.state_of(service)
+        now = self.node.clock.now()
+        spec = self.spec_of(service)
+        if spec is not None and now >= state.estimate_until:
+            state.estimate = state.batcher.wait_estimate(self._servers(service), spec, now)
+            state.estimate_until = now + _ESTIMATE_TTL_S
+        return state.estimate
+
+    def state_of(self, service: ServiceName) -> ServiceState:
+        """Return the state of a service, which is created when it is first used."""
+        if service not in self.services:
+            batcher = Batcher(service=service, health=self.health, pacer=self.pacer)
+            self.services[service] = ServiceState(batcher=batcher, shares=self.new_shares())
+        return self.services[service]
+
+    def spec_of(self, service: ServiceName) -> BatchSpec | None:
+        """Return how a service batches pieces; None: it is unknown or doesn't."""
+        backend_service = self.follower.table.services.get(service)
+        return backend_service.batching if backend_service else None
 
     @property
     def in_flight(self) -> int:
@@ -185,10 +214,10 @@
 
     def _dispatch(self, service: ServiceName) -> None:
         """Send all calls that can be sent now."""
-        spec = self._spec(service)
+        spec = self.spec_of(service)
         if spec is None:
             return
-        state = self._state(service)
+        state = self.state_of(service)
         now = self.node.clock.now()
         call = state.batcher.next_call(self._servers(service), spec, now)
         while call is not None:
@@ -256,6 +285,7 @@
             self.health.record_success(call.server.instance, now)
             ratio = (now - started) / call.expected_s
             self.health.record_slowness(call.server.instance, ratio, now)
+            state.batcher.throughput.record_duration(now - started)
             self._handle_results(state, call, outcome, spec)
         self._dispatch(state.batcher.service)
 
@@ -390,6 +420,24 @@
             # The job is no longer awaited: free the capacity at the server.
             self.release(state.batcher.service, (result.handle,))
 
+    def _use_reservation(self, state: ServiceState, job: PieceJob) -> None:
+        """Use the reservation of pieces that have arrived; without one, count them now."""
+        now = self.node.clock.now()
+        if state.book.arrive(StageKey(job.attempt_id, job.stage), now):
+            # From now on the pieces are counted in the queue.
+            state.estimate_until = float('-inf')
+            return
+        spec = self.spec_of(job.service)
+        if spec is not None:
+            state.count_unreserved(job, spec, now)
+
+    def _end_job(self, state: ServiceState, job: PieceJob, job_results: JobResults) -> None:
+        state.batcher.cancel(job_results.pieces)
+        for piece in job_results.pieces:
+            state.waiters.pop(piece, None)
+        key = StageKey(job.attempt_id, job.stage)
+        state.book.finish(key, self.node.clock.now(), done=job_results.is_whole)
+
     def _abandon(self, state: ServiceState, job_results: JobResults) -> None:
         """Release the results of a job that is no longer awaited."""
         job_results.completed.cancel()
@@ -429,29 +477,9 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def _estimate(self, service: ServiceName) -> WaitEstimate:
-        """Return the wait estimate for new pieces, from a short-lived cache."""
-        state = self._state(service)
-        now = self.node.clock.now()
-        spec = self._spec(service)
-        if spec is not None and now >= state.estimate_until:
-            state.estimate = state.batcher.wait_estimate(self._servers(service), spec, now)
-            state.estimate_until = now + _ESTIMATE_TTL_S
-        return state.estimate
-
-    def _state(self, service: ServiceName) -> ServiceState:
-        if service not in self.services:
-            batcher = Batcher(service=service, health=self.health, pacer=self.pacer)
-            self.services[service] = ServiceState(batcher=batcher)
-        return self.services[service]
-
     def _servers(self, service: ServiceName) -> list[BackendReport]:
         return self.follower.view.serving(service)
 
-    def _spec(self, service: ServiceName) -> BatchSpec | None:
-        backend_service = self.follower.table.services.get(service)
-        return backend_service.batching if backend_service else None
-
 
 def _piece_id(piece: Piece) -> str:
     """Return the identifier of a piece among those in flight."""
--- a/ringseam/gateway/stages/servicestate.py
+++ b/ringseam/gateway/stages/servicestate.py
@@ -8,12 +8,17 @@
 from typing import TYPE_CHECKING
 
 from ringseam.backends import BackendId
+from ringseam.gateway.accounts.policy import AccountDemand, UnsharedPolicy
+from ringseam.gateway.reservations.book import ReservationBook
 from ringseam.gateway.stages.waitestimate import WaitEstimate
 from ringseam.platform.stages import PieceFault, PieceResult
+from ringseam.routes import AccountName
 
 if TYPE_CHECKING:
+    from ringseam.gateway.accounts.policy import SharePolicy
     from ringseam.gateway.stages.batching import Batcher
-    from ringseam.gateway.stages.jobs import Piece
+    from ringseam.gateway.stages.jobs import Piece, PieceJob
+    from ringseam.routes import BatchSpec
 
 
 class CallFailureKind(enum.Enum):
@@ -51,6 +56,13 @@
             self.completed.set_result(None)
         return True
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether every piece has a result that can be used."""
+        return len(self.by_piece) == len(self.pieces) and all(
+            result.handle for result in self.by_piece.values()
+        )
+
     def ordered(self) -> list[PieceResult]:
         """Return the results in the order of the pieces; missing ones count as late."""
         late = PieceResult(fault=PieceFault.late)
@@ -62,6 +74,8 @@
     """The batches of one service and the jobs that await its pieces."""
 
     batcher: Batcher
+    shares: SharePolicy = field(default_factory=UnsharedPolicy)
+    book: ReservationBook = field(init=False)
     waiters: dict[Piece, JobResults] = field(default_factory=dict)
     #: Handles to release at the next call to each server, by its address.
     pending_releases: dict[str, list[str]] = field(default_factory=dict)
@@ -77,6 +91,20 @@
     #: Results stored at servers: the server and the size in bytes of each handle.
     stored: dict[str, tuple[BackendId, int]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Create an empty book of reservations."""
+        self.book = ReservationBook(shares=self.shares)
+
+    def count_unreserved(self, job: PieceJob, spec: BatchSpec, now: float) -> None:
+        """Count pieces that arrived without a reservation as used by their account."""
+        demand = AccountDemand(
+            account=AccountName(job.suspect.account),
+            precedence=job.precedence,
+            amount=len(job.pieces) * spec.full_call_s / spec.batch,
+        )
+        self.shares.asked(demand, now)
+        self.shares.admitted(demand, now)
+
     def add_result(self, handle: str, instance: BackendId, amount: int) -> None:
         """Record a stored result and reserve its capacity."""
         self.stored[handle] = (instance, amount)
--- a/ringseam/gateway/stages/throughput.py
+++ b/ringseam/gateway/stages/throughput.py
@@ -69,6 +69,8 @@
     last_calls: dict[BackendId, LastCall] = field(default_factory=dict)
     #: Observed time of a server per piece while pieces are queued; 0: not observed yet.
     observed_piece_s: float = 0
+    #: Moving average of the durations of calls; 0: not observed yet.
+    observed_call_s: float = 0
 
     def call_started(self, call: StageCall, now: float, *, has_backlog: bool) -> None:
         """Record that a call is sent; ``has_backlog``: pieces stay in the queue."""
@@ -88,6 +90,12 @@
         """Record that a call is over."""
         self.calls[instance] = max(0, self.calls.get(instance, 0) - 1)
 
+    def record_duration(self, duration_s: float) -> None:
+        """Record how long a call took that returned results."""
+        if not self.observed_call_s:
+            self.observed_call_s = duration_s
+        self.observed_call_s += _PACE_WEIGHT * (duration_s - self.observed_call_s)
+
     def is_busy(self, instance: BackendId, spec: BatchSpec) -> bool:
         """Return whether all slots of a server are in use."""
         return self.calls.get(instance, 0) >= spec.slots
--- a/ringseam/gateway/stages/waitestimate.py
+++ b/ringseam/gateway/stages/waitestimate.py
@@ -44,11 +44,15 @@
         count_ahead = sum(
             count for other, count in self.counts_by_precedence.items() if other <= precedence
         )
-        rate = self.departures_per_s
-        if precedence.returned:
-            rate = max(rate - self.arrivals_per_s, _MIN_RETRY_SHARE * rate)
+        rate = self.retry_departures_per_s if precedence.returned else self.departures_per_s
         return self.until_free_s + count_ahead / rate
 
+    @property
+    def retry_departures_per_s(self) -> float:
+        """Return how many pieces per second are left for clients that retry."""
+        rate = self.departures_per_s
+        return max(rate - self.arrivals_per_s, _MIN_RETRY_SHARE * rate)
+
     @property
     def backlog_s(self) -> float:
         """Return how long it takes to clear the queue, seconds."""
