--- a/ringseam/gateway/requests/admissionpolicy.py
+++ b/ringseam/gateway/requests/admissionpolicy.py
@@ -8,6 +8,8 @@
 from ringseam.gateway.requests.admission import FINAL_SERVER_S
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ringseam.clock import Clock
     from ringseam.gateway.requestcontext import RequestContext
     from ringseam.gateway.requests.admission import Admission, Refusal
@@ -39,4 +41,27 @@
         """Compare the sum of the reported waits with the request's objective."""
         await self.pieces.refresh_waits(stages.services())
         context.predicted_duration_s = stages.predicted_s() + FINAL_SERVER_S
+        context.decided_by = 'waits'
         return self.admission.check(context, context.predicted_duration_s, self.clock.now())
+
+
+class SwitchedAdmission(AdmissionPolicy):
+    """Decide with reservations while these are in force, else by predicted delays."""
+
+    def __init__(
+        self, *, is_on: Callable[[], bool], policy: AdmissionPolicy, former: AdmissionPolicy
+    ) -> None:
+        """Use ``policy`` while ``is_on`` returns true."""
+        self.is_on = is_on
+        self.policy = policy
+        self.former = former
+
+    async def admit(self, context: RequestContext, stages: StageRun) -> Refusal | None:
+        """Ask the policy in force."""
+        policy = self.policy if self.is_on() else self.former
+        return await policy.admit(context, stages)
+
+    def ended(self, context: RequestContext) -> None:
+        """Tell both: a request may end under another policy than it was admitted by."""
+        self.policy.ended(context)
+        self.former.ended(context)
--- a/ringseam/gateway/reservations/messages.py
+++ b/ringseam/gateway/reservations/messages.py
@@ -15,7 +15,7 @@
     stage: int
     service: ServiceName
     pieces: int
-    #: When the pieces are expected to arrive at the owner if no stage before them waits.
+    #: When the pieces are expected to arrive at the owner.
     starts_ms: int
     #: When the stage must finish for the request to meet its objective.
     due_ms: int
@@ -24,8 +24,9 @@
 class ReserveRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Ask the owner of services to reserve capacity for a request that is being admitted.
 
-    The owner reserves at once; a gateway that doesn't admit the request withdraws. A
-    reservation ends when the pieces arrive, and otherwise by itself soon after it is due.
+    The owner reserves at once, and replaces what was reserved for the same stage; a gateway
+    that doesn't admit the request withdraws. A reservation ends when the pieces arrive, and
+    otherwise by itself soon after it is due.
     """
 
     attempt_id: str
@@ -36,10 +37,10 @@
 
 
 class StageForecast(Message, frozen=True, kw_only=True, omit_defaults=True):
-    """When the pieces of one stage would be sent, as the owner of its service expects."""
+    """How much longer a stage takes than a call with its pieces alone."""
 
     stage: int
-    #: Expected wait of the pieces after their arrival.
+    #: Expected wait of the pieces after their arrival, and what a fuller call adds.
     wait_ms: int = 0
     #: Error that the owner's forecasts have exceeded in few recent cases.
     spread_ms: int = 0
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -9,10 +9,10 @@
 from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
-from ringseam.features import Feature
 from ringseam.gateway.engines.client import PlacementClient
 from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceDetector
+from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
@@ -27,9 +27,8 @@
 from ringseam.gateway.requests.sending import Sender
 from ringseam.gateway.stages.calls import PieceCalls
 from ringseam.gateway.stages.client import PieceClient
-from ringseam.gateway.stages.messages import PIECES, RELEASE, WAITS
+from ringseam.gateway.stages.policies import stage_policies
 from ringseam.gateway.stages.scheduler import PieceScheduler
-from ringseam.gateway.stages.zonechoice import ExpectedCompletionPolicy
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
 from ringseam.platform.registration import READY_PATH
@@ -71,7 +70,7 @@
         super().__init__(settings=settings)
         self.node.adopts_group = False
         own = settings.role_options
-        self.features = settings.features
+        self.switch = FeatureSwitch(settings=settings.features)
         self.metrics = Metrics()
         self.health = HealthTracker()
         self.lag = EventLoopLag()
@@ -132,6 +131,7 @@
             guard=self.guard,
             ownership=self.ownership,
             pacer=self.permits.pacer,
+            policies=stage_policies(self.switch),
         )
         self.pieces = PieceClient(
             clock=self.node.clock,
@@ -140,8 +140,6 @@
             ownership=self.ownership,
         )
         self.piece_scheduler.release_inputs = self.pieces.release
-        if Feature.zone_overflow in self.features:
-            self.piece_scheduler.zone_policy = ExpectedCompletionPolicy()
         responder = Responder(node=self.node, metrics=self.metrics)
         self.forwarder = Forwarder(
             node=self.node,
@@ -163,6 +161,7 @@
                 guard=self.guard,
             ),
             responder=responder,
+            switch=self.switch,
         )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
@@ -227,9 +226,7 @@
                 self.silence.response_ended(instance, request)
 
     def _register_methods(self) -> None:
-        self.server.add(PIECES, self.pieces.serve_pieces)
-        self.server.add(WAITS, self.pieces.serve_waits)
-        self.server.add(RELEASE, self.pieces.serve_release)
+        self.pieces.register(self.server)
         self.server.add(PLACE, self.placements.serve_place)
         self.server.add(PROGRESS, self.placements.serve_progress)
         self.permits.register(self.server)
@@ -267,6 +264,13 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self._count_reservations()
+
+    def _count_reservations(self) -> None:
+        reservations = self.pieces.reservations
+        reservations.expire()
+        for (service, end), count in reservations.counts().items():
+            self.metrics.put('reservations', count, service=service, end=end)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/zonechoice.py
+++ b/ringseam/gateway/stages/zonechoice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.priorities import route_priority
@@ -61,3 +61,17 @@
             return True
         ends_at = now + available_in_s + spec.full_call_s
         return now < piece.job.due < ends_at
+
+
+@dataclass(frozen=True, kw_only=True)
+class SwitchedPolicy(ZonePolicy):
+    """Decide by expected completion while this is in force, else in the last moment."""
+
+    is_on: Callable[[], bool]
+    policy: ZonePolicy = field(default_factory=ExpectedCompletionPolicy)
+    former: ZonePolicy = field(default_factory=LastMomentPolicy)
+
+    def may_leave(self, piece: Piece, spec: BatchSpec, load: ZoneLoad, now: float) -> bool:
+        """Ask the policy in force."""
+        policy = self.policy if self.is_on() else self.former
+        return policy.may_leave(piece, spec, load, now)
--- a/tests/test_layout/test_layout_imports.py
+++ b/tests/test_layout/test_layout_imports.py
@@ -22,6 +22,7 @@
     'hosts',
     'reservations',
     'accounts',
+    'featureswitch',
     'requestcontext',
     'priorities',
 )
