Shares of client accounts of services without stages

Change: each gateway holds MaxMinShares for each of its plain services; while the median server has a queue, a request of an account above its share is refused at once, with a Retry-After by the wait for its share, an event and metrics of bounded cardinality. FairOrder and these shares are in force with the feature account-shares. An account within a quarter of an equal part never waits.

--- a/ringseam/gateway/accounts/maxmin.py
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -28,6 +28,8 @@
 #: What the place has done is at least this share of what was admitted. A decider that has
 #: just started knows of a backlog, but not of the use that it comes from.
 _MIN_DONE_SHARE = 0.5
+#: Every account may use this share of an equal part of the capacity without waiting.
+_SURE_SHARE = 0.25
 #: An account waits for its share in full when the others of its rank ask for at least this
 #: share of what all ask for; one that is alone doesn't wait.
 _COMPANY_SHARE = 0.05
@@ -57,6 +59,8 @@
     what it asks for or an equal share, whichever is less. While there is a backlog, an
     account that was admitted for more than its share waits until its use has decayed to its
     share, so the backlog is taken out of the largest accounts and the others find room.
+    An account that uses less than a quarter of an equal part of the capacity never waits,
+    so shares don't shrink without end while others, elsewhere, cause the backlog.
 
     The wait grows continuously with the backlog and with the use. Returning clients belong
     to the rank of their first attempt, which has counted their demand already.
@@ -97,11 +101,20 @@
         ]
         return min(1, crowding) * max(waits, default=0)
 
+    def used_by(self, account: AccountName, now: float) -> float:
+        """Return the work of an account that was admitted per second."""
+        used = sum(table.used_by(account, now) for table in self.ranks.values())
+        return used / self.decay_s
+
+    def used_per_s(self, now: float) -> float:
+        """Return the work that was admitted per second."""
+        return sum(table.used(now) for table in self.ranks.values()) / self.decay_s
+
     def shares(self, load: PlaceLoad, count: int, now: float) -> list[AccountShare]:
         """Return the accounts with the largest demand in each rank, and their shares."""
         found: list[AccountShare] = []
         for rank, table in sorted(self.ranks.items()):
-            level = table.water_level(self._available(rank, load, now), now)
+            level = self._level(rank, load, now)
             found.extend(
                 AccountShare(
                     rank,
@@ -127,17 +140,20 @@
         used = table.used_by(account, now)
         if not used:
             return 0
-        share = self.weight_of(account) * table.water_level(self._available(rank, load, now), now)
+        share = self.weight_of(account) * self._level(rank, load, now)
         if used <= share:
             return 0
         wait_s = self.decay_s * math.log(used / share) if share else _MAX_WAIT_S
         company = min(1, table.others_share(account) / _COMPANY_SHARE)
         return min(wait_s, _MAX_WAIT_S) * company
 
-    def _available(self, rank: int, load: PlaceLoad, now: float) -> float:
-        """Return what the place had for a rank, in units of the place."""
-        total = sum(table.used(now) for table in self.ranks.values())
-        urgent = sum(table.used(now) for other, table in self.ranks.items() if other < rank)
-        own = self.ranks[rank].used(now)
+    def _level(self, rank: int, load: PlaceLoad, now: float) -> float:
+        """Return the share of an account of weight 1."""
+        table = self.ranks[rank]
+        total = sum(other.used(now) for other in self.ranks.values())
+        urgent = sum(other.used(now) for level, other in self.ranks.items() if level < rank)
         left = total - load.backlog_s * load.capacity_per_s - urgent
-        return max(left, _MIN_DONE_SHARE * own)
+        available = max(left, _MIN_DONE_SHARE * table.used(now))
+        capacity = max(0, load.capacity_per_s * self.decay_s - urgent)
+        sure = _SURE_SHARE * capacity / max(1, table.total_weight)
+        return max(table.water_level(available, now), sure)
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -7,6 +7,7 @@
 import types
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
 from ringseam.events import Event
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun, Quarantined
 from ringseam.gateway.requests.answers import BAD_GATEWAY, DEFAULT_RETRY_AFTER_S, GATEWAY_TIMEOUT
@@ -23,6 +24,7 @@
     from ringseam.gateway.following.guard import QuarantineGuard
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
     from ringseam.gateway.requests.answers import Responder
+    from ringseam.gateway.requests.plainshares import PlainShares, PlainTry
     from ringseam.gateway.requests.sending import Sender
     from ringseam.gateway.stages.graph import StageRun
     from ringseam.node import Node
@@ -32,6 +34,8 @@
 
 #: Detail of a refusal when some server will accept the request later.
 SERVERS_LIMITED = 'all remaining servers are paused or have reached their rate limits'
+#: Detail of a refusal of a request whose account is above its share.
+_OVER_SHARE = 'the client account is above its share of a full service'
 _BAD_REQUEST = 400
 _SERVER_ERROR = 500
 _MISDIRECTED = 421
@@ -69,6 +73,8 @@
         self.retries = retries
         self.responder = responder
         self.guard = guard
+        #: Shares of client accounts of services without stages; None: all are served alike.
+        self.plain_shares: PlainShares | None = None
         self.selector = ServerSelector(
             clock=node.clock,
             follower=follower,
@@ -78,6 +84,8 @@
 
     async def run(self, context: RequestContext, stages: StageRun | None) -> None:
         """Send until a response is forwarded; else respond with the final status."""
+        if stages is None and await self._refuse_over_share(context):
+            return
         relay = StreamRelay(
             context=context, clock=self.clock, last_event=context.request.last_event
         )
@@ -112,11 +120,13 @@
             last=relay.last_event,
         )
         self.guard.crashes.request_sent(server, context.request.attempt_id, context.suspect)
+        charged = self._charge(context, server)
+        outcome: TryOutcome | None = None
         try:
             outcome = await self._send(context, server, relay)
         finally:
             health.in_flight -= 1
-            self._end_attempt(context, server)
+            self._end_attempt(context, server, charged, outcome)
         self._remove_replaced(server, outcome)
         self._log_connection_loss(context, server, outcome)
         self._log_refusal(context, server, outcome)
@@ -125,6 +135,41 @@
             self.guard.record_success(server, context.content_id)
         return outcome
 
+    async def _refuse_over_share(self, context: RequestContext) -> bool:
+        """Refuse a request of an account above its share; return whether it was refused."""
+        if self.plain_shares is None or context.route.affinity:
+            return False
+        servers = self.follower.serving(
+            context.service, context.suspect.account, context.allowed_zones
+        )
+        refusal = self.plain_shares.check(context, servers, self.clock.now())
+        if refusal is None:
+            return False
+        self.responder.log(
+            context,
+            Event.request_over_share,
+            account=context.suspect.account,
+            service=context.service,
+            wait_ms=round(refusal.wait_s * MS_PER_S),
+            queue_ms=round(refusal.load.backlog_s * MS_PER_S),
+            used=round(refusal.used_per_s, 3),
+            capacity=round(refusal.load.capacity_per_s, 3),
+        )
+        await self.responder.refuse(
+            context.exchange,
+            context.request,
+            _OVER_SHARE,
+            retry_after_s=max(DEFAULT_RETRY_AFTER_S, refusal.wait_s),
+            route=context.route.name,
+        )
+        return True
+
+    def _charge(self, context: RequestContext, server: BackendReport) -> PlainTry | None:
+        """Charge the account for a request that is sent."""
+        if self.plain_shares is None or context.route.affinity:
+            return None
+        return self.plain_shares.sent(context, server, self.clock.now())
+
     async def _send(
         self,
         context: RequestContext,
@@ -140,8 +185,16 @@
             await self.guard.crashes.check_crash(server)
         return outcome
 
-    def _end_attempt(self, context: RequestContext, server: BackendReport) -> None:
+    def _end_attempt(
+        self,
+        context: RequestContext,
+        server: BackendReport,
+        charged: PlainTry | None,
+        outcome: TryOutcome | None,
+    ) -> None:
         """Record that a request is no longer in progress on a server."""
+        if self.plain_shares is not None and charged is not None:
+            self.plain_shares.ended(charged, outcome, self.clock.now())
         self.guard.crashes.request_finished(server, context.request.attempt_id)
         if context.route.affinity:
             self.sender.silence.response_ended(server.instance, context.request.attempt_id)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -20,6 +20,7 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
+from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
@@ -160,6 +161,12 @@
             ),
             responder=responder,
         )
+        self.sharing = AccountSharing(
+            features=self.features,
+            attempts=self.forwarder.attempts,
+            scheduler=self.piece_scheduler,
+            metrics=self.metrics,
+        )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
@@ -263,6 +270,7 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self.sharing.clean_up(known)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
