--- a/ringseam/model/clients.py
+++ b/ringseam/model/clients.py
@@ -56,6 +56,7 @@
     route: str
     sent_at: float
     value: float
+    account: str = ''
     earned_value: float = 0
     #: ID of the attempt that was served; empty if none was.
     served_attempt: str = ''
@@ -133,9 +134,10 @@
 
     async def run(self) -> None:
         """Send all requests of the pattern and wait until each has ended."""
-        requests = [
-            planned for name in self.pattern.routes for planned in self._draw_requests(name)
-        ]
+        accounts = self.pattern.accounts or ('',)
+        requests: list[PlannedRequest] = []
+        for name, account in itertools.product(self.pattern.routes, accounts):
+            requests.extend(self._draw_requests(name, account))
         crashing_clients = [
             asyncio.ensure_future(self._send_crashing_content(event))
             for event in self.pattern.events
@@ -161,15 +163,17 @@
             attempts.add(asyncio.ensure_future(attempt))
             await asyncio.sleep(1 / event.factor)
 
-    def _draw_requests(self, name: str) -> list[PlannedRequest]:
-        """Draw all requests of a route; they depend on the seed and the pattern only."""
+    def _draw_requests(self, name: str, account: str) -> list[PlannedRequest]:
+        """Draw all requests of a route and account, by the seed and the pattern only."""
         basics = self.pattern.basics
-        rng = random.Random(f'{self.seed}/{name}')  # noqa: S311 - draws load only
+        rng = random.Random(  # noqa: S311 - draws load only
+            f'{self.seed}/{name}/{account}' if account else f'{self.seed}/{name}'
+        )
         load = self.pattern.routes[name]
         requests: list[PlannedRequest] = []
         now: float = 0
         while now < basics.seconds:
-            now += rng.expovariate(self.pattern.rate_at(name, now) / basics.clump)
+            now += rng.expovariate(self.pattern.rate_at(name, now, account) / basics.clump)
             count = 1
             while rng.random() > 1 / basics.clump:
                 count += 1
@@ -178,7 +182,7 @@
                     PlannedRequest(
                         route=name,
                         send_at=now + rng.random() * _CLUMP_SPREAD_S,
-                        request=self._draw_request(name, load, rng),
+                        request=self._draw_request(name, load, rng, account),
                         event_count=_draw_event_count(load, rng),
                         seed=rng.random(),
                     ),
@@ -191,7 +195,12 @@
         rng = random.Random(planned.seed)  # noqa: S311 - spreads load only
         await asyncio.sleep(planned.send_at - self.clock.now())
         load = self.pattern.routes[name]
-        outcome = RequestOutcome(route=name, sent_at=self.clock.now(), value=load.worth)
+        outcome = RequestOutcome(
+            route=name,
+            sent_at=self.clock.now(),
+            value=load.worth,
+            account=planned.request.key,
+        )
         self.outcomes.append(outcome)
         for number in range(2):
             outcome.attempts = number + 1
@@ -266,15 +275,17 @@
             arrived=self.clock.now(),
         )
 
-    def _draw_request(self, name: str, load: RouteLoad, rng: random.Random) -> ClientRequest:
-        """Draw one request of a route."""
+    def _draw_request(
+        self, name: str, load: RouteLoad, rng: random.Random, account: str = ''
+    ) -> ClientRequest:
+        """Draw one request of a route; the name of an account is its key."""
         prefix = self._draw_prompt(name, load, rng)
         return ClientRequest(
             attempt_id='',
             host=HOST,
             path=f'/{name}/x',
             time_left_s=None,
-            key='',
+            key=account,
             prompt_tokens=sum(part.tokens for part in prefix),
             prefix=prefix,
             pieces=self._draw_piece_counts(name, rng),
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -6,10 +6,12 @@
 import collections
 import functools
 import statistics
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ringseam.backends import BackendId, BackendReport, BackendState
+from ringseam.gateway.requests.accountsharing import AccountSharing
+from ringseam.metrics import Metrics
 from ringseam.model.clients import LoadGenerator, RequestEnd
 from ringseam.model.engines import ModelEngine, PrefillStatistics
 from ringseam.model.gateways import BackendServers, ModelGateway, ModelLeader, ModelNetwork
@@ -67,6 +69,8 @@
     prices: Prices
     #: Number of times a content crashed an engine.
     engine_crashes: int = 0
+    #: Share of the value earned, by account.
+    account_value_shares: dict[str, float] = field(default_factory=dict)
 
     @property
     def net_share(self) -> float:
@@ -111,6 +115,13 @@
             )
             for number in range(pattern.basics.gateways)
         ]
+        for gateway in self.gateways:
+            AccountSharing(
+                features=pattern.features,
+                attempts=gateway.forwarder.attempts,
+                scheduler=gateway.piece_scheduler,
+                metrics=Metrics(),
+            )
         self.leader = ModelLeader(clock=clock, network=self.network)
         self.leader.gateways = self.gateways
         self.drained_zones = DrainedZones()
@@ -317,6 +328,7 @@
             total_value=offered.total(),
             prices=self.pattern.prices,
             engine_crashes=self.engine_crashes,
+            account_value_shares=_account_value_shares(outcomes),
         )
 
     def _unserved_wait_cost(self, outcome: RequestOutcome) -> float:
@@ -343,6 +355,15 @@
     return outcome.attempts > 1 and outcome.end not in {RequestEnd.on_time, RequestEnd.late}
 
 
+def _account_value_shares(outcomes: list[RequestOutcome]) -> dict[str, float]:
+    offered: collections.Counter[str] = collections.Counter()
+    earned: collections.Counter[str] = collections.Counter()
+    for outcome in outcomes:
+        offered[outcome.account] += outcome.value
+        earned[outcome.account] += outcome.earned_value
+    return {account: earned[account] / value for account, value in offered.items()}
+
+
 def _worst_windows_share(outcomes: list[RequestOutcome]) -> float:
     """Return the mean share of the value earned in the two worst windows."""
     offered: collections.Counter[int] = collections.Counter()
--- a/ringseam/model/pattern.py
+++ b/ringseam/model/pattern.py
@@ -1,8 +1,8 @@
 """Patterns of load and failures, read from an INI file.
 
 The sections are ``[pattern]``, ``[service NAME]``, ``[route NAME]``, ``[stage ROUTE N]``,
-``[event NAME]`` and ``[prices]``. Durations are in seconds, sizes in bytes or tokens
-unless the name gives another unit. Amounts that vary by request are drawn from a
+``[account NAME]``, ``[event NAME]`` and ``[prices]``. Durations are in seconds, sizes in
+bytes or tokens unless the name gives another unit. Amounts that vary by request are drawn from a
 lognormal distribution given by its mean, the standard deviation of its logarithm
 (``_spread``) and an upper bound (``_most``).
 """
@@ -18,7 +18,10 @@
 import msgspec
 
 from ringseam.errors import Finding, FindingsError
+from ringseam.features import Feature
 from ringseam.routes import (
+    Account,
+    AccountName,
     BackendService,
     BatchSpec,
     EngineSpec,
@@ -29,6 +32,7 @@
     ServiceName,
     Target,
 )
+from ringseam.util.ini import split_list
 
 if TYPE_CHECKING:
     import random
@@ -121,6 +125,13 @@
     commons: int = 1
 
 
+class AccountLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """The requests of one client account."""
+
+    #: Share of the requests of each route.
+    share: float
+
+
 class EventKind(enum.Enum):
     """An event that affects servers or load."""
 
@@ -154,6 +165,8 @@
     #: The affected service; for bursts and crashing contents a route, for drains a zone.
     #: A burst without a name affects all routes.
     of: str = ''
+    #: The account whose requests a burst consists of; empty: all accounts.
+    account: str = ''
     count: int = 1
     factor: float = 2
 
@@ -161,6 +174,11 @@
         """Return whether the event is in progress."""
         return self.at <= now < self.at + self.for_s
 
+    def is_burst_of(self, route: str, account: str) -> bool:
+        """Return whether the event is a burst of an account's requests on a route."""
+        burst = self.kind is EventKind.burst
+        return burst and self.of in {'', route} and self.account in {'', account}
+
 
 class Basics(msgspec.Struct, frozen=True, kw_only=True):
     """The settings of a whole pattern."""
@@ -173,6 +191,8 @@
     client_s: float = 0.003
     #: Requests arrive in clumps; this is their mean size.
     clump: float = 2
+    #: Features of the gateways that are in force, separated by commas.
+    features: str = ''
 
 
 class Prices(msgspec.Struct, frozen=True, kw_only=True):
@@ -197,6 +217,13 @@
     stages: dict[str, list[StageLoad]]
     events: list[PatternEvent] = []
     prices: Prices = Prices()
+    #: Without accounts, requests need no key.
+    accounts: dict[str, AccountLoad] = {}
+
+    @property
+    def features(self) -> frozenset[Feature]:
+        """Return the features that are in force."""
+        return frozenset(map(Feature, split_list(self.basics.features)))
 
     def route_table(self) -> RouteTable:
         """Return the route table for the gateways."""
@@ -206,13 +233,16 @@
             services={
                 ServiceName(name): _service(name, load) for name, load in self.services.items()
             },
+            accounts=tuple(map(_account, self.accounts)),
         )
 
-    def rate_at(self, name: str, now: float) -> float:
-        """Return the rate of a route at a given time, requests per second."""
+    def rate_at(self, name: str, now: float, account: str = '') -> float:
+        """Return the rate of a route, or of its part of an account, requests per second."""
         rate = self.routes[name].per_s
+        if account:
+            rate *= self.accounts[account].share
         for event in self.events:
-            if event.kind is EventKind.burst and event.of in {'', name} and event.is_active(now):
+            if event.is_burst_of(name, account) and event.is_active(now):
                 rate *= event.factor
         return rate
 
@@ -235,7 +265,7 @@
                 )
                 for stage in self.stages.get(name, [])
             ),
-            public=True,
+            public=not self.accounts,
             affinity=True,
             resumable=load.resumable,
             gap_objective_s=load.pause_s,
@@ -276,6 +306,7 @@
         stages=stages,
         events=list(sections.get('event', {}).values()),
         prices=sections.get('prices', {}).get('', Prices()),
+        accounts=sections.get('account', {}),
     )
     used = [stage.service for route_stages in stages.values() for stage in route_stages]
     used.extend(route.service for route in pattern.routes.values())
@@ -295,6 +326,7 @@
         'route': RouteLoad,
         'stage': StageLoad,
         'event': PatternEvent,
+        'account': AccountLoad,
         'prices': Prices,
     },
 )
@@ -308,6 +340,10 @@
     return msgspec.convert(settings, _SECTIONS[kind], strict=False)
 
 
+def _account(name: str) -> Account:
+    return Account(name=AccountName(name), keys=frozenset((name,)))
+
+
 def _service(name: str, load: ServiceLoad) -> BackendService:
     batching = None
     engine = None
--- a/tests/test_model/test_model_loads.py
+++ b/tests/test_model/test_model_loads.py
@@ -47,6 +47,19 @@
     assert run_experiment(short, 1) != run_experiment(short, 2)
 
 
+def test_accounts_are_told_apart_and_one_of_them_is_ordered_as_without_shares():
+    whole = load_pattern('competing')
+    basics = msgspec.structs.replace(whole.basics, seconds=2)
+    short = msgspec.structs.replace(whole, basics=basics)
+    assert set(run_experiment(short, 1).account_value_shares) == set(whole.accounts)
+    alone = {'only': msgspec.structs.replace(whole.accounts['large3'], share=1)}
+    single = msgspec.structs.replace(short, accounts=alone, events=[])
+    shared = msgspec.structs.replace(basics, features='account-shares')
+    assert run_experiment(single, 1) == run_experiment(
+        msgspec.structs.replace(single, basics=shared), 1
+    )
+
+
 def test_bursts_of_each_kind_are_served():
     """Pattern bursts: about twice the load of one route after the other, then of all."""
     summary = run_pattern('bursts')
--- a/tests/test_model/test_model_pattern.py
+++ b/tests/test_model/test_model_pattern.py
@@ -9,6 +9,7 @@
 import pytest
 
 from ringseam.errors import FindingsError
+from ringseam.features import Feature
 from ringseam.model.pattern import Amount, read_pattern
 
 PATTERNS = Path(__file__).parents[2] / 'bench' / 'patterns'
@@ -44,6 +45,23 @@
     assert [pattern.rate_at('r', now) for now in (2, 3, 4.9, 5)] == [2, 10, 10, 2]
 
 
+def test_accounts_have_their_parts_of_each_route_and_bursts_of_their_own():
+    burst = '[event one]\nkind = burst\naccount = large\nat = 8\nfor_s = 1\nfactor = 3\n'
+    accounts = '[account large]\nshare = 0.75\n[account small]\nshare = 0.25\n'
+    pattern = read_pattern(GOOD + burst + accounts, path='p')
+    assert [pattern.rate_at('r', now, 'large') for now in (2, 3, 8)] == [1.5, 7.5, 4.5]
+    assert [pattern.rate_at('r', now, 'small') for now in (2, 3, 8)] == [0.5, 2.5, 0.5]
+    table = pattern.route_table()
+    assert not table.routes[0].public
+    assert table.account_by_key('large').name == 'large'
+
+
+def test_features_of_a_pattern_are_those_of_the_gateways():
+    assert read_pattern(GOOD, path='p').features == frozenset()
+    pattern = read_pattern('[pattern]\nfeatures = account-shares\n' + GOOD, path='p')
+    assert pattern.features == {Feature.account_shares}
+
+
 @pytest.mark.parametrize(
     ('text', 'message'),
     [
