--- a/tests/test_gateway/test_accounts/test_accounts_maxmin.py
+++ b/tests/test_gateway/test_accounts/test_accounts_maxmin.py
@@ -197,6 +197,35 @@
         assert calm.ratio(account) - abused.ratio(account) < 0.02
 
 
+def test_one_account_at_ten_times_its_usual_beside_two_bursts_harms_no_other():
+    usual = {f'a{number}': 0.5 * CAPACITY / 16 for number in range(16)}
+    bursting = {**usual, 'a1': 6 * usual['a1'], 'a2': 4 * usual['a2']}
+    alone, abused = Place(MaxMinShares()), Place(MaxMinShares())
+    alone.run(bursting, 10)
+    abused.run({**bursting, 'a0': 10 * usual['a0']}, 10)
+    for account in list(usual)[3:]:
+        assert alone.ratio(account) - abused.ratio(account) < 0.02
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_nobody_is_served_under_three_quarters_as_often_as_all(seed):
+    rng = random.Random(seed)
+    weights = [rng.paretovariate(1) for _ in range(16)]
+    rates = {
+        f'a{number}': 2 * CAPACITY * weight / sum(weights) for number, weight in enumerate(weights)
+    }
+    place = Place(MaxMinShares(), seed)
+    place.run(rates, 10)
+    overall = place.served.total() / place.asked.total()
+    equal = CAPACITY / 16
+    for account, rate in rates.items():
+        if rate < equal:
+            assert place.ratio(account) > 0.75 * overall
+        # By random arrivals an account just below its share is above it for moments.
+        if rate < 0.8 * equal:
+            assert place.ratio(account) > 0.95
+
+
 def test_decider_lost_in_a_burst_serves_small_accounts_again_at_once():
     rates = {'small': CAPACITY / 8, 'large': 2 * CAPACITY}
     place = Place(MaxMinShares())
