--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -21,6 +21,7 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
+from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
@@ -163,6 +164,11 @@
             responder=responder,
             switch=self.switch,
         )
+        self.sharing = AccountSharing(
+            features=self.switch.settings,
+            attempts=self.forwarder.attempts,
+            metrics=self.metrics,
+        )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
@@ -264,6 +270,7 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self.sharing.clean_up(known)
             self._count_reservations()
 
     def _count_reservations(self) -> None:
--- a/ringseam/gateway/stages/policies.py
+++ b/ringseam/gateway/stages/policies.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 from ringseam.features import Feature
+from ringseam.gateway.accounts.maxmin import MaxMinShares
 from ringseam.gateway.accounts.policy import UnsharedPolicy
+from ringseam.gateway.stages.fairorder import FairOrder
 from ringseam.gateway.stages.order import UrgencyOrder
 from ringseam.gateway.stages.zonechoice import LastMomentPolicy, SwitchedPolicy
 
@@ -33,6 +35,9 @@
 
 def stage_policies(switch: FeatureSwitch) -> StagePolicies:
     """Return the policies for the features in force."""
+    shared = Feature.account_shares in switch.settings
     return StagePolicies(
+        new_shares=MaxMinShares if shared else UnsharedPolicy,
+        new_order=FairOrder if shared else UrgencyOrder,
         zone_policy=SwitchedPolicy(is_on=lambda: switch.is_on(Feature.zone_overflow)),
     )
