Owners of services by the processors of their hosts

Cause: the owner of a service was drawn by name alone, so most owners were the smallest hosts, however much less they have.

Event 375 and ringseam_owner_moves{cause} at the gateways that gain or lose a service.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -6,7 +6,7 @@
 import types
 from dataclasses import dataclass, field
 
-from ringseam.hostcapacity import HostCapacity
+from ringseam.hostcapacity import UNKNOWN_CAPACITY, HostCapacity
 from ringseam.lifetimes import BackendId, EndedLifetimes, name_of, start_ms_of
 from ringseam.messages import Message
 from ringseam.routes import ServiceName
@@ -50,7 +50,7 @@
     #: Whether its event loop lags too far behind to decide for other gateways.
     busy: bool = False
     #: What its host has; all zero if its settings don't say.
-    capacity: HostCapacity = HostCapacity()
+    capacity: HostCapacity = UNKNOWN_CAPACITY
 
 
 @dataclass(kw_only=True)
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -17,6 +17,7 @@
 from ringseam.gateway.following.coldservers import ColdServers
 from ringseam.gateway.following.confinement import Confinement
 from ringseam.gateway.following.documentfetch import DocumentFetcher
+from ringseam.hostcapacity import UNKNOWN_CAPACITY
 from ringseam.platform.manifest import decode_manifest
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.routes import RouteTable
@@ -26,6 +27,7 @@
     from collections.abc import Callable, Collection
 
     from ringseam.backends import BackendReport
+    from ringseam.hostcapacity import HostCapacity
     from ringseam.node import Node
     from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient
@@ -55,7 +57,7 @@
     pruned_in_epoch: str = ''
 
 
-class Follower:
+class Follower:  # noqa: WPS230 - state of a gateway
     """Keep the latest routes and backend servers; neither is replaced by an older state.
 
     This is a client of the control group, not a follower in the sense of Raft.
@@ -68,12 +70,17 @@
         client: CallClient,
         addresses: tuple[str, ...],
         on_change: Callable[[], None],
+        capacity: HostCapacity = UNKNOWN_CAPACITY,
     ) -> None:
-        """Start with the addresses of some control hosts."""
+        """Start with the addresses of some control hosts.
+
+        :param capacity: what the host has, announced to the other gateways.
+        """
         self.node = node
         self.client = client
         self.addresses = list(addresses)
         self.on_change = on_change
+        self.capacity = capacity
         self.table = RouteTable()
         #: The document that the table was decoded from.
         self.document = b''
@@ -106,6 +113,7 @@
             zone=self.node.zone,
             draining=self.draining,
             busy=self.busy,
+            capacity=self.capacity,
         )
 
     @property
--- a/ringseam/gateway/following/lag.py
+++ b/ringseam/gateway/following/lag.py
@@ -2,7 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.events import Event
+
+if TYPE_CHECKING:
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.node import Node
+
+logger = logging.getLogger(__name__)
 
 #: A timer that fires later than this shows that the process lags, seconds. An owner answers a
 #: call within milliseconds, and gateways place requests themselves after 0.06 s. A host with a
@@ -32,3 +43,27 @@
     def is_busy(self, now: float) -> bool:
         """Return whether the process lags and other gateways should decide."""
         return now < self.busy_until
+
+
+class LagMonitor:
+    """Announces whether the event loop of this gateway lags."""
+
+    def __init__(self, *, node: Node, follower: Follower) -> None:
+        """Create a monitor that sets the state of ``follower``."""
+        self.node = node
+        self.follower = follower
+        self.lag = EventLoopLag()
+
+    def record(self, late_s: float) -> None:
+        """Record by how much a timer was late."""
+        now = self.node.clock.now()
+        self.lag.record(late_s, now)
+        busy = self.lag.is_busy(now)
+        if busy == self.follower.busy:
+            return
+        self.follower.busy = busy
+        self.node.events.emit(
+            logger,
+            Event.gateway_behind if busy else Event.gateway_in_time,
+            late_ms=round(MS_PER_S * late_s),
+        )
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -6,7 +6,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
 from ringseam.gateway.engines.client import PlacementClient
@@ -15,8 +14,8 @@
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
-from ringseam.gateway.following.lag import EventLoopLag
-from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.following.lag import LagMonitor
+from ringseam.gateway.following.ownership import OwnerLog, Ownership
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
@@ -72,7 +71,6 @@
         self.features = settings.features
         self.metrics = Metrics()
         self.health = HealthTracker()
-        self.lag = EventLoopLag()
         self.silence = SilenceDetector()
         self.pool = HttpChannelPool(clock=self.node.clock)
         self.retries = WindowRetries(
@@ -85,7 +83,9 @@
             client=self.client,
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._apply_changes,
+            capacity=settings.host_capacity,
         )
+        self.lag = LagMonitor(node=self.node, follower=self.follower)
         self.notices = ServerNotices(
             node=self.node,
             metrics=self.metrics,
@@ -99,6 +99,7 @@
             pool=self.pool,
         )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
+        self.ownership.on_moved = OwnerLog(node=self.node, metrics=self.metrics).record
         self.permits = PermitAllocator(
             node=self.node,
             client=self.client,
@@ -183,6 +184,7 @@
         super().reload(settings)
         own = settings.role_options
         self.follower.add_addresses(cluster_addresses(own['seeds'], own['cluster_ports']))
+        self.follower.capacity = settings.host_capacity
 
     @property
     def drain_timeout_s(self) -> float:
@@ -268,18 +270,6 @@
         while True:  # noqa: WPS457 - ends with the role
             due = self.node.clock.now() + _MONITOR_INTERVAL_S
             await asyncio.sleep(_MONITOR_INTERVAL_S)
-            self._update_lag(self.node.clock.now() - due)
+            self.lag.record(self.node.clock.now() - due)
             self.guard.evaluate()
             self.abandon_silent_engines()
-
-    def _update_lag(self, late_s: float) -> None:
-        now = self.node.clock.now()
-        self.lag.record(late_s, now)
-        busy = self.lag.is_busy(now)
-        if busy != self.follower.busy:
-            self.follower.busy = busy
-            self.node.events.emit(
-                logger,
-                Event.gateway_behind if busy else Event.gateway_in_time,
-                late_ms=round(MS_PER_S * late_s),
-            )
--- /dev/null
+++ b/tests/test_gateway/test_hosts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a host has and holds."""
