Budget of held bytes, and slow clients given up before the host ends by its memory

Cause: what a server sent was buffered without bound while its client didn't read, and nothing counted what a host holds.

Change: HostBudget counts request bodies, unread responses, unsent requests and spooled responses at one place; its bound is a quarter of the host's memory. Near it bodies aren't read, then new requests are refused as not run, the lowest rank first; above it stalled clients are given up at once, the lowest rank first, and the connections to their servers closed. Without the memory in the settings only counted.

--- /dev/null
+++ b/ringseam/gateway/hosts/monitor.py
@@ -0,0 +1,160 @@
+"""Keeps what a gateway holds for clients and servers within the memory of its host."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.events import Event
+from ringseam.gateway.hosts.budget import Holder, budget_for
+from ringseam.gateway.hosts.slowclients import ClientLoad, clients_to_give_up
+from ringseam.web.server import HttpAccounting
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ringseam.gateway.requestcontext import RequestContext
+    from ringseam.hostcapacity import HostCapacity
+    from ringseam.metrics import Metrics
+    from ringseam.node import Node
+    from ringseam.web.server import HttpConnection, HttpServer
+
+logger = logging.getLogger(__name__)
+
+#: Room is kept for requests of a higher rank if one arrived within this time, seconds: it spans
+#: bursts and the pauses of refused clients.
+_RANK_MEMORY_S = 10.0
+
+
+class HostMonitor(HttpAccounting):
+    """Count held bytes; pause bodies, refuse requests and give up slow clients by a budget."""
+
+    def __init__(self, *, node: Node, metrics: Metrics, capacity: HostCapacity) -> None:
+        """Create a monitor of a host that has ``capacity``."""
+        self.node = node
+        self.metrics = metrics
+        self.capacity = capacity
+        self.budget = budget_for(capacity)
+        self.budget.on_exceeded = self._relieve
+        self.server: HttpServer | None = None
+        #: Whether there was no more client to give up; until the next check.
+        self.is_exhausted = False
+        #: When a request of each rank last arrived.
+        self.ranks: dict[int, float] = {}
+
+    def watch(self, server: HttpServer) -> None:
+        """Account for the connections of clients to ``server``."""
+        self.server = server
+        server.accounting = self
+
+    # -- what client connections report --------------------------------------
+
+    def count_request(self, change: int) -> None:
+        """Count a change of the bytes of request bodies."""
+        self.budget.count(Holder.client_requests, change)
+
+    def count_response(self, change: int) -> None:
+        """Count a change of the bytes of responses that clients have not read."""
+        self.budget.count(Holder.client_responses, change)
+
+    def may_read_bodies(self) -> bool:
+        """Return whether more of the bodies of requests may be read."""
+        return self.budget.may_read_bodies()
+
+    # -- decisions -------------------------------------------------------------
+
+    def admit(self, context: RequestContext) -> float | None:
+        """Return None, or after how many seconds the client of a refused request may return."""
+        exchange = context.exchange
+        exchange.name = context.request.attempt_id
+        exchange.rank = context.precedence.rank
+        exchange.deadline = context.deadline
+        self.ranks[exchange.rank] = self.node.clock.now()
+        if exchange.request.is_complete and not self._refuses(exchange.rank):
+            return None
+        self.metrics.add('requests_refused_for_memory')
+        return self.budget.retry_after_s()
+
+    def check(self) -> None:
+        """Give up clients that are too slow for what is held, and let bodies be read again."""
+        self.is_exhausted = False
+        if self.server is None:
+            return
+        if self.budget.bound_bytes:
+            self._give_up_clients(self.node.clock.now())
+        if self.budget.update():
+            self.node.events.emit(
+                logger,
+                Event.budget_reached if self.budget.is_near else Event.budget_left,
+                **self._held(),
+            )
+        if not self.budget.is_near:
+            self.server.resume_reading()
+        self._export()
+
+    def _refuses(self, rank: int) -> bool:
+        if not self.budget.is_scarce:
+            return False
+        oldest = self.node.clock.now() - _RANK_MEMORY_S
+        self.ranks = {known: at for known, at in self.ranks.items() if at >= oldest}
+        return self.budget.refuses(rank, self.ranks)
+
+    def _relieve(self) -> None:
+        """Give up clients at once: much can arrive until the next regular check."""
+        if not self.is_exhausted:
+            self._give_up_clients(self.node.clock.now())
+            self.is_exhausted = self.budget.excess_bytes > 0
+
+    def _give_up_clients(self, now: float) -> None:
+        excess_bytes = self.budget.excess_bytes
+        for client in clients_to_give_up(self._loads(), excess_bytes=excess_bytes, now=now):
+            exchange = client.connection.exchange
+            self.metrics.add('clients_given_up')
+            self.node.events.emit(
+                logger,
+                Event.client_given_up,
+                request='' if exchange is None else exchange.name,
+                rank=client.rank,
+                held_bytes=client.held_bytes,
+                unread_ms=round((now - client.unread_since) * MS_PER_S),
+                late=now >= client.deadline,
+            )
+            client.connection.give_up()
+
+    def _loads(self) -> Iterator[ClientLoad]:
+        """Return what is held for the clients that have not read all of their responses."""
+        for connection in () if self.server is None else self.server.connections:
+            if connection.unread_bytes:
+                connection.update_unread()
+            if connection.unread_bytes:
+                yield _load_of(connection)
+
+    def _held(self) -> dict[str, int]:
+        return {holder.name: self.budget.held[holder] for holder in Holder}
+
+    def _export(self) -> None:
+        for name, held_bytes in self._held().items():
+            self.metrics.put('held_bytes', held_bytes, holder=name)
+        self.metrics.put('held_bytes_largest', self.budget.largest)
+        self.metrics.put('held_share', self.budget.share)
+
+
+def _load_of(connection: HttpConnection) -> ClientLoad:
+    exchange = connection.exchange
+    if exchange is None:
+        # The response is complete; its client may take as long as an idle one.
+        return ClientLoad(
+            connection=connection,
+            rank=0,
+            held_bytes=connection.unread_bytes,
+            unread_since=connection.unread_since,
+            deadline=connection.unread_since + connection.server.limits.idle_timeout_s,
+        )
+    return ClientLoad(
+        connection=connection,
+        rank=exchange.rank,
+        held_bytes=exchange.held_bytes,
+        unread_since=connection.unread_since,
+        deadline=exchange.deadline,
+    )
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from ringseam.calls import ClientRequest
     from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.hosts.monitor import HostMonitor
     from ringseam.gateway.requests.answers import Responder
     from ringseam.gateway.requests.attempts import AttemptRunner
     from ringseam.gateway.stages.client import PieceClient
@@ -57,6 +58,7 @@
         pieces: PieceClient,
         attempts: AttemptRunner,
         responder: Responder,
+        host: HostMonitor | None = None,
     ) -> None:
         """Create a forwarder that runs stages by ``pieces`` and sends by ``attempts``."""
         self.node = node
@@ -65,6 +67,7 @@
         self.pieces = pieces
         self.attempts = attempts
         self.responder = responder
+        self.host = host
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
         self.admission = Admission(seed=node.incarnation)
@@ -104,7 +107,8 @@
             self.clock.now(),
         )
         try:
-            await self._serve(context)
+            if not await self._refuse_for_memory(context):
+                await self._serve(context)
         except asyncio.CancelledError:
             self.responder.log(context, Event.request_left)
             raise
@@ -188,6 +192,20 @@
         finally:
             self.attempts.guard.end_trial(context)
 
+    async def _refuse_for_memory(self, context: RequestContext) -> bool:
+        """Refuse a request that this host has no memory for; return whether it was refused."""
+        retry_after_s = None if self.host is None else self.host.admit(context)
+        if retry_after_s is None:
+            return False
+        await self.responder.refuse(
+            context.exchange,
+            context.request,
+            'this gateway holds too much for other requests',
+            retry_after_s=retry_after_s,
+            route=context.route.name,
+        )
+        return True
+
     async def _admit_content(self, context: RequestContext) -> bool:
         """Return whether the content may be sent; if not, respond to the request."""
         state = await self.attempts.guard.admit(context)
--- a/ringseam/gateway/requests/relay.py
+++ b/ringseam/gateway/requests/relay.py
@@ -81,6 +81,7 @@
         if not self.started:
             self.started = True
             self.context.exchange.start(answered.head.status, client_headers(answered.head))
+        self.context.exchange.source = answered.channel
         try:
             return await self._forward_events(answered.channel)
         except asyncio.TimeoutError:
@@ -89,6 +90,8 @@
         except ChannelError as error:
             logger.debug('stream aborted by the server: %s', error)
             return StreamOutcome.broken
+        finally:
+            self.context.exchange.source = None
 
     async def _forward_events(self, channel: HttpChannel) -> StreamOutcome:
         while True:  # noqa: WPS457 - ends with the stream
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -19,6 +19,8 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
+from ringseam.gateway.hosts.countedpool import CountedPool
+from ringseam.gateway.hosts.monitor import HostMonitor
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
@@ -32,7 +34,6 @@
 from ringseam.platform.registration import READY_PATH
 from ringseam.retries import WindowRetries
 from ringseam.role import Role
-from ringseam.web.pool import HttpChannelPool
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
@@ -72,7 +73,10 @@
         self.metrics = Metrics()
         self.health = HealthTracker()
         self.silence = SilenceDetector()
-        self.pool = HttpChannelPool(clock=self.node.clock)
+        self.host = HostMonitor(
+            node=self.node, metrics=self.metrics, capacity=settings.host_capacity
+        )
+        self.pool = CountedPool(clock=self.node.clock, budget=self.host.budget)
         self.retries = WindowRetries(
             ratio=own['retry_ratio'],
             slack=own['retry_slack'],
@@ -160,8 +164,10 @@
                 guard=self.guard,
             ),
             responder=responder,
+            host=self.host,
         )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
+        self.host.watch(self.client_server)
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
@@ -273,3 +279,4 @@
             self.lag.record(self.node.clock.now() - due)
             self.guard.evaluate()
             self.abandon_silent_engines()
+            self.host.check()
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -9,14 +9,20 @@
 import re
 import socket
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import h11
 
 from ringseam.errors import RingseamError
 from ringseam.web.bodies import Headers, find_header
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 logger = logging.getLogger(__name__)
 
+#: Memory that a parsed part of a response needs beside its data.
+_EVENT_BYTES = 200
 #: Maximum size of the status line and headers of a response.
 _MAX_HEAD_BYTES = 65_536
 #: Time after which unacknowledged data breaks a connection (TCP user timeout, RFC 5482).
@@ -78,6 +84,12 @@
         self.reusable = True
         #: Time of the last received data, on the clock of the event loop.
         self.received_at: float = 0
+        #: Bytes of the response that are not read yet, and of the request that are not sent.
+        self.spooled_bytes = 0
+        self.unsent_bytes = 0
+        #: Called with each change of the bytes held, of the response and of the request.
+        self.count_response: Callable[[int], None] = _count_nothing
+        self.count_request: Callable[[int], None] = _count_nothing
 
     # -- asyncio.Protocol ---------------------------------------------------
 
@@ -138,6 +150,7 @@
         parts.append(self.parser.send(h11.EndOfMessage()))
         self.request_sent = True
         self.transport.write(b''.join(part for part in parts if part))
+        self._count_unsent(self.transport.get_write_buffer_size())
 
     async def read_head(self) -> ResponseHead:
         """Return the status and headers of the response.
@@ -147,6 +160,7 @@
         event = await self._next_event()
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
+        self._count_unsent(0)
         if not isinstance(event, h11.Response):
             raise ChannelError(f'{self.address}: no response', sent=True)
         if self.transport is not None and self.transport.get_write_buffer_size():
@@ -178,10 +192,16 @@
         :raises ChannelError: if the response is incomplete.
         """
         parts = []
-        chunk = await self.read_chunk()
-        while chunk is not None:
-            parts.append(chunk)
+        size = 0
+        try:
             chunk = await self.read_chunk()
+            while chunk is not None:
+                parts.append(chunk)
+                size += len(chunk)
+                self._count_spooled(len(chunk))
+                chunk = await self.read_chunk()
+        finally:
+            self._count_spooled(-size)
         return b''.join(parts)
 
     def skip_response(self) -> None:
@@ -192,12 +212,14 @@
         self.parser = self._new_parser()
         self.parser.send(request)
         self.parser.send(h11.EndOfMessage())
+        self._count_spooled(-sum(map(_size_of, self.events)))
         self.events.clear()
         self._parse(bytes(unparsed), allow_empty=False)
 
     def close(self) -> None:
         """Abort the connection, so that the server cancels the request."""
         self.reusable = False
+        self._stop_counting()
         if self.transport is not None:
             self.transport.abort()
 
@@ -227,6 +249,7 @@
         event = self.parser.next_event()
         while isinstance(event, _RESPONSE_EVENTS):
             self.events.append(event)
+            self._count_spooled(_size_of(event))
             self.event_available.set()
             if isinstance(event, h11.EndOfMessage):
                 break
@@ -238,7 +261,25 @@
                 raise ChannelError(f'{self.address}: {self.failure}', sent=self.request_sent)
             self.event_available.clear()
             await self.event_available.wait()
-        return self.events.popleft()
+        event = self.events.popleft()
+        self._count_spooled(-_size_of(event))
+        return event
+
+    def _count_spooled(self, change: int) -> None:
+        self.spooled_bytes += change
+        self.count_response(change)
+
+    def _stop_counting(self) -> None:
+        """Count what is held as released: a reader drops it soon."""
+        self._count_unsent(0)
+        self._count_spooled(-self.spooled_bytes)
+        self.count_response = _count_nothing
+        self.count_request = _count_nothing
+
+    def _count_unsent(self, unsent_bytes: int) -> None:
+        change = unsent_bytes - self.unsent_bytes
+        self.unsent_bytes = unsent_bytes
+        self.count_request(change)
 
     def _fail(self, detail: str) -> None:
         self.failure = self.failure or detail
@@ -257,6 +298,14 @@
         return h11.Connection(h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES)
 
 
+def _count_nothing(change: int) -> None:
+    """Count a change of the bytes held where nobody asks for it."""
+
+
+def _size_of(event: object) -> int:
+    return _EVENT_BYTES + len(event.data) if isinstance(event, h11.Data) else _EVENT_BYTES
+
+
 _SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ringseam.web.client import HttpChannel
+
 logger = logging.getLogger(__name__)
 
 #: Default maximum size of the request line and headers.
@@ -62,6 +65,8 @@
     headers: Headers
     body: bytes
     arrived: float
+    #: Whether the body was received completely; if not, the request can only be refused.
+    is_complete: bool = True
 
     @property
     def path(self) -> str:
@@ -84,6 +89,18 @@
         self.finished = False
         #: Status of the response; 0 until it has started.
         self.status = 0
+        #: Name and rank of the request, 0 is the highest, and when its client stops waiting.
+        self.name = ''
+        self.rank = 0
+        self.deadline = math.inf
+        #: The connection to the server whose response is forwarded.
+        self.source: HttpChannel | None = None
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for a client that reads slowly."""
+        spooled = 0 if self.source is None else self.source.spooled_bytes
+        return spooled + self.connection.unread_bytes
 
     async def respond(self, status: int, headers: Headers, body: bytes = b'') -> None:
         """Send a complete response."""
@@ -133,6 +150,20 @@
     started: float = 0
 
 
+class HttpAccounting:
+    """Counts what client connections hold, and bounds what they read; here neither."""
+
+    def count_request(self, change: int) -> None:
+        """Count a change of the bytes of request bodies."""
+
+    def count_response(self, change: int) -> None:
+        """Count a change of the bytes of responses that clients have not read."""
+
+    def may_read_bodies(self) -> bool:
+        """Return whether more of the bodies of requests may be read."""
+        return True
+
+
 class HttpConnection(asyncio.Protocol):  # noqa: WPS214, WPS230 - protocol state
     """A connection from a client."""
 
@@ -150,6 +181,13 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self.transport: asyncio.Transport | None = None
+        #: The request that is handled.
+        self.exchange: Exchange | None = None
+        #: Bytes of the request body that are held.
+        self.body_bytes = 0
+        #: Bytes of the response that the client has not read, and since when there are any.
+        self.unread_bytes = 0
+        self.unread_since: float = 0
 
     # -- asyncio.Protocol ---------------------------------------------------
 
@@ -171,6 +209,7 @@
             self._reject(error.error_status_hint)
             return
         self.process_events()
+        self._pause_if_full()
 
     def eof_received(self) -> None:
         """Return None, so that the transport closes: the client no longer needs a response."""
@@ -180,6 +219,9 @@
         self._clear_timer()
         self.server.connections.discard(self)
         self.writable.set()
+        self.server.paused.discard(self)
+        self._count_unread(0)
+        self._count_body(-self.body_bytes)
         if self.task is not None:
             self.task.cancel()
 
@@ -215,6 +257,17 @@
         encoded = self.parser.send(event)
         if encoded:
             self.transport.write(encoded)
+            self.update_unread()
+
+    def update_unread(self) -> None:
+        """Count what the client has not read yet."""
+        if self.transport is not None:
+            self._count_unread(self.transport.get_write_buffer_size())
+
+    def resume_reading(self) -> None:
+        """Read the rest of a request whose body had to wait."""
+        if self.transport is not None:
+            self.transport.resume_reading()
 
     def close(self) -> None:
         """Close the connection once buffered data is written."""
@@ -225,9 +278,16 @@
     def abort(self) -> None:
         """Close the connection immediately; buffered data is lost."""
         self._clear_timer()
+        self._count_unread(0)
         if self.transport is not None:
             self.transport.abort()
 
+    def give_up(self) -> None:
+        """Abort the connection and the one to the server that responds to its request."""
+        if self.exchange is not None and self.exchange.source is not None:
+            self.exchange.source.close()
+        self.abort()
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being received or handled."""
         if self.task is None and not self.incoming.started:
@@ -251,16 +311,37 @@
     def _add_body(self, chunk: bytes) -> bool:
         self.incoming.body.append(chunk)
         self.incoming.size += len(chunk)
+        self._count_body(len(chunk))
         if self.incoming.size > self.server.limits.body_bytes:
             self._reject(_TOO_LARGE)
             return False
         return True
 
+    def _count_body(self, change: int) -> None:
+        self.body_bytes += change
+        self.server.accounting.count_request(change)
+
+    def _count_unread(self, unread_bytes: int) -> None:
+        if unread_bytes and not self.unread_bytes:
+            self.unread_since = boottime()
+        change = unread_bytes - self.unread_bytes
+        self.unread_bytes = unread_bytes
+        self.server.accounting.count_response(change)
+
+    def _pause_if_full(self) -> None:
+        """Stop to read a body while the host can't hold more."""
+        is_receiving = self.task is None and self.incoming.head is not None
+        if self.transport is None or self.transport.is_closing() or not is_receiving:
+            return
+        if not self.server.accounting.may_read_bodies():
+            self.server.paused.add(self)
+            self.transport.pause_reading()
+
     def _send_continue(self) -> None:
         if self.parser.they_are_waiting_for_100_continue:
             self.send_event(h11.InformationalResponse(status_code=100, headers=[]))
 
-    def _start_handler(self) -> None:
+    def _start_handler(self, *, is_complete: bool = True) -> None:
         self._clear_timer()
         head = self.incoming.head
         if head is None:
@@ -274,11 +355,15 @@
             ],
             body=b''.join(self.incoming.body),
             arrived=self.incoming.started or boottime(),
+            is_complete=is_complete,
         )
+        # The request has a copy of the parts of its body.
+        self.incoming.body.clear()
         self.task = self.loop.create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
         exchange = Exchange(request=request, connection=self)
+        self.exchange = exchange
         self.server.active += 1
         try:
             await self.server.handler(exchange)
@@ -288,10 +373,15 @@
             logger.exception('request handler failed')
             await self._respond_internal_error(exchange)
         finally:
-            self.server.active -= 1
-            self.task = None
+            self._end_handling()
         self._prepare_next_request(exchange)
 
+    def _end_handling(self) -> None:
+        self.server.active -= 1
+        self.task = None
+        self.exchange = None
+        self._count_body(-self.body_bytes)
+
     async def _respond_internal_error(self, exchange: Exchange) -> None:
         if exchange.started:
             exchange.abort()
@@ -303,6 +393,10 @@
             exchange.abort()
         if self.transport is None or self.transport.is_closing():
             return
+        if not exchange.request.is_complete:
+            # Unread data would make a close at once reset the connection, and lose the response.
+            self.loop.call_later(_CLOSE_DELAY_S, self.close)
+            return
         if self.parser.our_state is not h11.DONE or self.parser.their_state is not h11.DONE:
             self.close()
             return
@@ -332,7 +426,12 @@
         self._set_timer(self.server.limits.idle_timeout_s, self.close)
 
     def _on_request_timeout(self) -> None:
-        self._reject(_REQUEST_TIMEOUT)
+        if self in self.server.paused:
+            self.server.paused.discard(self)
+            # The request is late for lack of memory here: its handler refuses it.
+            self._start_handler(is_complete=False)
+        else:
+            self._reject(_REQUEST_TIMEOUT)
 
     def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._clear_timer()
@@ -351,7 +450,10 @@
         """Create a server; ``limits`` may be changed while it runs."""
         self.handler = handler
         self.limits = limits
+        self.accounting = HttpAccounting()
         self.connections: set[HttpConnection] = set()
+        #: Connections whose request bodies have to wait.
+        self.paused: set[HttpConnection] = set()
         self.active = 0
         #: Whether responses ask clients to close the connection.
         self.closing = False
@@ -374,6 +476,11 @@
         if self.listener is not None:
             self.listener.close()
 
+    def resume_reading(self) -> None:
+        """Read the rest of the requests whose bodies had to wait."""
+        while self.paused:
+            self.paused.pop().resume_reading()
+
     def close_idle(self) -> None:
         """Close the connections without a request in progress."""
         for connection in list(self.connections):
