--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -199,7 +199,7 @@
 
 
 class OwnerLog:
-    """Logs and counts the moves of services to and from this gateway."""
+    """Logs the moves of services to and from this gateway, and exports what it owns."""
 
     def __init__(self, *, node: Node, metrics: Metrics) -> None:
         """Create a log of moves at the gateway of ``node``."""
@@ -218,6 +218,12 @@
             cause=move.cause.value,
         )
 
+    def export(self, ownership: Ownership, services: Iterable[str]) -> None:
+        """Set the metrics of which services this gateway owns."""
+        for service in services:
+            self.metrics.put('owned', int(not ownership.owner_of(service)), service=service)
+        self.metrics.put('gateway_behind', int(ownership.follower.busy))
+
 
 def rendezvous(key: str, names: Collection[str]) -> str:
     """Return the name that highest-random-weight hashing selects for ``key``.
--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from typing import TYPE_CHECKING
 
 from ringseam.clock import MS_PER_S
@@ -138,6 +139,9 @@
             self.metrics.put('held_bytes', held_bytes, holder=name)
         self.metrics.put('held_bytes_largest', self.budget.largest)
         self.metrics.put('held_share', self.budget.share)
+        self.metrics.put('host_processor', self.capacity.processor)
+        self.metrics.put('host_memory_bytes', self.capacity.memory_bytes)
+        self.metrics.put('processor_seconds', time.process_time())
 
 
 def _load_of(connection: HttpConnection) -> ClientLoad:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -103,7 +103,8 @@
             pool=self.pool,
         )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
-        self.ownership.on_moved = OwnerLog(node=self.node, metrics=self.metrics).record
+        self.owner_log = OwnerLog(node=self.node, metrics=self.metrics)
+        self.ownership.on_moved = self.owner_log.record
         self.permits = PermitAllocator(
             node=self.node,
             client=self.client,
@@ -271,6 +272,7 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self.owner_log.export(self.ownership, self.follower.table.services)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- /dev/null
+++ b/tests/test_cmd/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
