--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -12,6 +12,7 @@
 from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.following.guard import RETRY_AFTER_S as SUSPECT_RETRY_AFTER_S
 from ringseam.gateway.requestcontext import RequestContext
+from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.requests.admission import Admission
 from ringseam.gateway.requests.admissionpolicy import (
     AdmissionPolicy,
@@ -32,6 +33,7 @@
 if TYPE_CHECKING:
     from ringseam.calls import ClientRequest
     from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.hosts.monitor import HostMonitor
     from ringseam.gateway.requests.answers import Responder
     from ringseam.gateway.requests.attempts import AttemptRunner
     from ringseam.gateway.stages.client import PieceClient
@@ -66,6 +68,7 @@
         attempts: AttemptRunner,
         responder: Responder,
         switch: FeatureSwitch | None = None,
+        host: HostMonitor | None = None,
     ) -> None:
         """Create a forwarder that runs stages by ``pieces`` and sends by ``attempts``."""
         self.node = node
@@ -74,11 +77,15 @@
         self.pieces = pieces
         self.attempts = attempts
         self.responder = responder
+        self.host = host
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
         self.admission = Admission(seed=node.incarnation)
         self.switch = switch or FeatureSwitch()
         self.policy = self._create_policy()
+        self.sharing = AccountSharing(
+            features=self.switch.settings, attempts=attempts, metrics=responder.metrics
+        )
         self.fairness = Fairness(min_ratio=_MIN_ON_TIME_RATIO)
         self.random = random.Random(node.incarnation)  # noqa: S311 - weighted routing only
 
@@ -112,7 +119,8 @@
             self.clock.now(),
         )
         try:
-            await self._serve(context)
+            if not await self._refuse_for_memory(context):
+                await self._serve(context)
         except asyncio.CancelledError:
             self.responder.log(context, Event.request_left)
             raise
@@ -209,6 +217,20 @@
         finally:
             self.attempts.guard.end_trial(context)
 
+    async def _refuse_for_memory(self, context: RequestContext) -> bool:
+        """Refuse a request that this host has no memory for; return whether it was refused."""
+        retry_after_s = None if self.host is None else self.host.admit(context)
+        if retry_after_s is None:
+            return False
+        await self.responder.refuse(
+            context.exchange,
+            context.request,
+            'this gateway holds too much for other requests',
+            retry_after_s=retry_after_s,
+            route=context.route.name,
+        )
+        return True
+
     async def _admit_content(self, context: RequestContext) -> bool:
         """Return whether the content may be sent; if not, respond to the request."""
         state = await self.attempts.guard.admit(context)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -6,7 +6,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from ringseam.clock import MS_PER_S
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
 from ringseam.gateway.engines.client import PlacementClient
@@ -16,12 +15,12 @@
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
-from ringseam.gateway.following.lag import EventLoopLag
-from ringseam.gateway.following.ownership import Ownership
+from ringseam.gateway.following.lag import LagMonitor
+from ringseam.gateway.following.ownership import OwnerLog, Ownership
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
-from ringseam.gateway.requests.accountsharing import AccountSharing
+from ringseam.gateway.hosts.monitor import HostMonitor
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
@@ -35,7 +34,6 @@
 from ringseam.platform.registration import READY_PATH
 from ringseam.retries import WindowRetries
 from ringseam.role import Role
-from ringseam.web.pool import HttpChannelPool
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
@@ -74,9 +72,11 @@
         self.switch = FeatureSwitch(settings=settings.features)
         self.metrics = Metrics()
         self.health = HealthTracker()
-        self.lag = EventLoopLag()
         self.silence = SilenceDetector()
-        self.pool = HttpChannelPool(clock=self.node.clock)
+        self.host = HostMonitor(
+            node=self.node, metrics=self.metrics, capacity=settings.host_capacity
+        )
+        self.pool = self.host.new_pool()
         self.retries = WindowRetries(
             ratio=own['retry_ratio'],
             slack=own['retry_slack'],
@@ -87,7 +87,9 @@
             client=self.client,
             addresses=cluster_addresses(own['seeds'], own['cluster_ports']),
             on_change=self._apply_changes,
+            capacity=settings.host_capacity,
         )
+        self.lag = LagMonitor(node=self.node, follower=self.follower)
         self.notices = ServerNotices(
             node=self.node,
             metrics=self.metrics,
@@ -101,6 +103,8 @@
             pool=self.pool,
         )
         self.ownership = Ownership(follower=self.follower, name=self.node.name)
+        self.owner_log = OwnerLog(node=self.node, metrics=self.metrics)
+        self.ownership.on_moved = self.owner_log.record
         self.permits = PermitAllocator(
             node=self.node,
             client=self.client,
@@ -162,14 +166,11 @@
                 guard=self.guard,
             ),
             responder=responder,
+            host=self.host,
             switch=self.switch,
         )
-        self.sharing = AccountSharing(
-            features=self.switch.settings,
-            attempts=self.forwarder.attempts,
-            metrics=self.metrics,
-        )
         self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
+        self.host.watch(self.client_server)
         self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
 
     async def open(self) -> None:
@@ -192,6 +193,7 @@
         super().reload(settings)
         own = settings.role_options
         self.follower.add_addresses(cluster_addresses(own['seeds'], own['cluster_ports']))
+        self.follower.capacity = settings.host_capacity
 
     @property
     def drain_timeout_s(self) -> float:
@@ -270,7 +272,8 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
-            self.sharing.clean_up(known)
+            self.owner_log.export(self.ownership, self.follower.table.services)
+            self.forwarder.sharing.clean_up(known)
             self._count_reservations()
 
     def _count_reservations(self) -> None:
@@ -283,18 +286,7 @@
         while True:  # noqa: WPS457 - ends with the role
             due = self.node.clock.now() + _MONITOR_INTERVAL_S
             await asyncio.sleep(_MONITOR_INTERVAL_S)
-            self._update_lag(self.node.clock.now() - due)
+            self.lag.record(self.node.clock.now() - due)
             self.guard.evaluate()
             self.abandon_silent_engines()
-
-    def _update_lag(self, late_s: float) -> None:
-        now = self.node.clock.now()
-        self.lag.record(late_s, now)
-        busy = self.lag.is_busy(now)
-        if busy != self.follower.busy:
-            self.follower.busy = busy
-            self.node.events.emit(
-                logger,
-                Event.gateway_behind if busy else Event.gateway_in_time,
-                late_ms=round(MS_PER_S * late_s),
-            )
+            self.host.check()
