Load and speed of backend servers: reports, observed speeds, choice

Cause: a load of four figures was dropped; engines counted as equally fast with one prefill rate; neither their slots nor their memory was weighed; plain servers were chosen by own latency alone. LoadReports keeps the newest by lifetime, its slowdown decays to the server's mean within 0.3 s. ObservedSpeeds learns the duration of work relative to the service, divided by the reported slowdown. Placement uses both, with slots and memory; owners get loads with progress reports. Plain services choose the least expected completion. In force for services whose servers report interference, or with server-load. An engine that was removed and reported again with requests under way no longer raises OverflowError in placement. Tests: the test that a load of four figures is none is replaced by stricter ones on both forms.

--- a/ringseam/calls.py
+++ b/ringseam/calls.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+#: Three or four decimal figures; longer ones are out of any range of a server.
+_LOAD_FIGURES = re.compile(r'(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,4}))?', re.ASCII)
+_HUNDREDTHS = 100
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -51,6 +60,33 @@
     running: int
     waiting: int
     slots: int
+    #: How many times the usual time work takes on the host now; None: not reported.
+    slowdown: float | None = None
+
+    @classmethod
+    def parse(cls, text: str) -> ServerLoad | None:
+        """Return the load, or None if ``text`` is not exactly three or four valid figures."""
+        match = _LOAD_FIGURES.fullmatch(text.replace(' ', ''))
+        if match is None:
+            return None
+        return cls.from_figures([int(figure) for figure in match.groups() if figure is not None])
+
+    @classmethod
+    def from_figures(cls, figures: Sequence[int]) -> ServerLoad | None:
+        """Return the load, or None if the number of figures or one of them is invalid."""
+        if len(figures) not in {3, 4} or min(figures) < 0 or not min(figures[2:]):
+            return None
+        running, waiting, slots = figures[:3]
+        slowdown = figures[3] / _HUNDREDTHS if len(figures) > 3 else None
+        return cls(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
+
+    @property
+    def figures(self) -> tuple[int, ...]:
+        """Return the figures as a server reports them."""
+        figures = (self.running, self.waiting, self.slots)
+        if self.slowdown is None:
+            return figures
+        return (*figures, round(self.slowdown * _HUNDREDTHS))
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,6 +98,8 @@
     not_run: bool
     encoded: bool
     load: ServerLoad | None
+    #: Whether the server reports a load that can't be parsed.
+    load_malformed: bool = False
     #: Announced rate limit, requests per second from all gateways together; None: no limit.
     rate_limit_per_s: float | None = None
     #: Whether the server announces a rate limit that can't be parsed.
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -82,6 +82,7 @@
         self.ownership = ownership
         self.permits = permits
         self.pacer = permits.pacer
+        self.reports = health.speeds.reports
         self.placers: dict[str, Placer] = {}
         self.tasks = TaskSet()
         #: Until when owners that didn't reply are not called, by address.
@@ -173,7 +174,7 @@
         if service is not None and choice.engine is not None:
             now = self.clock.now()
             instance = choice.engine.instance
-            self._placer(service.name).record(query, instance, service, now)
+            self._placer(service.name).record(query, instance, service, now, wait_s=choice.wait_s)
             self.pacer.record_send(instance, now + choice.wait_s)
 
     def _is_limited(self, server: BackendReport) -> bool:
@@ -226,8 +227,16 @@
             limits=self.permits.limit_reports(
                 server.instance for server in self.follower.view.serving(context.service)
             ),
+            output=self._expected_output(context),
         )
 
+    def _expected_output(self, context: RequestContext) -> int:
+        """Return the expected output if the owner weighs the memory of engines, else 0."""
+        serving = self.follower.view.serving(context.service)
+        if self.reports.reports_interference(server.instance for server in serving):
+            return context.request.output_tokens
+        return 0
+
     def _place_here(
         self, query: PlaceRequest, *, peers: Collection[str] = ()
     ) -> EngineChoice | None:
@@ -275,10 +284,18 @@
         return None if engine is None else EngineChoice(engine=engine, wait_s=reply.wait_s)
 
     def _report_progress(self, context: RequestContext, *, over: bool) -> None:
+        request = context.request.attempt_id
+        load = () if over else self._interfered_load(context.service, request)
         self._publish(
-            ProgressReport(service=context.service, request=context.request.attempt_id, over=over),
+            ProgressReport(service=context.service, request=request, over=over, load=load),
         )
 
+    def _interfered_load(self, service: str, request: str) -> tuple[int, ...]:
+        """Return the load that the engine of a request has just reported, if the owner uses it."""
+        placed = self._placer(service).requests.get(request)
+        load = self.reports.newest(placed.instance) if placed else None
+        return () if load is None or load.slowdown is None else load.figures
+
     def _publish(self, report: ProgressReport) -> None:
         self._apply_progress(report)
         owner = self.ownership.owner_of(report.service)
@@ -293,12 +310,16 @@
 
     def _apply_progress(self, report: ProgressReport) -> None:
         placer = self._placer(report.service)
+        now = self.clock.now()
         if report.silent:
             self._eject(BackendId(report.silent))
         elif report.over:
             placer.ended(report.request)
         else:
-            placer.started(report.request, self.clock.now())
+            placer.record_load(report.request, report.load, now)
+            # Only the owner knows what else the engine had to prefill.
+            is_owner = not self.ownership.owner_of(report.service)
+            placer.started(report.request, now, learn=is_owner)
 
     def _eject(self, instance: BackendId) -> None:
         now = self.clock.now()
@@ -307,7 +328,9 @@
 
     def _placer(self, service: str) -> Placer:
         if service not in self.placers:
-            self.placers[service] = Placer(health=self.health, pacer=self.pacer)
+            self.placers[service] = Placer(
+                health=self.health, pacer=self.pacer, service=ServiceName(service)
+            )
         return self.placers[service]
 
     def _service(self, name: str) -> BackendService | None:
--- a/ringseam/gateway/engines/messages.py
+++ b/ringseam/gateway/engines/messages.py
@@ -39,6 +39,8 @@
     zones: Optional[tuple[str, ...]] = None
     #: The rate limits of servers that the asking gateway knows.
     limits: tuple[LimitReport, ...] = ()
+    #: Tokens that the request is expected to generate; 0: unknown.
+    output: int = 0
 
 
 class PlaceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -57,6 +59,8 @@
     request: str = ''
     over: bool = False
     silent: str = ''
+    #: Load of the engine with the first event, see ``ServerLoad.figures``; empty: unknown.
+    load: tuple[int, ...] = ()
 
 
 PLACE = Method('/ringseam.Gateway/Place', PlaceRequest, PlaceReply, multiplexed=True)
--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -13,10 +13,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.calls import ServerLoad
 from ringseam.clock import MS_PER_S
 from ringseam.gateway.engines.prefixcache import PrefixCache
 from ringseam.gateway.following.pacing import max_wait_s
 from ringseam.gateway.priorities import LATE_VALUE_LOSS, response_value
+from ringseam.routes import ServiceName
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -25,7 +27,7 @@
     from ringseam.gateway.engines.messages import PlaceRequest, PromptPart
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.following.pacing import Pacer
-    from ringseam.routes import BackendService
+    from ringseam.routes import BackendService, EngineSpec
 
 #: Assumed prefill rate of an engine, prompt tokens per second.
 PREFILL_TOKENS_PER_S = 32_400.0
@@ -51,6 +53,7 @@
 _CACHE_SHARE = 0.7
 #: A request whose end was not reported is dropped this long after its deadline, seconds.
 _EXPIRY_MARGIN_S = 1.0
+_UNNAMED = ServiceName('')
 #: Up to this many engines are all compared; of more, only a sample is.
 _MAX_COMPARED = 48
 #: Size of the sample: engines that cache the longest prefix of the prompt, most recent first,
@@ -68,6 +71,11 @@
     value: float
     expires_at: float
     streaming: bool = False
+    #: When it is sent, and the expected time until its first event without slowdown.
+    sent_at: float = 0
+    expected_s: float = 0
+    #: Tokens of memory that it needs and shares with no other request.
+    held_tokens: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -92,12 +100,16 @@
 
     health: HealthTracker
     pacer: Pacer
+    #: Name of the service, under which the speeds of its engines are learned.
+    service: ServiceName = _UNNAMED
     caches: dict[BackendId, PrefixCache] = field(default_factory=dict)
     requests: dict[str, PlacedRequest] = field(default_factory=dict)
     #: The same requests by engine, in order of arrival.
     requests_by_engine: dict[BackendId, dict[str, PlacedRequest]] = field(default_factory=dict)
     #: Engines that cache each prompt part, most recent last.
     engines_by_part: dict[str, dict[BackendId, None]] = field(default_factory=dict)
+    #: Sum of the memory that the requests on each engine need.
+    held_tokens: dict[BackendId, int] = field(default_factory=dict)
 
     def place(
         self,
@@ -120,6 +132,7 @@
         }
         max_cached_tokens = max(cached_tokens.values(), default=0)
         remaining_s = query.left_ms / MS_PER_S
+        factors = self._time_factors(compared, now)
         candidates = [
             self._evaluate(
                 query,
@@ -128,8 +141,9 @@
                 cached_tokens=cached_tokens[engine.instance],
                 max_cached_tokens=max_cached_tokens,
                 wait_s=wait_s,
+                time_factor=factors.get(engine.instance, 1),
             )
-            for engine in compared
+            for engine in self._with_room(query, compared, service, factors)
             if engine.instance not in query.avoid
             and (wait_s := self._wait_s(query, engine, service, now, peers)) < remaining_s
         ]
@@ -140,7 +154,7 @@
         best = min(equal, key=lambda candidate: _tie_break_key(query, candidate.engine))
         if not query.dry:
             self.pacer.reserve(best.engine.instance, service.cold, now, peers=peers)
-            self.record(query, best.engine.instance, service, now)
+            self.record(query, best.engine.instance, service, now, wait_s=best.wait_s)
         return best
 
     def record(
@@ -149,6 +163,8 @@
         instance: BackendId,
         service: BackendService,
         now: float,
+        *,
+        wait_s: float = 0,
     ) -> None:
         """Record that a request was placed on an engine, and its effect on the cache."""
         cache = self._cache(instance)
@@ -156,11 +172,16 @@
         self.ended(query.request)
         if not any(placed.prefill_tokens for placed in self._requests_on(instance)):
             cache.last_prefill_at = now
+        prefill_tokens = self.prefill_tokens(query, instance)
+        backlog_tokens = self._backlog_tokens(instance, self._requests_on(instance), now)
         self.track(
             query.request,
             PlacedRequest(
                 instance=instance,
-                prefill_tokens=self.prefill_tokens(query, instance),
+                sent_at=now + wait_s,
+                expected_s=_first_event_s(backlog_tokens + prefill_tokens),
+                held_tokens=prefill_tokens + query.output,
+                prefill_tokens=prefill_tokens,
                 value=response_value(query.priority),
                 expires_at=now + query.left_ms / MS_PER_S + _EXPIRY_MARGIN_S,
             ),
@@ -173,11 +194,31 @@
         """Count a request as running on an engine."""
         self.requests[request] = placed
         self.requests_by_engine.setdefault(placed.instance, {})[request] = placed
+        held = self.held_tokens.get(placed.instance, 0)
+        self.held_tokens[placed.instance] = held + placed.held_tokens
 
-    def started(self, request: str, now: float) -> None:
-        """Record that the first event of a request has arrived."""
+    def record_load(self, request: str, figures: tuple[int, ...], now: float) -> None:
+        """Record the load that the engine of a request reported; invalid ones are ignored."""
+        placed = self.requests.get(request)
+        load = ServerLoad.from_figures(figures)
+        if placed is not None and load is not None:
+            self.health.speeds.reports.record(placed.instance, load, now)
+
+    def started(self, request: str, now: float, *, learn: bool = True) -> None:
+        """Record that the first event of a request has arrived.
+
+        :param learn: whether its time tells the speed of the engine.
+        """
         placed = self.requests.get(request)
         if placed is not None:
+            if learn and not placed.streaming:
+                self.health.speeds.observe(
+                    self.service,
+                    placed.instance,
+                    expected_s=placed.expected_s,
+                    duration_s=now - placed.sent_at,
+                    now=now,
+                )
             placed.streaming = True
             placed.prefill_tokens = 0
             self._cache(placed.instance).last_prefill_at = now
@@ -187,6 +228,7 @@
         placed = self.requests.pop(request, None)
         if placed is not None:
             self.requests_by_engine[placed.instance].pop(request)
+            self.held_tokens[placed.instance] -= placed.held_tokens
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Drop the cached prompts of engines that are gone."""
@@ -216,6 +258,45 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _time_factors(
+        self, engines: Collection[BackendReport], now: float
+    ) -> dict[BackendId, float]:
+        """Return the durations at engines relative to the assumed ones; empty: all are 1."""
+        speeds = self.health.speeds
+        if not speeds.reports.reports_interference(engine.instance for engine in engines):
+            return {}
+        service_factor = speeds.service_factor(self.service)
+        return {
+            engine.instance: service_factor * speeds.duration_factor(engine, now)
+            for engine in engines
+        }
+
+    def _with_room(
+        self,
+        query: PlaceRequest,
+        engines: Collection[BackendReport],
+        service: BackendService,
+        factors: Collection[BackendId],
+    ) -> Collection[BackendReport]:
+        """Return the engines that can hold a request now, or all if none can."""
+        if service.engine is None or not factors:
+            return engines
+        usable = [engine for engine in engines if engine.instance not in query.avoid]
+        with_room = [
+            engine for engine in usable if self._has_room(query, engine.instance, service.engine)
+        ]
+        return with_room or engines
+
+    def _has_room(self, query: PlaceRequest, instance: BackendId, spec: EngineSpec) -> bool:
+        """Return whether an engine has a slot and memory for a request.
+
+        Cached parts that no running request uses yield, so they take no memory here.
+        """
+        if len(self._requests_on(instance)) >= spec.slots:
+            return False
+        needed = query.prompt_tokens + query.output
+        return self.held_tokens.get(instance, 0) + needed <= spec.cache_tokens
+
     def _wait_s(
         self,
         query: PlaceRequest,
@@ -294,22 +375,26 @@
         cached_tokens: int,
         max_cached_tokens: int,
         wait_s: float,
+        time_factor: float = 1,
     ) -> Placement:
         """Return the placement of a request on an engine, with its cost.
 
         :param cached_tokens: tokens of the prompt that the engine has cached.
         :param max_cached_tokens: the largest such number among the compared engines.
         :param wait_s: how long the request must wait before it may be sent.
+        :param time_factor: durations at the engine relative to the assumed ones.
         """
         instance = engine.instance
         engine_requests = self._requests_on(instance)
         prefill_tokens = max(0, query.prompt_tokens - cached_tokens)
-        backlog_tokens = self._backlog_tokens(instance, engine_requests, now)
-        stalled_value = _stalled_value(engine_requests, backlog_tokens + prefill_tokens)
-        cost = (
-            self._lateness_cost(query, backlog_tokens + prefill_tokens, wait_s)
-            + LATE_VALUE_LOSS * stalled_value
+        backlog_tokens = self._backlog_tokens(instance, engine_requests, now, time_factor)
+        stalled_value = _stalled_value(
+            engine_requests, backlog_tokens + prefill_tokens, _STALLING_TOKENS / time_factor
+        )
+        first_event_s = _first_event_s(
+            backlog_tokens + prefill_tokens, wait_s=wait_s, time_factor=time_factor
         )
+        cost = self._lateness_cost(query, first_event_s) + LATE_VALUE_LOSS * stalled_value
         cost += (max_cached_tokens - cached_tokens) * _RECOMPUTE_COST_PER_TOKEN
         cross_zone_bytes = sum(
             amount for zone, amount in query.result_bytes.items() if zone != engine.zone
@@ -331,7 +416,11 @@
         return self.requests_by_engine.get(instance, {}).values()
 
     def _backlog_tokens(
-        self, instance: BackendId, engine_requests: Collection[PlacedRequest], now: float
+        self,
+        instance: BackendId,
+        engine_requests: Collection[PlacedRequest],
+        now: float,
+        time_factor: float = 1,
     ) -> int:
         """Return the number of prompt tokens that an engine has yet to prefill.
 
@@ -342,14 +431,13 @@
         if not waiting:
             return 0
         elapsed_s = now - self._cache(instance).last_prefill_at
-        done = min(max(waiting), int(elapsed_s * PREFILL_TOKENS_PER_S / _LONG_PREFILL_FACTOR))
+        tokens_per_s = PREFILL_TOKENS_PER_S / time_factor
+        # The time is infinite for an engine that was removed and has been added again.
+        done = int(min(max(waiting), elapsed_s * tokens_per_s / _LONG_PREFILL_FACTOR))
         return sum(waiting) - done
 
-    def _lateness_cost(self, query: PlaceRequest, tokens: int, wait_s: float) -> float:
-        """Return the expected cost of waiting ``wait_s`` and the prefill of ``tokens``."""
-        first_event_s = (
-            wait_s + _FIRST_EVENT_S + _LONG_PREFILL_FACTOR * tokens / PREFILL_TOKENS_PER_S
-        )
+    def _lateness_cost(self, query: PlaceRequest, first_event_s: float) -> float:
+        """Return the expected cost of a first event in ``first_event_s`` seconds."""
         spare_s = query.objective_ms / MS_PER_S - first_event_s
         late = min(1, max(0, 1 - spare_s / _PREDICTION_SPREAD_S))
         return (
@@ -363,7 +451,15 @@
             self.ended(request)
 
 
-def _stalled_value(engine_requests: Collection[PlacedRequest], tokens: int) -> float:
+def _first_event_s(tokens: int, *, wait_s: float = 0, time_factor: float = 1) -> float:
+    """Return the expected time until a first event after the prefill of ``tokens``."""
+    tokens_per_s = PREFILL_TOKENS_PER_S / time_factor
+    return wait_s + time_factor * _FIRST_EVENT_S + _LONG_PREFILL_FACTOR * tokens / tokens_per_s
+
+
+def _stalled_value(
+    engine_requests: Collection[PlacedRequest], tokens: int, stalling_tokens: float
+) -> float:
     """Return the value of streams that pause too long during the prefill of ``tokens``.
 
     A running stream pauses for all of them; one that has yet to start pauses for those
@@ -372,7 +468,7 @@
     stalled: float = 0
     for placed in engine_requests:
         tokens -= placed.prefill_tokens
-        if tokens > _STALLING_TOKENS:
+        if tokens > stalling_tokens:
             stalled += placed.value
     return stalled
 
--- a/ringseam/gateway/following/health.py
+++ b/ringseam/gateway/following/health.py
@@ -6,6 +6,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.features import Feature
+from ringseam.gateway.serverload.reports import LoadReports
+from ringseam.gateway.serverload.speeds import ObservedSpeeds
+
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
 
@@ -67,6 +71,14 @@
     """Health of all backend servers."""
 
     by_server: dict[BackendId, ServerHealth] = field(default_factory=dict)
+    #: Reported loads and observed speeds.
+    speeds: ObservedSpeeds = field(default_factory=ObservedSpeeds)
+
+    @classmethod
+    def for_features(cls, features: frozenset[Feature]) -> HealthTracker:
+        """Return an empty tracker; the features may ask for load and speed of all servers."""
+        reports = LoadReports(always=Feature.server_load in features)
+        return cls(speeds=ObservedSpeeds(reports=reports))
 
     def of(self, instance: BackendId) -> ServerHealth:
         """Return the health of a server."""
@@ -124,6 +136,7 @@
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Remove all servers except ``instances`` and those with requests in flight."""
+        self.speeds.keep_only(instances)
         for instance in set(self.by_server) - instances:
             if not self.by_server[instance].in_flight:
                 self.by_server.pop(instance)
--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -8,6 +8,7 @@
 from ringseam.events import Event
 from ringseam.gateway.following.limits import RateLimitTracker
 from ringseam.gateway.following.pauses import PauseTracker
+from ringseam.gateway.serverload.speeds import ObservedSpeeds
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendView
@@ -21,23 +22,37 @@
 class ServerNotices:
     """Record the notices in the headers of every response, whatever the call was."""
 
-    def __init__(self, *, node: Node, metrics: Metrics, view: BackendView) -> None:
-        """Start without notices; ``view`` is updated with servers that are leaving."""
+    def __init__(
+        self,
+        *,
+        node: Node,
+        metrics: Metrics,
+        view: BackendView,
+        speeds: ObservedSpeeds | None = None,
+    ) -> None:
+        """Start without notices; ``view`` is updated with servers that are leaving.
+
+        :param speeds: gets the reported loads.
+        """
         self.node = node
         self.clock = node.clock
         self.metrics = metrics
         self.view = view
+        self.speeds = speeds or ObservedSpeeds()
         self.limits = RateLimitTracker()
         self.pauses = PauseTracker()
         #: Servers that have announced that they are leaving.
         self.leaving: set[BackendId] = set()
         #: Servers for which an unreadable limit has been logged.
         self.reported_unreadable: set[BackendId] = set()
+        #: Servers for which a malformed load has been logged.
+        self.reported_malformed: set[BackendId] = set()
 
     def record(self, instance: BackendId, metadata: ResponseMetadata) -> None:
         """Record the notices in a response; ``instance`` is empty if the server is unknown."""
         if not instance:
             return
+        self._record_load(instance, metadata)
         if metadata.rate_limit_malformed:
             self._log_unreadable_limit(instance)
         else:
@@ -60,12 +75,24 @@
         self.pauses.keep_only(instances)
         self.leaving &= instances
         self.reported_unreadable &= instances
+        self.reported_malformed &= instances
         self.metrics.put('servers_limited', self.limits.count)
         self.metrics.put('servers_paused', len(self.pauses.paused(self.clock.now())))
         self.metrics.put('servers_leaving', len(self.leaving))
+        self.metrics.put('servers_interfered', len(self.speeds.reports.interfered))
 
     # -- helpers ------------------------------------------------------------
 
+    def _record_load(self, instance: BackendId, metadata: ResponseMetadata) -> None:
+        """Record a reported load; malformed ones are counted and logged once per server."""
+        if metadata.load is not None:
+            self.speeds.reports.record(instance, metadata.load, self.clock.now())
+        if metadata.load_malformed:
+            self.metrics.add('loads_malformed')
+            if instance not in self.reported_malformed:
+                self.reported_malformed.add(instance)
+                self.node.events.emit(logger, Event.load_unreadable, backend=instance)
+
     def _record_limit(self, instance: BackendId, metadata: ResponseMetadata) -> None:
         was_limited = self.limits.of(instance) is not None
         self.limits.record(instance, metadata.rate_limit_per_s, self.clock.now())
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -10,6 +10,7 @@
 from ringseam.gateway.engines.silence import PendingResponse
 from ringseam.gateway.priorities import engine_urgency
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun
+from ringseam.gateway.requests.balancing import USUAL_REQUEST_S
 from ringseam.platform.requests import decode_response_metadata, encode_call_headers
 from ringseam.web.bodies import end_to_end_headers
 from ringseam.web.client import ChannelError
@@ -105,7 +106,10 @@
             async with asyncio.timeout(max(0, context.deadline - self.clock.now())):
                 await channel.send(request.method, request.target, headers, request.body)
                 self._track_open_response(channel, context, server)
-                return await self._read_response(channel, context, server)
+                sent_at = self.clock.now()
+                outcome = await self._read_response(channel, context, server)
+                self._record_duration(context, server, outcome, sent_at)
+                return outcome
         except asyncio.TimeoutError:
             return Lost(
                 cause=LossCause.timeout, detail=f'{server.address}: no response before the deadline'
@@ -166,6 +170,29 @@
             )
         return Answered(head=head, marks=metadata, channel=channel)
 
+    def _record_duration(
+        self,
+        context: RequestContext,
+        server: BackendReport,
+        outcome: TryOutcome,
+        sent_at: float,
+    ) -> None:
+        """Learn the speed of a server from a response; those of engines start too early."""
+        if context.route.affinity or not isinstance(outcome, Answered):
+            return
+        if not _is_success(outcome.head):
+            return
+        load = outcome.marks.load
+        queued = load.waiting / load.slots if load else 0
+        now = self.clock.now()
+        self.health.speeds.observe(
+            server.service,
+            server.instance,
+            expected_s=USUAL_REQUEST_S * (1 + queued),
+            duration_s=now - sent_at,
+            now=now,
+        )
+
     async def _discard_body(self, channel: HttpChannel) -> None:
         try:
             await channel.read_body()
--- a/ringseam/gateway/requests/serverselection.py
+++ b/ringseam/gateway/requests/serverselection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.following.pacing import max_wait_s
+from ringseam.gateway.requests.balancing import LeastCompletionPolicy, ReportedLoadPolicy
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -32,12 +33,21 @@
         permits: PermitAllocator,
         policy: BalancingPolicy,
     ) -> None:
-        """Create a selector that applies ``policy`` to the servers that ``permits`` allows."""
+        """Create a selector that applies ``policy`` to the servers that ``permits`` allows.
+
+        Services whose servers report interference have a policy of their own.
+        """
         self.clock = clock
         self.follower = follower
         self.permits = permits
         self.pacer = permits.pacer
-        self.policy = policy
+        self.reports = policy.health.speeds.reports
+        self.policy = ReportedLoadPolicy(
+            reported=LeastCompletionPolicy(
+                health=policy.health, zone=policy.zone, name=permits.pacer.name
+            ),
+            other=policy,
+        )
 
     async def choose(self, context: RequestContext) -> BackendReport | None:
         """Return the best server, after waiting until the request may be sent to it."""
@@ -81,6 +91,7 @@
             return await self._select(context, others)
         wait_s = max(permit.wait_s, waits[chosen.instance])
         self.pacer.record_send(chosen.instance, now + wait_s)
+        self.reports.record_send(chosen.instance)
         if wait_s:
             await asyncio.sleep(wait_s)
         return chosen
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -71,7 +71,7 @@
         own = settings.role_options
         self.features = settings.features
         self.metrics = Metrics()
-        self.health = HealthTracker()
+        self.health = HealthTracker.for_features(self.features)
         self.lag = EventLoopLag()
         self.silence = SilenceDetector()
         self.pool = HttpChannelPool(clock=self.node.clock)
@@ -90,6 +90,7 @@
             node=self.node,
             metrics=self.metrics,
             view=self.follower.view,
+            speeds=self.health.speeds,
         )
         self.guard = QuarantineGuard(
             node=self.node,
--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -67,6 +67,14 @@
         body = await self._post(
             server.address, server.instance, RUN_PATH, encode_piece_requests(orders)
         )
+        ended_at = self.clock.now()
+        self.notices.speeds.observe(
+            server.service,
+            server.instance,
+            expected_s=call.expected_s,
+            duration_s=ended_at - now,
+            now=ended_at,
+        )
         return decode_results(body, len(orders))
 
     async def release(self, address: str, instance: BackendId, handles: list[str]) -> None:
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -184,7 +184,12 @@
         self.follower: Any = ModelFollower(table=table)
         ownership = Ownership(follower=self.follower, name=name)
         client: Any = network
-        notices = ServerNotices(node=node, metrics=Metrics(), view=self.follower.view)
+        notices = ServerNotices(
+            node=node,
+            metrics=Metrics(),
+            view=self.follower.view,
+            speeds=self.health.speeds,
+        )
         permits = PermitAllocator(
             node=node,
             client=client,
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -39,13 +39,15 @@
 # Proves that a response comes from the backend server itself.
 _SERVER_SEAL = 'Server-Seal'
 _NOT_EXECUTED = 'Not-Executed'
-# Running requests, queued requests and slots, comma-separated.
+# Running requests, queued requests, slots and, optionally, the duration of work on the host
+# in hundredths of the usual one, comma-separated.
 _WORKER_LOAD = 'Worker-Load'
 _RETRY_AFTER = 'Retry-After'
 # Rate limit in requests per second over all gateways; in force while the server sends it.
 _SERVER_LIMIT = 'Server-Limit'
 # "1" while a backend server is shutting down.
 _SERVER_LEAVING = 'Server-Leaving'
+_DIGITS = 18
 _MISDIRECTED = 421
 _SERVICE_UNAVAILABLE = 503
 #: Response headers that are internal and not passed on to clients.
@@ -133,7 +135,8 @@
 
 def decode_response_metadata(head: ResponseHead) -> ResponseMetadata:
     """Decode the metadata in the headers of a backend server's response."""
-    load = _parse_integers(head.header(_WORKER_LOAD))
+    load_text = head.header(_WORKER_LOAD)
+    load = ServerLoad.parse(load_text)
     limit = head.header(_SERVER_LIMIT)
     limit_per_s = _parse_amount(limit)
     return ResponseMetadata(
@@ -141,9 +144,8 @@
         authentic=bool(head.header(_SERVER_SEAL)),
         not_run=bool(head.header(_NOT_EXECUTED)) or head.status == _MISDIRECTED,
         encoded=bool(head.header('Content-Encoding')),
-        load=ServerLoad(running=load[0], waiting=load[1], slots=load[2])
-        if len(load) == 3
-        else None,
+        load=load,
+        load_malformed=bool(load_text) and load is None,
         rate_limit_per_s=limit_per_s,
         rate_limit_malformed=bool(limit) and limit_per_s is None,
         pause_s=_parse_amount(head.header(_RETRY_AFTER))
@@ -203,7 +205,7 @@
 
 
 def _parse_integer(text: str) -> int | None:
-    return int(text) if text.isascii() and text.isdigit() else None
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= _DIGITS else None
 
 
 def _parse_amount(text: str) -> float | None:
--- a/tests/test_gateway/test_engines/test_engines_placement.py
+++ b/tests/test_gateway/test_engines/test_engines_placement.py
@@ -1,19 +1,26 @@
-"""Placement of requests on engines by cost."""
+"""Placement of requests on engines by cost.
+
+Guards against engines that are chosen without regard to their load: engines of different speed,
+on hosts that are slow for some tenths of a second, and engines without a slot or memory left.
+"""
 
 from __future__ import annotations
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId, BackendReport
-from ringseam.gateway.engines.messages import PlaceRequest, PromptPart
-from ringseam.gateway.engines.placement import PlacedRequest, Placer, _tie_break_key
+from ringseam.calls import ServerLoad
+from ringseam.gateway.engines.messages import PlaceRequest, ProgressReport, PromptPart
+from ringseam.gateway.engines.placement import PlacedRequest, Placement, Placer, _tie_break_key
 from ringseam.gateway.following.coldservers import ColdServers
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.following.pacing import Pacer
+from ringseam.gateway.priorities import LATE_VALUE_LOSS, response_value
 from ringseam.routes import BackendService, EngineSpec, ServiceName
 
 #: The service that requests are placed for.
@@ -51,7 +58,8 @@
 
 def new_placer(kind=Placer):
     health = HealthTracker()
-    return kind(health=health, pacer=Pacer(cold_servers=ColdServers(), health=health))
+    pacer = Pacer(cold_servers=ColdServers(), health=health)
+    return kind(health=health, pacer=pacer, service=LLM.name)
 
 
 def chosen_engine(placer, request, service=LLM, now=0):
@@ -281,3 +289,179 @@
         for name in cache.token_counts:
             kept.setdefault(name, set()).add(instance)
     assert {name: set(known) for name, known in placer.engines_by_part.items()} == kept
+
+
+class FormerPlacer(Placer):
+    """Placement without load, speed, slots and memory of engines."""
+
+    def _evaluate(self, query, engine, now, *, cached_tokens, max_cached_tokens, wait_s, **other):
+        requests = self._requests_on(engine.instance)
+        prefill = max(0, query.prompt_tokens - cached_tokens)
+        waiting = [placed.prefill_tokens for placed in requests if placed.prefill_tokens]
+        backlog = sum(waiting)
+        if waiting:
+            elapsed_s = now - self._cache(engine.instance).last_prefill_at
+            backlog -= min(max(waiting), int(elapsed_s * 32_400.0 / 1.3))
+        ahead, stalled = backlog + prefill, 0
+        for placed in requests:
+            ahead -= placed.prefill_tokens
+            if ahead > 8192:
+                stalled += placed.value
+        first_event_s = wait_s + 0.08 + 1.3 * (backlog + prefill) / 32_400.0
+        late = min(1, max(0, 1 - (query.objective_ms / 1000 - first_event_s) / 0.6))
+        cost = late * LATE_VALUE_LOSS * response_value(query.priority) + first_event_s * 0.05
+        cost += LATE_VALUE_LOSS * stalled + (max_cached_tokens - cached_tokens) * 0.055e-3
+        return Placement(
+            engine=engine,
+            cost=cost,
+            prefill_tokens=prefill,
+            backlog_tokens=backlog,
+            stalled_value=stalled,
+            wait_s=wait_s,
+        )
+
+    def _with_room(self, query, engines, service, factors):
+        return engines
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 9),
+            st.integers(7000, 60_000),
+            st.sampled_from('stu'),
+            st.sampled_from(['place', 'began', 'ended', 'load']),
+            st.floats(0, 1),
+        ),
+        max_size=40,
+    ),
+)
+def test_engines_that_report_three_figures_are_chosen_as_before(steps):
+    placer, former = new_placer(), new_placer(FormerPlacer)
+    now = 0.0
+    for number, tokens, session, step, passed in steps:
+        now += passed
+        request = f'r{number}'
+        for either in (placer, former):
+            if step == 'began':
+                either.started(request, now)
+            elif step == 'ended':
+                either.ended(request)
+            elif step == 'load':
+                either.record_load(request, (tokens, 3, 1), now)
+        if step == 'place':
+            query = place_request(request, tokens, session=session, output=tokens)
+            found, wanted = (
+                placer.place(query, ENGINES, LLM, now),
+                former.place(query, ENGINES, LLM, now),
+            )
+            assert found.engine is wanted.engine
+            assert found.cost == pytest.approx(wanted.cost, rel=1e-12)
+
+
+def report_loads(placer, now=0.0, **slowdowns):
+    for engine_id in ('e1', 'e2', 'e3'):
+        load = ServerLoad(running=0, waiting=0, slots=128, slowdown=slowdowns.get(engine_id, 1.0))
+        placer.health.speeds.reports.record(BackendId(engine_id), load, now)
+
+
+def test_prompt_avoids_an_engine_whose_host_is_slow_now():
+    placer = new_placer()
+    first = chosen_engine(placer, place_request('r1', 30_000, dry=True))
+    report_loads(placer, **{first.instance: 2.5})
+    assert chosen_engine(placer, place_request('r1', 30_000, dry=True)) is not first
+
+
+def serve_prompts(placer, factors, *, per_s, seconds):
+    """Place prompts; each engine reads one after the other. Return the chosen engines."""
+    free_at, first_events, chosen = dict.fromkeys(factors, 0.0), [], []
+    for number in range(int(per_s * seconds)):
+        now = number / per_s
+        for due, request in sorted(first_events):
+            if due <= now:
+                first_events.remove((due, request))
+                placer.started(request, due)
+                placer.ended(request)
+        request = f'r{number}'
+        # Work that takes as long as assumed for prompts of 9,000 tokens, times the factor.
+        engine_id = chosen_engine(
+            placer, place_request(request, 9000, session=request, objective_ms=9000), now=now
+        ).instance
+        chosen.append(engine_id)
+        prefill_s = 1.3 * placer.requests[request].prefill_tokens / 32_400
+        free_at[engine_id] = max(now, free_at[engine_id]) + factors[engine_id] * prefill_s
+        first_events.append((free_at[engine_id] + 0.08 * factors[engine_id], request))
+    return chosen
+
+
+def test_speeds_and_prefill_rate_are_learned_and_a_slow_engine_gets_its_share():
+    placer = new_placer()
+    report_loads(placer)
+    actual = {'e1': 1, 'e2': 0.5, 'e3': 0.5}
+    chosen = serve_prompts(placer, actual, per_s=9, seconds=30)
+    learned = placer._time_factors(ENGINES, 30)
+    for engine_id, factor in actual.items():
+        assert learned[engine_id] == pytest.approx(factor, rel=0.3)
+    # By speed, its share of the work is a fifth; without knowledge it is a third.
+    assert chosen[90:].count('e1') / len(chosen[90:]) < 0.25
+
+
+def test_owner_alone_learns_from_first_events():
+    placer = new_placer()
+    chosen_engine(placer, place_request('r1'))
+    placer.started('r1', 5, learn=False)
+    assert not placer.health.speeds.services
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [EngineSpec(slots=1, cache_tokens=100_000), EngineSpec(slots=128, cache_tokens=20_000)],
+    ids=['slots', 'memory'],
+)
+def test_engine_without_room_is_passed_over_while_another_has_room(spec):
+    small = replace(LLM, engine=spec)
+    placer = new_placer()
+    report_loads(placer)
+    chosen = [
+        chosen_engine(placer, place_request(f'r{number}', 9000, output=5000), small)
+        for number in range(3)
+    ]
+    assert len({one.instance for one in chosen}) == 3
+    # No engine has room: the request is placed nevertheless.
+    assert chosen_engine(placer, place_request('r4', 9000, output=5000), small)
+    for number in range(3):
+        placer.ended(f'r{number}')
+    placer.ended('r4')
+    assert not any(placer.held_tokens.values())
+
+
+def test_cached_prompt_is_not_left_for_a_slight_slowdown():
+    """Shared parts of prompts must not be read again because hosts are noisy."""
+    placer = new_placer()
+    first = chosen_engine(placer, place_request('r1'))
+    placer.ended('r1')
+    report_loads(placer, now=1, **{first.instance: 1.5})
+    assert chosen_engine(placer, place_request('r2', dry=True), now=1) is first
+    # By then a large figure is too old to count.
+    report_loads(placer, now=2, **{first.instance: 2.5})
+    assert chosen_engine(placer, place_request('r2', 30_000, dry=True), now=2) is not first
+    assert chosen_engine(placer, place_request('r2', 30_000, dry=True), now=4) is first
+
+
+@pytest.mark.parametrize('figures', [(), (1, 2), (1, 2, 3, 4, 5), (-1, 0, 1, 100), (1, 2, 3, 0)])
+def test_invalid_load_from_another_gateway_is_ignored(figures):
+    placer = new_placer()
+    chosen = chosen_engine(placer, place_request('r1'))
+    placer.record_load('r1', figures, 0)
+    placer.record_load('unknown', (1, 2, 3, 100), 0)
+    assert placer.health.speeds.reports.newest(chosen.instance) is None
+
+
+def test_messages_are_readable_by_the_former_version_and_loads_are_short():
+    bare = ProgressReport(service='llm', request='r1')
+    loaded = ProgressReport(service='llm', request='r1', load=(64, 12, 64, 9999))
+    assert len(msgspec.msgpack.encode(loaded)) - len(msgspec.msgpack.encode(bare)) < 20
+    unknown = place_request('r1')
+    known = place_request('r1', output=3000)
+    assert len(msgspec.msgpack.encode(known)) - len(msgspec.msgpack.encode(unknown)) < 20
+    assert msgspec.msgpack.decode(msgspec.msgpack.encode(bare)).keys() == {'service', 'request'}
--- /dev/null
+++ b/tests/test_gateway/test_serverload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``gateway.engines``."""
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendReport, BackendState
-from ringseam.calls import CallHeaders
+from ringseam.calls import CallHeaders, ServerLoad
 from ringseam.platform.registration import decode_departure, decode_report, instance_in_path
 from ringseam.platform.requests import (
     RESERVED_HEADERS,
@@ -135,10 +135,49 @@
     assert decode_response_metadata(ResponseHead(status=status, headers=headers)).not_run is not_run
 
 
-@pytest.mark.parametrize('text', ['', '1,2', 'a,b,c', '1,2,3,4'])
-def test_load_that_is_not_three_numbers_is_none(text):
-    head = ResponseHead(status=200, headers=[('Worker-Load', text)])
-    assert decode_response_metadata(head).load is None
+@pytest.mark.parametrize(
+    ('text', 'load'),
+    [
+        ('1,2,3', ServerLoad(running=1, waiting=2, slots=3)),
+        ('1,2,3,250', ServerLoad(running=1, waiting=2, slots=3, slowdown=2.5)),
+        (' 0, 0, 64, 55 ', ServerLoad(running=0, waiting=0, slots=64, slowdown=0.55)),
+    ],
+)
+def test_load_has_three_figures_or_four(text, load):
+    decoded = decode_response_metadata(ResponseHead(status=200, headers=[('Worker-Load', text)]))
+    assert decoded.load == load
+    assert not decoded.load_malformed
+    assert ServerLoad.from_figures(load.figures) == load
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        *('1,2', '1,2,3,4,5', 'a,b,c', '1,2,x', '1,x,2,3', '1,2,3,', ',1,2,3', '-1,2,3', '1,2,-3'),
+        *('1.5,2,3', '1,2,3,1.5', '1,2,3,nan', '1,2,3,-100', '1,2,3,1e2', '1;2;3', '1,2,3,+100'),
+        *('1,2,0', '1,2,3,0', '9999999,2,3', '1,2,3,99999', '9' * 5000, '\uff11,2,3', '1_0,2,3'),
+    ],
+)
+def test_malformed_load_is_none_and_said_to_be_malformed(text):
+    decoded = decode_response_metadata(ResponseHead(status=200, headers=[('Worker-Load', text)]))
+    assert decoded.load is None
+    assert decoded.load_malformed
+
+
+def test_absent_load_is_not_malformed():
+    decoded = decode_response_metadata(ResponseHead(status=200, headers=[]))
+    assert decoded.load is None
+    assert not decoded.load_malformed
+
+
+@given(st.text(max_size=40))
+def test_any_load_is_read_or_malformed(text):
+    decoded = decode_response_metadata(ResponseHead(status=200, headers=[('Worker-Load', text)]))
+    assert decoded.load_malformed == (bool(text) and decoded.load is None)
+
+
+def test_number_of_thousands_of_digits_counts_as_absent():
+    assert decode_request(request([('Deadline-Ms', '9' * 5000)])).time_left_s is None
 
 
 def test_report_is_decoded():
