Connections of each server shared by all gateways

Cause: max_connections of a service was decoded and used by nothing; a gateway opened one more connection whenever none was idle, and a reset of a new one ejected the server. A request waits for a connection for at most the connect timeout and then goes elsewhere, not run. A reset of a new connection while others are open is no failure. In force for services whose servers report interference. Metrics connections_exhausted, connections_refused. Measured: tests only.

--- a/ringseam/gateway/following/health.py
+++ b/ringseam/gateway/following/health.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 
 from ringseam.features import Feature
+from ringseam.gateway.serverload.connections import ConnectionLimits, ConnectionShares
 from ringseam.gateway.serverload.reports import LoadReports
 from ringseam.gateway.serverload.speeds import ObservedSpeeds
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
+    from ringseam.gateway.serverload.connections import ServiceDirectory
 
 #: Recorded successes and failures lose half of their weight in this time, seconds.
 _EVIDENCE_HALF_LIFE_S = 4.0
@@ -80,6 +82,14 @@
         reports = LoadReports(always=Feature.server_load in features)
         return cls(speeds=ObservedSpeeds(reports=reports))
 
+    def connection_limits(self, directory: ServiceDirectory, name: str) -> ConnectionLimits:
+        """Return the limits of connections for the gateway ``name``."""
+        return ConnectionLimits(
+            directory=directory,
+            reports=self.speeds.reports,
+            shares=ConnectionShares(name=name),
+        )
+
     def of(self, instance: BackendId) -> ServerHealth:
         """Return the health of a server."""
         if instance not in self.by_server:
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -14,6 +14,7 @@
 from ringseam.platform.requests import decode_response_metadata, encode_call_headers
 from ringseam.web.bodies import end_to_end_headers
 from ringseam.web.client import ChannelError
+from ringseam.web.pool import BusyError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -22,6 +23,7 @@
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.following.serverwords import ServerNotices
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
+    from ringseam.gateway.serverload.connections import ConnectionLimits
     from ringseam.web.client import HttpChannel, ResponseHead
     from ringseam.web.pool import HttpChannelPool
 
@@ -45,8 +47,13 @@
         silence: SilenceDetector,
         clock: Clock,
         notices: ServerNotices,
+        limits: ConnectionLimits | None = None,
     ) -> None:
-        """Create a sender over ``pool`` that evaluates the headers of all responses."""
+        """Create a sender over ``pool`` that evaluates the headers of all responses.
+
+        :param limits: of the connections to each server; None: there are none.
+        """
+        self.limits = limits
         self.pool = pool
         self.health = health
         self.silence = silence
@@ -70,8 +77,13 @@
             return NotRun(detail='deadline exceeded before sending')
         try:
             channel = await self.pool.acquire(
-                server.address, timeout_s=min(CONNECT_TIMEOUT_S, left)
+                server.address,
+                timeout_s=min(CONNECT_TIMEOUT_S, left),
+                max_open=self._max_open(server),
             )
+        except BusyError as busy:
+            self.notices.metrics.add('connections_exhausted', service=server.service)
+            return NotRun(detail=str(busy))
         except ChannelError as error:
             self.health.record_failure(server.instance, self.clock.now(), hard=True)
             return NotRun(detail=str(error))
@@ -115,9 +127,7 @@
                 cause=LossCause.timeout, detail=f'{server.address}: no response before the deadline'
             )
         except ChannelError as error:
-            self.health.record_failure(
-                server.instance, self.clock.now(), hard=channel.request_count == 1
-            )
+            self._record_connection_loss(channel, server)
             if not error.sent:
                 return NotRun(detail=str(error))
             return Lost(cause=LossCause.connection, detail=str(error))
@@ -170,6 +180,20 @@
             )
         return Answered(head=head, marks=metadata, channel=channel)
 
+    def _max_open(self, server: BackendReport) -> int | None:
+        return None if self.limits is None else self.limits.limit(server, self.clock.now())
+
+    def _record_connection_loss(self, channel: HttpChannel, server: BackendReport) -> None:
+        """Record a lost connection as a failure, unless the server has too many."""
+        now = self.clock.now()
+        is_new = channel.request_count <= 1
+        if is_new and self.limits is not None:
+            others_open = self.pool.open_count(server.address) > 1
+            if self.limits.record_reset(server, now, others_open=others_open):
+                self.notices.metrics.add('connections_refused', service=server.service)
+                return
+        self.health.record_failure(server.instance, now, hard=channel.request_count == 1)
+
     def _record_duration(
         self,
         context: RequestContext,
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -139,6 +139,7 @@
             ownership=self.ownership,
         )
         self.piece_scheduler.release_inputs = self.pieces.release
+        self.connection_limits = self.health.connection_limits(self.follower, self.node.name)
         responder = Responder(node=self.node, metrics=self.metrics)
         self.forwarder = Forwarder(
             node=self.node,
@@ -153,6 +154,7 @@
                     silence=self.silence,
                     clock=self.node.clock,
                     notices=self.notices,
+                    limits=self.connection_limits,
                 ),
                 placements=self.placements,
                 retries=self.retries,
@@ -264,6 +266,7 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self.connection_limits.shares.keep_only(known)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- /dev/null
+++ b/tests/test_gateway/test_serverload/test_serverload_connections.py
@@ -0,0 +1,87 @@
+"""Connections of a server, shared by all gateways without messages.
+
+Guards against 22 gateways that together open more connections than a server accepts (68 or 310),
+against a gateway that starts while the others still use their former parts, and against a reset for
+too many connections that counts as a failure of the server.
+"""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ringseam.backends import BackendId
+from ringseam.gateway.serverload.connections import ConnectionShares
+
+SERVER = BackendId('s1')
+
+
+def names(count):
+    return frozenset(f'g{number}' for number in range(count))
+
+
+def limits(gateways, max_connections, *, server=SERVER, present=None):
+    present = gateways if present is None else present
+    return {
+        name: ConnectionShares(name=name).limit(server, max_connections, present, 0)
+        for name in gateways
+    }
+
+
+@given(st.integers(1, 68), st.integers(0, 400))
+def test_all_gateways_together_leave_a_reserve(count, max_connections):
+    shares = limits(names(count), max_connections)
+    used = sum(shares.values())
+    assert used <= max(0, max_connections - max(2, max_connections // 10))
+    assert max(shares.values()) - min(shares.values()) <= 1
+
+
+@given(st.integers(1, 40), st.integers(10, 400))
+def test_gateway_that_starts_fits_while_the_others_do_not_know_of_it(count, max_connections):
+    before = limits(names(count), max_connections)
+    after = limits(names(count + 1), max_connections)
+    started = f'g{count}'
+    assert sum(before.values()) + after[started] <= max_connections
+
+
+def test_parts_of_a_gateway_that_is_gone_are_used_by_the_others():
+    before, after = limits(names(22), 68), limits(names(11), 68)
+    assert sum(after.values()) >= sum(before.values()) - 11
+    assert min(after.values()) > max(before.values())
+
+
+def test_too_few_connections_are_spread_over_the_gateways():
+    """With fewer connections than gateways, each gateway has one to some server."""
+    gateways = names(22)
+    reached = {
+        name
+        for number in range(20)
+        for name, share in limits(gateways, 10, server=BackendId(f's{number}')).items()
+        if share
+    }
+    assert reached == gateways
+
+
+def test_share_shrinks_while_a_server_refuses_and_returns():
+    shares = ConnectionShares(name='g0')
+    full = shares.limit(SERVER, 68, names(2), 0)
+    shares.record_refusal(SERVER, 0)
+    assert shares.limit(SERVER, 68, names(2), 0) == full // 2
+    # The resets of one moment are one refusal.
+    shares.record_refusal(SERVER, 0.1)
+    assert shares.limit(SERVER, 68, names(2), 0.1) >= full // 2
+    shares.record_refusal(SERVER, 0.3)
+    assert shares.limit(SERVER, 68, names(2), 0.3) < full // 2
+    for step in range(50):
+        shares.record_refusal(SERVER, 1 + step * 0.2)
+    assert shares.limit(SERVER, 68, names(2), 11) >= 1
+    assert shares.limit(SERVER, 68, names(2), 30) == full
+    shares.keep_only(set())
+    assert not shares.refusals
+
+
+@pytest.mark.parametrize('max_connections', [68, 310])
+def test_share_suffices_for_the_requests_of_a_gateway(max_connections):
+    """A gateway of 22 has two requests or more at each server at a time."""
+    assert min(limits(names(22), max_connections).values()) >= 2
