--- a/ringseam/gateway/following/health.py
+++ b/ringseam/gateway/following/health.py
@@ -6,8 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.features import Feature
+from ringseam.gateway.serverload.connections import ConnectionLimits, ConnectionShares
+from ringseam.gateway.serverload.reports import LoadReports
+from ringseam.gateway.serverload.speeds import ObservedSpeeds
+
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
+    from ringseam.gateway.serverload.connections import ServiceDirectory
 
 #: Recorded successes and failures lose half of their weight in this time, seconds.
 _EVIDENCE_HALF_LIFE_S = 4.0
@@ -67,6 +73,22 @@
     """Health of all backend servers."""
 
     by_server: dict[BackendId, ServerHealth] = field(default_factory=dict)
+    #: Reported loads and observed speeds.
+    speeds: ObservedSpeeds = field(default_factory=ObservedSpeeds)
+
+    @classmethod
+    def for_features(cls, features: frozenset[Feature]) -> HealthTracker:
+        """Return an empty tracker; the features may ask for load and speed of all servers."""
+        reports = LoadReports(always=Feature.server_load in features)
+        return cls(speeds=ObservedSpeeds(reports=reports))
+
+    def connection_limits(self, directory: ServiceDirectory, name: str) -> ConnectionLimits:
+        """Return the limits of connections for the gateway ``name``."""
+        return ConnectionLimits(
+            directory=directory,
+            reports=self.speeds.reports,
+            shares=ConnectionShares(name=name),
+        )
 
     def of(self, instance: BackendId) -> ServerHealth:
         """Return the health of a server."""
@@ -124,6 +146,7 @@
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Remove all servers except ``instances`` and those with requests in flight."""
+        self.speeds.keep_only(instances)
         for instance in set(self.by_server) - instances:
             if not self.by_server[instance].in_flight:
                 self.by_server.pop(instance)
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -10,9 +10,11 @@
 from ringseam.gateway.engines.silence import PendingResponse
 from ringseam.gateway.priorities import engine_urgency
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun
+from ringseam.gateway.requests.balancing import USUAL_REQUEST_S
 from ringseam.platform.requests import decode_response_metadata, encode_call_headers
 from ringseam.web.bodies import end_to_end_headers
 from ringseam.web.client import ChannelError
+from ringseam.web.pool import BusyError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -21,6 +23,7 @@
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.following.serverwords import ServerNotices
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
+    from ringseam.gateway.serverload.connections import ConnectionLimits
     from ringseam.web.client import HttpChannel, ResponseHead
     from ringseam.web.pool import HttpChannelPool
 
@@ -44,8 +47,13 @@
         silence: SilenceDetector,
         clock: Clock,
         notices: ServerNotices,
+        limits: ConnectionLimits | None = None,
     ) -> None:
-        """Create a sender over ``pool`` that evaluates the headers of all responses."""
+        """Create a sender over ``pool`` that evaluates the headers of all responses.
+
+        :param limits: of the connections to each server; None: there are none.
+        """
+        self.limits = limits
         self.pool = pool
         self.health = health
         self.silence = silence
@@ -69,8 +77,13 @@
             return NotRun(detail='deadline exceeded before sending')
         try:
             channel = await self.pool.acquire(
-                server.address, timeout_s=min(CONNECT_TIMEOUT_S, left)
+                server.address,
+                timeout_s=min(CONNECT_TIMEOUT_S, left),
+                max_open=self._max_open(server),
             )
+        except BusyError as busy:
+            self.notices.metrics.add('connections_exhausted', service=server.service)
+            return NotRun(detail=str(busy))
         except ChannelError as error:
             self.health.record_failure(server.instance, self.clock.now(), hard=True)
             return NotRun(detail=str(error))
@@ -105,15 +118,16 @@
             async with asyncio.timeout(max(0, context.deadline - self.clock.now())):
                 await channel.send(request.method, request.target, headers, request.body)
                 self._track_open_response(channel, context, server)
-                return await self._read_response(channel, context, server)
+                sent_at = self.clock.now()
+                outcome = await self._read_response(channel, context, server)
+                self._record_duration(context, server, outcome, sent_at)
+                return outcome
         except asyncio.TimeoutError:
             return Lost(
                 cause=LossCause.timeout, detail=f'{server.address}: no response before the deadline'
             )
         except ChannelError as error:
-            self.health.record_failure(
-                server.instance, self.clock.now(), hard=channel.request_count == 1
-            )
+            self._record_connection_loss(channel, server)
             if not error.sent:
                 return NotRun(detail=str(error))
             return Lost(cause=LossCause.connection, detail=str(error))
@@ -166,6 +180,43 @@
             )
         return Answered(head=head, marks=metadata, channel=channel)
 
+    def _max_open(self, server: BackendReport) -> int | None:
+        return None if self.limits is None else self.limits.limit(server, self.clock.now())
+
+    def _record_connection_loss(self, channel: HttpChannel, server: BackendReport) -> None:
+        """Record a lost connection as a failure, unless the server has too many."""
+        now = self.clock.now()
+        is_new = channel.request_count <= 1
+        if is_new and self.limits is not None:
+            others_open = self.pool.open_count(server.address) > 1
+            if self.limits.record_reset(server, now, others_open=others_open):
+                self.notices.metrics.add('connections_refused', service=server.service)
+                return
+        self.health.record_failure(server.instance, now, hard=channel.request_count == 1)
+
+    def _record_duration(
+        self,
+        context: RequestContext,
+        server: BackendReport,
+        outcome: TryOutcome,
+        sent_at: float,
+    ) -> None:
+        """Learn the speed of a server from a response; those of engines start too early."""
+        if context.route.affinity or not isinstance(outcome, Answered):
+            return
+        if not _is_success(outcome.head):
+            return
+        load = outcome.marks.load
+        queued = load.waiting / load.slots if load else 0
+        now = self.clock.now()
+        self.health.speeds.observe(
+            server.service,
+            server.instance,
+            expected_s=USUAL_REQUEST_S * (1 + queued),
+            duration_s=now - sent_at,
+            now=now,
+        )
+
     async def _discard_body(self, channel: HttpChannel) -> None:
         try:
             await channel.read_body()
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -71,7 +71,7 @@
         own = settings.role_options
         self.switch = FeatureSwitch(settings=settings.features)
         self.metrics = Metrics()
-        self.health = HealthTracker()
+        self.health = HealthTracker.for_features(self.switch.settings)
         self.silence = SilenceDetector()
         self.host = HostMonitor(
             node=self.node, metrics=self.metrics, capacity=settings.host_capacity
@@ -94,6 +94,7 @@
             node=self.node,
             metrics=self.metrics,
             view=self.follower.view,
+            speeds=self.health.speeds,
         )
         self.guard = QuarantineGuard(
             node=self.node,
@@ -145,6 +146,7 @@
             ownership=self.ownership,
         )
         self.piece_scheduler.release_inputs = self.pieces.release
+        self.connection_limits = self.health.connection_limits(self.follower, self.node.name)
         responder = Responder(node=self.node, metrics=self.metrics)
         self.forwarder = Forwarder(
             node=self.node,
@@ -159,6 +161,7 @@
                     silence=self.silence,
                     clock=self.node.clock,
                     notices=self.notices,
+                    limits=self.connection_limits,
                 ),
                 placements=self.placements,
                 retries=self.retries,
@@ -272,6 +275,8 @@
             self.permits.pacer.keep_only(known)
             self.permits.keep_only(known)
             self.notices.keep_only(known)
+            self.connection_limits.shares.keep_only(known)
+            self.switch.sees_interference = self.health.speeds.reports.reports_interference(known)
             self.owner_log.export(self.ownership, self.follower.table.services)
             self.forwarder.sharing.clean_up(known)
             self._count_reservations()
