Shares of stage services can be published

Cause: metrics covered plain services only, and showed a share while there was room. Measured: nothing; tests of accounts and sharing pass.

--- a/ringseam/gateway/accounts/maxmin.py
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -46,7 +46,7 @@
     account: AccountName
     asked_per_s: float
     used_per_s: float
-    #: Infinite while all demands are covered.
+    #: Infinite while the place has room or all demands are covered.
     share_per_s: float
 
 
@@ -111,10 +111,14 @@
         return sum(table.used(now) for table in self.ranks.values()) / self.decay_s
 
     def shares(self, load: PlaceLoad, count: int, now: float) -> list[AccountShare]:
-        """Return the accounts with the largest demand in each rank, and their shares."""
+        """Return the accounts with the largest demand in each rank, and their shares.
+
+        While the place has room, shares are infinite.
+        """
+        has_room = load.backlog_s <= self.room_s
         found: list[AccountShare] = []
         for rank, table in sorted(self.ranks.items()):
-            level = self._level(rank, load, now)
+            level = math.inf if has_room else self._level(rank, load, now)
             found.extend(
                 AccountShare(
                     rank,
--- a/ringseam/gateway/accounts/reports.py
+++ b/ringseam/gateway/accounts/reports.py
@@ -35,7 +35,7 @@
     def publish(self, service: ServiceName, shares: list[AccountShare]) -> None:
         """Replace the gauges of a service by the accounts with the largest demand.
 
-        An account whose demand is covered has no share.
+        Without contention, accounts have no share.
         """
         for labels in self.shown.pop(service, []):
             for name in _GAUGES:
--- a/tests/test_gateway/test_requests/test_requests_accountsharing.py
+++ b/tests/test_gateway/test_requests/test_requests_accountsharing.py
@@ -12,7 +12,10 @@
 import pytest
 
 from ringseam.features import Feature
+from ringseam.gateway.accounts.maxmin import MaxMinShares
+from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
 from ringseam.gateway.accounts.reports import ShareReports
+from ringseam.gateway.priorities import Precedence
 from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.stages.fairorder import FairOrder
 from ringseam.gateway.stages.order import UrgencyOrder
@@ -110,6 +113,22 @@
     assert role.piece_scheduler.new_order is order
 
 
+def test_shares_of_a_stage_service_are_published_if_it_has_any(key_file):
+    role = LocalGateway(key_file).role
+    room, load = (PlaceLoad(capacity_per_s=4, backlog_s=backlog_s) for backlog_s in (0, 1))
+    shares = MaxMinShares()
+    demand = AccountDemand(account='acme', precedence=Precedence(rank=0), amount=3)
+    shares.asked(demand, role.node.clock.now())
+    role.sharing.publish_stage(ServiceName('crops'), shares, room)
+    assert 'ringseam_account_share' not in role.metrics.render()
+    role.sharing.publish_stage(ServiceName('crops'), shares, load)
+    role.sharing.publish_stage(ServiceName('other'), UnsharedPolicy(), load)
+    page = role.metrics.render()
+    assert 'ringseam_account_asked{account="acme",rank="0",service="crops"} ' in page
+    assert 'service="other"' not in page
+    assert 'ringseam_account_share{account="acme",rank="0",service="crops"} 1\n' in page
+
+
 def test_metrics_name_a_bounded_number_of_accounts():
     metrics = Metrics()
     reports = ShareReports(metrics=metrics)
