--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -63,6 +63,10 @@
         """Return whether more of the bodies of requests may be read."""
         return self.budget.may_read_bodies()
 
+    def must_refuse(self) -> bool:
+        """Return whether requests that are not read completely must be refused at once."""
+        return self.budget.excess_bytes > 0
+
     # -- decisions -------------------------------------------------------------
 
     def admit(self, context: RequestContext) -> float | None:
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -163,6 +163,10 @@
         """Return whether more of the bodies of requests may be read."""
         return True
 
+    def must_refuse(self) -> bool:
+        """Return whether requests that are not read completely must be refused at once."""
+        return False
+
 
 class HttpConnection(asyncio.Protocol):  # noqa: WPS214, WPS230 - protocol state
     """A connection from a client."""
@@ -333,9 +337,13 @@
         is_receiving = self.task is None and self.incoming.head is not None
         if self.transport is None or self.transport.is_closing() or not is_receiving:
             return
-        if not self.server.accounting.may_read_bodies():
+        if self.server.accounting.may_read_bodies():
+            return
+        self.transport.pause_reading()
+        if self.server.accounting.must_refuse():
+            self._start_handler(is_complete=False)
+        else:
             self.server.paused.add(self)
-            self.transport.pause_reading()
 
     def _send_continue(self) -> None:
         if self.parser.they_are_waiting_for_100_continue:
@@ -353,12 +361,13 @@
                 (name.decode('latin-1'), text.decode('latin-1'))
                 for name, text in head.headers.raw_items()
             ],
-            body=b''.join(self.incoming.body),
+            body=b''.join(self.incoming.body) if is_complete else b'',
             arrived=self.incoming.started or boottime(),
             is_complete=is_complete,
         )
-        # The request has a copy of the parts of its body.
+        # The request has a copy of the parts of its body, or does without them.
         self.incoming.body.clear()
+        self._count_body(len(request.body) - self.body_bytes)
         self.task = self.loop.create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -387,6 +387,29 @@
     asyncio.run(run())
 
 
+def test_bodies_that_all_arrive_at_once_are_refused_at_the_bound(monkeypatch):
+    """Guards against a thousand large bodies whose first parts alone exceed the memory."""
+
+    async def run():
+        handler, gateway = streaming(monkeypatch)
+        opened = [gateway.request(body=b'a' * 2000, length=4000) for _ in range(1000)]
+        assert gateway.budget.largest <= TINY_BOUND + 2000
+        await settle()
+        assert 900 < len(handler.retry_after) < 1000
+        waiting = [transport for _, transport in opened if transport.reading]
+        assert len(waiting) == 34
+        # The bodies that began before the bound was near are read.
+        for connection, _ in opened[:34]:
+            connection.data_received(b'a' * 2000)
+        await settle()
+        for _, transport in opened:
+            transport.read(10**9)
+        gateway.tick()
+        assert not gateway.server.paused
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_nothing_is_counted_once_all_connections_are_closed(monkeypatch, seed):
     """Guards against a count that drifts until everything is refused."""
