Tests of the lag monitor, of settings that reach the budget, and of the spool of a client given up

Changed two tests so that a mutation of each is noticed: the server's connection closed in the same step, and the spool in what is held for a client.

--- a/tests/test_gateway/test_following/test_following_lag.py
+++ b/tests/test_gateway/test_following/test_following_lag.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+from types import SimpleNamespace
+
 import pytest
 
-from ringseam.gateway.following.lag import EventLoopLag
+from ringseam.clock import PausedClock
+from ringseam.events import Event
+from ringseam.gateway.following.lag import EventLoopLag, LagMonitor
+from ringseam.node import Node
 
 
 @pytest.mark.parametrize(
@@ -35,3 +41,21 @@
     assert not lag.is_busy(6)
     lag.record(1, 7)
     assert not lag.is_busy(7)
+
+
+def test_monitor_announces_each_change_once(caplog):
+    node = Node(name='g1', role='gateway', address='', secret=b'x', clock=PausedClock())
+    follower = SimpleNamespace(busy=False)
+    monitor = LagMonitor(node=node, follower=follower)
+    seen = []
+    with caplog.at_level(logging.INFO, logger='ringseam'):
+        for late_s in (0, 0.3, 0.4, 0.5, *[0] * 60):
+            monitor.record(late_s)
+            seen.append(follower.busy)
+            node.clock.advance(0.1)
+    assert seen[:4] == [False, False, True, True]
+    assert not seen[-1]
+    assert [record.msg['event'] for record in caplog.records] == [
+        Event.gateway_behind.number,
+        Event.gateway_in_time.number,
+    ]
--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -299,6 +299,23 @@
     asyncio.run(run())
 
 
+def test_server_is_told_and_its_spool_released_in_the_same_step(monkeypatch):
+    """Guards against more clients given up than needed while the spool of the first is counted."""
+
+    async def run():
+        handler, gateway = streaming(monkeypatch)
+        for _ in range(4):
+            gateway.request()
+        await settle()
+        handler.server_sends()
+        await settle()
+        handler.server_sends(24)
+        assert [transport.aborted for transport in gateway.channels].count(True) == 1
+        assert gateway.budget.total <= TINY_BOUND
+
+    asyncio.run(run())
+
+
 def test_client_that_stalls_beyond_its_deadline_is_given_up(monkeypatch):
     async def run():
         handler, gateway = streaming(monkeypatch, deadline=3)
--- a/tests/test_gateway/test_hosts/test_hosts_slowstreams.py
+++ b/tests/test_gateway/test_hosts/test_hosts_slowstreams.py
@@ -8,11 +8,23 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 
 import pytest
 
-from tests.gateways import LocalGateway, ScriptedServer, chunk, event, http_response, stream_head
+from ringseam.events import Event
+from ringseam.gateway.role import GatewayRole
+from ringseam.settings import read_settings
+from tests.gateways import (
+    SETTINGS,
+    LocalGateway,
+    ScriptedServer,
+    chunk,
+    event,
+    http_response,
+    stream_head,
+)
 
 BOUND = 2_000_000
 EVENT = b'id: %d\ndata: ' + b'x' * 60_000 + b'\n\n'
@@ -25,6 +37,19 @@
     budget.bound_bytes = budget.limit = BOUND
 
 
+def test_limits_of_the_settings_reach_the_budget_and_the_other_gateways(key_file):
+    async def run():
+        limits = 'host_cpu_share = 0.5\nhost_cores = 2\nhost_memory_mb = 160\n'
+        text = SETTINGS.format(key=key_file) + limits
+        role = GatewayRole(settings=read_settings('gateway', text, path='g.ini'))
+        assert role.follower.state.capacity.processor == 1
+        assert role.host.budget.bound_bytes == 40_000_000
+        role.reload(read_settings('gateway', text.replace('0.5', '0.25'), path='g.ini'))
+        assert role.follower.state.capacity.processor == 0.5
+
+    asyncio.run(run())
+
+
 class LargeStream:
     """Sends large events as quickly as the gateway reads them."""
 
@@ -66,7 +91,7 @@
     return sock
 
 
-def test_server_of_a_client_given_up_is_told_at_once(key_file):
+def test_server_of_a_client_given_up_is_told_at_once(key_file, caplog):
     async def run():
         script = LargeStream()
         async with LocalGateway(key_file) as gateway:
@@ -82,7 +107,13 @@
             assert budget.total == 0
             sock.close()
 
-    asyncio.run(run())
+    with caplog.at_level(logging.WARNING, logger='ringseam'):
+        asyncio.run(run())
+    lines = [record.msg for record in caplog.records]
+    (given_up,) = [line for line in lines if line['event'] == Event.client_given_up.number]
+    assert given_up['request'] == 'slow'
+    # The spool is part of it: the buffer of a connection is much smaller.
+    assert given_up['held_bytes'] > BOUND / 2
 
 
 def test_other_streams_keep_their_events_beside_a_slow_client(key_file):
