--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -26,7 +26,7 @@
 #: part of a call, which is the least by which waits change.
 _MOVED_S = 0.1
 #: Weight of the newest response in the moving average of the time at the final server.
-_FINAL_SERVER_WEIGHT = 0.1
+_FINAL_SERVER_WEIGHT = 0.3
 
 
 class Ground(enum.Enum):
--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -133,10 +133,12 @@
 
     def is_ahead(self, other: StageWork, arrives_s: float, *, after_later: bool) -> bool:
         """Return whether reserved pieces go before the new ones."""
+        if self.work.precedence.returned:
+            # The rate for retries already accounts for what arrives.
+            return False
         if other.precedence == self.work.precedence:
             return after_later or arrives_s <= self.starts_s
-        # The rate for retries already accounts for the arrival of first attempts.
-        return other.precedence < self.work.precedence and not self.work.precedence.returned
+        return other.precedence < self.work.precedence
 
     def is_behind(self, other: StageWork, arrives_s: float, sent_s: float) -> bool:
         """Return whether the new pieces go before reserved ones of no lower precedence."""
@@ -325,6 +327,9 @@
         )
 
     def _errors_of(self, precedence: Precedence, now: float) -> ErrorSummary:
+        if precedence.returned:
+            # Many of these are given up before they are sent, so the others say little.
+            return ErrorSummary()
         errors = self.errors.setdefault(precedence, ForecastErrors())
         if not errors.is_outdated(now):
             return errors.cached
--- a/ringseam/gateway/stages/reserving.py
+++ b/ringseam/gateway/stages/reserving.py
@@ -23,10 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
-#: Clients that retry after a refusal count on at least this share of the throughput. Admission
-#: keeps the load of first attempts below the throughput, so more is left for them than by the
-#: recent arrivals, which include pieces of bursts that have ended.
-_MIN_RETRY_SHARE = 0.3
+#: Clients that retry after a refusal count on at least this share of the throughput, so that
+#: their wait is finite.
+_MIN_RETRY_SHARE = 0.02
 
 
 class OwnerReservations:
@@ -94,12 +93,11 @@
         """Return the load that pieces with a call of ``own_call_s`` meet."""
         estimate = self.scheduler.estimate(service)
         throughput = self.scheduler.state_of(service).batcher.throughput
+        rate = throughput.busy_pieces_per_s(estimate.departures_per_s, spec)
+        left = max(rate - estimate.arrivals_per_s, _MIN_RETRY_SHARE * rate)
         return ServiceLoad(
-            pieces_per_s=estimate.departures_per_s,
-            retry_pieces_per_s=max(
-                estimate.retry_departures_per_s,
-                _MIN_RETRY_SHARE * estimate.departures_per_s,
-            ),
+            pieces_per_s=rate,
+            retry_pieces_per_s=left,
             until_free_s=estimate.until_free_s,
             added_call_s=max(0, throughput.observed_call_s - own_call_s),
             server_s_per_piece=spec.full_call_s / spec.batch,
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -148,7 +148,7 @@
     def refresh(self) -> None:
         """Dispatch again after servers, routes or gateways have changed."""
         for service, state in self.services.items():
-            state.batcher.keep_only({server.instance for server in self._servers(service)})
+            state.batcher.keep_only({server.instance for server in self.servers_of(service)})
             self._dispatch(service)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -189,7 +189,7 @@
         now = self.node.clock.now()
         spec = self.spec_of(service)
         if spec is not None and now >= state.estimate_until:
-            state.estimate = state.batcher.wait_estimate(self._servers(service), spec, now)
+            state.estimate = state.batcher.wait_estimate(self.servers_of(service), spec, now)
             state.estimate_until = now + _ESTIMATE_TTL_S
         return state.estimate
 
@@ -205,6 +205,10 @@
         backend_service = self.follower.table.services.get(service)
         return backend_service.batching if backend_service else None
 
+    def servers_of(self, service: ServiceName) -> list[BackendReport]:
+        """Return the servers of a service that accept calls."""
+        return self.follower.view.serving(service)
+
     @property
     def in_flight(self) -> int:
         """Return the number of pieces that are queued or running."""
@@ -219,15 +223,15 @@
             return
         state = self.state_of(service)
         now = self.node.clock.now()
-        call = state.batcher.next_call(self._servers(service), spec, now)
+        call = state.batcher.next_call(self.servers_of(service), spec, now)
         while call is not None:
             if self._remove_quarantined(state, call):
                 self.tasks.spawn(self._call(state, call, spec))
-            call = state.batcher.next_call(self._servers(service), spec, now)
+            call = state.batcher.next_call(self.servers_of(service), spec, now)
         self._schedule_permit_dispatch(state, now)
         if now >= state.next_shed_at:
             state.next_shed_at = now + _SHED_INTERVAL_S
-            for piece in state.batcher.pieces_to_shed(self._servers(service), spec, now):
+            for piece in state.batcher.pieces_to_shed(self.servers_of(service), spec, now):
                 state.batcher.cancel([piece])
                 state.resolve(piece, PieceResult(fault=PieceFault.late))
 
@@ -236,7 +240,7 @@
         if not state.batcher.waiting or state.next_permit_at > now:
             return
         service = state.batcher.service
-        servers = (server.instance for server in self._servers(service))
+        servers = (server.instance for server in self.servers_of(service))
         waits = [
             wait_s for instance in servers if (wait_s := self.pacer.call_wait_s(instance, now))
         ]
@@ -285,7 +289,7 @@
             self.health.record_success(call.server.instance, now)
             ratio = (now - started) / call.expected_s
             self.health.record_slowness(call.server.instance, ratio, now)
-            state.batcher.throughput.record_duration(now - started)
+            state.batcher.throughput.record_duration(call, now - started)
             self._handle_results(state, call, outcome, spec)
         self._dispatch(state.batcher.service)
 
@@ -475,11 +479,6 @@
         self.pacer.record_requests(instance, released_at)
         return released_at - now
 
-    # -- helpers ------------------------------------------------------------
-
-    def _servers(self, service: ServiceName) -> list[BackendReport]:
-        return self.follower.view.serving(service)
-
 
 def _piece_id(piece: Piece) -> str:
     """Return the identifier of a piece among those in flight."""
--- a/ringseam/gateway/stages/throughput.py
+++ b/ringseam/gateway/stages/throughput.py
@@ -71,6 +71,9 @@
     observed_piece_s: float = 0
     #: Moving average of the durations of calls; 0: not observed yet.
     observed_call_s: float = 0
+    #: The same per piece of calls after which pieces stayed in the queue; unlike
+    #: :attr:`observed_piece_s` without the time that a server is idle after its call.
+    busy_piece_s: float = 0
 
     def call_started(self, call: StageCall, now: float, *, has_backlog: bool) -> None:
         """Record that a call is sent; ``has_backlog``: pieces stay in the queue."""
@@ -90,11 +93,24 @@
         """Record that a call is over."""
         self.calls[instance] = max(0, self.calls.get(instance, 0) - 1)
 
-    def record_duration(self, duration_s: float) -> None:
+    def record_duration(self, call: StageCall, duration_s: float) -> None:
         """Record how long a call took that returned results."""
-        if not self.observed_call_s:
-            self.observed_call_s = duration_s
-        self.observed_call_s += _PACE_WEIGHT * (duration_s - self.observed_call_s)
+        self.observed_call_s = _moved(self.observed_call_s, duration_s)
+        last = self.last_calls.get(call.server.instance)
+        if last is not None and last.has_backlog:
+            self.busy_piece_s = _moved(self.busy_piece_s, duration_s / len(call.pieces))
+
+    def busy_pieces_per_s(self, pieces_per_s: float, spec: BatchSpec) -> float:
+        """Return how many pieces the servers process per second while all of them are busy.
+
+        :param pieces_per_s: the result of :meth:`pieces_per_s`.
+        """
+        full_piece_s = spec.full_call_s / spec.batch
+        return (
+            pieces_per_s
+            * (self.observed_piece_s or full_piece_s)
+            / (self.busy_piece_s or full_piece_s)
+        )
 
     def is_busy(self, instance: BackendId, spec: BatchSpec) -> bool:
         """Return whether all slots of a server are in use."""
@@ -135,3 +151,8 @@
         if not self.observed_piece_s:
             self.observed_piece_s = sample_s
         self.observed_piece_s += _PACE_WEIGHT * (sample_s - self.observed_piece_s)
+
+
+def _moved(average: float, sample: float) -> float:
+    """Return a moving average after a sample; an average of 0 has no sample yet."""
+    return average + _PACE_WEIGHT * (sample - average) if average else sample
