--- a/tests/test_gateway/test_requests/test_requests_accountsharing.py
+++ b/tests/test_gateway/test_requests/test_requests_accountsharing.py
@@ -15,10 +15,12 @@
 from ringseam.gateway.accounts.maxmin import MaxMinShares
 from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
 from ringseam.gateway.accounts.reports import ShareReports
+from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.priorities import Precedence
 from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.stages.fairorder import FairOrder
 from ringseam.gateway.stages.order import UrgencyOrder
+from ringseam.gateway.stages.policies import stage_policies
 from ringseam.metrics import Metrics
 from ringseam.routes import ServiceName
 from tests.gateways import LocalGateway, ScriptedServer, http_response, manifest
@@ -44,7 +46,6 @@
         sharing = AccountSharing(
             features=features,
             attempts=role.forwarder.attempts,
-            scheduler=role.piece_scheduler,
             metrics=role.metrics,
         )
         gateway.apply_document(manifest(tenants=TENANTS))
@@ -102,15 +103,9 @@
     ('features', 'order'),
     [(frozenset(), UrgencyOrder), (frozenset({Feature.account_shares}), FairOrder)],
 )
-def test_order_of_pieces_follows_the_feature(key_file, features, order):
-    role = LocalGateway(key_file).role
-    AccountSharing(
-        features=features,
-        attempts=role.forwarder.attempts,
-        scheduler=role.piece_scheduler,
-        metrics=role.metrics,
-    )
-    assert role.piece_scheduler.policies.new_order is order
+def test_order_of_pieces_follows_the_feature(features, order):
+    policies = stage_policies(FeatureSwitch(settings=features))
+    assert policies.new_order is order
 
 
 def test_shares_of_a_stage_service_are_published_if_it_has_any(key_file):
@@ -119,10 +114,10 @@
     shares = MaxMinShares()
     demand = AccountDemand(account='acme', precedence=Precedence(rank=0), amount=3)
     shares.asked(demand, role.node.clock.now())
-    role.sharing.publish_stage(ServiceName('crops'), shares, room)
+    role.forwarder.sharing.publish_stage(ServiceName('crops'), shares, room)
     assert 'ringseam_account_share' not in role.metrics.render()
-    role.sharing.publish_stage(ServiceName('crops'), shares, load)
-    role.sharing.publish_stage(ServiceName('other'), UnsharedPolicy(), load)
+    role.forwarder.sharing.publish_stage(ServiceName('crops'), shares, load)
+    role.forwarder.sharing.publish_stage(ServiceName('other'), UnsharedPolicy(), load)
     page = role.metrics.render()
     assert 'ringseam_account_asked{account="acme",rank="0",service="crops"} ' in page
     assert 'service="other"' not in page
