--- a/ringseam/gateway/accounts/maxmin.py
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -81,9 +81,10 @@
         """Count admitted work as used by its account."""
         self._count(demand, now, used=demand.amount)
 
-    def withdrawn(self, demand: AccountDemand, now: float) -> None:
-        """Take back work that was counted as used but never ran."""
-        self._count(demand, now, used=-demand.amount)
+    def withdrawn(self, demand: AccountDemand, now: float, *, admitted_at: float) -> None:
+        """Take back what is left, after its decay, of work that never ran."""
+        left = math.exp((admitted_at - now) / self.decay_s)
+        self._count(demand, now, used=-left * demand.amount)
 
     def share_wait_s(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
         """Return how long an account must wait until its share covers a demand, seconds.
--- a/ringseam/gateway/accounts/policy.py
+++ b/ringseam/gateway/accounts/policy.py
@@ -46,8 +46,8 @@
         """Count admitted work as used by its account."""
 
     @abc.abstractmethod
-    def withdrawn(self, demand: AccountDemand, now: float) -> None:
-        """Take back work that was counted as used but never ran."""
+    def withdrawn(self, demand: AccountDemand, now: float, *, admitted_at: float) -> None:
+        """Take back work that was counted as used at ``admitted_at`` but never ran."""
 
     @abc.abstractmethod
     def share_wait_s(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
@@ -66,7 +66,7 @@
     def admitted(self, demand: AccountDemand, now: float) -> None:
         """Count nothing."""
 
-    def withdrawn(self, demand: AccountDemand, now: float) -> None:
+    def withdrawn(self, demand: AccountDemand, now: float, *, admitted_at: float) -> None:
         """Count nothing."""
 
     def share_wait_s(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
--- a/ringseam/gateway/requests/admission.py
+++ b/ringseam/gateway/requests/admission.py
@@ -100,7 +100,7 @@
     def retry_after_s(self, predicted_s: float, remaining_s: float) -> float:
         """Return the Retry-After of a refusal, with jitter."""
         delay_s = _MIN_RETRY_AFTER_S + predicted_s + self.random.random() * _RETRY_AFTER_JITTER_S
-        return max(0, min(delay_s, remaining_s * _MAX_RETRY_AFTER_SHARE))
+        return honoured_retry_after_s(delay_s, remaining_s)
 
     def check(
         self,
@@ -123,3 +123,8 @@
             predicted_s=predicted_s,
             retry_after_s=self.retry_after_s(max(min_delay_s, predicted_s - limit), left),
         )
+
+
+def honoured_retry_after_s(delay_s: float, remaining_s: float) -> float:
+    """Return a Retry-After that a client with ``remaining_s`` left honours, seconds."""
+    return max(0, min(delay_s, remaining_s * _MAX_RETRY_AFTER_SHARE))
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -10,6 +10,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.events import Event
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun, Quarantined
+from ringseam.gateway.requests.admission import honoured_retry_after_s
 from ringseam.gateway.requests.answers import BAD_GATEWAY, DEFAULT_RETRY_AFTER_S, GATEWAY_TIMEOUT
 from ringseam.gateway.requests.balancing import LatencyPolicy
 from ringseam.gateway.requests.directtries import DirectTries
@@ -160,7 +161,9 @@
             context.exchange,
             context.request,
             _OVER_SHARE,
-            retry_after_s=max(DEFAULT_RETRY_AFTER_S, refusal.wait_s),
+            retry_after_s=honoured_retry_after_s(
+                max(DEFAULT_RETRY_AFTER_S, refusal.wait_s), context.deadline - self.clock.now()
+            ),
             route=context.route.name,
         )
         return True
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -13,7 +13,7 @@
 from ringseam.gateway.following.guard import RETRY_AFTER_S as SUSPECT_RETRY_AFTER_S
 from ringseam.gateway.requestcontext import RequestContext
 from ringseam.gateway.requests.accountsharing import AccountSharing
-from ringseam.gateway.requests.admission import Admission
+from ringseam.gateway.requests.admission import Admission, honoured_retry_after_s
 from ringseam.gateway.requests.admissionpolicy import (
     AdmissionPolicy,
     PredictedDelayPolicy,
@@ -226,7 +226,9 @@
             context.exchange,
             context.request,
             'this gateway holds too much for other requests',
-            retry_after_s=retry_after_s,
+            retry_after_s=honoured_retry_after_s(
+                retry_after_s, context.deadline - self.clock.now()
+            ),
             route=context.route.name,
         )
         return True
--- a/ringseam/gateway/requests/plainshares.py
+++ b/ringseam/gateway/requests/plainshares.py
@@ -133,7 +133,7 @@
     def ended(self, attempt: PlainTry, outcome: TryOutcome | None, now: float) -> None:
         """Correct the charge of a request that has ended, or take it back if it didn't run."""
         service = self._service(attempt.server.service)
-        service.shares.withdrawn(attempt.demand, now)
+        service.shares.withdrawn(attempt.demand, now, admitted_at=attempt.started_at)
         if isinstance(outcome, NotRun):
             if outcome.refused_by_server:
                 service.full_until[attempt.server.instance] = now + _FULL_S
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -21,10 +21,13 @@
     from ringseam.gateway.requests.reserving import ReservationClient
     from ringseam.gateway.reservations.messages import StageForecast
     from ringseam.gateway.stages.graph import StageRun
+    from ringseam.routes import ServiceName
 
 #: A stage that starts this much later than its owner was told is asked about again, seconds: a
 #: part of a call, which is the least by which waits change.
 _MOVED_S = 0.1
+#: A forecast stands for an owner that doesn't reply for this long, seconds: a few calls.
+_KNOWN_WAIT_TTL_S = 1.5
 #: Weight of the newest response in the moving average of the time at the final server.
 _FINAL_SERVER_WEIGHT = 0.3
 
@@ -55,6 +58,8 @@
         self.running: dict[str, StageRun] = {}
         #: Moving average of the time from the end of the stages to the first event, by route.
         self.final_server_s: dict[str, float] = {}
+        #: The last forecast wait for each service, seconds, and when it was given.
+        self.known_waits: dict[ServiceName, tuple[float, float]] = {}
 
     async def admit(self, context: RequestContext, stages: StageRun) -> Refusal | None:
         """Reserve capacity on the whole path, and withdraw it if the request is refused."""
@@ -91,7 +96,9 @@
         self.final_server_s[context.route.name] = average_s
 
     async def _reserve(self, context: RequestContext, stages: StageRun) -> PathForecast:
-        path = PathForecast(plan=stages.plan, default_wait_s=stages.wait_s)
+        path = PathForecast(
+            plan=stages.plan, default_wait_s=lambda number: self._known_wait_s(stages, number)
+        )
         starts = path.starts()
         path.forecasts = await self._ask(context, stages, starts, starts)
         later = path.starts()
@@ -100,8 +107,22 @@
         ]
         if moved:
             path.forecasts.update(await self._ask(context, stages, later, moved))
+        now = self.clock.now()
+        for number, forecast in path.forecasts.items():
+            service = stages.stages[number].service
+            self.known_waits[service] = (forecast.wait_ms / MS_PER_S, now)
         return path
 
+    def _known_wait_s(self, stages: StageRun, number: int) -> float:
+        """Return the wait for a stage by the last forecast of its owner, or by its reports.
+
+        An owner that is overloaded doesn't reply in time; then the waits are longest.
+        """
+        wait_s, at = self.known_waits.get(stages.stages[number].service, (0, float('-inf')))
+        if self.clock.now() - at > _KNOWN_WAIT_TTL_S:
+            return stages.wait_s(number)
+        return max(wait_s, stages.wait_s(number))
+
     async def _ask(
         self,
         context: RequestContext,
--- a/ringseam/gateway/reservations/accuracy.py
+++ b/ringseam/gateway/reservations/accuracy.py
@@ -84,7 +84,8 @@
 
 def _summary_of(outcomes: list[Outcome]) -> ErrorSummary:
     prior_s = _FACTOR_PRIOR_S * len(outcomes)
-    factor = (sum(outcome.actual_s for outcome in outcomes) + prior_s) / (
+    # A call that is faster than usual makes the actual wait negative.
+    factor = (sum(max(0, outcome.actual_s) for outcome in outcomes) + prior_s) / (
         sum(outcome.expected_s for outcome in outcomes) + prior_s
     )
     errors = sorted(outcome.actual_s - factor * outcome.expected_s for outcome in outcomes)
--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -5,7 +5,7 @@
 import bisect
 import collections
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, NamedTuple
 
 from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
@@ -18,9 +18,7 @@
     from ringseam.gateway.priorities import Precedence
     from ringseam.routes import AccountName
 
-#: A reservation ends this long after its pieces are due, seconds.
-_EXPIRY_S = 1.0
-#: A reservation also ends this long after its pieces should have arrived, seconds. Pieces arrive
+#: A reservation ends this long after its pieces should have arrived, seconds. Pieces arrive
 #: later than that only if the stages before them took much longer than forecast.
 _OVERDUE_S = 1.0
 #: Interval between searches for expired reservations, seconds.
@@ -92,14 +90,13 @@
     wait_s: float
     share_wait_s: float
     demand: AccountDemand
+    #: When the demand was counted as used.
+    reserved_at: float = 0
 
     @property
     def expires_at(self) -> float:
         """Return when the reservation ends if the pieces don't arrive."""
-        return min(
-            max(self.work.due_at, self.work.starts_at) + _EXPIRY_S,
-            self.work.starts_at + _OVERDUE_S,
-        )
+        return self.work.starts_at + _OVERDUE_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -162,23 +159,27 @@
     #: Number of reservations that ended, by how.
     ended: collections.Counter[ReservationEnd] = field(default_factory=collections.Counter)
     expiry_checked_at: float = float('-inf')
+    #: Number of expired reservations that :meth:`expire` has returned.
+    reported_expired: int = 0
 
     def reserve(self, work: StageWork, load: ServiceLoad, now: float) -> Forecast:
         """Reserve capacity and forecast the wait; replace an earlier reservation."""
-        self.expire(now)
+        self._end_expired(now)
         earlier = self._remove(work.key)
         wait_s = self.wait_s(work, load, now) + load.added_call_s
         if earlier is None:
             demand = _account_demand(work, load)
-            share_wait_s = self._count_demand(demand, load, now)
+            share_wait_s = self._count_demand(demand, self._place_load(work, load, now), now)
         else:
             demand, share_wait_s = earlier.demand, earlier.share_wait_s
+        reserved_at = now if earlier is None else earlier.reserved_at
         self._insert(
             Reservation(
                 work=work,
                 wait_s=wait_s,
                 share_wait_s=share_wait_s,
                 demand=demand,
+                reserved_at=reserved_at,
             )
         )
         seen = self._errors_of(work.precedence, now)
@@ -236,14 +237,10 @@
             self._give_back(StageKey(attempt_id, stage), ReservationEnd.withdrawn, now)
 
     def expire(self, now: float) -> int:
-        """End reservations whose pieces did not arrive; return their number."""
-        if now < self.expiry_checked_at + _EXPIRY_INTERVAL_S:
-            return 0
-        self.expiry_checked_at = now
-        expired = [key for key, held in self.reserved.items() if held.expires_at <= now]
-        for key in expired:
-            self._give_back(key, ReservationEnd.expired, now)
-        return len(expired)
+        """End reservations whose pieces did not arrive; return how many since the last call."""
+        self._end_expired(now)
+        before, self.reported_expired = self.reported_expired, self.ended[ReservationEnd.expired]
+        return self.reported_expired - before
 
     @property
     def reserved_pieces(self) -> int:
@@ -252,6 +249,14 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _end_expired(self, now: float) -> None:
+        if now < self.expiry_checked_at + _EXPIRY_INTERVAL_S:
+            return
+        self.expiry_checked_at = now
+        expired = [key for key, held in self.reserved.items() if held.expires_at <= now]
+        for key in expired:
+            self._give_back(key, ReservationEnd.expired, now)
+
     def _clear_s(self, queue: _Queue, clear_s: float, *, after_later: bool) -> float:
         """Return when all work that goes before new pieces is sent, seconds from now.
 
@@ -309,21 +314,24 @@
         reservation = self._remove(key)
         if reservation is not None:
             self.ended[end] += 1
-            self.shares.withdrawn(reservation.demand, now)
+            self.shares.withdrawn(reservation.demand, now, admitted_at=reservation.reserved_at)
 
-    def _count_demand(self, demand: AccountDemand, load: ServiceLoad, now: float) -> float:
+    def _count_demand(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
         """Count work that is asked for; return the wait for the account's share, seconds."""
         self.shares.asked(demand, now)
-        share_wait_s = self.shares.share_wait_s(demand, self._place_load(load), now)
+        share_wait_s = self.shares.share_wait_s(demand, load, now)
         self.shares.admitted(demand, now)
         return share_wait_s
 
-    def _place_load(self, load: ServiceLoad) -> PlaceLoad:
-        backlog = sum(load.queued.values()) + self.reserved_pieces
-        rate = load.pieces_per_s
+    def _place_load(self, work: StageWork, load: ServiceLoad, now: float) -> PlaceLoad:
+        """Return the load that work meets when it arrives.
+
+        Reservations are no backlog as far as they are done before, nor is the call in progress.
+        """
+        idle = replace(load, until_free_s=0)
         return PlaceLoad(
-            capacity_per_s=rate * load.server_s_per_piece,
-            backlog_s=backlog / rate if rate else 0,
+            capacity_per_s=load.pieces_per_s * load.server_s_per_piece,
+            backlog_s=self.wait_s(work, idle, now),
         )
 
     def _errors_of(self, precedence: Precedence, now: float) -> ErrorSummary:
--- a/ringseam/gateway/stages/fairorder.py
+++ b/ringseam/gateway/stages/fairorder.py
@@ -48,10 +48,12 @@
         for piece in pieces:
             accounts = work.setdefault(piece.job.precedence, collections.Counter())
             accounts[piece.job.suspect.account] += 1
+        # Started jobs precede all others whatever their tags, so they tell nothing of the turn.
+        fresh = {one.job.suspect.account for one in pieces if not one.group.started}
         for precedence, amounts in work.items():
             tags = self.tags[precedence]
             # The pieces of a call are served together, from the lowest start tag on.
-            earliest = min(map(tags.start_of, amounts))
+            earliest = min(map(tags.start_of, fresh.intersection(amounts)), default=0)
             for account, amount in amounts.items():
                 tags.charge(account, amount)
             tags.advance(earliest)
--- a/tests/test_gateway/test_accounts/test_accounts_maxmin.py
+++ b/tests/test_gateway/test_accounts/test_accounts_maxmin.py
@@ -265,5 +265,15 @@
 def test_withdrawn_work_is_not_counted_as_used():
     policy = MaxMinShares()
     policy.admitted(demand('a', 2), 0)
-    policy.withdrawn(demand('a', 2), 0)
+    policy.withdrawn(demand('a', 2), 0, admitted_at=0)
     assert policy.shares(busy(), 1, 0)[0].used_per_s == 0
+
+
+def test_work_taken_back_later_leaves_the_use_of_other_work():
+    """An account could otherwise erase its use by reservations that expire."""
+    policy, alone = MaxMinShares(), MaxMinShares()
+    for shares in (policy, alone):
+        shares.admitted(demand('a', 1), 0)
+    policy.admitted(demand('a', 1), 0)
+    policy.withdrawn(demand('a', 1), 3, admitted_at=0)
+    assert policy.used_by('a', 3) == pytest.approx(alone.used_by('a', 3))
--- a/tests/test_gateway/test_requests/test_requests_reservedloads.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedloads.py
@@ -241,7 +241,7 @@
         ),
         'slowest',
         sorted(one.waited_s for one in results.refused)[-3:],
-        dict((method.path[-8:], count) for method, count in results.messages.items()),
+        {method.path[-8:]: count for method, count in results.messages.items()},
         [len(book.reserved) for book in results.books],
         sum((book.ended for book in results.books), collections.Counter()),
     )
--- a/tests/test_gateway/test_reservations/test_reservations_accuracy.py
+++ b/tests/test_gateway/test_reservations/test_reservations_accuracy.py
@@ -74,3 +74,12 @@
         if sum(other <= number for other in ordered) >= share * len(ordered)
     ]
     assert quantile(ordered, share) == covering[0]
+
+
+def test_calls_faster_than_usual_do_not_hide_a_queue():
+    """With a negative factor, a long expected wait became none."""
+    errors = ForecastErrors()
+    for number in range(20):
+        errors.record(Outcome(0.0, -0.3), number / 20)
+    assert errors.summarize((), 1).factor >= 0
+    assert errors.summarize((), 1).corrected_s(3) > 0
--- a/tests/test_gateway/test_reservations/test_reservations_book.py
+++ b/tests/test_gateway/test_reservations/test_reservations_book.py
@@ -67,7 +67,7 @@
     def admitted(self, demand, now):
         self.used += demand.amount
 
-    def withdrawn(self, demand, now):
+    def withdrawn(self, demand, now, *, admitted_at):
         self.used -= demand.amount
 
     def share_wait_s(self, demand, load, now):
