Uneven engines in the model, stand-in that reports its load, factors of engines at once

Cause: nothing played engines of different speed on shared hosts; a choice among 48 engines computed the mean of the service for each of them.

--- a/ringseam/gateway/engines/placement.py
+++ b/ringseam/gateway/engines/placement.py
@@ -265,11 +265,7 @@
         speeds = self.health.speeds
         if not speeds.reports.reports_interference(engine.instance for engine in engines):
             return {}
-        service_factor = speeds.service_factor(self.service)
-        return {
-            engine.instance: service_factor * speeds.duration_factor(engine, now)
-            for engine in engines
-        }
+        return speeds.expected_factors(self.service, engines, now)
 
     def _with_room(
         self,
--- a/ringseam/gateway/serverload/speeds.py
+++ b/ringseam/gateway/serverload/speeds.py
@@ -10,6 +10,8 @@
 from ringseam.gateway.serverload.reports import LoadReports
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ringseam.backends import BackendId, BackendReport
     from ringseam.routes import ServiceName
 
@@ -46,13 +48,13 @@
         """Return the mean logarithm over the servers."""
         return self.total / len(self.by_server) if self.by_server else 0
 
-    def deviation(self, instance: BackendId, now: float) -> float:
-        """Return the deviation of a server from the mean, decayed while it is idle."""
+    def deviation(self, instance: BackendId, now: float, mean: float) -> float:
+        """Return the deviation of a server from ``mean``, decayed while it is idle."""
         known = self.by_server.get(instance)
         if known is None:
             return 0
         faded = math.exp2(-max(0, now - known.at) / _IDLE_HALF_LIFE_S)
-        return _bounded((known.log_ratio - self.mean) * faded, _MAX_DEVIATION)
+        return _bounded((known.log_ratio - mean) * faded, _MAX_DEVIATION)
 
     def observe(
         self, instance: BackendId, log_ratio: float, now: float, *, duration_s: float
@@ -66,7 +68,7 @@
         if known is not None:
             observations += known.observations
         mean = self.mean
-        current = mean + self.deviation(instance, now)
+        current = mean + self.deviation(instance, now, mean)
         observed = mean + _bounded(log_ratio - mean, _MAX_OBSERVED_DEVIATION)
         steady_weight = max(_MIN_WEIGHT, -math.expm1(-duration_s / _DURATION_WEIGHT_S))
         weight = max(steady_weight, 1 / (observations + 1))
@@ -128,12 +130,34 @@
     def own_factor(self, server: BackendReport, now: float) -> float:
         """Return how many times the usual time of its service a server takes by itself."""
         durations = self.services.get(server.service)
-        return 1 if durations is None else math.exp(durations.deviation(server.instance, now))
+        if durations is None:
+            return 1
+        return math.exp(durations.deviation(server.instance, now, durations.mean))
 
     def duration_factor(self, server: BackendReport, now: float) -> float:
         """Return how many times the usual time work takes at a server now."""
         return self.own_factor(server, now) * self.reports.slowdown_at(server.instance, now)
 
+    def expected_factors(
+        self, service: ServiceName, servers: Collection[BackendReport], now: float
+    ) -> dict[BackendId, float]:
+        """Return the ratios of actual to expected durations for servers of one service now."""
+        durations = self.services.get(service)
+        if durations is None:
+            durations = ServiceDurations()
+        mean = durations.mean
+        factor = math.exp(mean)
+        reports = self.reports.by_server
+        factors = {}
+        for server in servers:
+            instance = server.instance
+            own = factor
+            if instance in durations.by_server:
+                own *= math.exp(durations.deviation(instance, now, mean))
+            reported = reports.get(instance)
+            factors[instance] = own if reported is None else own * reported.slowdown_at(now)
+        return factors
+
     def keep_only(self, instances: set[BackendId]) -> None:
         """Remove all servers except ``instances``."""
         self.reports.keep_only(instances)
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -5,9 +5,11 @@
 import asyncio
 import collections
 import itertools
-from dataclasses import dataclass, field
+import random
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from ringseam.calls import ServerLoad
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun
 from ringseam.model.notices import ModelNotices
 from ringseam.model.stageservers import network_latency_s
@@ -81,10 +83,36 @@
     cache: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
     run_numbers: itertools.count[int] = field(default_factory=itertools.count)
     task: asyncio.Task[None] | None = None
+    #: Relative to the durations of the service.
+    speed: float = field(init=False)
     notices: ModelNotices = field(default_factory=ModelNotices)
     #: Called when a content crashes this engine.
     on_crash: Callable[[], None] = lambda: None
 
+    def __post_init__(self) -> None:
+        """Draw the speed of the engine; it is the same in all runs."""
+        drawn = random.Random(self.report.instance)  # noqa: S311 - simulation
+        self.speed = drawn.uniform(self.load.slowest, self.load.fastest)
+
+    def host_slowdown(self, now: float) -> float:
+        """Return how many times the usual time work takes on the host now."""
+        if not self.load.noise_share:
+            return 1
+        window = int(now / self.load.noise_s)
+        drawn = random.Random(f'{self.report.instance} {window}')  # noqa: S311 - simulation
+        return self.load.noise_factor if drawn.random() < self.load.noise_share else 1
+
+    def reported_load(self, now: float) -> ServerLoad | None:
+        """Return the load in a response sent now; None: the engine reports none."""
+        if not self.load.noise_share:
+            return None
+        return ServerLoad(
+            running=sum(not run.prefill_left for run in self.runs),
+            waiting=sum(run.prefill_left > 0 for run in self.runs),
+            slots=self.report.slots,
+            slowdown=self.host_slowdown(now),
+        )
+
     def submit(self, context: RequestContext, last_event: int, events: int) -> EngineRun:
         """Start a request; prefill is done in order of urgency."""
         parts = context.request.prefix
@@ -139,7 +167,8 @@
             streams = [run for run in self.runs if not run.prefill_left]
             prefill_s = self._prefill()
             step_s = self.load.step_s + len(streams) * self.load.step_per_stream_s
-            await asyncio.sleep((step_s + prefill_s) * self.slowdown)
+            host_factor = self.host_slowdown(self.clock.now()) / self.speed
+            await asyncio.sleep((step_s + prefill_s) * self.slowdown * host_factor)
             for run in streams:
                 self._generate_token(run)
             if any(map(_crashes_engine, streams)):
@@ -283,9 +312,12 @@
         if first is None:
             return Lost(cause=LossCause.connection, detail='reset')
         channel.first_event = first
+        reported = engine.reported_load(engine.clock.now())
         await asyncio.sleep(latency_s)
         head = ResponseHead(status=_OK, headers=[('Content-Type', 'text/event-stream')])
-        metadata = engine.notices.response_metadata(attempt, engine.clock.now())
+        metadata = replace(
+            engine.notices.response_metadata(attempt, engine.clock.now()), load=reported
+        )
         self.notices.record(server.instance, metadata)
         # ModelChannel stands in for a channel of the connection pool.
         return Answered(head=head, marks=metadata, channel=channel)  # type: ignore[arg-type]
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -184,14 +184,14 @@
     return headers
 
 
-def rate_limit_header(per_s: float) -> tuple[str, str]:
-    """Return the header with which a backend server announces its rate limit."""
-    return (_SERVER_LIMIT, f'{per_s:g}')
-
-
-def leaving_header() -> tuple[str, str]:
-    """Return the header with which a backend server announces its shutdown."""
-    return (_SERVER_LEAVING, '1')
+def notice_headers(*, per_s: float | None, leaving: bool, load: ServerLoad | None) -> Headers:
+    """Return the headers with which a backend server announces limit, shutdown and load."""
+    headers = [(_SERVER_LEAVING, '1')] if leaving else []
+    if per_s is not None:
+        headers.append((_SERVER_LIMIT, f'{per_s:g}'))
+    if load is not None:
+        headers.append((_WORKER_LOAD, ','.join(map(str, load.figures))))
+    return headers
 
 
 def not_run_header() -> tuple[str, str]:
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -10,13 +10,13 @@
 import urllib3
 
 from ringseam.backends import BackendId, BackendReport, BackendState
+from ringseam.calls import ServerLoad
 from ringseam.platform.registration import encode_report, report_path
 from ringseam.platform.requests import (
     decode_request,
     identity_headers,
-    leaving_header,
     not_run_header,
-    rate_limit_header,
+    notice_headers,
     retry_after_header,
 )
 from ringseam.platform.stages import (
@@ -42,6 +42,7 @@
 _PIECE_DURATION_S = 0.005
 _EVENT_INTERVAL_S = 0.01
 _STREAM_EVENTS = 5
+_SLOTS = 4
 
 
 class DirectServer:
@@ -65,6 +66,8 @@
         #: Announced in response headers: the rate limit in requests per second, and shutdown.
         self.rate_limit_per_s: float | None = None
         self.announces_leaving = False
+        #: Reported in response headers, with the load: how many times the usual time work takes.
+        self.slowdown: float | None = None
         #: While positive, all calls are refused with this Retry-After time in seconds.
         self.pause_s: float = 0
         #: Ids of the requests and pieces that this server has run, in order.
@@ -86,7 +89,7 @@
             address=self.address,
             zone=self.zone,
             sequence=self.sequence,
-            slots=4,
+            slots=_SLOTS,
             state=state,
         )
         reply = await asyncio.to_thread(
@@ -116,10 +119,18 @@
 
     def _notice_headers(self) -> Headers:
         """Return the headers with which each response announces this server's state."""
-        headers = [leaving_header()] if self.announces_leaving else []
-        if self.rate_limit_per_s is not None:
-            headers.append(rate_limit_header(self.rate_limit_per_s))
-        return headers
+        load = None
+        if self.slowdown is not None:
+            running = self.http.active
+            load = ServerLoad(
+                running=min(running, _SLOTS),
+                waiting=max(0, running - _SLOTS),
+                slots=_SLOTS,
+                slowdown=self.slowdown,
+            )
+        return notice_headers(
+            per_s=self.rate_limit_per_s, leaving=self.announces_leaving, load=load
+        )
 
     async def _respond(self, exchange: Exchange) -> None:
         request = decode_request(exchange.request)
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -18,6 +18,7 @@
     decode_response_metadata,
     encode_call_headers,
     find_reserved_headers,
+    notice_headers,
     stage_call_headers,
 )
 from ringseam.platform.stages import (
@@ -164,6 +165,15 @@
     assert decoded.load_malformed
 
 
+@pytest.mark.parametrize('load', [None, ServerLoad(running=1, waiting=0, slots=4, slowdown=2.5)])
+@pytest.mark.parametrize('per_s', [None, 12.5])
+@pytest.mark.parametrize('leaving', [False, True])
+def test_notices_are_decoded_as_they_are_announced(load, per_s, leaving):
+    headers = notice_headers(per_s=per_s, leaving=leaving, load=load)
+    decoded = decode_response_metadata(ResponseHead(status=200, headers=headers))
+    assert (decoded.load, decoded.rate_limit_per_s, decoded.leaving) == (load, per_s, leaving)
+
+
 def test_absent_load_is_not_malformed():
     decoded = decode_response_metadata(ResponseHead(status=200, headers=[]))
     assert decoded.load is None
