Clients that return count on what first attempts don't ask for; patterns of load

Change: the rate left for them is that of busy servers less what first attempts ask for. Reservations of requests without a chance expire when they are due, however late they would start.

--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -18,11 +18,9 @@
     from ringseam.gateway.priorities import Precedence
     from ringseam.routes import AccountName
 
-#: A reservation ends this long after its pieces are due, seconds.
+#: A reservation ends this long after its pieces should have arrived, or were due, seconds. Pieces
+#: arrive later than that only if the stages before them took much longer than forecast.
 _EXPIRY_S = 1.0
-#: A reservation also ends this long after its pieces should have arrived, seconds. Pieces arrive
-#: later than that only if the stages before them took much longer than forecast.
-_OVERDUE_S = 1.0
 #: Interval between searches for expired reservations, seconds.
 _EXPIRY_INTERVAL_S = 0.1
 
@@ -96,10 +94,7 @@
     @property
     def expires_at(self) -> float:
         """Return when the reservation ends if the pieces don't arrive."""
-        return min(
-            max(self.work.due_at, self.work.starts_at) + _EXPIRY_S,
-            self.work.starts_at + _OVERDUE_S,
-        )
+        return min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/gateway/stages/reserving.py
+++ b/ringseam/gateway/stages/reserving.py
@@ -86,15 +86,19 @@
             starts_at=now + demand.starts_ms / MS_PER_S,
             due_at=now + demand.due_ms / MS_PER_S,
         )
+        state = self.scheduler.state_of(demand.service)
+        if not request.returned and work.key not in state.book.reserved:
+            state.batcher.throughput.asked.add(demand.pieces, now)
         load = self._load(demand.service, work.call_s, spec)
-        return self.scheduler.state_of(demand.service).book.reserve(work, load, now)
+        return state.book.reserve(work, load, now)
 
     def _load(self, service: ServiceName, own_call_s: float, spec: BatchSpec) -> ServiceLoad:
         """Return the load that pieces with a call of ``own_call_s`` meet."""
         estimate = self.scheduler.estimate(service)
         throughput = self.scheduler.state_of(service).batcher.throughput
         rate = throughput.busy_pieces_per_s(estimate.departures_per_s, spec)
-        left = max(rate - estimate.arrivals_per_s, _MIN_RETRY_SHARE * rate)
+        asked_per_s = throughput.asked.per_s(self.scheduler.node.clock.now())
+        left = max(rate - asked_per_s, _MIN_RETRY_SHARE * rate)
         return ServiceLoad(
             pieces_per_s=rate,
             retry_pieces_per_s=left,
--- a/ringseam/gateway/stages/throughput.py
+++ b/ringseam/gateway/stages/throughput.py
@@ -64,6 +64,8 @@
 
     #: Arrivals of pieces of first attempts; clients that retry after a refusal not counted.
     arrivals: DecayingCounter = field(default_factory=DecayingCounter)
+    #: Pieces of first attempts that a reservation was asked for, whether admitted or not.
+    asked: DecayingCounter = field(default_factory=DecayingCounter)
     #: Number of calls in progress by server.
     calls: dict[BackendId, int] = field(default_factory=dict)
     last_calls: dict[BackendId, LastCall] = field(default_factory=dict)
