--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -82,6 +82,7 @@
             follower=follower,
             permits=placements.permits,
             policy=LatencyPolicy(health=sender.health, zone=node.zone),
+            limits=sender.limits,
         )
 
     async def run(self, context: RequestContext, stages: StageRun | None) -> None:
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -96,9 +96,7 @@
         self.final_server_s[context.route.name] = average_s
 
     async def _reserve(self, context: RequestContext, stages: StageRun) -> PathForecast:
-        path = PathForecast(
-            plan=stages.plan, default_wait_s=lambda number: self._known_wait_s(stages, number)
-        )
+        path = PathForecast(plan=stages.plan, default_wait_s=stages.wait_s)
         starts = path.starts()
         path.forecasts = await self._ask(context, stages, starts, starts)
         later = path.starts()
@@ -107,6 +105,7 @@
         ]
         if moved:
             path.forecasts.update(await self._ask(context, stages, later, moved))
+        path.default_wait_s = lambda number: self._known_wait_s(stages, number)
         now = self.clock.now()
         for number, forecast in path.forecasts.items():
             service = stages.stages[number].service
--- a/ringseam/gateway/requests/serverselection.py
+++ b/ringseam/gateway/requests/serverselection.py
@@ -15,6 +15,7 @@
     from ringseam.gateway.following.turns import PermitAllocator, SendPermit
     from ringseam.gateway.requestcontext import RequestContext
     from ringseam.gateway.requests.balancing import BalancingPolicy
+    from ringseam.gateway.serverload.connections import ConnectionLimits
 
 
 class ServerSelector:
@@ -32,11 +33,15 @@
         follower: Follower,
         permits: PermitAllocator,
         policy: BalancingPolicy,
+        limits: ConnectionLimits | None = None,
     ) -> None:
         """Create a selector that applies ``policy`` to the servers that ``permits`` allows.
 
         Services whose servers report interference have a policy of their own.
+
+        :param limits: of the connections to each server; None: there are none.
         """
+        self.limits = limits
         self.clock = clock
         self.follower = follower
         self.permits = permits
@@ -107,7 +112,12 @@
         serving = self.follower.serving(
             context.service, context.suspect.account, context.allowed_zones
         )
-        return [server for server in serving if server.instance not in context.tries.tried]
+        untried = [server for server in serving if server.instance not in context.tries.tried]
+        return [server for server in untried if self._may_connect(server)] or untried
+
+    def _may_connect(self, server: BackendReport) -> bool:
+        """Return whether this gateway has a share of the connections to a server."""
+        return self.limits is None or self.limits.limit(server, self.clock.now()) != 0
 
     def _unpaused(
         self, context: RequestContext, servers: list[BackendReport]
--- a/ringseam/gateway/reservations/accuracy.py
+++ b/ringseam/gateway/reservations/accuracy.py
@@ -22,6 +22,8 @@
 #: Waits are this much longer in the comparison of sums that gives the factor, seconds: small
 #: differences between short waits say nothing about long ones.
 _FACTOR_PRIOR_S = 0.1
+#: Least factor: a longer expected wait is always a longer one after correction.
+_MIN_FACTOR = 0.1
 _MIDDLE = 0.5
 #: Share of the forecasts that spread and median together should cover.
 COVERED_SHARE = 0.7
@@ -84,10 +86,11 @@
 
 def _summary_of(outcomes: list[Outcome]) -> ErrorSummary:
     prior_s = _FACTOR_PRIOR_S * len(outcomes)
-    # A call that is faster than usual makes the actual wait negative.
-    factor = (sum(max(0, outcome.actual_s) for outcome in outcomes) + prior_s) / (
+    factor = (sum(outcome.actual_s for outcome in outcomes) + prior_s) / (
         sum(outcome.expected_s for outcome in outcomes) + prior_s
     )
+    # Calls that are faster than usual make actual waits negative.
+    factor = max(_MIN_FACTOR, factor)
     errors = sorted(outcome.actual_s - factor * outcome.expected_s for outcome in outcomes)
     median_s = quantile(errors, _MIDDLE)
     return ErrorSummary(
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -275,6 +275,8 @@
     health: HealthTracker
     notices: ServerNotices
     pool: ModelPool = field(init=False)
+    #: Limits of connections; there are none.
+    limits: None = None
 
     def __post_init__(self) -> None:
         """Create a pool for the same engines."""
--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -51,7 +51,7 @@
         due = self.clock.now() + timeout_s
         channel = self._take_idle(address)
         while channel is None and max_open is not None and self.open_count(address) >= max_open:
-            if self.clock.now() >= due:
+            if not max_open or self.clock.now() >= due:
                 raise BusyError(f'{address}: all connections are in use', sent=False)
             await asyncio.sleep(min(_BUSY_POLL_S, timeout_s))
             channel = self._take_idle(address)
