--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -14,7 +14,6 @@
 from ringseam.gateway.engines.client import PlacementClient
 from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceDetector
-from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.following.ownership import Ownership
@@ -37,6 +36,7 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.clock import Clock
+    from ringseam.gateway.featureswitch import FeatureSwitch
     from ringseam.model.engines import ModelEngine
     from ringseam.model.stageservers import ResultStore, StageServer
     from ringseam.routes import RouteTable, ServiceName
@@ -168,10 +168,9 @@
         table: RouteTable,
         network: ModelNetwork,
         servers: BackendServers,
-        switch: FeatureSwitch | None = None,
+        switch: FeatureSwitch,
     ) -> None:
         """Create the gateway and register its handlers."""
-        switch = switch or FeatureSwitch()
         node = Node(
             name=name,
             role='gateway',
