Refusals by share are logged and counted at stage services; their shares are published

Cause: events and metrics of shares covered services without stages only. Change: the refusal names the service where the account waits longest for its share; owners publish the shares of their services; PieceScheduler chooses its policies by the features. Measured: nothing; tests of admission and accounts pass.

--- a/ringseam/gateway/accounts/policy.py
+++ b/ringseam/gateway/accounts/policy.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from ringseam.gateway.priorities import Precedence
-    from ringseam.routes import AccountName
+    from ringseam.routes import AccountName, ServiceName
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -72,3 +72,12 @@
     def share_wait_s(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
         """Return 0."""
         return 0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ServiceShares:
+    """The shares of one service, and the load that they depend on."""
+
+    service: ServiceName
+    shares: SharePolicy
+    load: PlaceLoad
--- a/ringseam/gateway/requests/accountsharing.py
+++ b/ringseam/gateway/requests/accountsharing.py
@@ -1,20 +1,24 @@
-"""Puts shares of client accounts in force for services without stages."""
+"""Puts shares of client accounts in force at a gateway, and reports them."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
+from ringseam.events import Event
 from ringseam.features import Feature
 from ringseam.gateway.accounts.maxmin import MaxMinShares
 from ringseam.gateway.accounts.reports import SHOWN_ACCOUNTS, ShareReports
 from ringseam.gateway.requests.plainshares import PlainShares
+from ringseam.routes import AccountName
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
-    from ringseam.gateway.accounts.policy import PlaceLoad, SharePolicy
+    from ringseam.gateway.accounts.policy import ServiceShares
+    from ringseam.gateway.requestcontext import RequestContext
+    from ringseam.gateway.requests.admission import Refusal
     from ringseam.gateway.requests.attempts import AttemptRunner
     from ringseam.metrics import Metrics
-    from ringseam.routes import ServiceName
 
 
 class AccountSharing:
@@ -29,6 +33,7 @@
     ) -> None:
         """Let ``attempts`` share between accounts if the features ask for it."""
         self.clock = attempts.clock
+        self.responder = attempts.responder
         self.follower = attempts.follower
         self.reports = ShareReports(metrics=metrics)
         self.plain_shares = PlainShares(
@@ -39,11 +44,25 @@
         if Feature.account_shares in features:
             attempts.plain_shares = self.plain_shares
 
-    def publish_stage(self, service: ServiceName, shares: SharePolicy, load: PlaceLoad) -> None:
+    def publish_stage(self, owned: ServiceShares) -> None:
         """Publish the shares of a stage service that this gateway decides for, if it has any."""
-        if isinstance(shares, MaxMinShares):
-            found = shares.shares(load, SHOWN_ACCOUNTS, self.clock.now())
-            self.reports.publish(service, found)
+        if isinstance(owned.shares, MaxMinShares):
+            found = owned.shares.shares(owned.load, SHOWN_ACCOUNTS, self.clock.now())
+            self.reports.publish(owned.service, found)
+
+    def record_refusal(self, context: RequestContext, refusal: Refusal) -> None:
+        """Log and count a request that was refused because its account is above its share."""
+        if not refusal.scarce_service:
+            return
+        account = AccountName(context.suspect.account)
+        self.reports.refused(refusal.scarce_service, account, refusal.share_wait_s)
+        self.responder.log(
+            context,
+            Event.request_over_share,
+            account=account,
+            service=refusal.scarce_service,
+            wait_ms=round(refusal.share_wait_s * MS_PER_S),
+        )
 
     def clean_up(self, known: set[BackendId]) -> None:
         """Drop the state of servers that are gone, and publish all shares."""
--- a/ringseam/gateway/requests/admission.py
+++ b/ringseam/gateway/requests/admission.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.routes import ServiceName
+
 if TYPE_CHECKING:
     from ringseam.gateway.requestcontext import RequestContext
 
@@ -25,6 +27,8 @@
 #: The typical time limit of a route is discarded after this time, seconds.
 _TYPICAL_LIMIT_TTL_S = 30.0
 
+_NO_SERVICE = ServiceName('')
+
 
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
@@ -32,6 +36,9 @@
 
     predicted_s: float
     retry_after_s: float
+    #: The service where the wait for the account's share decided, and that wait, seconds.
+    scarce_service: ServiceName = _NO_SERVICE
+    share_wait_s: float = 0
 
 
 @dataclass(kw_only=True)
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -296,6 +296,7 @@
         refusal = await self.policy.admit(context, stages)
         if refusal is None:
             return False
+        self.sharing.record_refusal(context, refusal)
         await self.responder.refuse(
             context.exchange,
             context.request,
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import enum
 from typing import TYPE_CHECKING
 
@@ -171,5 +172,15 @@
             refusal = self.admission.check(context, predicted_s, now, min_delay_s=path.share_wait_s)
             if refusal is not None:
                 context.decided_by = ground.value
-                return refusal
+                return _refusal_by_share(refusal, path) if ground is Ground.share else refusal
         return None
+
+
+def _refusal_by_share(refusal: Refusal, path: PathForecast) -> Refusal:
+    """Name the service where the account waits longest for its share."""
+    number = max(path.forecasts, key=lambda stage: path.forecasts[stage].share_wait_ms)
+    return dataclasses.replace(
+        refusal,
+        scarce_service=path.plan.stages[number].service,
+        share_wait_s=path.share_wait_s,
+    )
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -27,7 +27,6 @@
 from ringseam.gateway.requests.sending import Sender
 from ringseam.gateway.stages.calls import PieceCalls
 from ringseam.gateway.stages.client import PieceClient
-from ringseam.gateway.stages.policies import stage_policies
 from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.ids import split_address
 from ringseam.metrics import Metrics
@@ -137,7 +136,7 @@
             guard=self.guard,
             ownership=self.ownership,
             pacer=self.permits.pacer,
-            policies=stage_policies(self.switch),
+            switch=self.switch,
         )
         self.pieces = PieceClient(
             clock=self.node.clock,
@@ -286,6 +285,8 @@
         reservations.expire()
         for (service, end), count in reservations.counts().items():
             self.metrics.put('reservations', count, service=service, end=end)
+        for owned in reservations.share_states():
+            self.forwarder.sharing.publish_stage(owned)
 
     async def _run_monitor(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
--- a/ringseam/gateway/stages/reserving.py
+++ b/ringseam/gateway/stages/reserving.py
@@ -8,6 +8,7 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.events import Event
+from ringseam.gateway.accounts.policy import PlaceLoad, ServiceShares
 from ringseam.gateway.priorities import Precedence
 from ringseam.gateway.reservations.book import ServiceLoad, StageKey, StageWork
 from ringseam.gateway.reservations.messages import ReserveReply, StageForecast
@@ -71,8 +72,23 @@
             for end, count in state.book.ended.items()
         }
 
+    def share_states(self) -> list[ServiceShares]:
+        """Return the shares of all services whose batches are formed here."""
+        return [
+            ServiceShares(service=service, shares=state.shares, load=self._place_load(service))
+            for service, state in self.scheduler.services.items()
+        ]
+
     # -- helpers ------------------------------------------------------------
 
+    def _place_load(self, service: ServiceName) -> PlaceLoad:
+        spec = self.scheduler.spec_of(service)
+        estimate = self.scheduler.estimate(service)
+        server_s = spec.full_call_s / spec.batch if spec else 0
+        return PlaceLoad(
+            capacity_per_s=estimate.departures_per_s * server_s, backlog_s=estimate.backlog_s
+        )
+
     def _reserve_stage(
         self, request: ReserveRequest, demand: StageDemand, spec: BatchSpec
     ) -> Forecast:
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
+from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.priorities import Precedence
 from ringseam.gateway.reservations.book import StageKey
 from ringseam.gateway.stages.batching import FULL_BACKOFF_S, Batcher
@@ -17,7 +18,7 @@
 from ringseam.gateway.stages.calls import FullError
 from ringseam.gateway.stages.capacity import UNKNOWN_USAGE_S
 from ringseam.gateway.stages.messages import Waits
-from ringseam.gateway.stages.policies import StagePolicies
+from ringseam.gateway.stages.policies import stage_policies
 from ringseam.gateway.stages.servicestate import (
     CallFailure,
     CallFailureKind,
@@ -87,9 +88,9 @@
         guard: QuarantineGuard,
         ownership: Ownership,
         pacer: Pacer,
-        policies: StagePolicies | None = None,
+        switch: FeatureSwitch | None = None,
     ) -> None:
-        """Use the servers that ``follower`` knows; without ``policies``, the default ones."""
+        """Use the servers that ``follower`` knows; without ``switch``, no features."""
         self.node = node
         self.follower = follower
         self.calls = calls
@@ -98,7 +99,7 @@
         self.guard = guard
         self.ownership = ownership
         self.pacer = pacer
-        self.policies = policies or StagePolicies()
+        self.policies = stage_policies(switch or FeatureSwitch())
         self.log = CallLog(node=node)
         self.services: dict[ServiceName, ServiceState] = {}
         self.tasks = TaskSet()
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -24,7 +24,6 @@
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
 from ringseam.gateway.stages.client import PieceClient
-from ringseam.gateway.stages.policies import stage_policies
 from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.metrics import Metrics
 from ringseam.model.engines import ModelSender
@@ -244,7 +243,7 @@
             guard=self.guard,
             ownership=ownership,
             pacer=permits.pacer,
-            policies=stage_policies(switch),
+            switch=switch,
         )
         self.pieces = PieceClient(
             clock=clock, client=client, scheduler=self.piece_scheduler, ownership=ownership
--- a/tests/test_gateway/test_requests/test_requests_accountsharing.py
+++ b/tests/test_gateway/test_requests/test_requests_accountsharing.py
@@ -13,7 +13,7 @@
 
 from ringseam.features import Feature
 from ringseam.gateway.accounts.maxmin import MaxMinShares
-from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
+from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, ServiceShares, UnsharedPolicy
 from ringseam.gateway.accounts.reports import ShareReports
 from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.priorities import Precedence
@@ -108,16 +108,20 @@
     assert policies.new_order is order
 
 
+def owned(service, shares, load):
+    return ServiceShares(service=ServiceName(service), shares=shares, load=load)
+
+
 def test_shares_of_a_stage_service_are_published_if_it_has_any(key_file):
     role = LocalGateway(key_file).role
     room, load = (PlaceLoad(capacity_per_s=4, backlog_s=backlog_s) for backlog_s in (0, 1))
     shares = MaxMinShares()
     demand = AccountDemand(account='acme', precedence=Precedence(rank=0), amount=3)
     shares.asked(demand, role.node.clock.now())
-    role.forwarder.sharing.publish_stage(ServiceName('crops'), shares, room)
+    role.forwarder.sharing.publish_stage(owned('crops', shares, room))
     assert 'ringseam_account_share' not in role.metrics.render()
-    role.forwarder.sharing.publish_stage(ServiceName('crops'), shares, load)
-    role.forwarder.sharing.publish_stage(ServiceName('other'), UnsharedPolicy(), load)
+    role.forwarder.sharing.publish_stage(owned('crops', shares, load))
+    role.forwarder.sharing.publish_stage(owned('other', UnsharedPolicy(), load))
     page = role.metrics.render()
     assert 'ringseam_account_asked{account="acme",rank="0",service="crops"} ' in page
     assert 'service="other"' not in page
--- a/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
@@ -224,6 +224,25 @@
     assert refusal.retry_after_s >= 1.5
 
 
+def test_refusal_by_share_names_the_service_and_the_wait():
+    gateway = Gateway(FakeOwners(share_wait_ms=1500))
+    _, _, refusal = gateway.admit()
+    assert refusal.scarce_service in SERVICES
+    assert refusal.share_wait_s == 1.5
+    assert not Gateway(FakeOwners(wait_ms=900)).admit()[2].scarce_service
+
+
+def test_last_forecast_stands_for_owners_that_stop_replying():
+    """An owner is too slow to reply just when its queue is longest."""
+    owners = FakeOwners(wait_ms=900)
+    gateway = Gateway(owners)
+    assert gateway.admit()[2] is not None
+    owners.unreachable = {f'{service}:1' for service in SERVICES}
+    assert gateway.admit()[2] is not None
+    gateway.clock.advance(5)
+    assert gateway.admit()[2] is None
+
+
 def test_client_that_returns_is_admitted_up_to_its_time_limit():
     gateway = Gateway(FakeOwners(wait_ms=1500, spread_ms=2000))
     _, _, refusal = gateway.admit(since_first_attempt_s=0.5)
@@ -311,7 +330,9 @@
         node=SimpleNamespace(clock=gateway.clock, incarnation='x'),
         follower=SimpleNamespace(),
         pieces=gateway.pieces,
-        attempts=SimpleNamespace(clock=gateway.clock, follower=SimpleNamespace(), health=None),
+        attempts=SimpleNamespace(
+            clock=gateway.clock, follower=SimpleNamespace(), health=None, responder=None
+        ),
         responder=SimpleNamespace(metrics=Metrics()),
         switch=FeatureSwitch(settings=frozenset(features)),
     )
