Finished responses are given up only for memory; changes listed

Cause: a client that reads a finished response slowly was cut off after the idle timeout though the host had memory for it; what is ready is delivered, also late. Change: such a response has no deadline; one that is still sent keeps the client's. Measured: nothing; tests of hosts pass.

--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from typing import TYPE_CHECKING
 
@@ -157,13 +158,13 @@
 def _load_of(connection: HttpConnection) -> ClientLoad:
     exchange = connection.exchange
     if exchange is None:
-        # The response is complete; its client may take as long as an idle one.
+        # The response is complete: it is given up only for the memory that it takes.
         return ClientLoad(
             connection=connection,
             rank=0,
             held_bytes=connection.unread_bytes,
             unread_since=connection.unread_since,
-            deadline=connection.unread_since + connection.server.limits.idle_timeout_s,
+            deadline=math.inf,
         )
     return ClientLoad(
         connection=connection,
--- a/ringseam/gateway/hosts/slowclients.py
+++ b/ringseam/gateway/hosts/slowclients.py
@@ -39,12 +39,13 @@
     """Return the clients without which ``excess_bytes`` less are held.
 
     Stalled clients come first, the lowest rank and then the slowest of them; then others, the
-    slowest first. Stalled clients whose deadline has passed come before all others.
+    slowest first. Stalled clients whose deadline has passed are always among them.
     """
     given_up = []
     in_order = sorted(clients, key=lambda load: _order(load, now))
     for client in in_order:
-        if excess_bytes > 0 and client.held_bytes:
+        is_late = client.is_stalled(now) and now >= client.deadline
+        if is_late or (excess_bytes > 0 and client.held_bytes):
             given_up.append(client)
             excess_bytes -= client.held_bytes
     return given_up
--- a/tests/test_gateway/test_hosts/test_hosts_slowclients.py
+++ b/tests/test_gateway/test_hosts/test_hosts_slowclients.py
@@ -53,11 +53,10 @@
     assert given_up([reading, stalled], 150) == [stalled, reading]
 
 
-def test_client_beyond_its_deadline_is_given_up_first_but_only_for_memory():
-    """A response that is ready is delivered, also late, while the host has memory for it."""
+def test_client_that_stalls_beyond_its_deadline_is_given_up_in_any_case():
     late = load(held=1, deadline=NOW - 1)
-    assert given_up([load(rank=300), late], 1) == [late]
-    assert given_up([load(), late], 0) == []
+    assert given_up([load(), late], 0) == [late]
+    assert given_up([load(unread_s=0.5, deadline=NOW - 1)], 0) == []
 
 
 @given(st.lists(loads, max_size=10), st.integers(0, 2000))
