Metrics pages are fetched in one place; modules of reservations have distinct names

Cause: two commands fetched pages by the same lines; two modules were called reserving. Change: cmd.metricspages; requests.reservationclient and stages.ownerreservations. Measured: nothing; tests of both pass.

--- a/ringseam/cmd/accounts.py
+++ b/ringseam/cmd/accounts.py
@@ -8,15 +8,12 @@
 from typing import Annotated
 
 import typer
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from ringseam.cmd.main import ExitCode, app
-from ringseam.util.ini import split_list
+from ringseam.cmd.main import app
+from ringseam.cmd.metricspages import fetch_pages
 
 _SERIES = re.compile(r'^ringseam_account_(?P<what>\w+)\{(?P<labels>.*)\} (?P<amount>\S+)$')
 _LABEL = re.compile(r'(\w+)="([^"]*)"')
-_TIMEOUT_S = 5.0
 #: Amounts per second, in seconds of a stage server or slots of another server.
 _AMOUNTS = ('asked', 'used', 'share')
 _COLUMNS = ('service', 'rank', 'account', *_AMOUNTS, 'refused')
@@ -35,19 +32,8 @@
 ) -> None:
     """Sum what accounts ask, use and may use: ``ringseam accounts --gateway 10.0.0.1:9100``."""
     sums: dict[AccountKey, Amounts] = defaultdict(lambda: defaultdict(float))
-    answered = 0
-    for address in split_list(gateways):
-        try:
-            page = urllib3.request(
-                'GET', f'http://{address}/metrics', retries=False, timeout=_TIMEOUT_S
-            )
-        except HTTPError as error:
-            typer.echo(f'{address}: {error}', err=True)
-            continue
-        answered += 1
-        add_account_page(sums, page.data.decode())
-    if not answered:
-        raise typer.Exit(ExitCode.unreachable)
+    for page in fetch_pages(gateways).values():
+        add_account_page(sums, page)
     rows = rows_of(sums, service)
     typer.echo(json.dumps(rows) if as_json else table_of(rows), nl=as_json)
 
--- a/ringseam/cmd/hosts.py
+++ b/ringseam/cmd/hosts.py
@@ -8,13 +8,10 @@
 from typing import Annotated
 
 import typer
-import urllib3
-from urllib3.exceptions import HTTPError
 
-from ringseam.cmd.main import ExitCode, app
-from ringseam.util.ini import split_list
+from ringseam.cmd.main import app
+from ringseam.cmd.metricspages import fetch_pages
 
-_TIMEOUT_S = 2.0
 _BYTES_PER_MB = 10**6
 _SERIES = re.compile(r'^ringseam_(?P<name>\w+?)(\{(?P<labels>.*)\})? (?P<amount>\S+)$')
 _SERVICE = re.compile(r'service="(?P<name>[^"]*)"')
@@ -37,18 +34,8 @@
     as_json: Annotated[bool, typer.Option('--json', help='Print JSON.')] = False,
 ) -> None:
     """Show owners and load of all hosts: ``ringseam hosts --gateway 10.0.0.1:9100``."""
-    reports = []
-    for address in split_list(gateways):
-        try:
-            page = urllib3.request(
-                'GET', f'http://{address}/metrics', retries=False, timeout=_TIMEOUT_S
-            )
-        except HTTPError as error:
-            typer.echo(f'{address}: {error}', err=True)
-            continue
-        reports.append(read_metrics_page(address, page.data.decode()))
-    if not reports:
-        raise typer.Exit(ExitCode.unreachable)
+    pages = fetch_pages(gateways)
+    reports = [read_metrics_page(address, page) for address, page in pages.items()]
     if as_json:
         typer.echo(json.dumps([asdict(report) for report in reports]))
         return
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -22,8 +22,8 @@
 from ringseam.gateway.requests.answers import NOT_FOUND, UNAUTHORIZED
 from ringseam.gateway.requests.attempts import SERVERS_LIMITED
 from ringseam.gateway.requests.fairness import Fairness
+from ringseam.gateway.requests.reservationclient import ReservationClient
 from ringseam.gateway.requests.reservedpolicy import ReservedAdmission
-from ringseam.gateway.requests.reserving import ReservationClient
 from ringseam.gateway.stages.graph import StageFault, StageRun, has_stages
 from ringseam.platform.requests import decode_request
 from ringseam.platform.stages import PieceFault
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -19,7 +19,7 @@
     from ringseam.clock import Clock
     from ringseam.gateway.requestcontext import RequestContext
     from ringseam.gateway.requests.admission import Admission, Refusal
-    from ringseam.gateway.requests.reserving import ReservationClient
+    from ringseam.gateway.requests.reservationclient import ReservationClient
     from ringseam.gateway.reservations.messages import StageForecast
     from ringseam.gateway.stages.graph import StageRun
     from ringseam.routes import ServiceName
--- a/ringseam/gateway/stages/client.py
+++ b/ringseam/gateway/stages/client.py
@@ -29,7 +29,7 @@
     WaitsReply,
     WaitsRequest,
 )
-from ringseam.gateway.stages.reserving import OwnerReservations
+from ringseam.gateway.stages.ownerreservations import OwnerReservations
 from ringseam.messages import Empty
 from ringseam.platform.stages import PieceFault, PieceResult
 from ringseam.quarantinemessages import Suspect
--- a/tests/test_cmd/test_cmd_hosts.py
+++ b/tests/test_cmd/test_cmd_hosts.py
@@ -8,7 +8,7 @@
 from typer.testing import CliRunner
 
 from ringseam.backends import GatewayState
-from ringseam.cmd import hosts as command
+from ringseam.cmd import metricspages
 from ringseam.cmd.hosts import format_report, read_metrics_page
 from ringseam.cmd.main import ExitCode, app
 from ringseam.gateway.following.ownership import OwnerLog, Ownership
@@ -58,10 +58,10 @@
 def test_hosts_that_do_not_answer_are_named_and_others_shown(monkeypatch, form):
     def request(method, url, **options):
         if 'lost' in url:
-            raise command.HTTPError('no route')
+            raise metricspages.HTTPError('no route')
         return SimpleNamespace(data=metrics_page(LARGE).encode())
 
-    monkeypatch.setattr(command.urllib3, 'request', request)
+    monkeypatch.setattr(metricspages.urllib3, 'request', request)
     runner = CliRunner()
     shown = runner.invoke(app, ['hosts', '--gateway', 'lost:1,h:9100', *form])
     assert shown.exit_code == ExitCode.done
--- a/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
@@ -21,8 +21,8 @@
 from ringseam.gateway.requests.admission import FINAL_SERVER_S, Admission
 from ringseam.gateway.requests.admissionpolicy import PredictedDelayPolicy
 from ringseam.gateway.requests.forwarding import Forwarder
+from ringseam.gateway.requests.reservationclient import ReservationClient
 from ringseam.gateway.requests.reservedpolicy import ReservedAdmission
-from ringseam.gateway.requests.reserving import ReservationClient
 from ringseam.gateway.reservations.messages import (
     RESERVE,
     WITHDRAW,
