Test the choice by reported slowdown with servers that are as slow as they say

Cause: the two servers of the test answered equally fast while one reported four times the usual duration. Observed speeds divide durations by the reported slowdown, so a constant false report cancels out, and the choice came down to noise: one late response of the other server moved the later requests.

Change: the servers advance a paused clock by their duration times the slowdown that they report; one response of the calm server may be late by up to ten times. The bound stays 11 of 12.

--- a/tests/test_gateway/test_requests/test_requests_connections.py
+++ b/tests/test_gateway/test_requests/test_requests_connections.py
@@ -7,35 +7,70 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
+import pytest
+
+from ringseam.clock import PausedClock, boottime
+from ringseam.settings import Settings
 from tests.gateways import LocalGateway, ScriptedServer, http_response, reset
 
 LOAD = 'Worker-Load: 1,0,4,{}\r\n'
+USUAL_S = 0.01
+
+
+class InterferedServer:
+    """A server whose work takes as many times as long as it reports, on a paused clock."""
+
+    def __init__(self, clock, *, slowdown):
+        self.clock = clock
+        self.slowdown = slowdown
+        #: Durations of the next requests without slowdown, seconds; then the usual one.
+        self.next_s = []
+        self.server = ScriptedServer(self._respond)
+
+    @property
+    def request_count(self):
+        return len(self.server.requests)
+
+    async def _respond(self, request, writer):
+        duration_s = self.next_s.pop(0) if self.next_s else USUAL_S
+        self.clock.advance(duration_s * self.slowdown / 100)
+        writer.write(http_response(request, extra=LOAD.format(self.slowdown)))
+
 
+@pytest.fixture(name='clock')
+def paused_clock(monkeypatch):
+    """Pause the clock of the gateway; requests arrive by the clock of the event loop."""
+    clock = PausedClock(start=boottime())
+    new_node = Settings.node
 
-def scripted(delay_s=0.0, slowdown=100):
-    async def respond(request, writer):
-        await asyncio.sleep(delay_s)
-        writer.write(http_response(request, extra=LOAD.format(slowdown)))
+    def paused_node(settings):
+        return dataclasses.replace(new_node(settings), clock=clock)
 
-    return ScriptedServer(respond)
+    monkeypatch.setattr(Settings, 'node', paused_node)
+    return clock
 
 
-def test_host_that_reports_a_slowdown_gets_no_request_while_it_lasts(key_file):
+@pytest.mark.parametrize('delayed_s', [USUAL_S, 4 * USUAL_S, 10 * USUAL_S])
+def test_host_that_reports_a_slowdown_gets_no_request_while_it_lasts(key_file, clock, delayed_s):
     async def run():
-        slow, calm = scripted(slowdown=400), scripted()
+        slow = InterferedServer(clock, slowdown=400)
+        calm = InterferedServer(clock, slowdown=100)
         async with LocalGateway(key_file) as gateway:
             for server in (slow, calm):
-                gateway.add_server(await server.start())
+                gateway.add_server(await server.server.start())
             # Both are known after some requests.
             for number in range(6):
                 await gateway.fetch('/idem/x', Attempt_Id=f'first{number}')
-            before = len(calm.requests)
+            before = calm.request_count
+            # One response of the server without a slowdown is late.
+            calm.next_s = [USUAL_S, USUAL_S, delayed_s]
             for number in range(12):
                 status, _ = await gateway.fetch('/idem/x', Attempt_Id=f'r{number}')
                 assert status == 200
-        assert len(slow.requests) >= 1
-        assert len(calm.requests) - before >= 11
+        assert slow.request_count >= 1
+        assert calm.request_count - before >= 11
 
     asyncio.run(run())
 
