Drop shares of services and accounts that are gone

PlainShares kept a service for ever once it was asked for, metrics kept the first 32 refused accounts of a service, and a rank without new requests was never decayed. Services without requests are dropped after 60 s, counters of accounts without refusals after 10 minutes, ranks without requests after 6 to 12 s. An account that the route table no longer has loses its share within the interval of the clean-up; a new account that has one of its keys succeeds it, with its use. Tested with 60,000 accounts, and with keys that are revoked, moved and renamed.

--- a/ringseam/gateway/accounts/maxmin.py
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -132,6 +132,23 @@
             )
         return found
 
+    def rename(self, old: AccountName, new: AccountName, now: float) -> None:
+        """Let an account succeed another one, with what that has asked and used."""
+        for table in self.ranks.values():
+            table.rename(old, new, now)
+
+    def forget(self, account: AccountName) -> None:
+        """Drop an account that no longer exists."""
+        for table in self.ranks.values():
+            table.forget(account)
+
+    def drop_idle(self, now: float) -> None:
+        """Drop accounts without recent requests, and ranks without accounts."""
+        for rank, table in list(self.ranks.items()):
+            table.drop_idle(now)
+            if not table.accounts:
+                self.ranks.pop(rank)
+
     def _count(
         self, demand: AccountDemand, now: float, *, asked: float = 0, used: float = 0
     ) -> None:
--- a/ringseam/gateway/accounts/reports.py
+++ b/ringseam/gateway/accounts/reports.py
@@ -15,8 +15,11 @@
 SHOWN_ACCOUNTS = 8
 #: Refusals are counted by name for at most this many accounts of a service.
 _COUNTED_ACCOUNTS = 32
+#: An account without a refusal for this long is no longer counted by name, seconds.
+_COUNTED_S = 600.0
 #: Label of all accounts that are not shown by name.
 OTHER_ACCOUNTS = '*'
+_COUNTERS = ('account_refused', 'account_waits_s')
 _GAUGES = ('account_asked', 'account_used', 'account_share')
 
 Labels = dict[str, str]
@@ -29,8 +32,9 @@
     metrics: Metrics
     #: Labels of the gauges of each service.
     shown: dict[ServiceName, list[Labels]] = field(default_factory=dict)
-    #: Accounts whose refusals are counted by name.
-    counted: dict[ServiceName, set[AccountName]] = field(default_factory=dict)
+    #: Accounts whose refusals are counted by name, and when :meth:`drop_idle` first found
+    #: them without a new refusal; None: there was one since it last ran.
+    counted: dict[ServiceName, dict[AccountName, float | None]] = field(default_factory=dict)
 
     def publish(self, service: ServiceName, shares: list[AccountShare]) -> None:
         """Replace the gauges of a service by the accounts with the largest demand.
@@ -45,13 +49,31 @@
 
     def refused(self, service: ServiceName, account: AccountName, wait_s: float) -> None:
         """Count a refusal and the time after which the account may return."""
-        names = self.counted.setdefault(service, set())
-        if len(names) < _COUNTED_ACCOUNTS:
-            names.add(account)
+        names = self.counted.setdefault(service, {})
+        if account in names or len(names) < _COUNTED_ACCOUNTS:
+            names[account] = None
         label = account if account in names else OTHER_ACCOUNTS
         self.metrics.add('account_refused', service=service, account=label)
         self.metrics.add('account_waits_s', wait_s, service=service, account=label)
 
+    def drop_idle(self, now: float) -> None:
+        """Remove the counters of accounts that had no refusal for ten minutes."""
+        for service, names in list(self.counted.items()):
+            idle = [account for account, since in names.items() if _is_idle(since, now)]
+            for account in idle:
+                names.pop(account)
+                self._remove_counters(service, account)
+            names.update(
+                {account: now for account, since in names.items() if since is None},
+            )
+            if not names:
+                self.counted.pop(service)
+                self._remove_counters(service, OTHER_ACCOUNTS)
+
+    def _remove_counters(self, service: ServiceName, account: str) -> None:
+        for name in _COUNTERS:
+            self.metrics.remove(name, service=service, account=account)
+
     def _put(self, service: ServiceName, share: AccountShare) -> None:
         labels = {'service': service, 'account': share.account, 'rank': str(share.rank)}
         self.shown.setdefault(service, []).append(labels)
@@ -59,3 +81,7 @@
         self.metrics.put('account_used', share.used_per_s, **labels)
         if not math.isinf(share.share_per_s):
             self.metrics.put('account_share', share.share_per_s, **labels)
+
+
+def _is_idle(idle_since: float | None, now: float) -> bool:
+    return idle_since is not None and now >= idle_since + _COUNTED_S
--- a/ringseam/gateway/accounts/usage.py
+++ b/ringseam/gateway/accounts/usage.py
@@ -146,6 +146,27 @@
             for name in names
         ]
 
+    def rename(self, old: AccountName, new: AccountName, now: float) -> None:
+        """Count what an account has asked and used as that of its successor."""
+        self._scale(now)
+        use = self.accounts.get(old)
+        if use is None:
+            return
+        successor = self.accounts.setdefault(new, AccountUse(weight=use.weight))
+        successor.asked += use.asked
+        successor.used += use.used
+        successor.counted_at = max(successor.counted_at, use.counted_at)
+        self.forget(old)
+
+    def forget(self, account: AccountName) -> None:
+        """Drop an account; what others ask and use stays the same."""
+        if self.accounts.pop(account, None) is not None:
+            self._replace(self.accounts)
+
+    def drop_idle(self, now: float) -> None:
+        """Drop accounts without recent requests, even if nothing else is counted."""
+        self._scale(now)
+
     # -- helpers ------------------------------------------------------------
 
     def _scale(self, now: float) -> float:
--- a/ringseam/gateway/requests/accountsharing.py
+++ b/ringseam/gateway/requests/accountsharing.py
@@ -9,6 +9,7 @@
 from ringseam.features import Feature
 from ringseam.gateway.accounts.maxmin import MaxMinShares
 from ringseam.gateway.accounts.reports import SHOWN_ACCOUNTS, ShareReports
+from ringseam.gateway.accounts.succession import AccountChange, change_between
 from ringseam.gateway.requests.plainshares import PlainShares
 from ringseam.routes import AccountName
 
@@ -19,6 +20,7 @@
     from ringseam.gateway.requests.admission import Refusal
     from ringseam.gateway.requests.attempts import AttemptRunner
     from ringseam.metrics import Metrics
+    from ringseam.routes import Account
 
 
 class AccountSharing:
@@ -41,13 +43,19 @@
             reports=self.reports,
             gateways=lambda: len(self.follower.gateways),
         )
+        #: The accounts that shares were last adjusted to, and what changed then.
+        self.accounts: tuple[Account, ...] = ()
+        self.change = AccountChange()
         if Feature.account_shares in features:
             attempts.plain_shares = self.plain_shares
 
     def publish_stage(self, owned: ServiceShares) -> None:
         """Publish the shares of a stage service that this gateway decides for, if it has any."""
         if isinstance(owned.shares, MaxMinShares):
-            found = owned.shares.shares(owned.load, SHOWN_ACCOUNTS, self.clock.now())
+            now = self.clock.now()
+            self.change.apply(owned.shares, now)
+            owned.shares.drop_idle(now)
+            found = owned.shares.shares(owned.load, SHOWN_ACCOUNTS, now)
             self.reports.publish(owned.service, found)
 
     def record_refusal(self, context: RequestContext, refusal: Refusal) -> None:
@@ -65,6 +73,21 @@
         )
 
     def clean_up(self, known: set[BackendId]) -> None:
-        """Drop the state of servers that are gone, and publish all shares."""
+        """Drop the state of servers and accounts that are gone, and publish all shares.
+
+        The shares of owned stage services are adjusted when they are published next.
+        """
+        now = self.clock.now()
+        self._adjust_to_accounts(now)
         self.plain_shares.keep_only(known)
-        self.plain_shares.publish(self.follower, self.clock.now())
+        self.plain_shares.drop_idle(now)
+        self.reports.drop_idle(now)
+        self.plain_shares.publish(self.follower, now)
+
+    def _adjust_to_accounts(self, now: float) -> None:
+        accounts = self.follower.table.accounts
+        self.change = AccountChange()
+        if accounts is not self.accounts:
+            self.change = change_between(self.accounts, accounts)
+            self.accounts = accounts
+            self.plain_shares.accounts_changed(self.change, now)
--- a/ringseam/gateway/requests/plainshares.py
+++ b/ringseam/gateway/requests/plainshares.py
@@ -17,6 +17,7 @@
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.accounts.reports import ShareReports
+    from ringseam.gateway.accounts.succession import AccountChange
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
@@ -32,6 +33,8 @@
 _FULL_S = 0.1
 #: Assumed work of a request before one was measured, seconds.
 _DEFAULT_WORK_S = 0.02
+#: The shares of a service without requests are dropped after this time, seconds.
+_IDLE_S = 60.0
 #: Weight of the newest request in the moving average of the work.
 _MEAN_WEIGHT = 0.1
 
@@ -47,6 +50,8 @@
     shares: MaxMinShares = field(default_factory=_new_shares)
     #: Time that a request holds a slot, without its time in the server's queue, seconds.
     work_s: float = _DEFAULT_WORK_S
+    #: When a request was last asked for or sent.
+    used_at: float = 0
     #: Until when servers that refused a request count as crowded.
     full_until: dict[BackendId, float] = field(default_factory=dict)
 
@@ -96,7 +101,7 @@
         self, context: RequestContext, servers: Collection[BackendReport], now: float
     ) -> ShareRefusal | None:
         """Count a request as asked for; return a refusal if its account is above its share."""
-        service = self._service(context.service)
+        service = self._service(context.service, now)
         demand = _demand_of(context, service.work_s)
         service.shares.asked(demand, now)
         load = self.load_of(context.service, servers, now)
@@ -111,7 +116,7 @@
         self, name: ServiceName, servers: Collection[BackendReport], now: float
     ) -> PlaceLoad:
         """Return this gateway's part of the slots, and the median of their queues."""
-        service = self._service(name)
+        service = self.services.get(name) or PlainService()
         queues = [self._queue_s(service, server, now) for server in servers]
         return PlaceLoad(
             capacity_per_s=sum(server.slots for server in servers) / max(1, self.gateways()),
@@ -120,7 +125,7 @@
 
     def sent(self, context: RequestContext, server: BackendReport, now: float) -> PlainTry:
         """Charge an account for a request that is sent to a server."""
-        service = self._service(context.service)
+        service = self._service(context.service, now)
         demand = _demand_of(context, service.work_s)
         service.shares.admitted(demand, now)
         return PlainTry(
@@ -132,7 +137,7 @@
 
     def ended(self, attempt: PlainTry, outcome: TryOutcome | None, now: float) -> None:
         """Correct the charge of a request that has ended, or take it back if it didn't run."""
-        service = self._service(attempt.server.service)
+        service = self._service(attempt.server.service, now)
         service.shares.withdrawn(attempt.demand, now, admitted_at=attempt.started_at)
         if isinstance(outcome, NotRun):
             if outcome.refused_by_server:
@@ -155,10 +160,25 @@
             for instance in set(service.full_until) - instances:
                 service.full_until.pop(instance)
 
+    def drop_idle(self, now: float) -> None:
+        """Drop services without requests for a minute, and accounts without recent ones."""
+        for name, service in list(self.services.items()):
+            service.shares.drop_idle(now)
+            if now >= service.used_at + _IDLE_S:
+                self.services.pop(name)
+                self.reports.publish(name, [])
+
+    def accounts_changed(self, change: AccountChange, now: float) -> None:
+        """Drop accounts that are gone from the route table, or let others succeed them."""
+        for service in self.services.values():
+            change.apply(service.shares, now)
+
     # -- helpers ------------------------------------------------------------
 
-    def _service(self, name: ServiceName) -> PlainService:
-        return self.services.setdefault(name, PlainService())
+    def _service(self, name: ServiceName, now: float) -> PlainService:
+        service = self.services.setdefault(name, PlainService())
+        service.used_at = now
+        return service
 
     def _crowding(self, service: PlainService, server: BackendReport, now: float) -> float:
         return max(1, self._requests_at(service, server, now) / server.slots)
--- a/tests/test_gateway/test_accounts/test_accounts_usage.py
+++ b/tests/test_gateway/test_accounts/test_accounts_usage.py
@@ -121,3 +121,20 @@
     table.count('a', 3, used=-1)
     assert table.used_by('a', 3) == 0
     assert table.used(3) == 0
+
+
+def test_renaming_and_dropping_keeps_sums_those_of_the_accounts():
+    table = UsageTable(decay_s=DECAY_S)
+    for number in range(5):
+        table.count(f'a{number}', 0, asked=number, used=number / 2)
+    table.rename('a4', 'new', 1)
+    table.rename('a3', 'a2', 1)
+    table.rename('unknown', 'a1', 1)
+    table.forget('a1')
+    table.forget('unknown')
+    assert set(table.accounts) == {'a0', 'a2', 'new'}
+    assert table.used_by('new', 0) == pytest.approx(2)
+    assert table.used_by('a2', 0) == pytest.approx(2.5)
+    assert table.total_used == pytest.approx(4.5)
+    assert table.total_demand == pytest.approx(9)
+    assert sum(group.count for group in table.groups.values()) == 3
--- a/tests/test_gateway/test_requests/test_requests_accountsharing.py
+++ b/tests/test_gateway/test_requests/test_requests_accountsharing.py
@@ -87,6 +87,43 @@
     assert [status for status, _ in late] == [503, 503, 200]
 
 
+def test_keys_revoked_or_given_to_a_new_account_gain_nothing(key_file):
+    """The large account is over its share when its keys go to an account with a new name."""
+
+    async def play_renaming():
+        server = ScriptedServer(respond_full)
+        async with LocalGateway(key_file) as gateway:
+            role = gateway.role
+            sharing = AccountSharing(
+                features=frozenset({Feature.account_shares}),
+                attempts=role.forwarder.attempts,
+                metrics=role.metrics,
+            )
+            gateway.apply_document(manifest(tenants=TENANTS))
+            sharing.clean_up(set())
+            gateway.add_server(await server.start())
+            await gateway.fetch('/idem/x', Authorization='Bearer key-2')
+            await asyncio.gather(
+                *(
+                    gateway.fetch('/idem/x', Attempt_Id=f'l{number}', Authorization='Bearer key-1')
+                    for number in range(60)
+                )
+            )
+            renamed = [{'name': 'huge', 'api_keys': ['key-1']}, TENANTS[1]]
+            gateway.apply_document(manifest(tenants=renamed))
+            sharing.clean_up(set(role.follower.view.backends))
+            tables = sharing.plain_shares.services[ServiceName('plain')].shares.ranks.values()
+            names = {name for table in tables for name in table.accounts}
+            return names, [
+                (await gateway.fetch('/idem/x', Attempt_Id=key, Authorization=f'Bearer {key}'))[0]
+                for key in ('key-1', 'key-3', 'key-2')
+            ]
+
+    names, statuses = asyncio.run(play_renaming())
+    assert names == {'huge', 'small'}
+    assert statuses == [503, 401, 200]
+
+
 def test_unknown_key_is_rejected_before_it_counts(key_file):
     late, page = asyncio.run(play(key_file, frozenset({Feature.account_shares}), keys=('none',)))
     assert late[0][0] == 401
@@ -136,3 +173,24 @@
     page = metrics.render()
     assert page.count('ringseam_account_refused') < 40
     assert 'ringseam_account_refused{account="*",service="s"} 968' in page
+
+
+def test_accounts_without_refusals_give_up_their_places_in_the_metrics():
+    metrics = Metrics()
+    reports = ShareReports(metrics=metrics)
+    for number in range(60_000):
+        reports.refused(ServiceName('s'), f'a{number}', 1)
+    reports.drop_idle(0)
+    reports.refused(ServiceName('s'), 'a0', 1)
+    reports.drop_idle(599)
+    reports.refused(ServiceName('s'), 'new', 1)
+    reports.drop_idle(600)
+    assert set(reports.counted[ServiceName('s')]) == {'a0'}
+    reports.refused(ServiceName('s'), 'new', 1)
+    page = metrics.render()
+    assert 'ringseam_account_refused{account="a0",service="s"} 2' in page
+    assert 'ringseam_account_refused{account="new",service="s"} 1' in page
+    assert 'account="a1"' not in page
+    reports.drop_idle(1200)
+    reports.drop_idle(1800)
+    assert not reports.counted
--- a/tests/test_gateway/test_requests/test_requests_plainshares.py
+++ b/tests/test_gateway/test_requests/test_requests_plainshares.py
@@ -18,13 +18,14 @@
 
 from ringseam.backends import BackendId, BackendReport
 from ringseam.gateway.accounts.reports import ShareReports
+from ringseam.gateway.accounts.succession import change_between
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.priorities import Precedence
 from ringseam.gateway.requestcontext import LossCause, Lost, NotRun
 from ringseam.gateway.requests.balancing import LatencyPolicy
 from ringseam.gateway.requests.plainshares import PlainShares
 from ringseam.metrics import Metrics
-from ringseam.routes import ServiceName
+from ringseam.routes import Account, ServiceName
 
 SERVICE = ServiceName('plain')
 WORK_S = 0.05
@@ -206,3 +207,62 @@
 def test_service_without_servers_refuses_nobody():
     shares = new_shares(HealthTracker())
     assert shares.check(context_of('a'), [], 0) is None
+
+
+def test_service_without_requests_is_dropped_with_its_gauges():
+    """A service that left the route table would keep its state and metrics for ever."""
+    shares = new_shares(HealthTracker())
+    follower = types.SimpleNamespace(view=types.SimpleNamespace(serving=lambda name: SERVERS))
+    for number in range(500):
+        name = ServiceName(f's{number}')
+        shares.check(types.SimpleNamespace(**{**vars(context_of('a')), 'service': name}), (), 0)
+    shares.publish(follower, 0)
+    shares.drop_idle(59)
+    assert len(shares.services) == 500
+    shares.drop_idle(60)
+    shares.publish(follower, 60)
+    assert not shares.services
+    assert not shares.reports.shown
+    assert 'ringseam_account' not in shares.reports.metrics.render()
+
+
+def test_load_of_an_unknown_service_leaves_no_state():
+    shares = new_shares(HealthTracker())
+    assert shares.load_of(SERVICE, SERVERS, 0).backlog_s == 0
+    assert not shares.services
+
+
+def test_sixty_thousand_accounts_leave_a_bounded_state_that_ends():
+    """Load: 60,000 accounts with a request each within 3 s, beside a large one."""
+    shares = new_shares(HealthTracker())
+    for number in range(60_000):
+        now = number / 20_000
+        shares.check(context_of(f'a{number}'), SERVERS, now)
+        if number % 100 == 0:
+            shares.sent(context_of('large'), SERVERS[0], now)
+    tables = shares.services[SERVICE].shares.ranks.values()
+    assert sum(len(table.accounts) for table in tables) <= 8192
+    assert shares.services[SERVICE].shares.used_by('large', 3) > 0
+    shares.drop_idle(15)
+    assert not shares.services[SERVICE].shares.ranks
+
+
+def test_renamed_account_is_refused_as_before():
+    """Load: both servers are full and the large account caused it; then it is renamed."""
+    health = HealthTracker()
+    for one in SERVERS:
+        health.of(one.instance).in_flight = 40
+    shares = new_shares(health)
+    for number in range(200):
+        shares.check(context_of('large'), SERVERS, number / 200)
+        shares.sent(context_of('large'), SERVERS[number % 2], number / 200)
+    for _ in range(10):
+        shares.check(context_of('small'), SERVERS, 1)
+        shares.sent(context_of('small'), SERVERS[0], 1)
+    assert shares.check(context_of('large'), SERVERS, 1) is not None
+    change = change_between(
+        [Account(name='large', keys=frozenset('k'))], [Account(name='big', keys=frozenset('k'))]
+    )
+    shares.accounts_changed(change, 1)
+    assert shares.check(context_of('big'), SERVERS, 1) is not None
+    assert shares.check(context_of('small'), SERVERS, 1) is None
