--- a/ringseam/gateway/accounts/reports.py
+++ b/ringseam/gateway/accounts/reports.py
@@ -59,13 +59,10 @@
     def drop_idle(self, now: float) -> None:
         """Remove the counters of accounts that had no refusal for ten minutes."""
         for service, names in list(self.counted.items()):
-            idle = [account for account, since in names.items() if _is_idle(since, now)]
-            for account in idle:
-                names.pop(account)
-                self._remove_counters(service, account)
-            names.update(
-                {account: now for account, since in names.items() if since is None},
-            )
+            for idle in _idle_accounts(names, now):
+                names.pop(idle)
+                self._remove_counters(service, idle)
+            names.update({account: now for account, since in names.items() if since is None})
             if not names:
                 self.counted.pop(service)
                 self._remove_counters(service, OTHER_ACCOUNTS)
@@ -83,5 +80,9 @@
             self.metrics.put('account_share', share.share_per_s, **labels)
 
 
-def _is_idle(idle_since: float | None, now: float) -> bool:
-    return idle_since is not None and now >= idle_since + _COUNTED_S
+def _idle_accounts(names: dict[AccountName, float | None], now: float) -> list[AccountName]:
+    return [
+        account
+        for account, since in names.items()
+        if since is not None and now >= since + _COUNTED_S
+    ]
