Order pieces by due time; only what exceeds a share goes behind

Start-time fair queueing put shares before due times even while nobody was over its share. A job that went behind stays there, so an account whose jobs are due first does not take the place of others again and again.

The order keeps no state by account. FairTags, now used by the agents' queues alone, drops idle tags in constant time on average.

--- a/ringseam/fairtags.py
+++ b/ringseam/fairtags.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass, field
 
-#: Tags that no longer matter are dropped when there are more tags than this.
+#: While there are more tags than this, those that no longer matter are dropped whenever as
+#: much work as there are tags was served, so that a service takes constant time on average.
 _MAX_IDLE_TAGS = 1024
 
 
@@ -21,6 +22,8 @@
     virtual_time: float = 0
     #: Where the next work of each account that was served starts.
     next_starts: dict[str, float] = field(default_factory=dict)
+    #: Number of advances since idle tags were last dropped.
+    advances: int = 0
 
     def start_of(self, account: str) -> float:
         """Return the start tag of the next work of an account."""
@@ -39,7 +42,8 @@
     def advance(self, start: float) -> None:
         """Advance the virtual time to the start tag of work in service."""
         self.virtual_time = max(self.virtual_time, start)
-        if len(self.next_starts) > _MAX_IDLE_TAGS:
+        self.advances += 1
+        if _MAX_IDLE_TAGS < len(self.next_starts) <= self.advances:
             self._drop_idle()
 
     def clear(self) -> None:
@@ -53,3 +57,4 @@
             for account, start in self.next_starts.items()
             if start > self.virtual_time
         }
+        self.advances = 0
--- a/ringseam/gateway/stages/fairorder.py
+++ b/ringseam/gateway/stages/fairorder.py
@@ -1,11 +1,13 @@
-"""Order of pieces that gives each client account its share of the calls."""
+"""Order of pieces that gives each client account its share of what can be in time."""
 
 from __future__ import annotations
 
 import collections
+import heapq
+import itertools
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from ringseam.fairtags import FairTags
 from ringseam.gateway.stages.order import (
     DispatchClass,
     DispatchOrder,
@@ -13,66 +15,171 @@
     in_piece_order,
     urgency,
 )
+from ringseam.gateway.stages.servicerate import ServiceRate
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from ringseam.gateway.priorities import Precedence
-    from ringseam.gateway.stages.jobs import Piece
+    from ringseam.gateway.stages.jobs import Piece, PieceGroup
+
+#: Assumed duration of the call that a piece runs in, seconds.
+_CALL_S = 0.4
 
 
 class FairOrder(DispatchOrder):
-    """Order by dispatch class and precedence, then fairly between accounts.
+    """Order by dispatch class, precedence and due time; what exceeds a share goes behind.
+
+    While all jobs of a class and precedence can be in time, this is the order of urgency.
+    Otherwise the last job of the account that has most pieces goes behind, and so on, until
+    the others can be in time: accounts get max-min fair shares of what the service does
+    until then. Of the others, the jobs of accounts that keep within their share come first.
+    Nothing is left out, so calls stay as full as without shares. An account that is alone
+    is served by due time.
 
-    Within a class and precedence, jobs are in the order of start-time fair queueing, those
-    of one account by due time. All accounts are in one order, so calls stay full. The work
-    of a job is its number of pieces: those of one service take the same time.
+    Late jobs are removed from a schedule by due time as in Moore, "An n job, one machine
+    sequencing algorithm for minimizing the number of late jobs", 1968. Shares follow from
+    what is queued, more urgent work taken off first; there is no state by account.
     """
 
     def __init__(self) -> None:
-        """Create an order without accounts."""
-        self.tags: dict[Precedence, FairTags] = collections.defaultdict(FairTags)
+        """Create an order that doesn't know yet how fast pieces are sent."""
+        self.rate = ServiceRate()
+        #: Queued jobs that have exceeded the share of their account; they stay behind.
+        self.exceeding: set[PieceGroup] = set()
+        #: Number of pieces that were last ordered.
+        self.queued = 0
 
     def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
         """Return the pieces, whole jobs one after another."""
-        by_urgency = [(urgency(pieces[0], now), pieces) for pieces in by_job(waiting)]
-        by_urgency.sort(key=_key_of)
-        starts: dict[tuple, float] = {}
-        fair = [(self._fair_key(key, pieces, starts), pieces) for key, pieces in by_urgency]
-        fair.sort(key=_key_of)
-        return in_piece_order([pieces for _, pieces in fair])
+        self.queued = len(waiting)
+        self.exceeding.intersection_update([piece.group for piece in waiting])
+        keyed = [(urgency(pieces[0], now), pieces) for pieces in by_job(waiting)]
+        keyed.sort(key=_key_of)
+        ordered: list[list[Piece]] = []
+        before = 0
+        for (dispatch_class, _), group in itertools.groupby(keyed, key=_group_of):
+            jobs = [pieces for _, pieces in group]
+            if dispatch_class == DispatchClass.in_time and _compete(jobs):
+                jobs = self._shared(jobs, before, now)
+            ordered.extend(jobs)
+            before += sum(map(len, jobs))
+        return in_piece_order(ordered)
 
     def sent(self, pieces: Collection[Piece], now: float) -> None:
-        """Charge the accounts of a call for its pieces."""
-        work: dict[Precedence, collections.Counter[str]] = {}
-        for piece in pieces:
-            accounts = work.setdefault(piece.job.precedence, collections.Counter())
-            accounts[piece.job.suspect.account] += 1
-        # Started jobs precede all others whatever their tags, so they tell nothing of the turn.
-        fresh = {one.job.suspect.account for one in pieces if not one.group.started}
-        for precedence, amounts in work.items():
-            tags = self.tags[precedence]
-            # The pieces of a call are served together, from the lowest start tag on.
-            earliest = min(map(tags.start_of, fresh.intersection(amounts)), default=0)
-            for account, amount in amounts.items():
-                tags.charge(account, amount)
-            tags.advance(earliest)
-
-    def _fair_key(self, key: tuple, pieces: list[Piece], starts: dict[tuple, float]) -> tuple:
-        """Insert the start tag of a job before its due time.
-
-        :param starts: where the next job of each queue of an account starts.
+        """Record how fast pieces are sent."""
+        self.rate.sent(len(pieces), now, has_backlog=self.queued > len(pieces))
+
+    def _shared(self, jobs: list[list[Piece]], before: int, now: float) -> list[list[Piece]]:
+        """Return jobs by due time, those that exceed shares last.
+
+        :param before: the number of pieces that are sent before any of these.
+        """
+        schedule = Schedule(jobs=jobs, pieces=before)
+        soonest = now + _CALL_S
+        exceeding: list[list[Piece]] = []
+        hopeless: list[list[Piece]] = []
+        for number, pieces in enumerate(jobs):
+            left_s = pieces[0].job.due - soonest
+            if left_s <= 0:
+                hopeless.append(pieces)
+            elif pieces[0].group in self.exceeding:
+                exceeding.append(pieces)
+            else:
+                # As many pieces may go before the job without making it late.
+                schedule.add(number, left_s * self.rate.per_s)
+        exceeding.extend(jobs[index] for index in schedule.behind)
+        exceeding.sort(key=_due_of)
+        self.exceeding.update(map(_group_of_job, exceeding))
+        large = set(map(_account_of, exceeding))
+        kept = sorted(schedule.kept_jobs(), key=lambda job: _account_of(job) in large)
+        return [*kept, *exceeding, *hopeless]
+
+
+@dataclass(kw_only=True)
+class Schedule:
+    """Jobs in the order of their due times, without those that go behind."""
+
+    jobs: list[list[Piece]]
+    #: Pieces up to the last job that was added, with those of more urgent jobs.
+    pieces: int
+    #: Numbers of the jobs that go behind the others.
+    behind: set[int] = field(default_factory=set)
+    #: Numbers of the jobs of each account, and how many pieces they have.
+    kept: dict[str, list[int]] = field(default_factory=dict)
+    sizes: collections.Counter[str] = field(default_factory=collections.Counter)
+    #: Heap of negative sizes and accounts; entries whose size has changed are skipped.
+    largest: list[tuple[int, str]] = field(default_factory=list)
+
+    def add(self, number: int, room: float) -> None:
+        """Add a job, if need be in place of jobs of larger accounts.
+
+        :param room: how many pieces may be before the job.
+        """
+        account = _account_of(self.jobs[number])
+        removed = self._remove(room, self.sizes[account] + len(self.jobs[number]))
+        if self.pieces > room:
+            for other in reversed(removed):
+                self._keep(other)
+            self.behind.add(number)
+            return
+        self.behind.update(removed)
+        self._keep(number)
+
+    def kept_jobs(self) -> list[list[Piece]]:
+        """Return the jobs that can be in time, by due time."""
+        return [self.jobs[number] for number in sorted(itertools.chain(*self.kept.values()))]
+
+    def _remove(self, room: float, size: int) -> list[int]:
+        """Remove jobs of accounts with more than ``size`` pieces, the largest account first.
+
+        :param room: how many pieces may be left.
         """
-        dispatch_class, precedence, *due = key
-        if dispatch_class == DispatchClass.first:
-            # Started jobs hold result capacity, whoever they belong to.
-            return (dispatch_class, precedence, 0, *due)
-        account = pieces[0].job.suspect.account
-        queue = (dispatch_class, precedence, account)
-        start = starts.get(queue, self.tags[precedence].start_of(account))
-        starts[queue] = start + len(pieces)
-        return (dispatch_class, precedence, start, *due)
+        removed: list[int] = []
+        while self.pieces > room:
+            account = self._largest_account()
+            if self.sizes[account] <= size:
+                break
+            number = self.kept[account].pop()
+            self._resize(account, -len(self.jobs[number]))
+            removed.append(number)
+        return removed
+
+    def _keep(self, number: int) -> None:
+        account = _account_of(self.jobs[number])
+        self.kept.setdefault(account, []).append(number)
+        self._resize(account, len(self.jobs[number]))
+
+    def _resize(self, account: str, change: int) -> None:
+        self.pieces += change
+        self.sizes[account] += change
+        heapq.heappush(self.largest, (-self.sizes[account], account))
+
+    def _largest_account(self) -> str:
+        while self.largest and -self.largest[0][0] != self.sizes[self.largest[0][1]]:
+            heapq.heappop(self.largest)
+        return self.largest[0][1] if self.largest else ''
+
+
+def _compete(jobs: list[list[Piece]]) -> bool:
+    first = _account_of(jobs[0])
+    return any(_account_of(pieces) != first for pieces in jobs)
+
+
+def _account_of(pieces: list[Piece]) -> str:
+    return pieces[0].job.suspect.account
+
+
+def _group_of_job(pieces: list[Piece]) -> PieceGroup:
+    return pieces[0].group
+
+
+def _due_of(pieces: list[Piece]) -> tuple[float, str]:
+    return (pieces[0].job.due, pieces[0].job.attempt_id)
 
 
 def _key_of(keyed: tuple[tuple, list[Piece]]) -> tuple:
     return keyed[0]
+
+
+def _group_of(keyed: tuple[tuple, list[Piece]]) -> tuple:
+    return keyed[0][:2]
--- a/tests/test_fairtags.py
+++ b/tests/test_fairtags.py
@@ -50,3 +50,14 @@
         tags.serve(f'a{number}', 1)
         tags.serve('busy', 1)
     assert len(tags.next_starts) < 2000
+
+
+def test_tags_of_sixty_thousand_accounts_that_are_gone_are_dropped():
+    """All accounts are active at once; then one is left, which advances the virtual time."""
+    tags = FairTags()
+    for number in range(60_000):
+        tags.charge(f'a{number}', 1)
+    assert len(tags.next_starts) == 60_000
+    for _ in range(60_002):
+        tags.serve('stays', 1)
+    assert set(tags.next_starts) == {'stays'}
