--- a/bench/competition.py
+++ b/bench/competition.py
@@ -97,10 +97,14 @@
     }
 
 
-def harm_of(before: list[RequestOutcome], after: list[RequestOutcome], abuser: str) -> float:
-    """Return what all accounts but the abuser lose of their share in time."""
+def harm_of(
+    before: list[RequestOutcome], after: list[RequestOutcome], abuser: str, route: str = ''
+) -> float:
+    """Return what all accounts but the abuser lose of their share in time, on one route or all."""
     shares = [
-        figures_of([outcome for outcome in outcomes if outcome.account != abuser])['in time']
+        figures_of([one for one in outcomes if one.account != abuser and route in {'', one.route}])[
+            'in time'
+        ]
         for outcomes in (before, after)
     ]
     return shares[0] - shares[1]
@@ -130,9 +134,10 @@
         found = list(pool.map(play, runs))
     figures = list(map(figures_of, found[:seeds]))
     typer.echo('  '.join(row_of(name, [one[name] for one in figures]) for name in figures[0]))
-    if abuser:
-        harms = [harm_of(*pair, abuser) for pair in zip(found[:seeds], found[seeds:], strict=True)]
-        typer.echo(row_of(f'harm of {abuser} to others', harms))
+    pairs = list(zip(found[:seeds], found[seeds:], strict=False))
+    for route in ('', *sorted({outcome.route for outcome in found[0]})) if pairs else ():
+        harms = [harm_of(*pair, abuser, route) for pair in pairs]
+        typer.echo(row_of(f'harm of {abuser} to others, {route or "all"}:', harms))
 
 
 if __name__ == '__main__':
--- a/tests/test_gateway/test_stages/test_stages_fairorder.py
+++ b/tests/test_gateway/test_stages/test_stages_fairorder.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 import collections
+import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -17,7 +19,7 @@
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.stages.batching import Batcher
 from ringseam.gateway.stages.fairorder import FairOrder
-from ringseam.gateway.stages.order import dispatch_class_of, dispatch_order
+from ringseam.gateway.stages.order import UrgencyOrder, dispatch_class_of, dispatch_order
 from ringseam.quarantinemessages import Suspect
 from tests.test_gateway.test_stages.test_stages_batching import (
     SERVICE,
@@ -268,3 +270,48 @@
     batcher.add(job_of('small', 0, rank=1), 0)
     call = batcher.next_call([server('s')], SPEC, 0)
     assert {piece.job.rank for piece in call.pieces} == {0}
+
+
+def play_abuse(order, abuse, bursts=(), seconds=60, seed=1):
+    """Return the share in time of all accounts but the abuser; 10 pieces a second are done.
+
+    Nine accounts ask for 0.8 pieces a second each, the abuser for ``abuse`` times as much.
+    In bursts, three of the others ask for four times as much.
+    """
+    rng = random.Random(seed)
+    batcher = Batcher(service=SERVICE, health=HealthTracker(), order=order)
+    asked, in_time = collections.Counter(), collections.Counter()
+    for step in range(round(seconds / CALL_S)):
+        now = step * CALL_S
+        for number in range(9):
+            rate = 0.8 * (4 if number < 3 and any(0 <= now - at < 5 for at in bursts) else 1)
+            account = f'a{number}'
+            rate *= abuse if not number else 1
+            for _ in range(int(rate * CALL_S + rng.random())):
+                asked[account] += 1
+                batcher.add(job_of(account, asked[account], due=now + 3), now)
+        batcher.cancel(batcher.pieces_to_shed([server('s')], SPEC, now))
+        call = batcher.next_call([server('s')], SPEC, now)
+        if call is not None:
+            batcher.call_ended(call)
+            in_time.update(
+                piece.job.suspect.account for piece in call.pieces if piece.job.due >= now + CALL_S
+            )
+    others = [account for account in asked if account != 'a0']
+    return sum(in_time[account] for account in others) / sum(asked[account] for account in others)
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_account_at_ten_times_its_usual_harms_others_by_under_a_fiftieth(seed):
+    """Load: 0.7 of what the service can do, and with the abuser 1.4 times as much."""
+    assert play_abuse(UrgencyOrder(), 10, seed=seed) < 0.9
+    alone = play_abuse(FairOrder(), 1, seed=seed)
+    assert alone - play_abuse(FairOrder(), 10, seed=seed) < 0.02
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_account_at_ten_times_its_usual_adds_no_harm_to_two_bursts(seed):
+    """Load: the same, and twice as much in all while others burst."""
+    bursts = (10, 35)
+    usual = play_abuse(FairOrder(), 1, bursts, seed=seed)
+    assert usual - play_abuse(FairOrder(), 10, bursts, seed=seed) < 0.02
