Let gateways renew what they hold reserved, so that owners and gateways may be lost

Cause: a new owner began with an empty book, reservations of a killed gateway stayed until a second after they were due, and reservations were keyed by the client's attempt id alone, so one gateway could end those of another.

Reservations carry the name of their gateway. A message that comes again after the pieces have arrived reserves nothing.

--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -86,9 +86,7 @@
             return
         if context.first_event_at and context.stages_duration_s:
             self._record_final_server(context)
-        left = stages.unstarted_services()
-        if left:
-            self.reservations.withdraw(context.request.attempt_id, left)
+        self.reservations.withdraw(context.request.attempt_id, stages.unstarted_services())
 
     # -- helpers ------------------------------------------------------------
 
@@ -150,7 +148,8 @@
                     )
                     for number in numbers
                 ),
-            )
+            ),
+            stages.started,
         )
 
     def _decide(self, context: RequestContext, path: PathForecast) -> Refusal | None:
--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -4,117 +4,30 @@
 
 import bisect
 import collections
-import enum
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
-from ringseam.gateway.reservations.accuracy import ErrorSummary, ForecastErrors, Outcome
+from ringseam.gateway.reservations.accuracy import ErrorSummary, ForecastErrors
 from ringseam.gateway.reservations.askedrate import AskedRate
+from ringseam.gateway.reservations.work import (
+    ArrivedWork,
+    Forecast,
+    Reservation,
+    ReservationEnd,
+    ServiceLoad,
+    StageKey,
+    StageWork,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from ringseam.gateway.accounts.policy import SharePolicy
     from ringseam.gateway.priorities import Precedence
-    from ringseam.routes import AccountName
 
-#: A reservation ends this long after its pieces should have arrived, or were due, seconds. Pieces
-#: arrive later than that only if the stages before them took much longer than forecast.
-_EXPIRY_S = 1.0
 #: Interval between searches for expired reservations, seconds.
 _EXPIRY_INTERVAL_S = 0.1
 
 
-class ReservationEnd(enum.Enum):
-    """How a reservation ended."""
-
-    used = 'used'
-    withdrawn = 'withdrawn'
-    expired = 'expired'
-
-
-class StageKey(NamedTuple):
-    """Identifies the pieces of one stage of a request."""
-
-    attempt_id: str
-    stage: int
-
-
-@dataclass(frozen=True, kw_only=True)
-class StageWork:
-    """The pieces of one stage of a request that are expected at their owner."""
-
-    key: StageKey
-    pieces: int
-    #: Duration of a call with these pieces alone, seconds.
-    call_s: float = 0
-    precedence: Precedence
-    account: AccountName
-    #: When the pieces should arrive, and when the stage must finish.
-    starts_at: float
-    due_at: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class ServiceLoad:
-    """Queue and servers of a service at one moment."""
-
-    #: Pieces processed per second as observed; 0: there is no server.
-    pieces_per_s: float
-    #: The same for pieces of clients that retry after a refusal.
-    retry_pieces_per_s: float = 0
-    #: Time until the next server is free, seconds.
-    until_free_s: float = 0
-    #: By how much the call that runs the pieces should exceed one with these pieces alone,
-    #: seconds.
-    added_call_s: float = 0
-    #: Time of a server per piece in a full call, seconds: the unit of shares.
-    server_s_per_piece: float = 0
-    queued: Mapping[Precedence, int] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, kw_only=True)
-class Forecast:
-    """How much longer reserved pieces should take than a call of their own, seconds."""
-
-    wait_s: float
-    spread_s: float = 0
-    share_wait_s: float = 0
-
-
-@dataclass(frozen=True, kw_only=True)
-class Reservation:
-    """Reserved capacity, and the forecast without the correction by recent errors."""
-
-    work: StageWork
-    wait_s: float
-    share_wait_s: float
-    demand: AccountDemand
-    #: When the demand was counted as used.
-    reserved_at: float = 0
-
-    @property
-    def expires_at(self) -> float:
-        """Return when the reservation ends if the pieces don't arrive."""
-        return min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
-
-
-@dataclass(frozen=True, kw_only=True)
-class ArrivedWork:
-    """Pieces that arrived with a reservation and aren't done."""
-
-    precedence: Precedence
-    arrived_at: float
-    call_s: float
-    #: Expected wait without the correction by recent errors, seconds.
-    wait_s: float
-
-    def outcome_at(self, now: float) -> Outcome:
-        """Return the wait that was expected, and the one until ``now``."""
-        return Outcome(self.wait_s, now - self.arrived_at - self.call_s)
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Queue:
     """What new pieces meet; times in seconds from now."""
@@ -151,8 +64,10 @@
 
     shares: SharePolicy = field(default_factory=UnsharedPolicy)
     reserved: dict[StageKey, Reservation] = field(default_factory=dict)
-    #: The stages of a request that have a reservation.
-    stages: dict[str, set[int]] = field(default_factory=dict)
+    #: The reservations of a request of one gateway, by its scoped ID.
+    by_request: dict[str, set[StageKey]] = field(default_factory=dict)
+    #: The reservations of a stage of an attempt, which several gateways may have received.
+    by_stage: dict[StageKey, list[StageKey]] = field(default_factory=dict)
     #: All reservations by expected arrival.
     by_start: list[Reservation] = field(default_factory=list)
     arrived: dict[StageKey, ArrivedWork] = field(default_factory=dict)
@@ -165,25 +80,33 @@
     reported_expired: int = 0
 
     def reserve(self, work: StageWork, load: ServiceLoad, now: float) -> Forecast:
-        """Reserve capacity and forecast the wait; replace an earlier reservation."""
+        """Reserve capacity and forecast the wait; replace an earlier reservation.
+
+        A message that comes again after the pieces have arrived reserves nothing.
+        """
         self._end_expired(now)
         earlier = self._remove(work.key)
         wait_s = self.wait_s(work, load, now) + load.added_call_s
         if earlier is None:
             demand = _account_demand(work, load)
-            share_wait_s = self._count_demand(demand, self._place_load(work, load, now), now)
+            has_arrived = self._has_arrived(work.key)
+            share_wait_s = self._share_wait_s(demand, work, load, now, admit=not has_arrived)
+            reserved_at = now
         else:
+            has_arrived = False
             demand, share_wait_s = earlier.demand, earlier.share_wait_s
-        reserved_at = now if earlier is None else earlier.reserved_at
-        self._insert(
-            Reservation(
-                work=work,
-                wait_s=wait_s,
-                share_wait_s=share_wait_s,
-                demand=demand,
-                reserved_at=reserved_at,
+            reserved_at = earlier.reserved_at
+        if not has_arrived:
+            self._insert(
+                Reservation(
+                    work=work,
+                    wait_s=wait_s,
+                    share_wait_s=share_wait_s,
+                    demand=demand,
+                    reserved_at=reserved_at,
+                    renewed_at=now,
+                )
             )
-        )
         seen = self._errors_of(work.precedence, now)
         return Forecast(
             wait_s=seen.corrected_s(wait_s),
@@ -191,6 +114,27 @@
             share_wait_s=share_wait_s,
         )
 
+    def renew(self, work: StageWork, load: ServiceLoad, now: float) -> None:
+        """Keep a reservation that its gateway still holds; take it over if it is unknown."""
+        self._end_expired(now)
+        if self._has_arrived(work.key):
+            return
+        earlier = self._remove(work.key)
+        if earlier is None:
+            demand = _account_demand(work, load)
+            self.shares.asked(demand, now)
+            self.shares.admitted(demand, now)
+            taken = Reservation(work=work, wait_s=None, demand=demand, reserved_at=now)
+        else:
+            # Work that is delayed by earlier stages is expected as soon as possible.
+            kept = earlier.work if earlier.work.starts_at >= now else work
+            taken = replace(earlier, work=kept)
+        self._insert(replace(taken, renewed_at=now))
+
+    def knows(self, key: StageKey) -> bool:
+        """Return whether a stage is reserved, or its pieces have arrived and aren't done."""
+        return key in self.reserved or self._has_arrived(key)
+
     def wait_s(self, work: StageWork, load: ServiceLoad, now: float) -> float:
         """Return how long pieces wait after their arrival, by queue and reservations.
 
@@ -211,12 +155,17 @@
         return max(0, sent_s - starts_s)
 
     def arrive(self, key: StageKey, now: float) -> bool:
-        """Use a reservation for pieces that have arrived; return False if there is none."""
-        reservation = self._remove(key)
+        """Use a reservation for pieces that have arrived; return False if there is none.
+
+        A key without a gateway uses the first reservation of any.
+        """
+        known = key if key in self.reserved else next(iter(self.by_stage.get(key, ())), key)
+        reservation = self._remove(known)
         if reservation is None:
             return False
         self.ended[ReservationEnd.used] += 1
-        self.arrived[key] = ArrivedWork(
+        self.arrived[key.unscoped] = ArrivedWork(
+            gateway=known.gateway,
             precedence=reservation.work.precedence,
             arrived_at=now,
             call_s=reservation.work.call_s,
@@ -226,17 +175,19 @@
 
     def finish(self, key: StageKey, now: float, *, done: bool) -> None:
         """Compare a forecast with its outcome; not ``done``: the pieces were given up."""
-        work = self.arrived.pop(key, None)
+        work = self.arrived.pop(key.unscoped, None)
         if work is None:
             return
         outcome = work.outcome_at(now)
+        if outcome is None:
+            return
         if done or outcome.actual_s > outcome.expected_s:
             self.errors.setdefault(work.precedence, ForecastErrors()).record(outcome, now)
 
-    def withdraw(self, attempt_id: str, now: float) -> None:
-        """End all reservations of a request."""
-        for stage in list(self.stages.get(attempt_id, ())):
-            self._give_back(StageKey(attempt_id, stage), ReservationEnd.withdrawn, now)
+    def withdraw(self, request_id: str, now: float) -> None:
+        """End all reservations of a request of one gateway."""
+        for key in list(self.by_request.get(request_id, ())):
+            self._give_back(key, ReservationEnd.withdrawn, now)
 
     def expire(self, now: float) -> int:
         """End reservations whose pieces did not arrive; return how many since the last call."""
@@ -294,10 +245,15 @@
                 return True
         return False
 
+    def _has_arrived(self, key: StageKey) -> bool:
+        arrived = self.arrived.get(key.unscoped)
+        return arrived is not None and arrived.gateway == key.gateway
+
     def _insert(self, reservation: Reservation) -> None:
         key = reservation.work.key
         self.reserved[key] = reservation
-        self.stages.setdefault(key.attempt_id, set()).add(key.stage)
+        self.by_request.setdefault(key.request_id, set()).add(key)
+        self.by_stage.setdefault(key.unscoped, []).append(key)
         bisect.insort(self.by_start, reservation, key=_start_of)
 
     def _remove(self, key: StageKey) -> Reservation | None:
@@ -306,10 +262,14 @@
             return None
         first = bisect.bisect_left(self.by_start, _start_of(reservation), key=_start_of)
         self.by_start.pop(self.by_start.index(reservation, first))
-        stages = self.stages[key.attempt_id]
-        stages.discard(key.stage)
-        if not stages:
-            self.stages.pop(key.attempt_id)
+        of_request = self.by_request[key.request_id]
+        of_request.discard(key)
+        if not of_request:
+            self.by_request.pop(key.request_id)
+        of_stage = self.by_stage[key.unscoped]
+        of_stage.remove(key)
+        if not of_stage:
+            self.by_stage.pop(key.unscoped)
         return reservation
 
     def _give_back(self, key: StageKey, end: ReservationEnd, now: float) -> None:
@@ -318,10 +278,15 @@
             self.ended[end] += 1
             self.shares.withdrawn(reservation.demand, now, admitted_at=reservation.reserved_at)
 
-    def _count_demand(self, demand: AccountDemand, load: PlaceLoad, now: float) -> float:
-        """Count work that is asked for; return the wait for the account's share, seconds."""
+    def _share_wait_s(
+        self, demand: AccountDemand, work: StageWork, load: ServiceLoad, now: float, *, admit: bool
+    ) -> float:
+        """Return the wait for the account's share, seconds; ``admit``: count new work."""
+        place = self._place_load(work, load, now)
+        if not admit:
+            return self.shares.share_wait_s(demand, place, now)
         self.shares.asked(demand, now)
-        share_wait_s = self.shares.share_wait_s(demand, load, now)
+        share_wait_s = self.shares.share_wait_s(demand, place, now)
         self.shares.admitted(demand, now)
         return share_wait_s
 
@@ -346,7 +311,11 @@
         outcomes = (
             work.outcome_at(now) for work in self.arrived.values() if work.precedence == precedence
         )
-        overdue = (outcome for outcome in outcomes if outcome.actual_s > outcome.expected_s)
+        overdue = (
+            outcome
+            for outcome in outcomes
+            if outcome is not None and outcome.actual_s > outcome.expected_s
+        )
         return errors.summarize(overdue, now)
 
 
--- a/ringseam/gateway/reservations/messages.py
+++ b/ringseam/gateway/reservations/messages.py
@@ -21,14 +21,29 @@
     due_ms: int
 
 
+class HeldWork(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Stages of an admitted request that are reserved and whose pieces have not been sent."""
+
+    attempt_id: str
+    account: str = ''
+    rank: int
+    returned: bool = False
+    demands: tuple[StageDemand, ...]
+
+
 class ReserveRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
     """Ask the owner of services to reserve capacity for a request that is being admitted.
 
     The owner reserves at once, and replaces what was reserved for the same stage; a gateway
     that doesn't admit the request withdraws. A reservation ends when the pieces arrive, and
-    otherwise by itself soon after it is due.
+    otherwise by itself soon after it is due, or if its gateway doesn't renew it. A request
+    without demands only renews.
     """
 
+    #: Name of the gateway that holds the reservations; empty: they need no renewal.
+    gateway: str = ''
+    #: What the gateway holds for other requests at the same owner.
+    held: tuple[HeldWork, ...] = ()
     attempt_id: str
     account: str = ''
     rank: int
@@ -57,9 +72,15 @@
 class WithdrawRequest(Message, frozen=True, kw_only=True):
     """Give up the reservations of a request."""
 
+    #: The ID as :func:`scoped_id` returns it.
     attempt_id: str
     services: tuple[ServiceName, ...] = msgspec.field(default=())
 
 
+def scoped_id(gateway: str, attempt_id: str) -> str:
+    """Return the ID of a request at one gateway: clients may send an attempt to several."""
+    return f'{gateway}/{attempt_id}' if gateway else attempt_id
+
+
 RESERVE = Method('/ringseam.Gateway/Reserve', ReserveRequest, ReserveReply, multiplexed=True)
 WITHDRAW = Method('/ringseam.Gateway/Withdraw', WithdrawRequest, Empty, multiplexed=True)
--- a/ringseam/gateway/stages/ownerreservations.py
+++ b/ringseam/gateway/stages/ownerreservations.py
@@ -10,15 +10,15 @@
 from ringseam.events import Event
 from ringseam.gateway.accounts.policy import PlaceLoad, ServiceShares
 from ringseam.gateway.priorities import Precedence
-from ringseam.gateway.reservations.book import ServiceLoad, StageKey, StageWork
 from ringseam.gateway.reservations.messages import ReserveReply, StageForecast
+from ringseam.gateway.reservations.work import ServiceLoad, StageKey, StageWork
 from ringseam.routes import AccountName
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from ringseam.gateway.reservations.book import Forecast
-    from ringseam.gateway.reservations.messages import ReserveRequest, StageDemand
+    from ringseam.gateway.reservations.messages import HeldWork, ReserveRequest, StageDemand
+    from ringseam.gateway.reservations.work import Forecast
     from ringseam.gateway.stages.scheduler import PieceScheduler
     from ringseam.routes import BatchSpec, ServiceName
 
@@ -38,6 +38,8 @@
 
     def reserve(self, request: ReserveRequest) -> ReserveReply:
         """Reserve capacity for the stages of a request, and forecast their waits."""
+        for held in request.held:
+            self._renew(request.gateway, held)
         forecasts = []
         for demand in request.demands:
             spec = self.scheduler.spec_of(demand.service)
@@ -46,13 +48,13 @@
                 forecasts.append(_encode_forecast(demand.stage, forecast))
         return ReserveReply(forecasts=tuple(forecasts))
 
-    def withdraw(self, attempt_id: str, services: Collection[ServiceName]) -> None:
-        """End the reservations of a request."""
+    def withdraw(self, request_id: str, services: Collection[ServiceName]) -> None:
+        """End the reservations of a request of one gateway, which its scoped ID names."""
         now = self.scheduler.node.clock.now()
         for service in services:
             state = self.scheduler.services.get(service)
             if state is not None:
-                state.book.withdraw(attempt_id, now)
+                state.book.withdraw(request_id, now)
 
     def expire(self) -> None:
         """End the reservations of pieces that did not arrive."""
@@ -93,21 +95,26 @@
         self, request: ReserveRequest, demand: StageDemand, spec: BatchSpec
     ) -> Forecast:
         now = self.scheduler.node.clock.now()
-        work = StageWork(
-            key=StageKey(request.attempt_id, demand.stage),
-            pieces=demand.pieces,
-            call_s=spec.call_s + spec.piece_s * min(spec.batch, demand.pieces),
-            precedence=Precedence(rank=request.rank, returned=request.returned),
-            account=AccountName(request.account),
-            starts_at=now + demand.starts_ms / MS_PER_S,
-            due_at=now + demand.due_ms / MS_PER_S,
-        )
-        state = self.scheduler.state_of(demand.service)
-        if not request.returned and work.key not in state.book.reserved:
-            state.batcher.throughput.asked.add(demand.pieces, now)
-            state.book.asked.add(demand.pieces, now)
+        work = _stage_work(request.gateway, request, demand, spec, now)
+        self._count_asked(demand.service, work, now)
         load = self._load(demand.service, work.call_s, spec)
-        return state.book.reserve(work, load, now)
+        return self.scheduler.state_of(demand.service).book.reserve(work, load, now)
+
+    def _renew(self, gateway: str, held: HeldWork) -> None:
+        now = self.scheduler.node.clock.now()
+        for demand in held.demands:
+            spec = self.scheduler.spec_of(demand.service)
+            if spec is not None:
+                work = _stage_work(gateway, held, demand, spec, now)
+                self._count_asked(demand.service, work, now)
+                load = self._load(demand.service, work.call_s, spec)
+                self.scheduler.state_of(demand.service).book.renew(work, load, now)
+
+    def _count_asked(self, service: ServiceName, work: StageWork, now: float) -> None:
+        state = self.scheduler.state_of(service)
+        if not work.precedence.returned and not state.book.knows(work.key):
+            state.batcher.throughput.asked.add(work.pieces, now)
+            state.book.asked.add(work.pieces, now)
 
     def _load(self, service: ServiceName, own_call_s: float, spec: BatchSpec) -> ServiceLoad:
         """Return the load that pieces with a call of ``own_call_s`` meet."""
@@ -129,6 +136,24 @@
         )
 
 
+def _stage_work(
+    gateway: str,
+    request: ReserveRequest | HeldWork,
+    demand: StageDemand,
+    spec: BatchSpec,
+    now: float,
+) -> StageWork:
+    return StageWork(
+        key=StageKey(request.attempt_id, demand.stage, gateway),
+        pieces=demand.pieces,
+        call_s=spec.call_s + spec.piece_s * min(spec.batch, demand.pieces),
+        precedence=Precedence(rank=request.rank, returned=request.returned),
+        account=AccountName(request.account),
+        starts_at=now + demand.starts_ms / MS_PER_S,
+        due_at=now + demand.due_ms / MS_PER_S,
+    )
+
+
 def _encode_forecast(stage: int, forecast: Forecast) -> StageForecast:
     return StageForecast(
         stage=stage,
--- a/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
@@ -131,7 +131,7 @@
             clock=self.clock,
             client=owners,
             scheduler=SimpleNamespace(),
-            ownership=SimpleNamespace(owner_of=lambda service: f'{service}:1'),
+            ownership=SimpleNamespace(owner_of=lambda service: f'{service}:1', name='g1'),
         )
         self.policy = ReservedAdmission(
             clock=self.clock,
