--- a/ringseam/gateway/reservations/holding.py
+++ b/ringseam/gateway/reservations/holding.py
@@ -89,4 +89,4 @@
                     demands=tuple(of_owner),
                 )
                 found.setdefault(owner, []).append(work)
-        return {owner: tuple(works) for owner, works in found.items()}
+        return {address: tuple(works) for address, works in found.items()}
--- a/tests/test_gateway/test_reservations/test_reservations_book.py
+++ b/tests/test_gateway/test_reservations/test_reservations_book.py
@@ -15,8 +15,9 @@
 
 from ringseam.gateway.accounts.policy import SharePolicy
 from ringseam.gateway.priorities import Precedence
-from ringseam.gateway.reservations.book import (
-    ReservationBook,
+from ringseam.gateway.reservations.book import ReservationBook
+from ringseam.gateway.reservations.work import (
+    LEASE_S,
     ReservationEnd,
     ServiceLoad,
     StageKey,
@@ -28,9 +29,19 @@
 RATE = 100
 
 
-def stage_work(name='r', *, pieces=1, rank=1, returned=False, starts_at=0.0, due_at=2.0, stage=0):
+def stage_work(
+    name='r',
+    *,
+    pieces=1,
+    rank=1,
+    returned=False,
+    starts_at=0.0,
+    due_at=2.0,
+    stage=0,
+    gateway='',
+):
     return StageWork(
-        key=StageKey(name, stage),
+        key=StageKey(name, stage, gateway),
         pieces=pieces,
         precedence=Precedence(rank=rank, returned=returned),
         account=AccountName('a'),
@@ -223,13 +234,38 @@
     assert load.backlog_s == pytest.approx(0.4)
 
 
-@settings(max_examples=100, deadline=None)
+def test_new_owner_takes_over_what_a_gateway_holds_and_counts_it():
+    book = ReservationBook(shares=RecordingShares())
+    held = stage_work('held', pieces=80, gateway='g1', due_at=9.0)
+    book.renew(held, service_load(), 0)
+    book.renew(held, service_load(), 0.5)
+    assert book.shares.used == pytest.approx(1.6)
+    assert reserve(book, service_load(), name='other', now=0.5) == pytest.approx(0.8)
+    # Its forecast was another owner's, so its wait is no error of this one.
+    assert book.arrive(StageKey('held', 0), 0.6)
+    book.finish(StageKey('held', 0), 5, done=True)
+    assert not any(errors.outcomes for errors in book.errors.values())
+
+
+def test_reservation_that_is_not_renewed_ends_and_one_without_a_gateway_needs_none():
+    book = ReservationBook(shares=RecordingShares())
+    for name, gateway in (('lost', 'g1'), ('kept', 'g2'), ('unnamed', '')):
+        reserve(book, service_load(), name=name, gateway=gateway, starts_at=5.0, due_at=9.0)
+    kept = stage_work('kept', gateway='g2', starts_at=5.0, due_at=9.0)
+    book.renew(kept, service_load(), LEASE_S - 0.1)
+    book.expire(LEASE_S + 0.1)
+    assert {key.attempt_id for key in book.reserved} == {'kept', 'unnamed'}
+    assert book.ended == {ReservationEnd.expired: 1}
+
+
+@settings(max_examples=200, deadline=None)
 @given(
     st.lists(
         st.tuples(
-            st.sampled_from(('reserve', 'arrive', 'withdraw', 'expire')),
-            st.integers(0, 5),
+            st.sampled_from(('reserve', 'renew', 'arrive', 'withdraw', 'expire')),
+            st.integers(0, 3),
             st.integers(0, 2),
+            st.sampled_from(('', 'g1', 'g2')),
             st.floats(0, 0.7),
         ),
         max_size=40,
@@ -239,22 +275,38 @@
     book = ReservationBook(shares=RecordingShares())
     held = {}
     now = 0.0
-    for action, request, stage, later in steps:
+    arrived = {}
+    for action, request, stage, gateway, later in steps:
         now += later
-        key = StageKey(f'r{request}', stage)
+        key = StageKey(f'r{request}', stage, gateway)
         held = {one: until for one, until in held.items() if until > now}
         # The book looks for expired ones at intervals only.
         book.expiry_checked_at = float('-inf')
         book.expire(now)
-        if action == 'reserve':
-            work = stage_work(key.attempt_id, stage=stage, starts_at=now + later, due_at=now + 1)
-            book.reserve(work, service_load(), now)
-            held[key] = book.reserved[key].expires_at
+        work = stage_work(
+            key.attempt_id, stage=stage, gateway=gateway, starts_at=now + later, due_at=now + 1
+        )
+        if action in {'reserve', 'renew'}:
+            if action == 'reserve':
+                book.reserve(work, service_load(), now)
+            else:
+                book.renew(work, service_load(), now)
+            if arrived.get(key.unscoped) != gateway or (action == 'reserve' and key in held):
+                held.pop(key, None)
+                held[key] = book.reserved[key].expires_at
         elif action == 'arrive':
-            assert book.arrive(key, now) is (held.pop(key, None) is not None)
+            used = next((one for one in held if one.unscoped == key.unscoped), None)
+            assert book.arrive(key.unscoped, now) is (used is not None)
+            if used is not None:
+                held.pop(used)
+                arrived[key.unscoped] = used.gateway
         elif action == 'withdraw':
-            book.withdraw(key.attempt_id, now)
-            held = {one: until for one, until in held.items() if one[0] != key.attempt_id}
+            book.withdraw(key.request_id, now)
+            held = {
+                one: until
+                for one, until in held.items()
+                if (one.attempt_id, one.gateway) != (key.attempt_id, gateway)
+            }
         assert book.reserved.keys() == held.keys()
         assert {one.work.key for one in book.by_start} == held.keys()
         starts = [one.work.starts_at for one in book.by_start]
