Send late pieces last within their precedence and reject them early

Change: ShedPolicy (stages.shedding). With the feature early-shedding, asked for by a contract or where servers report interference, a piece goes behind others of its precedence as soon as the shortest call would end after it is due, the next calls count as large as recent ones, and a late piece is rejected while pieces at least as urgent fill them. Otherwise as before (differential test).

--- a/ringseam/features.py
+++ b/ringseam/features.py
@@ -18,3 +18,5 @@
     host_capacity = 'host-capacity'
     #: Pieces leave a zone whose servers are busy for too long.
     zone_overflow = 'zone-overflow'
+    #: Late pieces are rejected as soon as recent calls show that they won't run in time.
+    early_shedding = 'early-shedding'
--- a/ringseam/gateway/featureswitch.py
+++ b/ringseam/gateway/featureswitch.py
@@ -7,8 +7,8 @@
 from ringseam.features import Feature
 
 #: In force also where servers share their hosts with other work: the time that work takes then
-#: differs between zones.
-_UNDER_INTERFERENCE = frozenset((Feature.zone_overflow,))
+#: differs between zones, and calls aren't full.
+_UNDER_INTERFERENCE = frozenset((Feature.zone_overflow, Feature.early_shedding))
 
 
 @dataclass(kw_only=True)
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -18,11 +18,14 @@
 from ringseam.gateway.stages.capacity import ResultCapacity
 from ringseam.gateway.stages.jobs import Piece, PieceGroup, StageCall
 from ringseam.gateway.stages.order import (
+    DispatchClass,
     DispatchOrder,
     UrgencyOrder,
     by_job,
+    dispatch_class_of,
     overflow_pieces,
 )
+from ringseam.gateway.stages.shedding import FullCallsPolicy, ShedPolicy
 from ringseam.gateway.stages.throughput import Throughput
 from ringseam.gateway.stages.waitestimate import WaitEstimate
 from ringseam.gateway.stages.zonechoice import LastMomentPolicy, ZoneLoad, ZonePolicy
@@ -32,6 +35,7 @@
 
     from ringseam.backends import BackendId, BackendReport
     from ringseam.gateway.following.health import HealthTracker
+    from ringseam.gateway.priorities import Precedence
     from ringseam.gateway.stages.jobs import PieceJob
     from ringseam.routes import BatchSpec, ServiceName
 
@@ -76,6 +80,7 @@
     pacer: Pacer = field(default_factory=Pacer)
     order: DispatchOrder = field(default_factory=UrgencyOrder)
     zone_policy: ZonePolicy = field(default_factory=LastMomentPolicy)
+    shed_policy: ShedPolicy = field(default_factory=FullCallsPolicy)
     #: Queued pieces, in order of arrival.
     waiting: dict[Piece, None] = field(default_factory=dict)
     capacity: ResultCapacity = field(default_factory=ResultCapacity)
@@ -132,7 +137,7 @@
             return None
         feasible = [piece for piece in self.waiting if not _is_unmeetable(piece, spec, now)]
         snapshot = QueueSnapshot(
-            servers=servers, spec=spec, now=now, ordered=self.order.order(feasible, now)
+            servers=servers, spec=spec, now=now, ordered=self._ordered(feasible, spec, now)
         )
         idle.sort(key=lambda server: self._server_preference(server, now))
         zones = collections.Counter(server.zone for server in idle)
@@ -160,7 +165,9 @@
         is queued.
         """
         unmeetable = [piece for piece in self.waiting if _is_unmeetable(piece, spec, now)]
-        next_calls = len(servers) * spec.slots * spec.batch
+        next_calls = self.shed_policy.next_calls(
+            servers, spec, self._pieces_per_s(servers, spec, now)
+        )
         if len(self.waiting) < next_calls:
             return unmeetable
         estimate = self.wait_estimate(servers, spec, now)
@@ -177,8 +184,9 @@
             if not piece.group.started
             and piece.job.due < earliest_end + waits.get(piece.job.precedence, 0)
         ]
-        started = [piece for piece in unmeetable if piece.group.started]
-        return late + started if len(self.waiting) - len(late) >= next_calls else unmeetable
+        shed = dict.fromkeys(self.shed_policy.hopeless(self.waiting, late, next_calls))
+        shed.update(dict.fromkeys(unmeetable))
+        return list(shed)
 
     def wait_estimate(
         self,
@@ -239,6 +247,25 @@
         healthy = [server for server in idle if self._is_healthy(server, now)]
         return healthy if any(self._is_healthy(server, now) for server in servers) else idle
 
+    def _ordered(self, pieces: list[Piece], spec: BatchSpec, now: float) -> list[Piece]:
+        """Return pieces in the order in which they are sent.
+
+        Certainly late ones go behind the others of their class and precedence.
+        """
+
+        def rank_of(piece: Piece) -> tuple[DispatchClass, Precedence]:  # noqa: WPS430
+            return dispatch_class_of(piece, now), piece.job.precedence
+
+        def is_late(piece: Piece) -> bool:  # noqa: WPS430
+            return self.shed_policy.is_certainly_late(piece, spec, now)
+
+        ordered = self.order.order(pieces, now)
+        return [
+            piece
+            for _, equals in itertools.groupby(ordered, key=rank_of)
+            for piece in sorted(equals, key=is_late)
+        ]
+
     def _is_healthy(self, server: BackendReport, now: float) -> bool:
         return now >= self.health.of(server.instance).ejected_until
 
--- a/ringseam/gateway/stages/policies.py
+++ b/ringseam/gateway/stages/policies.py
@@ -10,6 +10,7 @@
 from ringseam.gateway.accounts.policy import UnsharedPolicy
 from ringseam.gateway.stages.fairorder import FairOrder
 from ringseam.gateway.stages.order import UrgencyOrder
+from ringseam.gateway.stages.shedding import FullCallsPolicy, SwitchedShedPolicy
 from ringseam.gateway.stages.zonechoice import LastMomentPolicy, SwitchedPolicy
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
     from ringseam.gateway.accounts.policy import SharePolicy
     from ringseam.gateway.featureswitch import FeatureSwitch
     from ringseam.gateway.stages.order import DispatchOrder
+    from ringseam.gateway.stages.shedding import ShedPolicy
     from ringseam.gateway.stages.zonechoice import ZonePolicy
 
 
@@ -31,6 +33,8 @@
     new_order: Callable[[], DispatchOrder] = UrgencyOrder
     #: Decides which pieces run outside their preferred zone.
     zone_policy: ZonePolicy = field(default_factory=LastMomentPolicy)
+    #: Decides when late pieces are rejected.
+    shed_policy: ShedPolicy = field(default_factory=FullCallsPolicy)
 
 
 def stage_policies(switch: FeatureSwitch) -> StagePolicies:
@@ -40,4 +44,5 @@
         new_shares=MaxMinShares if shared else UnsharedPolicy,
         new_order=FairOrder if shared else UrgencyOrder,
         zone_policy=SwitchedPolicy(is_on=lambda: switch.is_on(Feature.zone_overflow)),
+        shed_policy=SwitchedShedPolicy(is_on=lambda: switch.is_on(Feature.early_shedding)),
     )
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -199,6 +199,7 @@
                 pacer=self.pacer,
                 order=self.policies.new_order(),
                 zone_policy=self.policies.zone_policy,
+                shed_policy=self.policies.shed_policy,
             )
             self.services[service] = ServiceState(
                 batcher=batcher, shares=self.policies.new_shares()
--- a/ringseam/platform/contracts.py
+++ b/ringseam/platform/contracts.py
@@ -2,6 +2,6 @@
 
 from ringseam.features import Feature
 
-_COMPETING = (Feature.account_shares, Feature.zone_overflow)
+_COMPETING = (Feature.account_shares, Feature.zone_overflow, Feature.early_shedding)
 #: Under ``pressure``, callers of several accounts compete for capacity.
 FEATURES_BY_CONTRACT = {'pressure': _COMPETING}  # noqa: WPS407 - read only
--- a/tests/test_config/test_config_findings.py
+++ b/tests/test_config/test_config_findings.py
@@ -98,7 +98,11 @@
     asked = read_settings('gateway', f'{plain}contracts = base,pressure,new\n', path='x.ini')
     assert read_settings('gateway', plain, path='x.ini').features == frozenset()
     assert named.features == {Feature.account_shares}
-    assert asked.features == {Feature.account_shares, Feature.zone_overflow}
+    assert asked.features == {
+        Feature.account_shares,
+        Feature.zone_overflow,
+        Feature.early_shedding,
+    }
 
 
 GATEWAY = """[process]
--- a/tests/test_gateway/test_featureswitch.py
+++ b/tests/test_gateway/test_featureswitch.py
@@ -10,7 +10,7 @@
 from ringseam.features import Feature
 from ringseam.gateway.featureswitch import FeatureSwitch
 
-UNDER_INTERFERENCE = {Feature.zone_overflow}
+UNDER_INTERFERENCE = {Feature.zone_overflow, Feature.early_shedding}
 
 
 @pytest.mark.parametrize('feature', list(Feature))
