Choose stage servers by expected completion where they report interference

Cause: learned speeds of stage servers were recorded and used by nothing; a fixed factor of slowness decided which servers get small calls. Change: a policy of servers; with reports of interference, a job runs where it is expected to end first, calls are expected to end by the speed of their server. The model's stage servers have speeds and noise as its engines do.

--- a/ringseam/gateway/serverload/reports.py
+++ b/ringseam/gateway/serverload/reports.py
@@ -49,12 +49,14 @@
         fresh = math.exp(-max(0, now - self.at) / SLOWDOWN_DECAY_S)
         return self.mean_slowdown + (self.slowdown - self.mean_slowdown) * fresh
 
+    def slowdown_ahead(self, now: float, duration_s: float) -> float:
+        """Return the expected mean slowdown from ``now`` on for ``duration_s`` seconds."""
+        expected = self.slowdown_at(now)
+        return self.mean_slowdown + (expected - self.mean_slowdown) * _mean_share(duration_s)
+
     def slowdown_over(self, duration_s: float) -> float:
         """Return the expected mean slowdown over the time before the report."""
-        if duration_s <= 0:
-            return self.slowdown
-        spans = duration_s / SLOWDOWN_DECAY_S
-        share = -math.expm1(-spans) / spans
+        share = _mean_share(duration_s)
         return self.mean_slowdown + (self.slowdown - self.mean_slowdown) * share
 
     def update(self, load: ServerLoad, at: float) -> None:
@@ -131,3 +133,11 @@
         for instance in set(self.by_server) - instances:
             self.by_server.pop(instance)
         self.interfered &= instances
+
+
+def _mean_share(duration_s: float) -> float:
+    """Return the mean over a time of what decays from 1 during it."""
+    if duration_s <= 0:
+        return 1
+    spans = duration_s / SLOWDOWN_DECAY_S
+    return -math.expm1(-spans) / spans
--- a/ringseam/gateway/serverload/speeds.py
+++ b/ringseam/gateway/serverload/speeds.py
@@ -139,9 +139,17 @@
         return self.own_factor(server, now) * self.reports.slowdown_at(server.instance, now)
 
     def expected_factors(
-        self, service: ServiceName, servers: Collection[BackendReport], now: float
+        self,
+        service: ServiceName,
+        servers: Collection[BackendReport],
+        now: float,
+        *,
+        ahead_s: float = 0,
     ) -> dict[BackendId, float]:
-        """Return the ratios of actual to expected durations for servers of one service now."""
+        """Return the ratios of actual to expected durations for servers of one service.
+
+        :param ahead_s: how long the work takes that starts now, seconds.
+        """
         durations = self.services.get(service)
         if durations is None:
             durations = ServiceDurations()
@@ -155,7 +163,7 @@
             if instance in durations.by_server:
                 own *= math.exp(durations.deviation(instance, now, mean))
             reported = reports.get(instance)
-            factors[instance] = own if reported is None else own * reported.slowdown_at(now)
+            factors[instance] = own if reported is None else own * reported.slowdown_ahead(now, ahead_s)
         return factors
 
     def keep_only(self, instances: set[BackendId]) -> None:
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -10,6 +10,7 @@
 import collections
 import functools
 import itertools
+import math
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -23,6 +24,12 @@
     by_job,
     overflow_pieces,
 )
+from ringseam.gateway.stages.serverchoice import (
+    CompletionPolicy,
+    NextCalls,
+    ServerPolicy,
+    SlownessPolicy,
+)
 from ringseam.gateway.stages.throughput import Throughput
 from ringseam.gateway.stages.waitestimate import WaitEstimate
 from ringseam.gateway.stages.zonechoice import LastMomentPolicy, ZoneLoad, ZonePolicy
@@ -36,8 +43,6 @@
     from ringseam.routes import BatchSpec, ServiceName
 
 
-#: A server whose calls take this many times the expected time counts as slow.
-_SLOW_FACTOR = 1.8
 #: A server that reported that it is full gets no call for this long, seconds.
 FULL_BACKOFF_S = 0.06
 #: At most this many idle servers, sampled at random, are considered for a call. The sample
@@ -53,6 +58,7 @@
     spec: BatchSpec
     now: float
     ordered: list[Piece]
+    policy: ServerPolicy
     #: Time until a server of a zone has room for a result of a size, seconds.
     available_in_s: dict[tuple[str, int], float] = field(default_factory=dict)
 
@@ -82,6 +88,8 @@
     throughput: Throughput = field(default_factory=Throughput)
     #: Until when servers that reported to be full get no calls.
     full_until: dict[BackendId, float] = field(default_factory=dict)
+    #: When a server is expected to be free that pieces are left to; infinite: none are.
+    awaited_at: float = math.inf
     arrival_numbers: itertools.count[int] = field(default_factory=itertools.count)
     random: random.Random = field(init=False)
 
@@ -125,23 +133,29 @@
         now: float,
     ) -> StageCall | None:
         """Return the next call, or None if none should be sent now."""
+        self.awaited_at = math.inf
         if not self.waiting:
             return None
         idle = self._idle_servers(servers, spec, now)
         if not idle:
             return None
         feasible = [piece for piece in self.waiting if not _is_unmeetable(piece, spec, now)]
+        policy = self._server_policy(servers, spec, now)
         snapshot = QueueSnapshot(
-            servers=servers, spec=spec, now=now, ordered=self.order.order(feasible, now)
+            servers=servers,
+            spec=spec,
+            now=now,
+            ordered=self.order.order(feasible, now),
+            policy=policy,
         )
-        idle.sort(key=lambda server: self._server_preference(server, now))
+        idle.sort(key=lambda server: self._server_preference(server, policy, now))
         zones = collections.Counter(server.zone for server in idle)
         for server in idle:
             zones[server.zone] -= 1
             pieces = self._select_pieces(server, snapshot, +zones)
             zones[server.zone] += 1
             if pieces:
-                return self._start_call(server, pieces, spec, now)
+                return self._start_call(server, pieces, snapshot)
         return None
 
     def pieces_to_shed(
@@ -242,34 +256,26 @@
     def _is_healthy(self, server: BackendReport, now: float) -> bool:
         return now >= self.health.of(server.instance).ejected_until
 
-    def _left_to_faster(
-        self,
-        server: BackendReport,
-        servers: Collection[BackendReport],
-        spec: BatchSpec,
-        now: float,
-    ) -> int:
-        """Return how many pieces at the head of the queue a slow server skips.
-
-        Those pieces finish sooner if they wait for a faster server than in a call that
-        takes ``slowness`` times as long.
-        """
-        slowness = self.health.of(server.instance).slowness_at(now)
-        if slowness < _SLOW_FACTOR:
-            return 0
-        faster = sum(
-            1
-            for other in servers
-            if self._is_healthy(other, now)
-            and self.health.of(other.instance).slowness_at(now) < _SLOW_FACTOR
+    def _server_policy(
+        self, servers: Collection[BackendReport], spec: BatchSpec, now: float
+    ) -> ServerPolicy:
+        """Return the policy for the servers: by their reports if these tell of interference."""
+        speeds = self.health.speeds
+        if not speeds.reports.reports_interference(server.instance for server in servers):
+            return SlownessPolicy(health=self.health)
+        return CompletionPolicy(
+            health=self.health,
+            factors=speeds.expected_factors(
+                self.service, servers, now, ahead_s=spec.full_call_s
+            ),
         )
-        return int((slowness - 1) * spec.batch * spec.slots * faster)
 
-    def _server_preference(self, server: BackendReport, now: float) -> tuple[bool, float, int, str]:
-        server_health = self.health.of(server.instance)
+    def _server_preference(
+        self, server: BackendReport, policy: ServerPolicy, now: float
+    ) -> tuple[bool, float, int, str]:
         return (
-            server_health.unresponsive,
-            round(server_health.slowness_at(now), 1),
+            self.health.of(server.instance).unresponsive,
+            round(policy.duration_factor(server, now), 1),
             self.capacity.used_bytes.get(server.instance, 0),
             server.instance,
         )
@@ -287,13 +293,14 @@
         call that it doesn't answer is lost for several times its normal duration.
         """
         spec, now, servers = snapshot.spec, snapshot.now, snapshot.servers
-        left_to_faster = self._left_to_faster(server, servers, spec, now)
-        if left_to_faster:
+        skipped = snapshot.policy.skipped_pieces(server, servers, spec, now)
+        if skipped:
             snapshot = QueueSnapshot(
                 servers=servers,
                 spec=spec,
                 now=now,
-                ordered=snapshot.ordered[left_to_faster:],
+                ordered=snapshot.ordered[skipped:],
+                policy=snapshot.policy,
             )
         allowed = [
             piece
@@ -317,10 +324,32 @@
         late = [piece for piece in allowed if piece.job.due <= now]
         if self.health.of(server.instance).unresponsive:
             eligible, late = eligible[-1:], late[-1:]
-        return self._pieces_that_fit(eligible, server, spec, now) or self._pieces_that_fit(
-            late, server, spec, now
+        return self._pieces_for_call(eligible, server, snapshot) or self._pieces_for_call(
+            late, server, snapshot
         )
 
+    def _pieces_for_call(
+        self, pieces: list[Piece], server: BackendReport, snapshot: QueueSnapshot
+    ) -> list[Piece]:
+        """Return the pieces for a call, without those that end sooner elsewhere."""
+        if not pieces:
+            return []
+        spec, now = snapshot.spec, snapshot.now
+        size = pieces[0].job.result_bytes
+        calls = NextCalls(
+            policy=snapshot.policy,
+            servers=snapshot.servers,
+            zones=snapshot.zones,
+            overflow=snapshot.overflow,
+            throughput=self.throughput,
+            has_room=lambda other: self.capacity.free_bytes(other.instance, spec, now) >= size,
+            spec=spec,
+            now=now,
+        )
+        kept = snapshot.policy.sooner_here(server, pieces, calls)
+        self.awaited_at = min(self.awaited_at, calls.awaited_at)
+        return self._pieces_that_fit(kept, server, spec, now)
+
     def _zone_load(
         self, job: PieceJob, snapshot: QueueSnapshot, idle_zones: Collection[str]
     ) -> ZoneLoad:
@@ -405,9 +434,9 @@
         self,
         server: BackendReport,
         pieces: list[Piece],
-        spec: BatchSpec,
-        now: float,
+        snapshot: QueueSnapshot,
     ) -> StageCall:
+        spec, now = snapshot.spec, snapshot.now
         self.cancel(pieces)
         self.pacer.record_send(server.instance, now)
         call = StageCall(
@@ -415,7 +444,12 @@
             pieces=pieces,
             expected_s=spec.call_s + spec.piece_s * len(pieces),
         )
-        self.throughput.call_started(call, now, has_backlog=bool(self.waiting))
+        self.throughput.call_started(
+            call,
+            now,
+            has_backlog=bool(self.waiting),
+            duration_factor=snapshot.policy.expected_factor(server),
+        )
         self.order.sent(pieces, now)
         self.capacity.reserve(server.instance, sum(piece.job.result_bytes for piece in pieces))
         for piece in pieces:
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -241,7 +241,7 @@
                 state.resolve(piece, PieceResult(fault=PieceFault.late))
 
     def _schedule_permit_dispatch(self, state: ServiceState, now: float) -> None:
-        """Schedule a dispatch for when a rate limit or pause of a server ends."""
+        """Schedule a dispatch for when a limit or pause ends, or an awaited server is due."""
         if not state.batcher.waiting or state.next_permit_at > now:
             return
         service = state.batcher.service
@@ -249,6 +249,8 @@
         waits = [
             wait_s for instance in servers if (wait_s := self.pacer.call_wait_s(instance, now))
         ]
+        if state.batcher.awaited_at < float('inf'):
+            waits.append(state.batcher.awaited_at - now)
         if waits:
             state.next_permit_at = now + min(waits)
             loop = asyncio.get_running_loop()
--- /dev/null
+++ b/ringseam/gateway/stages/serverchoice.py
@@ -0,0 +1,213 @@
+"""Policies on which servers of a stage service get the next calls, and with how many pieces."""
+
+from __future__ import annotations
+
+import abc
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ringseam.gateway.stages.order import by_job
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterator, Mapping
+
+    from ringseam.backends import BackendId, BackendReport
+    from ringseam.gateway.following.health import HealthTracker
+    from ringseam.gateway.stages.jobs import Piece
+    from ringseam.gateway.stages.throughput import Throughput
+    from ringseam.routes import BatchSpec
+
+#: A server whose calls take this many times the expected time counts as slow.
+_SLOW_FACTOR = 1.8
+#: A server that is waited for is looked at again after this time at the earliest, seconds.
+_MIN_WAIT_S = 0.02
+
+
+@dataclass(frozen=True, kw_only=True)
+class NextCall:
+    """The next call of a busy server, with places for pieces that prefer its zone."""
+
+    server: BackendReport
+    ends_at: float
+    places: int
+
+
+@dataclass(kw_only=True)
+class ServerPolicy(abc.ABC):
+    """Base class of policies on the servers for the next call."""
+
+    health: HealthTracker
+
+    @abc.abstractmethod
+    def duration_factor(self, server: BackendReport, now: float) -> float:
+        """Return how many times the expected time a call takes at a server."""
+
+    def expected_factor(self, server: BackendReport) -> float:
+        """Return the same as far as it tells when a call ends."""
+        return 1
+
+    def skipped_pieces(
+        self, server: BackendReport, servers: Collection[BackendReport], spec: BatchSpec, now: float
+    ) -> int:
+        """Return how many pieces at the head of the queue a server leaves to faster ones."""
+        return 0
+
+    def sooner_here(
+        self, server: BackendReport, pieces: list[Piece], calls: NextCalls
+    ) -> list[Piece]:
+        """Return the pieces that end sooner in a call to a server than in another's next call.
+
+        :param pieces: those that the server may run, in order.
+        :param calls: of the other servers.
+        """
+        return pieces
+
+    def is_healthy(self, server: BackendReport, now: float) -> bool:
+        """Return whether a server is not ejected."""
+        return now >= self.health.of(server.instance).ejected_until
+
+
+class SlownessPolicy(ServerPolicy):
+    """Leave to faster servers what they finish before a call that takes much too long ends."""
+
+    def duration_factor(self, server: BackendReport, now: float) -> float:
+        """Return the slowness of a server's recent calls."""
+        return self.health.of(server.instance).slowness_at(now)
+
+    def skipped_pieces(
+        self, server: BackendReport, servers: Collection[BackendReport], spec: BatchSpec, now: float
+    ) -> int:
+        """Return how many pieces finish sooner if they wait for a faster server."""
+        slowness = self.duration_factor(server, now)
+        if slowness < _SLOW_FACTOR:
+            return 0
+        faster = sum(
+            1
+            for other in servers
+            if self.is_healthy(other, now) and self.duration_factor(other, now) < _SLOW_FACTOR
+        )
+        return int((slowness - 1) * spec.batch * spec.slots * faster)
+
+
+@dataclass(kw_only=True)
+class CompletionPolicy(ServerPolicy):
+    """Send each piece where it is expected to end first, by observed speeds and reported loads."""
+
+    factors: Mapping[BackendId, float]
+
+    def duration_factor(self, server: BackendReport, now: float) -> float:
+        """Return the observed speed of a server times the slowdown of its host."""
+        return self.factors.get(server.instance, 1)
+
+    def expected_factor(self, server: BackendReport) -> float:
+        """Return the duration factor, by which calls are expected to end."""
+        return self.factors.get(server.instance, 1)
+
+    def sooner_here(
+        self, server: BackendReport, pieces: list[Piece], calls: NextCalls
+    ) -> list[Piece]:
+        """Leave out the jobs that end sooner in the next calls of other servers.
+
+        Those are the first ones, so that a call here has fewer pieces, or none yet.
+        """
+        spec, now = calls.spec, calls.now
+        factor = self.duration_factor(server, now)
+        latest = now + factor * spec.full_call_s
+        assigned = calls.assign(server, by_job(pieces), latest)
+        left = len(pieces)
+        for job, ends_at in assigned:
+            size = min(spec.batch, left)
+            if ends_at >= now + factor * (spec.call_s + spec.piece_s * size):
+                break
+            left -= len(job)
+        return pieces[len(pieces) - left :] if left else []
+
+
+@dataclass(kw_only=True)
+class NextCalls:
+    """The next calls of the busy servers of a service."""
+
+    policy: ServerPolicy
+    servers: Collection[BackendReport]
+    zones: Collection[str]
+    #: Pieces that may run in any zone.
+    overflow: Collection[Piece]
+    throughput: Throughput
+    #: Returns whether a server has room for a result of the first piece.
+    has_room: Callable[[BackendReport], bool]
+    spec: BatchSpec
+    now: float
+    #: When the first server that is waited for should be free.
+    awaited_at: float = field(default=math.inf)
+
+    def assign(
+        self, server: BackendReport, jobs: list[list[Piece]], latest: float
+    ) -> Iterator[tuple[list[Piece], float]]:
+        """Yield when each job would end in calls of other servers that end before ``latest``.
+
+        A job that no such call has places for ends at infinity.
+        """
+        calls = sorted(
+            (call for other in self.servers for call in self._calls(other, server, latest)),
+            key=_end_of,
+        )
+        places = [call.places for call in calls]
+        for job in jobs:
+            ends_at: float = 0
+            for piece in job:
+                number = self._first_call(piece, calls, places)
+                if number is None:
+                    ends_at = math.inf
+                    break
+                places[number] -= 1
+                ends_at = max(ends_at, calls[number].ends_at)
+            yield job, ends_at
+
+    def _first_call(self, piece: Piece, calls: list[NextCall], places: list[int]) -> int | None:
+        for number, call in enumerate(calls):
+            if places[number] and self._may_run(piece, call.server):
+                return number
+        return None
+
+    def _may_run(self, piece: Piece, server: BackendReport) -> bool:
+        """Return whether a piece would be part of the next call of a server."""
+        zone = piece.job.zone
+        return (
+            piece.job.may_run_in(server.zone)
+            and server.instance not in piece.failed_servers
+            and (zone == server.zone or zone not in self.zones or piece in self.overflow)
+        )
+
+    def _calls(
+        self, other: BackendReport, server: BackendReport, latest: float
+    ) -> Iterator[NextCall]:
+        """Yield the next calls of a server that is busy now and end in time.
+
+        An idle server counts for nothing: it is asked on its own.
+        """
+        if other is server or not self.throughput.is_busy(other.instance, self.spec):
+            return
+        if not self._answers(other):
+            return
+        last = self.throughput.last_calls[other.instance]
+        # A call that is overdue is expected to take as long again.
+        free_at = self.now + abs(last.expected_end - self.now)
+        if not self.has_room(other):
+            # It gets some when the results of its last call are consumed.
+            free_at += self.spec.call_s
+        duration_s = self.policy.duration_factor(other, self.now) * self.spec.full_call_s
+        ends_at = free_at + duration_s
+        if ends_at < latest:
+            self.awaited_at = min(self.awaited_at, max(free_at, self.now + _MIN_WAIT_S))
+        while ends_at < latest:
+            yield NextCall(server=other, ends_at=ends_at, places=self.spec.batch * self.spec.slots)
+            ends_at += duration_s
+
+    def _answers(self, server: BackendReport) -> bool:
+        health = self.policy.health.of(server.instance)
+        return self.policy.is_healthy(server, self.now) and not health.unresponsive
+
+
+def _end_of(call: NextCall) -> float:
+    return call.ends_at
--- a/ringseam/gateway/stages/throughput.py
+++ b/ringseam/gateway/stages/throughput.py
@@ -77,15 +77,21 @@
     #: :attr:`observed_piece_s` without the time that a server is idle after its call.
     busy_piece_s: float = 0
 
-    def call_started(self, call: StageCall, now: float, *, has_backlog: bool) -> None:
-        """Record that a call is sent; ``has_backlog``: pieces stay in the queue."""
+    def call_started(
+        self, call: StageCall, now: float, *, has_backlog: bool, duration_factor: float = 1
+    ) -> None:
+        """Record that a call is sent.
+
+        :param has_backlog: whether pieces stay in the queue.
+        :param duration_factor: how many times its expected duration the server takes.
+        """
         instance = call.server.instance
         last = self.last_calls.get(instance)
         if last is not None and last.has_backlog:
             self._record_cycle(last, now)
         self.last_calls[instance] = LastCall(
             started_at=now,
-            expected_end=now + call.expected_s,
+            expected_end=now + call.expected_s * duration_factor,
             pieces=len(call.pieces),
             has_backlog=has_backlog,
         )
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -5,12 +5,11 @@
 import asyncio
 import collections
 import itertools
-import random
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from ringseam.calls import ServerLoad
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun
+from ringseam.model.hosts import ModelHost
 from ringseam.model.notices import ModelNotices
 from ringseam.model.stageservers import network_latency_s
 from ringseam.web.client import ChannelError, RefusedError, ResponseHead
@@ -19,6 +18,7 @@
     from collections.abc import Callable
 
     from ringseam.backends import BackendReport
+    from ringseam.calls import ServerLoad
     from ringseam.clock import Clock
     from ringseam.gateway.engines.silence import SilenceDetector
     from ringseam.gateway.following.health import HealthTracker
@@ -83,34 +83,27 @@
     cache: collections.OrderedDict[str, int] = field(default_factory=collections.OrderedDict)
     run_numbers: itertools.count[int] = field(default_factory=itertools.count)
     task: asyncio.Task[None] | None = None
-    #: Relative to the durations of the service.
-    speed: float = field(init=False)
+    host: ModelHost = field(init=False)
     notices: ModelNotices = field(default_factory=ModelNotices)
     #: Called when a content crashes this engine.
     on_crash: Callable[[], None] = lambda: None
 
     def __post_init__(self) -> None:
-        """Draw the speed of the engine; it is the same in all runs."""
-        drawn = random.Random(self.report.instance)  # noqa: S311 - simulation
-        self.speed = drawn.uniform(self.load.slowest, self.load.fastest)
-
-    def host_slowdown(self, now: float) -> float:
-        """Return how many times the usual time work takes on the host now."""
-        if not self.load.noise_share:
-            return 1
-        window = int(now / self.load.noise_s)
-        drawn = random.Random(f'{self.report.instance} {window}')  # noqa: S311 - simulation
-        return self.load.noise_factor if drawn.random() < self.load.noise_share else 1
+        """Create the host."""
+        self.host = ModelHost(name=self.report.instance, load=self.load)
+
+    @property
+    def speed(self) -> float:
+        """Return the speed relative to the durations of the service."""
+        return self.host.speed
 
     def reported_load(self, now: float) -> ServerLoad | None:
         """Return the load in a response sent now; None: the engine reports none."""
-        if not self.load.noise_share:
-            return None
-        return ServerLoad(
+        return self.host.reported_load(
+            now,
             running=sum(not run.prefill_left for run in self.runs),
             waiting=sum(run.prefill_left > 0 for run in self.runs),
             slots=self.report.slots,
-            slowdown=self.host_slowdown(now),
         )
 
     def submit(self, context: RequestContext, last_event: int, events: int) -> EngineRun:
@@ -167,7 +160,7 @@
             streams = [run for run in self.runs if not run.prefill_left]
             prefill_s = self._prefill()
             step_s = self.load.step_s + len(streams) * self.load.step_per_stream_s
-            host_factor = self.host_slowdown(self.clock.now()) / self.speed
+            host_factor = self.host.slowdown_at(self.clock.now()) / self.speed
             await asyncio.sleep((step_s + prefill_s) * self.slowdown * host_factor)
             for run in streams:
                 self._generate_token(run)
--- a/ringseam/model/pattern.py
+++ b/ringseam/model/pattern.py
@@ -79,11 +79,11 @@
     chunk_tokens: int = 1024
     memory_tokens: int = 340_000
     tokens_per_event: int = 3
-    #: Bounds of the speeds of the engines, relative to the durations above.
+    #: Bounds of the speeds of the servers, relative to the durations above.
     slowest: float = 1
     fastest: float = 1
     #: Share of the hosts that take ``noise_factor`` times as long at a time, for ``noise_s``.
-    #: The engines report it if the share is positive.
+    #: The servers report it if the share is positive.
     noise_share: float = 0
     noise_factor: float = 2.5
     noise_s: float = 0.6
--- a/ringseam/model/stageservers.py
+++ b/ringseam/model/stageservers.py
@@ -5,10 +5,11 @@
 import asyncio
 import collections
 import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.stages.calls import FullError
+from ringseam.model.hosts import ModelHost
 from ringseam.model.notices import ModelNotices
 from ringseam.platform.stages import PieceFault, PieceResult, server_address_of
 from ringseam.web.client import ChannelError
@@ -17,6 +18,7 @@
     from collections.abc import Callable, Iterable
 
     from ringseam.backends import BackendId, BackendReport
+    from ringseam.calls import ResponseMetadata
     from ringseam.clock import Clock
     from ringseam.gateway.following.serverwords import ServerNotices
     from ringseam.gateway.stages.jobs import Piece, StageCall
@@ -83,9 +85,28 @@
     #: Size in bytes of the results stored here, by handle.
     result_sizes: dict[str, float] = field(default_factory=dict)
     busy_s: float = 0
+    #: Number of calls that were run, and of their pieces.
+    calls_run: int = 0
+    pieces_run: int = 0
+    host: ModelHost = field(init=False)
     #: Time spent on pieces, seconds, by attempt ID.
     seconds_by_attempt: collections.Counter[str] = field(default_factory=collections.Counter)
 
+    def __post_init__(self) -> None:
+        """Create the host."""
+        self.host = ModelHost(name=self.report.instance, load=self.load)
+
+    def response_metadata(self) -> ResponseMetadata:
+        """Return the metadata of a response sent now."""
+        now = self.clock.now()
+        reported = self.host.reported_load(
+            now,
+            running=min(1, self.pending_calls),
+            waiting=max(0, self.pending_calls - 1),
+            slots=1,
+        )
+        return replace(self.notices.response_metadata('', now), load=reported)
+
     async def run(self, call: StageCall) -> list[PieceResult]:
         """Run a call after the calls that are queued before it.
 
@@ -130,9 +151,13 @@
             piece for piece, fault in zip(call.pieces, faults, strict=True) if fault is None
         ]
         shares = sum(map(self.relative_cost_of, accepted))
-        duration_s = (self.load.call_s + self.load.piece_s * shares) * self.slowdown
+        work_s = (self.load.call_s + self.load.piece_s * shares) * self.slowdown
+        started = self.clock.now()
+        duration_s = self.host.end_of(work_s, started) - started
         await asyncio.sleep(duration_s)
         self.busy_s += duration_s
+        self.calls_run += 1
+        self.pieces_run += len(accepted)
         if self.down:
             raise ChannelError('reset', sent=True)
         for executed in accepted:
@@ -177,10 +202,19 @@
         await asyncio.sleep(latency_s)
         instance = call.server.instance
         if server.notices.refuses_call(server.clock.now()):
-            self.notices.record(instance, server.notices.response_metadata('', server.clock.now()))
+            self.notices.record(instance, server.response_metadata())
             raise FullError('paused', sent=False)
+        sent_at = server.clock.now()
         piece_results = await server.run(call)
-        self.notices.record(instance, server.notices.response_metadata('', server.clock.now()))
+        self.notices.record(instance, server.response_metadata())
+        ended_at = server.clock.now()
+        self.notices.speeds.observe(
+            call.server.service,
+            instance,
+            expected_s=call.expected_s,
+            duration_s=ended_at - sent_at,
+            now=ended_at,
+        )
         await asyncio.sleep(latency_s)
         return piece_results
 
