--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -41,6 +41,8 @@
         'worst route': summary.worst_route_share,
         'wasted s': summary.wasted_s,
         'crossed GB': summary.cross_zone_gb,
+        'on time': summary.on_time_shares,
+        'pieces a call': summary.pieces_per_call,
         'earned': summary.route_value_shares,
         'accounts': summary.account_value_shares,
     }
--- a/ringseam/gateway/serverload/speeds.py
+++ b/ringseam/gateway/serverload/speeds.py
@@ -163,7 +163,9 @@
             if instance in durations.by_server:
                 own *= math.exp(durations.deviation(instance, now, mean))
             reported = reports.get(instance)
-            factors[instance] = own if reported is None else own * reported.slowdown_ahead(now, ahead_s)
+            factors[instance] = (
+                own if reported is None else own * reported.slowdown_ahead(now, ahead_s)
+            )
         return factors
 
     def keep_only(self, instances: set[BackendId]) -> None:
--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -265,9 +265,7 @@
             return SlownessPolicy(health=self.health)
         return CompletionPolicy(
             health=self.health,
-            factors=speeds.expected_factors(
-                self.service, servers, now, ahead_s=spec.full_call_s
-            ),
+            factors=speeds.expected_factors(self.service, servers, now, ahead_s=spec.full_call_s),
         )
 
     def _server_preference(
--- a/ringseam/model/experiment.py
+++ b/ringseam/model/experiment.py
@@ -68,6 +68,8 @@
     prices: Prices
     #: Number of times a content crashed an engine.
     engine_crashes: int = 0
+    #: Mean number of pieces in a call, by stage service.
+    pieces_per_call: dict[str, float] = field(default_factory=dict)
     #: Share of the value earned, by account.
     account_value_shares: dict[str, float] = field(default_factory=dict)
 
@@ -321,9 +323,18 @@
             total_value=offered.total(),
             prices=self.pattern.prices,
             engine_crashes=self.engine_crashes,
+            pieces_per_call=self._pieces_per_call(),
             account_value_shares=_account_value_shares(outcomes),
         )
 
+    def _pieces_per_call(self) -> dict[str, float]:
+        calls: collections.Counter[str] = collections.Counter()
+        pieces: collections.Counter[str] = collections.Counter()
+        for server in self.servers.stages.values():
+            calls[server.report.service] += server.calls_run
+            pieces[server.report.service] += server.pieces_run
+        return {service: pieces[service] / max(1, count) for service, count in calls.items()}
+
     def _unserved_wait_cost(self, outcome: RequestOutcome) -> float:
         """Return the cost of a request's waiting time if it was not served."""
         if outcome.end in {RequestEnd.on_time, RequestEnd.late}:
--- a/ringseam/model/hosts.py
+++ b/ringseam/model/hosts.py
@@ -49,9 +49,9 @@
             left_s -= (end - now) / slowdown
             now = end
 
-    def reported_load(self, now: float, *, running: int, waiting: int, slots: int) -> (
-        ServerLoad | None
-    ):
+    def reported_load(
+        self, now: float, *, running: int, waiting: int, slots: int
+    ) -> ServerLoad | None:
         """Return the load in a response sent now; None: the servers report none."""
         if not self.load.noise_share:
             return None
