--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -333,14 +333,14 @@
         if not pieces:
             return []
         spec, now = snapshot.spec, snapshot.now
-        size = pieces[0].job.result_bytes
+        size = max(1, pieces[0].job.result_bytes)
         calls = NextCalls(
             policy=snapshot.policy,
             servers=snapshot.servers,
             zones=snapshot.zones,
             overflow=snapshot.overflow,
             throughput=self.throughput,
-            has_room=lambda other: self.capacity.free_bytes(other.instance, spec, now) >= size,
+            room=lambda other: self.capacity.free_bytes(other.instance, spec, now) / size,
             spec=spec,
             now=now,
         )
--- a/ringseam/gateway/stages/serverchoice.py
+++ b/ringseam/gateway/stages/serverchoice.py
@@ -116,11 +116,11 @@
         latest = now + factor * spec.full_call_s
         assigned = calls.assign(server, by_job(pieces), latest)
         left = len(pieces)
-        for job, ends_at in assigned:
+        for job_size, ends_at in assigned:
             size = min(spec.batch, left)
             if ends_at >= now + factor * (spec.call_s + spec.piece_s * size):
                 break
-            left -= len(job)
+            left -= job_size
         return pieces[len(pieces) - left :] if left else []
 
 
@@ -134,8 +134,8 @@
     #: Pieces that may run in any zone.
     overflow: Collection[Piece]
     throughput: Throughput
-    #: Returns whether a server has room for a result of the first piece.
-    has_room: Callable[[BackendReport], bool]
+    #: Returns for how many results a server has room.
+    room: Callable[[BackendReport], float]
     spec: BatchSpec
     now: float
     #: When the first server that is waited for should be free.
@@ -143,10 +143,10 @@
 
     def assign(
         self, server: BackendReport, jobs: list[list[Piece]], latest: float
-    ) -> Iterator[tuple[list[Piece], float]]:
-        """Yield when each job would end in calls of other servers that end before ``latest``.
+    ) -> Iterator[tuple[int, float]]:
+        """Yield the size of each job and when it would end in calls of other servers.
 
-        A job that no such call has places for ends at infinity.
+        A job that no call which ends before ``latest`` has places for ends at infinity.
         """
         calls = sorted(
             (call for other in self.servers for call in self._calls(other, server, latest)),
@@ -162,7 +162,7 @@
                     break
                 places[number] -= 1
                 ends_at = max(ends_at, calls[number].ends_at)
-            yield job, ends_at
+            yield len(job), ends_at
 
     def _first_call(self, piece: Piece, calls: list[NextCall], places: list[int]) -> int | None:
         for number, call in enumerate(calls):
@@ -193,15 +193,19 @@
         last = self.throughput.last_calls[other.instance]
         # A call that is overdue is expected to take as long again.
         free_at = self.now + abs(last.expected_end - self.now)
-        if not self.has_room(other):
-            # It gets some when the results of its last call are consumed.
+        batch = self.spec.batch * self.spec.slots
+        places = min(batch, int(self.room(other)))
+        if places <= 0:
+            # It gets some room when the results of its last call are consumed.
+            places = batch
             free_at += self.spec.call_s
         duration_s = self.policy.duration_factor(other, self.now) * self.spec.full_call_s
         ends_at = free_at + duration_s
         if ends_at < latest:
             self.awaited_at = min(self.awaited_at, max(free_at, self.now + _MIN_WAIT_S))
         while ends_at < latest:
-            yield NextCall(server=other, ends_at=ends_at, places=self.spec.batch * self.spec.slots)
+            yield NextCall(server=other, ends_at=ends_at, places=places)
+            places = batch
             ends_at += duration_s
 
     def _answers(self, server: BackendReport) -> bool:
--- a/tests/test_gateway/test_stages/test_stages_serverchoice.py
+++ b/tests/test_gateway/test_stages/test_stages_serverchoice.py
@@ -159,6 +159,18 @@
     assert batcher.next_call(servers, SPEC, NOW).server.instance == 'slow'
 
 
+def test_pieces_are_left_to_a_server_only_as_far_as_it_has_room():
+    batcher = new_batcher({'slow': 3.0, 'fast': 1.0})
+    servers = [server('slow'), server('fast')]
+    batcher.add(job('under way', pieces=4, size=100_000), NOW)
+    batcher.next_call(servers, SPEC, NOW)
+    for number in range(4):
+        batcher.add(job(f'r{number}', size=250_000, due=1000 + number), NOW)
+    call = batcher.next_call(servers, SPEC, NOW)
+    assert call.server.instance == 'slow'
+    assert requests_of(call) == ['r2', 'r3']
+
+
 def test_end_of_a_call_is_expected_by_the_speed_of_its_server():
     batcher = new_batcher({'slow': 3.0})
     servers = [server('slow')]
