Serve requests that wait for a connection in order; eject servers that reset each one

Causes: a reset beside older streams was never a failure of the server; requests that waited for a free connection looked for one every 20 ms, in no order; the learned time of a stage call included connecting.

--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -75,11 +75,14 @@
         left = context.deadline - self.clock.now()
         if left <= 0:
             return NotRun(detail='deadline exceeded before sending')
+        max_open = self._max_open(server)
         try:
             channel = await self.pool.acquire(
                 server.address,
-                timeout_s=min(CONNECT_TIMEOUT_S, left),
-                max_open=self._max_open(server),
+                # A request may wait for a connection, and then for opening it.
+                timeout_s=min(CONNECT_TIMEOUT_S, left if max_open is None else left / 2),
+                max_open=max_open,
+                order=(context.precedence.rank, context.scheduling_deadline),
             )
         except BusyError as busy:
             self.notices.metrics.add('connections_exhausted', service=server.service)
@@ -158,6 +161,8 @@
             server.instance, metadata.attempt_id, self.clock.now(), event=False
         )
         self.notices.record(server.instance, metadata)
+        if channel.request_count == 1 and self.limits is not None:
+            self.limits.shares.record_accepted(server.instance)
         if metadata.load is not None:
             self._record_load(server, metadata.load.running, metadata.load.waiting)
         if metadata.not_run:
@@ -188,7 +193,8 @@
         now = self.clock.now()
         is_new = channel.request_count <= 1
         if is_new and self.limits is not None:
-            others_open = self.pool.open_count(server.address) > 1
+            channel.close()
+            others_open = self.pool.open_count(server.address) > 0
             if self.limits.record_reset(server, now, others_open=others_open):
                 self.notices.metrics.add('connections_refused', service=server.service)
                 return
--- a/ringseam/gateway/serverload/connections.py
+++ b/ringseam/gateway/serverload/connections.py
@@ -11,7 +11,8 @@
 
     from ringseam.backends import BackendId, BackendReport, BackendView
     from ringseam.gateway.serverload.reports import LoadReports
-    from ringseam.routes import RouteTable
+    from ringseam.routes import RouteTable, ServiceName
+    from ringseam.web.pool import HttpChannelPool
 
 #: Share of the connections of a server that is kept for health checks, and the least number.
 _RESERVED_SHARE = 0.1
@@ -21,6 +22,9 @@
 _RECOVERY_S = 4.0
 #: Refusals within this time count as one: they are answers to the same use, seconds.
 _ONE_REFUSAL_S = 0.2
+#: A server that refuses more connections than this one after the other, and accepts none
+#: between them, is broken. Refusals longer ago than the recovery aren't counted.
+_MAX_REFUSALS = 2
 
 
 class ServiceDirectory(Protocol):
@@ -40,6 +44,8 @@
 
     used: float
     at: float
+    #: Number of refusals since a connection was accepted.
+    count: int = 1
 
     def used_at(self, now: float) -> float:
         """Return the part that is used at ``now``."""
@@ -72,13 +78,25 @@
             return share
         return max(1, int(share * refused.used_at(now)))
 
-    def record_refusal(self, instance: BackendId, now: float) -> None:
-        """Use half as many connections to a server that has refused one."""
+    def record_refusal(self, instance: BackendId, now: float) -> bool:
+        """Use half as many connections to a server that has refused one.
+
+        :returns: whether there may have been too many; False: the server accepts none.
+        """
         known = self.refusals.get(instance)
         if known is None:
             self.refusals[instance] = Refusals(used=0.5, at=now)
-        elif now - known.at >= _ONE_REFUSAL_S:
-            self.refusals[instance] = Refusals(used=known.used_at(now) / 2, at=now)
+            return True
+        if now - known.at >= _ONE_REFUSAL_S:
+            count = known.count + 1 if now - known.at < _RECOVERY_S else 1
+            self.refusals[instance] = Refusals(used=known.used_at(now) / 2, at=now, count=count)
+        return self.refusals[instance].count <= _MAX_REFUSALS
+
+    def record_accepted(self, instance: BackendId) -> None:
+        """Record that a server has answered over a new connection."""
+        known = self.refusals.get(instance)
+        if known is not None:
+            known.count = 0
 
     def keep_only(self, instances: set[BackendId]) -> None:
         """Remove all servers except ``instances``."""
@@ -128,8 +146,16 @@
         """
         if not others_open or not self._is_in_force(server):
             return False
-        self.shares.record_refusal(server.instance, now)
-        return True
+        return self.shares.record_refusal(server.instance, now)
+
+    def used_by_service(self, pool: HttpChannelPool) -> dict[ServiceName, int]:
+        """Return how many connections of each service in force are in use."""
+        used: dict[ServiceName, int] = {}
+        for server in self.directory.view.backends.values():
+            if self._is_in_force(server):
+                count = pool.used_count(server.address)
+                used[server.service] = used.get(server.service, 0) + count
+        return used
 
     def _is_in_force(self, server: BackendReport) -> bool:
         serving = self.directory.view.serving(server.service)
--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -64,16 +64,15 @@
             for piece in call.pieces
         ]
         server = call.server
-        body = await self._post(
+        body, duration_s = await self._post(
             server.address, server.instance, RUN_PATH, encode_piece_requests(orders)
         )
-        ended_at = self.clock.now()
         self.notices.speeds.observe(
             server.service,
             server.instance,
             expected_s=call.expected_s,
-            duration_s=ended_at - now,
-            now=ended_at,
+            duration_s=duration_s,
+            now=self.clock.now(),
         )
         return decode_results(body, len(orders))
 
@@ -84,8 +83,12 @@
         """
         await self._post(address, instance, RELEASE_PATH, encode_release(handles))
 
-    async def _post(self, address: str, instance: BackendId, path: str, body: bytes) -> bytes:
+    async def _post(
+        self, address: str, instance: BackendId, path: str, body: bytes
+    ) -> tuple[bytes, float]:
+        """Return the body of a response and how long it took, without connecting, seconds."""
         channel = await self.pool.acquire(address, timeout_s=_CONNECT_S)
+        sent_at = self.clock.now()
         try:
             await channel.send('POST', path, stage_call_headers(instance), body)
             head = await channel.read_head()
@@ -93,6 +96,7 @@
         except BaseException:
             channel.close()
             raise
+        duration_s = self.clock.now() - sent_at
         self.pool.release(channel)
         metadata = decode_response_metadata(head)
         self.notices.record(instance, metadata)
@@ -101,4 +105,4 @@
             if head.status == _UNAVAILABLE and metadata.not_run:
                 raise FullError(detail, sent=False)
             raise ChannelError(detail, sent=not metadata.not_run)
-        return answer
+        return answer, duration_s
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -90,6 +90,8 @@
         #: Called with each change of the bytes held, of the response and of the request.
         self.count_response: Callable[[int], None] = _count_nothing
         self.count_request: Callable[[int], None] = _count_nothing
+        #: Called when the connection is closed.
+        self.on_closed: Callable[[], None] = _do_nothing
 
     # -- asyncio.Protocol ---------------------------------------------------
 
@@ -121,6 +123,7 @@
         self.reusable = False
         if error is not None or self.request_sent:
             self._fail(f'connection lost: {error or "closed"}')
+        self.on_closed()
 
     # -- request and response -----------------------------------------------
 
@@ -302,6 +305,10 @@
     """Count a change of the bytes held where nobody asks for it."""
 
 
+def _do_nothing() -> None:
+    """Handle the end of a connection where nobody asks for it."""
+
+
 def _size_of(event: object) -> int:
     return _EVENT_BYTES + len(event.data) if isinstance(event, h11.Data) else _EVENT_BYTES
 
--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ringseam.ids import split_address
 from ringseam.web.client import ChannelError, HttpChannel, RefusedError
+from ringseam.web.turns import WaitingRequest, WaitingRequests
 
 if TYPE_CHECKING:
     from ringseam.clock import Clock
 
-#: Interval at which a request that waits for a connection looks for one, seconds.
-_BUSY_POLL_S = 0.02
-
 
 @dataclass(kw_only=True)
 class IdleChannel:
@@ -38,26 +37,32 @@
         #: Connections opened by :meth:`acquire`; closed ones are removed when they are counted.
         self.channels: dict[str, set[HttpChannel]] = {}
         self.opened = 0
+        #: Requests that wait for a connection, by address.
+        self.waiting: dict[str, WaitingRequests] = {}
 
     async def acquire(
-        self, address: str, *, timeout_s: float, max_open: int | None = None
+        self,
+        address: str,
+        *,
+        timeout_s: float,
+        max_open: int | None = None,
+        order: tuple[float, ...] = (),
     ) -> HttpChannel:
         """Return an idle connection or open a new one.
 
         :param max_open: the largest number of connections to ``address``; None: any number.
+        :param order: of the requests that wait for one; equal ones are served as they come.
         :raises BusyError: if that many are in use until ``timeout_s``.
         :raises ChannelError: if none can be opened in time.
         """
-        due = self.clock.now() + timeout_s
-        channel = self._take_idle(address)
-        while channel is None and max_open is not None and self.open_count(address) >= max_open:
-            if not max_open or self.clock.now() >= due:
-                raise BusyError(f'{address}: all connections are in use', sent=False)
-            await asyncio.sleep(min(_BUSY_POLL_S, timeout_s))
-            channel = self._take_idle(address)
-        if channel is not None:
-            return channel
-        return await self._open(address, max(0, due - self.clock.now()))
+        if max_open is None:
+            return self._take_idle(address) or await self._open(address, timeout_s)
+        if not max_open:
+            raise BusyError(f'{address}: no connections are allowed', sent=False)
+        granted = await self._wait_for_turn(address, timeout_s, max_open, order)
+        if granted.transport is not None:
+            return granted
+        return await self._open(address, timeout_s, pending=granted)
 
     def open_count(self, address: str) -> int:
         """Return the number of open connections to an address, idle ones included."""
@@ -72,6 +77,10 @@
             self.channels.pop(address)
         return len(channels)
 
+    def used_count(self, address: str) -> int:
+        """Return the number of connections to an address that carry a request."""
+        return max(0, self.open_count(address) - len(self.idle.get(address, [])))
+
     async def connect(self, address: str, *, timeout_s: float) -> HttpChannel:
         """Open a new connection.
 
@@ -102,6 +111,7 @@
         self.idle.setdefault(channel.address, []).append(
             IdleChannel(channel=channel, expires_at=expires_at)
         )
+        self._grant(channel.address)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
@@ -141,14 +151,70 @@
             candidate.channel.close()
         return None
 
-    async def _open(self, address: str, timeout_s: float) -> HttpChannel:
-        """Open a connection that counts from the attempt on."""
-        pending = HttpChannel(address=address)
-        channels = self.channels.setdefault(address, set())
-        channels.add(pending)
+    async def _wait_for_turn(
+        self, address: str, timeout_s: float, max_open: int, order: tuple[float, ...]
+    ) -> HttpChannel:
+        """Return an idle connection, or one that is yet to be opened and counts as open.
+
+        :raises BusyError: if there is none in time.
+        """
+        request = WaitingRequest(order=order, max_open=max_open)
+        queue = self.waiting.setdefault(address, WaitingRequests())
+        queue.add(request)
+        self._grant(address)
         try:
-            channel = await self.connect(address, timeout_s=timeout_s)
+            await asyncio.wait((request.granted,), timeout=timeout_s)
+        except asyncio.CancelledError:
+            if request.granted.done():
+                self._give_back(request.granted.result())
+            raise
         finally:
-            channels.discard(pending)
-        self.channels.setdefault(address, set()).add(channel)
+            queue.remove(request)
+            if not queue and self.waiting.get(address) is queue:
+                self.waiting.pop(address)
+        if not request.granted.done():
+            raise BusyError(f'{address}: all connections are in use', sent=False)
+        return request.granted.result()
+
+    def _grant(self, address: str) -> None:
+        """Grant free connections to the requests that wait for them, in their order."""
+        queue = self.waiting.get(address)
+        request = queue.first() if queue else None
+        while queue and request is not None:
+            channel = self._take_idle(address)
+            if channel is None:
+                if self.open_count(address) >= request.max_open:
+                    return
+                channel = HttpChannel(address=address)
+                self.channels.setdefault(address, set()).add(channel)
+            request.granted.set_result(channel)
+            queue.remove(request)
+            request = queue.first()
+
+    def _give_back(self, channel: HttpChannel) -> None:
+        """Leave a granted connection to the next request."""
+        if channel.transport is None:
+            self.channels.get(channel.address, set()).discard(channel)
+            self._grant(channel.address)
+        else:
+            self.release(channel)
+
+    async def _open(
+        self, address: str, timeout_s: float, *, pending: HttpChannel | None = None
+    ) -> HttpChannel:
+        """Open a connection that counts from the attempt on.
+
+        :param pending: stands for it already.
+        """
+        pending = pending or HttpChannel(address=address)
+        self.channels.setdefault(address, set()).add(pending)
+        try:
+            channel = await self.connect(address, timeout_s=timeout_s)
+        except BaseException:
+            self._give_back(pending)
+            raise
+        channels = self.channels.setdefault(address, set())
+        channels.discard(pending)
+        channels.add(channel)
+        channel.on_closed = functools.partial(self._grant, address)
         return channel
--- a/tests/test_gateway/test_requests/test_requests_connections.py
+++ b/tests/test_gateway/test_requests/test_requests_connections.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import dataclasses
+import json
 
 import pytest
 
 from ringseam.clock import PausedClock, boottime
 from ringseam.settings import Settings
-from tests.gateways import LocalGateway, ScriptedServer, http_response, reset
+from tests.gateways import LocalGateway, ScriptedServer, http_response, manifest, reset
 
 LOAD = 'Worker-Load: 1,0,4,{}\r\n'
 USUAL_S = 0.01
@@ -91,7 +92,10 @@
             writer.write(http_response(request, extra=LOAD.format(100)))
 
         server = ScriptedServer(respond)
+        document = json.loads(manifest())
+        document['services'][0]['max_conns'] = 60
         async with LocalGateway(key_file) as gateway:
+            gateway.apply_document(json.dumps(document).encode())
             address = await server.start()
             gateway.add_server(address)
             await gateway.fetch('/once/x', Attempt_Id='first')
@@ -104,3 +108,68 @@
             assert gateway.role.pool.open_count(address) <= 4
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize('streams', [1, 2])
+def test_server_that_resets_each_new_connection_is_ejected_beside_open_streams(key_file, streams):
+    """Older streams may go on for minutes, and the server isn't full but broken."""
+
+    async def run():
+        async def respond(request, writer):
+            if request.attempt_id.startswith('r'):
+                reset(writer)
+                return
+            if request.attempt_id.startswith('long'):
+                await asyncio.sleep(60)
+            writer.write(http_response(request, extra=LOAD.format(100)))
+
+        server = ScriptedServer(respond)
+        document = json.loads(manifest())
+        document['services'][0]['max_conns'] = 60
+        async with LocalGateway(key_file) as gateway:
+            gateway.apply_document(json.dumps(document).encode())
+            address = await server.start()
+            gateway.add_server(address)
+            await gateway.fetch('/once/x', Attempt_Id='first')
+            long = [
+                asyncio.ensure_future(gateway.fetch('/once/x', Attempt_Id=f'long{number}'))
+                for number in range(streams)
+            ]
+            while len(server.requests) < 1 + streams:
+                await asyncio.sleep(0.01)
+            health = next(iter(gateway.role.health.by_server.values()))
+            for number in range(12):
+                await gateway.fetch('/once/x', Attempt_Id=f'r{number}')
+                await asyncio.sleep(0.1)
+                if health.ejections:
+                    break
+            assert health.ejections
+            assert gateway.role.pool.open_count(address) >= streams
+            for one in long:
+                one.cancel()
+
+    asyncio.run(run())
+
+
+def test_connections_that_carry_a_request_are_counted_by_service(key_file):
+    async def run():
+        async def respond(request, writer):
+            if request.attempt_id == 'long':
+                await asyncio.sleep(60)
+            writer.write(http_response(request, extra=LOAD.format(100)))
+
+        server = ScriptedServer(respond)
+        async with LocalGateway(key_file) as gateway:
+            address = await server.start()
+            gateway.add_server(address)
+            limits, pool = gateway.role.connection_limits, gateway.role.pool
+            assert limits.used_by_service(pool) == {}
+            await gateway.fetch('/once/x', Attempt_Id='first')
+            assert limits.used_by_service(pool) == {'plain': 0}
+            long = asyncio.ensure_future(gateway.fetch('/once/x', Attempt_Id='long'))
+            while len(server.requests) < 2:
+                await asyncio.sleep(0.01)
+            assert limits.used_by_service(pool) == {'plain': 1}
+            long.cancel()
+
+    asyncio.run(run())
--- a/tests/test_gateway/test_serverload/test_serverload_connections.py
+++ b/tests/test_gateway/test_serverload/test_serverload_connections.py
@@ -85,3 +85,17 @@
 def test_share_suffices_for_the_requests_of_a_gateway(max_connections):
     """A gateway of 22 has two requests or more at each server at a time."""
     assert min(limits(names(22), max_connections).values()) >= 2
+
+
+def test_refusals_without_an_accepted_connection_between_them_tell_of_a_broken_server():
+    shares = ConnectionShares(name='g0')
+    assert shares.record_refusal(SERVER, 0)
+    # The resets of one moment are one refusal.
+    assert shares.record_refusal(SERVER, 0.1)
+    assert shares.record_refusal(SERVER, 0.3)
+    assert not shares.record_refusal(SERVER, 0.6)
+    shares.record_accepted(SERVER)
+    assert shares.record_refusal(SERVER, 0.9)
+    # Refusals long ago tell nothing of the present.
+    shares.record_refusal(SERVER, 1.2)
+    assert shares.record_refusal(SERVER, 10)
--- a/tests/test_web/test_web_pool.py
+++ b/tests/test_web/test_web_pool.py
@@ -86,3 +86,106 @@
         assert not pool.channels
 
     asyncio.run(run())
+
+
+def test_free_connections_go_to_waiting_requests_by_their_order():
+    """Requests that look for a connection at intervals get one by chance: one that waits for
+    long, or is due soon, may find none while others come later and are served."""
+
+    async def run():
+        async with served_pool() as (pool, address):
+            held = [await pool.acquire(address, timeout_s=1, max_open=2) for _ in range(2)]
+            served = []
+
+            async def request(name, order):
+                channel = await pool.acquire(address, timeout_s=2, max_open=2, order=order)
+                served.append(name)
+                await asyncio.sleep(0)
+                channel.close()
+
+            requests = []
+            for name, order in (
+                ('low', (2, 1.0)),
+                ('late', (1, 9.0)),
+                ('soon', (1, 3.0)),
+                ('soon, second', (1, 3.0)),
+                ('urgent', (0, 8.0)),
+            ):
+                requests.append(asyncio.ensure_future(request(name, order)))
+                await asyncio.sleep(0.001)
+            held[0].close()
+            await asyncio.gather(*requests)
+            assert served == ['urgent', 'soon', 'soon, second', 'late', 'low']
+            held[1].close()
+
+    asyncio.run(run())
+
+
+def test_waiting_request_gets_a_released_connection_at_once():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            waiting = asyncio.ensure_future(pool.acquire(address, timeout_s=5, max_open=1))
+            await asyncio.sleep(0)
+            # As after a response that was read completely.
+            held.prepare_next_request = lambda: True
+            held.idle_timeout_s = 5
+            pool.release(held)
+            for _ in range(3):
+                await asyncio.sleep(0)
+            assert waiting.done()
+            assert waiting.result() is held
+            pool.close()
+
+    asyncio.run(run())
+
+
+def test_request_that_comes_later_does_not_overtake_one_that_waits():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            first = asyncio.ensure_future(
+                pool.acquire(address, timeout_s=2, max_open=1, order=(1, 1.0))
+            )
+            await asyncio.sleep(0.001)
+            held.close()
+            second = asyncio.ensure_future(
+                pool.acquire(address, timeout_s=0.1, max_open=1, order=(1, 2.0))
+            )
+            assert (await first).is_open
+            with pytest.raises(BusyError):
+                await second
+
+    asyncio.run(run())
+
+
+def test_request_that_is_cancelled_leaves_its_turn_to_the_next():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            first = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            second = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            await asyncio.sleep(0)
+            held.close()
+            # The connection is granted to the first request, which doesn't run any more.
+            await asyncio.sleep(0)
+            first.cancel()
+            assert (await second).is_open
+            assert pool.open_count(address) == 1
+            pool.close()
+            assert not pool.waiting
+
+    asyncio.run(run())
+
+
+def test_failed_attempt_to_connect_lets_the_next_request_try():
+    async def run():
+        async with served_pool() as (pool, address):
+            pass
+        results = await asyncio.gather(
+            *(pool.acquire(address, timeout_s=1, max_open=1) for _ in range(4)),
+            return_exceptions=True,
+        )
+        assert [type(one) for one in results] == [RefusedError] * 4
+
+    asyncio.run(run())
