--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -259,9 +259,9 @@
     def _server_policy(
         self, servers: Collection[BackendReport], spec: BatchSpec, now: float
     ) -> ServerPolicy:
-        """Return the policy for the servers: by their reports if these tell of interference."""
+        """Return the policy for the servers: by load and speed only if the settings ask for it."""
         speeds = self.health.speeds
-        if not speeds.reports.reports_interference(server.instance for server in servers):
+        if not speeds.reports.always:
             return SlownessPolicy(health=self.health)
         return CompletionPolicy(
             health=self.health,
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -181,7 +181,7 @@
         )
         self.node = node
         self.network = network
-        self.health = HealthTracker()
+        self.health = HealthTracker.for_features(switch.settings)
         self.follower: Any = ModelFollower(table=table)
         ownership = Ownership(follower=self.follower, name=name)
         client: Any = network
