Soak: slow clients and servers, hosts of unequal size

Cause: the soak knew neither clients that read slowly or stop, nor servers that read bodies slowly, nor what hosts have. Change: five kinds of faults, host keys of the two gateways drawn from the seed, large bodies and responses, and a check that nothing stays counted and the bound of held bytes is kept. The faults of earlier seeds and all checks are as before.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,7 +6,8 @@
 again under their names; some contents end each server that runs them, and come again
 and again. A zone is drained and used again, documents grow to 1,500 routes, and others send
 reports that aren't a server's. Servers name limits, ask for pauses and say that they
-leave. What callers and servers see is checked while it runs.
+leave. Clients and servers read slowly, and the gateways' hosts are of unequal size. What
+callers and servers see is checked while it runs.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import json
 import random
 import signal
@@ -23,7 +25,19 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from bench.soakwords import WORD_FAULTS, Words
+from bench.soakreaders import (
+    LARGE,
+    READING_FAULTS,
+    SLOW_CHUNK_S,
+    Readers,
+    body_of,
+    hosts_of,
+    listener,
+    metrics_port,
+    respond_large,
+    stream_large,
+)
+from bench.soakwords import COUNTED_FAULTS, WORD_FAULTS, Words
 from ringseam.backends import BackendReport, BackendState
 from ringseam.calls import ClientRequest
 from ringseam.layout import Layout, free_address
@@ -59,8 +73,9 @@
 ZONE_FAULTS = (*ALL_FAULTS, 'drain', 'drain')
 #: Faults of one process, and of connections to servers or of servers.
 PROCESS_FAULTS = {'kill', 'stop', 'freeze', 'suspend'}
-WAY_FAULTS = {'both', 'delay', 'silence', 'reset', 'again', 'twice', 'ending'}
+WAY_FAULTS = {'both', 'delay', 'silence', 'reset', 'again', 'twice', 'ending', 'slow-server'}
 EVERY_FAULT = (*ZONE_FAULTS, *WORD_FAULTS)
+UNEVEN_FAULTS = (*EVERY_FAULT, *READING_FAULTS)
 #: The zone of a third of the servers, which is drained for a while, seconds; they get
 #: nothing later than this after the acknowledgement, seconds.
 ZONE = 'zone-2'
@@ -123,13 +138,16 @@
         self.writers = set()
 
     async def start(self):
-        self.server = await asyncio.start_server(self.pass_on, '127.0.0.1', 0)
+        sock = listener()
+        sock.bind(('127.0.0.1', 0))
+        self.server = await asyncio.start_server(self.pass_on, sock=sock)
         self.server_at = self.server.sockets[0].getsockname()
         return f'127.0.0.1:{self.server_at[1]}'
 
     async def start_again(self):
-        host, port = self.server_at
-        self.server = await asyncio.start_server(self.pass_on, host, port)
+        sock = listener()
+        sock.bind(self.server_at)
+        self.server = await asyncio.start_server(self.pass_on, sock=sock)
 
     async def pass_on(self, reader, writer):
         try:
@@ -157,6 +175,8 @@
     async def suffer(self, way):
         if self.fault == 'delay':
             await asyncio.sleep(self.dice.uniform(0.01, 0.3))
+        if self.fault == f'slow-{way}':
+            await asyncio.sleep(SLOW_CHUNK_S)
         while self.fault == 'silence' or self.fault == f'silence-{way}':
             await asyncio.sleep(0.02)
 
@@ -248,11 +268,14 @@
         asked = decode_request(exchange.request).attempt_id
         body = exchange.request.body
         self.book.check(
-            body == asked.encode(),
+            body == body_of(asked),
             f'UNASKED body of {asked} at {self.instance}, {time.time():.2f}: {body[:80]!r}',
         )
         await asyncio.sleep(self.dice.uniform(0, 0.05))
-        await super()._respond(exchange)
+        if asked.startswith(LARGE):
+            await respond_large(self, exchange, asked)
+        else:
+            await super()._respond(exchange)
 
     async def _stream(self, exchange):
         asked = decode_request(exchange.request).attempt_id
@@ -262,11 +285,17 @@
         self.book.check(
             set(found) == wanted and len(found) == 3, f'MIXED inputs of {asked}: {given}'
         )
-        await super()._stream(exchange)
+        if asked.startswith(LARGE):
+            await stream_large(self, exchange, asked)
+        else:
+            await super()._stream(exchange)
 
 
-def settings(layout):
-    """Plan three control hosts and two gateways on loopback addresses."""
+def settings(layout, gateway_hosts):
+    """Plan three control hosts and two gateways on loopback addresses.
+
+    Return the metrics address of each gateway.
+    """
     cluster, http = (free_address().rpartition(':')[2] for _ in range(2))
     hosts = [f'127.0.1.{number}' for number in (1, 2, 3)]
     seeds = ', '.join(f'{host}:{http}' for host in hosts)
@@ -281,21 +310,37 @@
             tolerated_losses=1,
             **shared,
         )
-    for name in GATEWAYS:
+    pages = {}
+    for name, host in zip(GATEWAYS, gateway_hosts, strict=True):
+        port = metrics_port()
+        pages[name] = ('127.0.0.1', int(port))
         layout.add(
-            'gateway', name, http=free_address(), ready=free_address(), retry_slack=1000, **shared
+            'gateway',
+            name,
+            http=free_address(),
+            ready=free_address(),
+            retry_slack=1000,
+            metrics_port=port,
+            **host,
+            **shared,
         )
+    return pages
 
 
 class Soak:
     """One run: processes, servers, clients, an operator and faults."""
 
-    def __init__(self, *, folder, seed, kinds=EVERY_FAULT):
+    def __init__(self, *, folder, seed, kinds=UNEVEN_FAULTS):
         self.dice = random.Random(seed)
         self.kinds = kinds
         self.routes = 0
         self.system = System(layout=Layout(folder=folder), program='tests.suspendable')
-        settings(self.system.layout)
+        self.hosts = hosts_of(seed)
+        self.pages = settings(self.system.layout, self.hosts)
+        self.readers = Readers(self)
+        #: Runs of checks that count what reaches a server from a known number of clients.
+        self.counting = 0
+        self.crowds = 0
         self.book = Book()
         self.servers = []
         self.number = 0
@@ -477,7 +522,7 @@
         if staged:
             headers.append(('Accept', 'text/event-stream'))
         host = self.address(self.dice.choice(GATEWAYS))
-        status, body = await call(host, 'POST', request.path, name.encode(), headers)
+        status, body = await call(host, 'POST', request.path, body_of(name), headers)
         self.book.told[status] += 1
         if status == 200 and staged:
             ids = [int(line[3:]) for line in body.split(b'\n') if line.startswith(b'id:')]
@@ -527,8 +572,12 @@
                 self.draining = asyncio.create_task(self.drain_for_a_while())
         elif kind in WORD_FAULTS:
             server = self.a_staying_server()
-            if server.arrivals is None:
-                self.saying.add(asyncio.create_task(Words(self, server).say(kind)))
+            # A crowd sends more than the checks of what reaches a server allow for.
+            if server.arrivals is None and not (kind in COUNTED_FAULTS and self.crowds):
+                self.begin_to_say(server, kind)
+        elif kind in READING_FAULTS:
+            if not self.counting:
+                self.begin_to_read_slowly(kind)
         elif kind == 'leave':
             await self.leave()
         elif kind in {'again', 'twice'}:
@@ -540,6 +589,22 @@
         else:
             await self.harm(kind)
 
+    def begin_to_say(self, server, kind):
+        words = Words(self, server)
+        self.counting += kind in COUNTED_FAULTS
+        task = asyncio.create_task(words.say(kind))
+        task.add_done_callback(lambda _: self.end_of('counting', kind in COUNTED_FAULTS))
+        self.saying.add(task)
+
+    def begin_to_read_slowly(self, kind):
+        self.crowds += 1
+        task = asyncio.create_task(self.readers.run(kind))
+        task.add_done_callback(lambda _: self.end_of('crowds', 1))
+        self.saying.add(task)
+
+    def end_of(self, counted, change):
+        setattr(self, counted, getattr(self, counted) - change)
+
     async def restart(self, name, number):
         process = self.system.running[name]
         process.send_signal(number)
@@ -615,6 +680,12 @@
 
     async def check_end(self):
         await asyncio.sleep(LEFT_S)
+        await self.readers.check_hosts(
+            {
+                name: (functools.partial(self.read_page, name), host)
+                for name, host in zip(GATEWAYS, self.hosts, strict=True)
+            }
+        )
         ran = collections.Counter(name for server in self.servers for name in server.executed)
         plain = {
             name
@@ -635,6 +706,10 @@
             await asyncio.sleep(0.1)
         self.book.check(found >= self.book.accepted, f'LOST {self.book.accepted}, read {found}')
 
+    async def read_page(self, name):
+        _, body = await call(self.pages[name], 'GET', '/metrics', b'', [])
+        return body.decode()
+
     def check_endings(self):
         for content, ended in self.book.ending_ended.items():
             sent = self.book.ending_sent[content]
@@ -701,7 +776,7 @@
     return whole
 
 
-def soak(seed, seconds, folder, kinds=EVERY_FAULT):
+def soak(seed, seconds, folder, kinds=UNEVEN_FAULTS):
     """Return the book and the faults of one run."""
     run = Soak(folder=Path(folder), seed=seed, kinds=kinds)
     return asyncio.run(run.run(seconds)), run.faults
@@ -712,7 +787,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--kinds', default=','.join(EVERY_FAULT))
+    parser.add_argument('--kinds', default=','.join(UNEVEN_FAULTS))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
--- a/bench/soakwords.py
+++ b/bench/soakwords.py
@@ -9,6 +9,8 @@
 
 #: Faults of a soak that let a server say something of itself.
 WORD_FAULTS = ('limit', 'rest', 'say-leaving')
+#: Those whose check allows for a known number of clients.
+COUNTED_FAULTS = {'rest', 'say-leaving'}
 #: A limit binds from this long after it was named, in any window of this length, seconds.
 BINDS_S = 3.0
 WINDOW_S = 4.0
--- a/tests/test_system/test_system_soak.py
+++ b/tests/test_system/test_system_soak.py
@@ -10,11 +10,13 @@
     FAULTS,
     LEAST_FAULTS,
     MORE_FAULTS,
+    UNEVEN_FAULTS,
     ZONE_FAULTS,
     parse,
     soak,
     unchunked,
 )
+from bench.soakreaders import READING_FAULTS
 from bench.soakwords import WORD_FAULTS
 
 pytestmark = pytest.mark.processes
@@ -27,10 +29,12 @@
     (4, ZONE_FAULTS),
     (5, EVERY_FAULT),
     (6, WORD_FAULTS),
+    (7, UNEVEN_FAULTS),
+    (8, READING_FAULTS),
 )
 
 
-@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6'])
+@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6', '7', '8'])
 def test_guarantees_hold_under_faults(seed, kinds, tmp_path):
     book, faults = soak(seed, 6, tmp_path, kinds)
     assert book.broken == []
