--- /dev/null
+++ b/ringseam/gateway/hosts/descriptors.py
@@ -0,0 +1,73 @@
+"""The descriptors of a gateway's host, and how many clients they allow."""
+
+from __future__ import annotations
+
+import os
+import resource
+
+from ringseam.web.server import Acceptance
+
+#: Descriptors of this process; absent on some systems.
+_OPEN_DESCRIPTORS = '/proc/self/fd'
+#: Share of the descriptors that is kept for servers, peers and files even while fewer are open:
+#: clients that are connected may all send requests at once.
+_OTHERS_SHARE = 0.25
+#: Share that is kept free, for connections that are refused and those opened since the last count.
+_FREE_SHARE = 0.125
+
+
+class DescriptorBudget:
+    """Bound the connections of clients by the descriptors of the host."""
+
+    def __init__(self, *, limit: int = 0) -> None:
+        """Create a budget of ``limit`` descriptors; 0: unbounded."""
+        self.limit = limit
+        #: Open descriptors that are no connections of clients, by the last count.
+        self.others = 0
+
+    @property
+    def max_clients(self) -> int:
+        """Return the number of connections above which clients are refused."""
+        kept = max(self.others, int(_OTHERS_SHARE * self.limit))
+        return max(0, self.limit - kept - self._free)
+
+    def update(self, *, open_descriptors: int, clients: int) -> None:
+        """Record how many descriptors are open, connections of clients included."""
+        self.others = max(0, open_descriptors - clients)
+
+    def accept(self, clients: int) -> Acceptance:
+        """Decide on a new connection; ``clients`` includes it."""
+        if not self.limit or clients <= self.max_clients:
+            return Acceptance.accept
+        if clients <= self.max_clients + self._free // 2:
+            return Acceptance.refuse
+        return Acceptance.close
+
+    def share(self, clients: int) -> float:
+        """Return the share of the connections of clients that are open; 0 without a bound."""
+        if not self.limit:
+            return 0
+        return clients / self.max_clients if self.max_clients else 1
+
+    @property
+    def _free(self) -> int:
+        return int(_FREE_SHARE * self.limit)
+
+
+def descriptor_limit(stated: int) -> int:
+    """Return how many descriptors this process may open; 0: unknown.
+
+    :param stated: what the settings say; a host may have less.
+    """
+    if not stated:
+        return 0
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return stated if limit == resource.RLIM_INFINITY else min(stated, limit)
+
+
+def count_open_descriptors() -> int:
+    """Return the number of open descriptors of this process; 0: unknown."""
+    try:
+        return len(os.listdir(_OPEN_DESCRIPTORS))
+    except OSError:
+        return 0
--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -11,8 +11,9 @@
 from ringseam.events import Event
 from ringseam.gateway.hosts.budget import Holder, budget_for
 from ringseam.gateway.hosts.countedpool import CountedPool
+from ringseam.gateway.hosts.descriptors import DescriptorBudget, descriptor_limit
 from ringseam.gateway.hosts.slowclients import ClientLoad, clients_to_give_up
-from ringseam.web.server import HttpAccounting
+from ringseam.web.server import Acceptance, HttpAccounting
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -29,6 +30,9 @@
 #: Room is kept for requests of a higher rank if one arrived within this time, seconds: it spans
 #: bursts and the pauses of refused clients.
 _RANK_MEMORY_S = 10.0
+#: Time after which a client that was refused for lack of descriptors may return, seconds: the
+#: readiness check fails by then, or connections have ended.
+_CONNECTION_RETRY_AFTER_S = 1.0
 
 
 class HostMonitor(HttpAccounting):
@@ -41,6 +45,7 @@
         self.capacity = capacity
         self.budget = budget_for(capacity)
         self.budget.on_exceeded = self._relieve
+        self.descriptors = DescriptorBudget(limit=descriptor_limit(capacity.descriptors))
         self.server: HttpServer | None = None
         #: Whether there was no more client to give up; until the next check.
         self.is_exhausted = False
@@ -56,8 +61,20 @@
         self.server = server
         server.accounting = self
 
+    @property
+    def client_count(self) -> int:
+        """Return the number of open connections of clients."""
+        return 0 if self.server is None else len(self.server.connections)
+
     # -- what client connections report --------------------------------------
 
+    def accept(self, connections: int) -> Acceptance:
+        """Decide on a new connection by the descriptors that are left."""
+        acceptance = self.descriptors.accept(connections)
+        if acceptance is not Acceptance.accept:
+            self.metrics.add('connections_refused', outcome=acceptance.value)
+        return acceptance
+
     def count_request(self, change: int) -> None:
         """Count a change of the bytes of request bodies."""
         self.budget.count(Holder.client_requests, change)
@@ -82,6 +99,8 @@
         exchange.name = context.request.attempt_id
         exchange.rank = context.precedence.rank
         exchange.deadline = context.deadline
+        if exchange.connection.is_refused:
+            return _CONNECTION_RETRY_AFTER_S
         self.ranks[exchange.rank] = self.node.clock.now()
         if exchange.request.is_complete and not self._refuses(exchange.rank):
             return None
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -218,14 +218,16 @@
             self.attempts.guard.end_trial(context)
 
     async def _refuse_for_memory(self, context: RequestContext) -> bool:
-        """Refuse a request that this host has no memory for; return whether it was refused."""
+        """Refuse a request that this host has no room for; return whether it was refused."""
         retry_after_s = None if self.host is None else self.host.admit(context)
         if retry_after_s is None:
             return False
         await self.responder.refuse(
             context.exchange,
             context.request,
-            'this gateway holds too much for other requests',
+            'this gateway has no descriptors for more clients'
+            if context.exchange.connection.is_refused
+            else 'this gateway holds too much for other requests',
             retry_after_s=honoured_retry_after_s(
                 retry_after_s, context.deadline - self.clock.now()
             ),
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -20,6 +20,7 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
+from ringseam.gateway.hosts.announcing import HostAnnouncer
 from ringseam.gateway.hosts.monitor import HostMonitor
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
@@ -89,6 +90,9 @@
             capacity=settings.host_capacity,
         )
         self.lag = LagMonitor(node=self.node, follower=self.follower)
+        self.announcer = HostAnnouncer(
+            node=self.node, metrics=self.metrics, follower=self.follower, host=self.host
+        )
         self.notices = ServerNotices(
             node=self.node,
             metrics=self.metrics,
@@ -244,7 +248,8 @@
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path == READY_PATH:
-            ready = self.follower.is_ready and not self.draining
+            is_closed = self.draining or self.announcer.is_out
+            ready = self.follower.is_ready and not is_closed
             await exchange.respond(_OK if ready else _UNAVAILABLE, [])
         else:
             await exchange.respond(_NOT_FOUND, [])
@@ -292,7 +297,9 @@
         while True:  # noqa: WPS457 - ends with the role
             due = self.node.clock.now() + _MONITOR_INTERVAL_S
             await asyncio.sleep(_MONITOR_INTERVAL_S)
-            self.lag.record(self.node.clock.now() - due)
+            late_s = self.node.clock.now() - due
+            self.lag.record(late_s)
             self.guard.evaluate()
             self.abandon_silent_engines()
             self.host.check()
+            self.announcer.record(late_s)
--- a/ringseam/hostcapacity.py
+++ b/ringseam/hostcapacity.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import math
 from typing import TYPE_CHECKING, Any
 
@@ -38,6 +39,30 @@
 UNKNOWN_CAPACITY = HostCapacity()
 
 
+class LoadLevel(enum.IntEnum):
+    """How much of something is in use."""
+
+    low = 0
+    medium = 1
+    high = 2
+
+
+class HostLoad(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """What is in use on a host, coarse enough to change seldom; low: also if it is unknown."""
+
+    #: How late the timers of the event loop fire.
+    lag: LoadLevel = LoadLevel.low
+    processor: LoadLevel = LoadLevel.low
+    #: Bytes held for clients and servers.
+    held: LoadLevel = LoadLevel.low
+    #: Connections of clients.
+    connections: LoadLevel = LoadLevel.low
+
+
+#: Messages omit a default only if it is this very object.
+NO_LOAD = HostLoad()
+
+
 def read_capacity(options: Mapping[str, Any]) -> HostCapacity:
     """Return the capacity that the ``host_...`` keys of a role's settings state."""
     capacity = HostCapacity(
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import enum
 import logging
 import math
 from dataclasses import dataclass, field
@@ -33,6 +34,8 @@
 _MAX_WRITE_BUFFER_BYTES = 262_144
 #: Delay before a connection is closed after an early error response.
 _CLOSE_DELAY_S = 0.5
+#: Time that a client has for its request if it is refused for lack of descriptors.
+_REFUSED_IDLE_S = 1.0
 #: Maximum number of connections waiting to be accepted.
 _BACKLOG = 1024
 _BAD_REQUEST = 400
@@ -150,9 +153,26 @@
     started: float = 0
 
 
+class Acceptance(enum.Enum):
+    """What becomes of a new connection."""
+
+    accept = 'accept'
+    #: Its first request is refused as soon as its head is known.
+    refuse = 'refuse'
+    #: It is closed at once.
+    close = 'close'
+
+
 class HttpAccounting:
     """Counts what client connections hold, and bounds what they read; here neither."""
 
+    def accept(self, connections: int) -> Acceptance:
+        """Decide on a new connection.
+
+        :param connections: number of open connections, the new one included.
+        """
+        return Acceptance.accept
+
     def count_request(self, change: int) -> None:
         """Count a change of the bytes of request bodies."""
 
@@ -192,6 +212,8 @@
         #: Bytes of the response that the client has not read, and since when there are any.
         self.unread_bytes = 0
         self.unread_since: float = 0
+        #: Whether the host has no descriptor to spare for this connection.
+        self.is_refused = False
 
     # -- asyncio.Protocol ---------------------------------------------------
 
@@ -200,10 +222,18 @@
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=_MAX_WRITE_BUFFER_BYTES)
         self.server.connections.add(self)
+        acceptance = self.server.accounting.accept(len(self.server.connections))
+        if acceptance is Acceptance.close:
+            self.abort()
+            return
+        self.is_refused = acceptance is Acceptance.refuse
         self._start_idle_timer()
 
     def data_received(self, chunk: bytes) -> None:
         """Parse received data."""
+        if self.is_refused and self.incoming.head is not None:
+            # The rest of a request that is refused already.
+            return
         if not self.incoming.started:
             self.incoming.started = boottime()
             self._set_timer(self.server.limits.header_timeout_s, self._on_request_timeout)
@@ -250,7 +280,7 @@
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers of a response."""
-        if self.server.closing:
+        if self.server.closing or self.is_refused:
             headers = [*headers, ('Connection', 'close')]
         self.send_event(h11.Response(status_code=status, headers=headers))
 
@@ -302,6 +332,9 @@
     def _handle_event(self, event: object) -> bool:
         if isinstance(event, h11.Request):
             self.incoming.head = event
+            if self.is_refused:
+                self._start_handler(is_complete=False)
+                return False
             self._send_continue()
             return True
         if isinstance(event, h11.Data):
@@ -403,6 +436,9 @@
         if self.transport is None or self.transport.is_closing():
             return
         if not exchange.request.is_complete:
+            if self.is_refused and self.transport.can_write_eof():
+                # The client closes the connection as soon as it has read the response.
+                self.transport.write_eof()
             # Unread data would make a close at once reset the connection, and lose the response.
             self.loop.call_later(_CLOSE_DELAY_S, self.close)
             return
@@ -432,7 +468,8 @@
     # -- timers -------------------------------------------------------------
 
     def _start_idle_timer(self) -> None:
-        self._set_timer(self.server.limits.idle_timeout_s, self.close)
+        idle_s = self.server.limits.idle_timeout_s
+        self._set_timer(min(idle_s, _REFUSED_IDLE_S) if self.is_refused else idle_s, self.close)
 
     def _on_request_timeout(self) -> None:
         if self in self.server.paused:
