Bound collected responses; no calls to a leader without an address

Change: above the bound requests whose responses are being collected are given up after clients that read slowly, the lowest rank first. A follower without a leader is not connected.

--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -269,8 +269,12 @@
             self._mark_connected(address)
             self.apply(reply)
             return True
+        if not reply.leader:
+            # The host has lost its leader and knows no other one.
+            self._mark_disconnected(address, 'no leader known')
+            return False
         self.leader = reply.leader
-        return bool(reply.leader)
+        return True
 
     def _apply_quarantine(self, update: WatchUpdate) -> None:
         """Apply the verdicts of the leader.
--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -154,12 +154,15 @@
             client.connection.give_up()
 
     def _loads(self) -> Iterator[ClientLoad]:
-        """Return what is held for the clients that have not read all of their responses."""
+        """Return what is held for the clients that have not got all of their responses."""
+        now = self.node.clock.now()
         for connection in () if self.server is None else self.server.connections:
             if connection.unread_bytes:
                 connection.update_unread()
-            if connection.unread_bytes:
-                yield _load_of(connection)
+            if connection.unread_bytes or (
+                connection.exchange is not None and connection.exchange.held_bytes
+            ):
+                yield _load_of(connection, now)
 
     def _held(self) -> dict[str, int]:
         return {holder.name: self.budget.held[holder] for holder in Holder}
@@ -174,7 +177,7 @@
         self.metrics.put('processor_seconds', time.process_time())
 
 
-def _load_of(connection: HttpConnection) -> ClientLoad:
+def _load_of(connection: HttpConnection, now: float) -> ClientLoad:
     exchange = connection.exchange
     if exchange is None:
         # The response is complete: it is given up only for the memory that it takes.
@@ -189,6 +192,7 @@
         connection=connection,
         rank=exchange.rank,
         held_bytes=exchange.held_bytes,
-        unread_since=connection.unread_since,
+        # A client that has read all so far is not slow: its response is not complete yet.
+        unread_since=connection.unread_since if connection.unread_bytes else now,
         deadline=exchange.deadline,
     )
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -273,6 +273,7 @@
         relay: StreamRelay,
         started_at: float,
     ) -> TryOutcome:
+        context.exchange.source = answered.channel
         try:
             async with asyncio.timeout(max(0, context.deadline - self.clock.now())):
                 body = await answered.channel.read_body()
@@ -282,6 +283,8 @@
         except asyncio.TimeoutError as error:
             self._record_server_failure(context, server)
             return Lost(cause=LossCause.not_whole, detail=f'{server.address}: {error}')
+        finally:
+            context.exchange.source = None
         status = answered.head.status
         if status >= _SERVER_ERROR:
             self._record_server_failure(context, server)
--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -187,6 +187,23 @@
                     transport.protocol.data_received(part)
 
 
+class CollectingHandler(StreamHandler):
+    """Collects a response, and answers once it is complete."""
+
+    async def __call__(self, exchange):
+        self.gateway.monitor.admit(context_of(exchange))
+        channel = self.gateway.open_channel()
+        await channel.send('GET', '/', [('Host', 's')], b'')
+        channel.data_received(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+        await channel.read_head()
+        exchange.source = channel
+        try:
+            body = await channel.read_body()
+        finally:
+            exchange.source = None
+        await exchange.respond(200, [], body)
+
+
 def streaming(monkeypatch, *, chunk=b'x' * 1000, capacity=TINY, deadline=1e9):
     handler = StreamHandler(chunk, deadline)
     handler.gateway = Gateway(handler, capacity, monkeypatch)
@@ -427,6 +444,30 @@
     asyncio.run(run())
 
 
+def test_responses_that_are_collected_keep_the_bound(monkeypatch):
+    """Guards against many large responses at once, none of which has begun to reach a client."""
+
+    async def run():
+        handler = CollectingHandler(b'x' * 1000)
+        gateway = Gateway(handler, TINY, monkeypatch)
+        handler.gateway = gateway
+        ranks = {rank: [gateway.request(rank=rank)[1] for _ in range(10)] for rank in (0, 300)}
+        await settle()
+        for _ in range(8):
+            handler.server_sends()
+            await settle()
+            assert gateway.budget.total <= TINY_BOUND
+        assert not any(transport.aborted for transport in ranks[0])
+        assert any(transport.aborted for transport in ranks[300])
+        for channel in gateway.channels:
+            if not channel.aborted:
+                channel.protocol.data_received(b'0\r\n\r\n')
+        await settle()
+        assert all(transport.size > 8000 for transport in ranks[0])
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_nothing_is_counted_once_all_connections_are_closed(monkeypatch, seed):
     """Guards against a count that drifts until everything is refused."""
