--- a/ringseam/gateway/hosts/descriptors.py
+++ b/ringseam/gateway/hosts/descriptors.py
@@ -28,8 +28,7 @@
     @property
     def max_clients(self) -> int:
         """Return the number of connections above which clients are refused."""
-        kept = max(self.others, int(_OTHERS_SHARE * self.limit))
-        return max(0, self.limit - kept - self._free)
+        return max(0, self._room)
 
     def update(self, *, open_descriptors: int, clients: int) -> None:
         """Record how many descriptors are open, connections of clients included."""
@@ -39,7 +38,7 @@
         """Decide on a new connection; ``clients`` includes it."""
         if not self.limit or clients <= self.max_clients:
             return Acceptance.accept
-        if clients <= self.max_clients + self._free // 2:
+        if clients <= self._room + self._free // 2:
             return Acceptance.refuse
         return Acceptance.close
 
@@ -49,6 +48,12 @@
             return 0
         return clients / self.max_clients if self.max_clients else 1
 
+    @property
+    def _room(self) -> int:
+        """Return how many clients leave enough for others; negative: there is too little."""
+        kept = max(self.others, int(_OTHERS_SHARE * self.limit))
+        return self.limit - kept - self._free
+
     @property
     def _free(self) -> int:
         return int(_FREE_SHARE * self.limit)
--- a/tests/test_cmd/test_cmd_hosts.py
+++ b/tests/test_cmd/test_cmd_hosts.py
@@ -45,6 +45,38 @@
     assert line.endswith('decides for crops, signs')
 
 
+def loaded_page(**shown):
+    figures = {'late': 0.25, 'clients': 30, 'bound': 40, 'full': 0, 'out': 0, **shown}
+    return (
+        'ringseam_event_loop_late_seconds {late}\nringseam_processor_share 0.9\n'
+        'ringseam_client_connections {clients}\nringseam_client_connections_bound {bound}\n'
+        'ringseam_host_full {full}\nringseam_host_out {out}\n'
+        'ringseam_host_load{{kind="lag"}} 2\nringseam_host_load{{kind="processor"}} 2\n'
+        'ringseam_host_load{{kind="connections"}} 1\nringseam_host_load{{kind="held"}} 0\n'
+    ).format(**figures)
+
+
+def test_line_shows_what_is_in_use():
+    report = read_metrics_page('h:9100', loaded_page())
+    assert report.load == {
+        'lag': 'high',
+        'processor': 'high',
+        'connections': 'medium',
+        'held': 'low',
+    }
+    line = format_report(report)
+    assert 'timers 250 ms late (high), 90 % of processor (high), 30 of 40 clients (medium)' in line
+
+
+@pytest.mark.parametrize(
+    ('full', 'out', 'shown'), [(0, 0, 'has room'), (1, 0, 'full, ready'), (1, 1, 'full, not ready')]
+)
+def test_line_shows_whether_the_host_takes_clients(full, out, shown):
+    page = loaded_page(full=full, out=out, bound=0)
+    line = format_report(read_metrics_page('h:9100', page))
+    assert f'30 of any number of clients (medium), {shown}, in time' in line
+
+
 def test_unknown_limits_are_named_so():
     line = format_report(read_metrics_page('h:9100', metrics_page(UNKNOWN_CAPACITY)))
     assert 'processor unknown, memory unknown' in line
