Owners: unknown hosts weigh as the mean, services with many decisions are spread

Cause: one gateway of unknown processor turned the order of all owners uniform, and one host could decide for several stage services while others of its size had none. Change: an unknown host counts as the mean of the known ones; stage services go to different hosts among those of at least 0.75 of the mean weight, fewest first. Equal and unknown groups as before.

--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -19,6 +19,7 @@
     from ringseam.gateway.following.follower import Follower
     from ringseam.metrics import Metrics
     from ringseam.node import Node
+    from ringseam.routes import RouteTable
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +29,8 @@
 #: A previous owner may have calls in flight for this long after it was replaced, seconds: it
 #: covers two calls that are queued at a server.
 _SETTLE_S = 2.0
+#: Services with many decisions go to hosts with at least this share of the mean weight.
+_MIN_WEIGHT_SHARE = 0.75
 _DIGEST_BYTES = 8
 #: Bits of a digest that are used as a fraction: one less than those of a float, so that all
 #: fractions are exact, above 0 and below 1.
@@ -62,6 +65,10 @@
     def first(self, key: str, names: Collection[str]) -> str:
         """Return the first of ``names`` in the order for ``key``."""
 
+    def assign(self, keys: Collection[str], names: Collection[str]) -> dict[str, str]:
+        """Return the owner of each of the keys that have many decisions."""
+        return {key: self.first(key, names) for key in keys}
+
 
 class UniformOrder(OwnerOrder):
     """Each gateway is first for about the same number of keys."""
@@ -87,6 +94,25 @@
         """Return the first of ``names`` in the order for ``key``."""
         return max(names, key=lambda name: self._score(key, name))
 
+    def assign(self, keys: Collection[str], names: Collection[str]) -> dict[str, str]:
+        """Return the owner of each of the keys that have many decisions.
+
+        None has two of them while a host that is large enough has none.
+        """
+        counts = dict.fromkeys(self._large_enough(names), 0)
+        assigned = {}
+        for key in sorted(keys):
+            fewest = min(counts.values())
+            first = self.first(key, [name for name, count in counts.items() if count == fewest])
+            assigned[key] = first
+            counts[first] += 1
+        return assigned
+
+    def _large_enough(self, names: Collection[str]) -> list[str]:
+        weights = {name: self.weights.get(name, self.smallest) for name in names}
+        least = _MIN_WEIGHT_SHARE * math.fsum(weights.values()) / len(weights)
+        return [name for name, weight in weights.items() if weight >= least]
+
     def _score(self, key: str, name: str) -> tuple[float, bytes]:
         digest = _weight(key, name)
         odd = 2 * (int.from_bytes(digest, 'big') >> _DROPPED_BITS) + 1
@@ -97,14 +123,24 @@
 def order_for(gateways: Iterable[GatewayState]) -> OwnerOrder:
     """Return the order by the processors of the hosts, or a uniform one.
 
-    It is uniform if hosts are equal, or if the processor of any is unknown: a gateway of a
-    version that doesn't announce it comes to the uniform order too.
+    It is uniform if the processors of all hosts are equal, as far as they are known. A host whose
+    processor is unknown counts as the mean of the others, so that a group in which some gateways
+    are of a version that doesn't announce it, or lack the settings, keeps its order for the rest.
     """
     weights = {state.name: state.capacity.processor for state in gateways}
-    distinct = set(weights.values())
-    if len(distinct) < 2 or 0 in distinct:
+    known = [weight for weight in weights.values() if weight]
+    if len(set(known)) < 2:
         return UniformOrder()
-    return WeightedOrder(weights=weights)
+    # The sum is exact, so that it doesn't depend on the order of the gateways.
+    mean = math.fsum(known) / len(known)
+    return WeightedOrder(weights={name: weight or mean for name, weight in weights.items()})
+
+
+def services_with_many_decisions(table: RouteTable) -> frozenset[str]:
+    """Return the services whose owner decides for each piece of each request."""
+    return frozenset(
+        service.name for service in table.services.values() if service.batching is not None
+    )
 
 
 class Ownership:
@@ -120,6 +156,10 @@
         #: Cached owner addresses by service. Computing one over 68 gateways takes 80 us, and
         #: each request needs about a dozen.
         self.owners: dict[str, str] = {}
+        #: Services that are spread over hosts, see :meth:`spread`.
+        self.heavy: frozenset[str] = frozenset()
+        #: Cached owners of these services by the gateways among which they were chosen.
+        self.assignments: dict[tuple[str, ...], dict[str, str]] = {}
         #: The latest owner of each service, also from before the gateways changed.
         self.known_owners: dict[str, str] = {}
         #: Called when a service moves to this gateway or away from it.
@@ -132,16 +172,19 @@
         """Return whether a gateway is a member, even if it is draining."""
         return any(state.address == address for state in self.follower.gateways)
 
+    def spread(self, services: frozenset[str]) -> None:
+        """Let different hosts, where they are uneven, decide for each of these services."""
+        if services != self.heavy:
+            self.heavy = services
+            self._discard()
+
     def refresh(self) -> None:
         """Discard computed owners if the gateways have changed."""
         if self.follower.gateways == self.gateways:
             return
         self.gateways = self.follower.gateways
         self.order = order_for(self.gateways)
-        self.owners.clear()
-        for service in list(self.sole_since):
-            if not self._is_sole(service):
-                self.sole_since.pop(service)
+        self._discard()
 
     def owner_of(self, service: str) -> str:
         """Return the address of the owner of a service; empty: this gateway."""
@@ -165,9 +208,23 @@
             self.sole_since[service] = now
         return now >= self.sole_since[service] + _SETTLE_S
 
+    def _discard(self) -> None:
+        self.owners.clear()
+        self.assignments.clear()
+        for service in list(self.sole_since):
+            if not self._is_sole(service):
+                self.sole_since.pop(service)
+
     def _is_sole(self, service: str) -> bool:
         names = {state.name for state in self.gateways} | {self.name}
-        return self.order.first(service, names) == self.name
+        return self._first(service, tuple(sorted(names))) == self.name
+
+    def _first(self, service: str, names: tuple[str, ...]) -> str:
+        if service not in self.heavy:
+            return self.order.first(service, names)
+        if names not in self.assignments:
+            self.assignments[names] = self.order.assign(self.heavy, names)
+        return self.assignments[names][service]
 
     def _compute_owner(self, service: str) -> str:
         staying = [state for state in self.gateways if not state.draining]
@@ -178,7 +235,7 @@
         if not staying:
             return ''
         addresses = {state.name: state.address for state in staying}
-        name = self.order.first(service, sorted(addresses))
+        name = self._first(service, tuple(sorted(addresses)))
         return '' if name == self.name else addresses[name]
 
     def _record_owner(self, service: str, owner: str) -> None:
