Move the announcer of a host's state to the layer of the follower

Cause: gateway/hosts is below gateway/following, which the announcer imports; the test of the layers failed. Change: following/hostannouncing.py; no behaviour changes. Measured: tests of the layout, of hosts and of the announcer pass.

--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -15,6 +15,7 @@
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
+from ringseam.gateway.following.hostannouncing import HostAnnouncer
 from ringseam.gateway.following.lag import LagMonitor
 from ringseam.gateway.following.ownership import (
     OwnerLog,
@@ -24,7 +25,6 @@
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
-from ringseam.gateway.hosts.announcing import HostAnnouncer
 from ringseam.gateway.hosts.monitor import HostMonitor
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
--- a/tests/test_gateway/test_hosts/test_hosts_announcing.py
+++ b/tests/test_gateway/test_following/test_following_hostannouncing.py
@@ -16,7 +16,7 @@
 from ringseam.backends import GatewayState
 from ringseam.clock import PausedClock
 from ringseam.events import Event
-from ringseam.gateway.hosts import announcing
+from ringseam.gateway.following import hostannouncing
 from ringseam.gateway.hosts.budget import Holder
 from ringseam.gateway.role import GatewayRole
 from ringseam.hostcapacity import NO_LOAD, LoadLevel
@@ -59,7 +59,7 @@
 @pytest.fixture
 def clock(monkeypatch):
     paused = PausedClock()
-    monkeypatch.setattr(announcing.time, 'process_time', lambda: 0.0)
+    monkeypatch.setattr(hostannouncing.time, 'process_time', lambda: 0.0)
     return paused
 
 
