--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -15,8 +15,13 @@
 from ringseam.gateway.following.follower import Follower
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
+from ringseam.gateway.following.hostannouncing import HostAnnouncer
 from ringseam.gateway.following.lag import LagMonitor
-from ringseam.gateway.following.ownership import OwnerLog, Ownership
+from ringseam.gateway.following.ownership import (
+    OwnerLog,
+    Ownership,
+    services_with_many_decisions,
+)
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
@@ -89,6 +94,9 @@
             capacity=settings.host_capacity,
         )
         self.lag = LagMonitor(node=self.node, follower=self.follower)
+        self.announcer = HostAnnouncer(
+            node=self.node, metrics=self.metrics, follower=self.follower, host=self.host
+        )
         self.notices = ServerNotices(
             node=self.node,
             metrics=self.metrics,
@@ -244,7 +252,8 @@
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
         if path == READY_PATH:
-            ready = self.follower.is_ready and not self.draining
+            is_closed = self.draining or self.announcer.is_out
+            ready = self.follower.is_ready and not is_closed
             await exchange.respond(_OK if ready else _UNAVAILABLE, [])
         else:
             await exchange.respond(_NOT_FOUND, [])
@@ -261,6 +270,7 @@
         self.metrics.put('contents_suspected', len(quarantine.suspects))
         self.metrics.put('zones_drained', len(self.follower.view.drained.names))
         self.retries.processes = max(1, len(self.follower.gateways))
+        self.ownership.spread(services_with_many_decisions(self.follower.table))
         self.ownership.refresh()
         self.piece_scheduler.refresh()
 
@@ -294,7 +304,9 @@
         while True:  # noqa: WPS457 - ends with the role
             due = self.node.clock.now() + _MONITOR_INTERVAL_S
             await asyncio.sleep(_MONITOR_INTERVAL_S)
-            self.lag.record(self.node.clock.now() - due)
+            late_s = self.node.clock.now() - due
+            self.lag.record(late_s)
             self.guard.evaluate()
             self.abandon_silent_engines()
             self.host.check()
+            self.announcer.record(late_s)
