Count each answer of a server against its refusals

Cause: only the first answer on a new connection cleared the refusals of a server, so a server that was full and answered over the connections that it had was taken for broken and ejected.

Change: each response head clears them. The test beside open requests says that these answer nothing meanwhile; they did so already.

--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -161,7 +161,7 @@
             server.instance, metadata.attempt_id, self.clock.now(), event=False
         )
         self.notices.record(server.instance, metadata)
-        if channel.request_count == 1 and self.limits is not None:
+        if self.limits is not None:
             self.limits.shares.record_accepted(server.instance)
         if metadata.load is not None:
             self._record_load(server, metadata.load.running, metadata.load.waiting)
--- a/ringseam/gateway/serverload/connections.py
+++ b/ringseam/gateway/serverload/connections.py
@@ -22,7 +22,7 @@
 _RECOVERY_S = 4.0
 #: Refusals within this time count as one: they are answers to the same use, seconds.
 _ONE_REFUSAL_S = 0.2
-#: A server that refuses more connections than this one after the other, and accepts none
+#: A server that refuses more connections than this one after the other, and answers no request
 #: between them, is broken. Refusals longer ago than the recovery aren't counted.
 _MAX_REFUSALS = 2
 
@@ -44,7 +44,7 @@
 
     used: float
     at: float
-    #: Number of refusals since a connection was accepted.
+    #: Number of refusals since a request was answered.
     count: int = 1
 
     def used_at(self, now: float) -> float:
@@ -93,7 +93,10 @@
         return self.refusals[instance].count <= _MAX_REFUSALS
 
     def record_accepted(self, instance: BackendId) -> None:
-        """Record that a server has answered over a new connection."""
+        """Record that a server has answered, also over a kept connection.
+
+        A full server resets new connections and answers over those that it has accepted.
+        """
         known = self.refusals.get(instance)
         if known is not None:
             known.count = 0
--- a/tests/test_gateway/test_requests/test_requests_connections.py
+++ b/tests/test_gateway/test_requests/test_requests_connections.py
@@ -112,7 +112,8 @@
 
 @pytest.mark.parametrize('streams', [1, 2])
 def test_server_that_resets_each_new_connection_is_ejected_beside_open_streams(key_file, streams):
-    """Older streams may go on for minutes, and the server isn't full but broken."""
+    """Older requests may go on for minutes without an answer, and the server isn't full but
+    broken."""
 
     async def run():
         async def respond(request, writer):
@@ -173,3 +174,51 @@
             long.cancel()
 
     asyncio.run(run())
+
+
+def test_full_server_that_answers_over_kept_connections_is_not_ejected(key_file):
+    """It resets all new connections for 2 s, which says nothing against those that it has."""
+
+    async def run():
+        kept, resets = set(), []
+        full = False
+
+        async def respond(request, writer):
+            if full and writer not in kept:
+                resets.append(request.attempt_id)
+                reset(writer)
+                return
+            kept.add(writer)
+            await asyncio.sleep(0.03)
+            extra = f'{LOAD.format(100)}Keep-Alive: timeout=30\r\n'
+            writer.write(http_response(request, extra=extra))
+
+        server = ScriptedServer(respond)
+        document = json.loads(manifest())
+        document['services'][0]['max_conns'] = 60
+        async with LocalGateway(key_file) as gateway:
+            gateway.apply_document(json.dumps(document).encode())
+            gateway.add_server(await server.start())
+            await gateway.fetch('/once/x', Attempt_Id='first')
+            await asyncio.gather(
+                *(gateway.fetch('/once/x', Attempt_Id=f'kept{number}') for number in range(3))
+            )
+            full = True
+            health = next(iter(gateway.role.health.by_server.values()))
+            ends_at = asyncio.get_running_loop().time() + 2
+            answered, ejections = [], []
+
+            async def load(client):
+                while asyncio.get_running_loop().time() < ends_at:
+                    name = f'{client}-{len(answered)}'
+                    status, _ = await gateway.fetch('/once/x', Attempt_Id=name)
+                    answered.append(status)
+                    ejections.append(health.ejections)
+                    await asyncio.sleep(0.01)
+
+            await asyncio.gather(*(load(client) for client in range(12)))
+            assert len(resets) > 3
+            assert not any(ejections)
+            assert answered.count(200) > 40
+
+    asyncio.run(run())
--- a/tests/test_gateway/test_serverload/test_serverload_connections.py
+++ b/tests/test_gateway/test_serverload/test_serverload_connections.py
@@ -87,7 +87,7 @@
     assert min(limits(names(22), max_connections).values()) >= 2
 
 
-def test_refusals_without_an_accepted_connection_between_them_tell_of_a_broken_server():
+def test_refusals_without_an_answer_between_them_tell_of_a_broken_server():
     shares = ConnectionShares(name='g0')
     assert shares.record_refusal(SERVER, 0)
     # The resets of one moment are one refusal.
