Use no connection that was closed after it had been granted

Cause: a wait lets other tasks run, even if the connection is granted already. One that closed meanwhile failed before the request was sent, which counted as a hard failure of its server.

Change: what is granted at once is returned without a wait; after a wait a closed connection is dropped, and the request waits again, before those of the same order, for the rest of its time.

Result: three tests that close the connection in between; without the change all three fail.

--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -158,12 +158,28 @@
 
         :raises BusyError: if there is none in time.
         """
-        request = WaitingRequest(order=order, max_open=max_open)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + timeout_s
+        granted = await self._turn(WaitingRequest(order=order, max_open=max_open), address, ends_at)
+        while granted.transport is not None and not granted.is_open:
+            # It was closed after it had been granted.
+            again = WaitingRequest(order=order, max_open=max_open, again=True)
+            granted = await self._turn(again, address, ends_at)
+        return granted
+
+    async def _turn(self, request: WaitingRequest, address: str, ends_at: float) -> HttpChannel:
+        """Wait until a connection is granted, which may be closed by then.
+
+        :param ends_at: in the time of the event loop.
+        """
         queue = self.waiting.setdefault(address, WaitingRequests())
         queue.add(request)
         self._grant(address)
         try:
-            await asyncio.wait((request.granted,), timeout=timeout_s)
+            # Waiting lets other tasks run, even for what is granted already.
+            if not request.granted.done():
+                timeout_s = ends_at - asyncio.get_running_loop().time()
+                await asyncio.wait((request.granted,), timeout=max(0, timeout_s))
         except asyncio.CancelledError:
             if request.granted.done():
                 self._give_back(request.granted.result())
--- a/ringseam/web/turns.py
+++ b/ringseam/web/turns.py
@@ -17,6 +17,8 @@
     #: The least is served first.
     order: tuple[float, ...]
     max_open: int
+    #: Whether it has had a turn already, with a connection that was closed at once.
+    again: bool = False
     granted: asyncio.Future[HttpChannel] = field(init=False)
 
     def __post_init__(self) -> None:
@@ -36,8 +38,11 @@
         return len(self.requests)
 
     def add(self, request: WaitingRequest) -> None:
-        """Add a request behind those of the same order."""
-        self.requests.append(request)
+        """Add a request behind those of the same order, or before them if it waits again."""
+        if request.again:
+            self.requests.insert(0, request)
+        else:
+            self.requests.append(request)
 
     def remove(self, request: WaitingRequest) -> None:
         """Remove a request, if it still waits."""
--- a/tests/test_web/test_web_pool.py
+++ b/tests/test_web/test_web_pool.py
@@ -1,7 +1,8 @@
 """Connections of a pool to one server are counted and bounded.
 
-Guards against a gateway that opens more connections than its part, and against bounds that count
-connections which are closed already.
+Guards against a gateway that opens more connections than its part, against bounds that count
+connections which are closed already, and against requests that get a closed connection, which
+looks like a failure of its server.
 """
 
 from __future__ import annotations
@@ -189,3 +190,67 @@
         assert [type(one) for one in results] == [RefusedError] * 4
 
     asyncio.run(run())
+
+
+def make_idle(pool, channel):
+    """Release a connection as after a response that was read completely."""
+    channel.prepare_next_request = lambda: True
+    channel.idle_timeout_s = 5
+    pool.release(channel)
+    del channel.prepare_next_request
+
+
+def test_connection_that_is_idle_is_taken_without_a_pause():
+    """It could be closed in a pause between its check and its use."""
+
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            make_idle(pool, held)
+            asyncio.get_running_loop().call_soon(held.close)
+            taken = await pool.acquire(address, timeout_s=1, max_open=1)
+            assert taken is held
+            assert taken.is_open
+
+    asyncio.run(run())
+
+
+def test_connection_that_closes_after_it_was_granted_is_not_used():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            first = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            second = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            await asyncio.sleep(0)
+            make_idle(pool, held)
+            held.close()
+            # Its place goes to the next request, and then to the one that had its turn in vain.
+            opened = await second
+            assert opened.is_open
+            third = asyncio.ensure_future(pool.acquire(address, timeout_s=0.2, max_open=1))
+            await asyncio.sleep(0)
+            assert not first.done()
+            assert pool.open_count(address) == 1
+            opened.close()
+            assert (await first).is_open
+            with pytest.raises(BusyError):
+                await third
+
+    asyncio.run(run())
+
+
+def test_request_whose_connections_are_closed_waits_no_longer_than_allowed():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = [await pool.acquire(address, timeout_s=1, max_open=2) for _ in range(2)]
+            waiting = asyncio.ensure_future(pool.acquire(address, timeout_s=0.1, max_open=2))
+            await asyncio.sleep(0)
+            make_idle(pool, held[0])
+            held[0].close()
+            # Another request opens a connection in its place, which stays in use.
+            await pool.acquire(address, timeout_s=1)
+            with pytest.raises(BusyError):
+                await waiting
+            assert not pool.waiting
+
+    asyncio.run(run())
