Give idle connections back to the pool, and wait by the newest limit

Cause: the connection of a cancelled request was prepared for another request a second time, which fails, so that it was always closed. Each waiting request kept the limit of its arrival: a first one with a lower limit blocked all that came after the limit had risen.

Change: a connection over which nothing was sent becomes idle, or goes to the next request. The queue of an address keeps the limit of the newest request.

--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -57,6 +57,9 @@
         """
         if max_open is None:
             return self._take_idle(address) or await self._open(address, timeout_s)
+        queue = self.waiting.get(address)
+        if queue is not None:
+            queue.max_open = max_open
         if not max_open:
             raise BusyError(f'{address}: no connections are allowed', sent=False)
         granted = await self._wait_for_turn(address, timeout_s, max_open, order)
@@ -104,14 +107,10 @@
 
     def release(self, channel: HttpChannel) -> None:
         """Return a connection to the pool if its response was read completely, else close it."""
-        if not channel.prepare_next_request():
+        if channel.prepare_next_request():
+            self._add_idle(channel)
+        else:
             channel.close()
-            return
-        expires_at = self.clock.now() + channel.idle_timeout_s
-        self.idle.setdefault(channel.address, []).append(
-            IdleChannel(channel=channel, expires_at=expires_at)
-        )
-        self._grant(channel.address)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
@@ -160,19 +159,22 @@
         """
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + timeout_s
-        granted = await self._turn(WaitingRequest(order=order, max_open=max_open), address, ends_at)
+        granted = await self._turn(WaitingRequest(order=order), address, ends_at, max_open)
         while granted.transport is not None and not granted.is_open:
             # It was closed after it had been granted.
-            again = WaitingRequest(order=order, max_open=max_open, again=True)
-            granted = await self._turn(again, address, ends_at)
+            again = WaitingRequest(order=order, again=True)
+            granted = await self._turn(again, address, ends_at, max_open)
         return granted
 
-    async def _turn(self, request: WaitingRequest, address: str, ends_at: float) -> HttpChannel:
+    async def _turn(
+        self, request: WaitingRequest, address: str, ends_at: float, max_open: int
+    ) -> HttpChannel:
         """Wait until a connection is granted, which may be closed by then.
 
         :param ends_at: in the time of the event loop.
+        :param max_open: if no other request waits; else the newest limit remains.
         """
-        queue = self.waiting.setdefault(address, WaitingRequests())
+        queue = self.waiting.setdefault(address, WaitingRequests(max_open=max_open))
         queue.add(request)
         self._grant(address)
         try:
@@ -199,7 +201,7 @@
         while queue and request is not None:
             channel = self._take_idle(address)
             if channel is None:
-                if self.open_count(address) >= request.max_open:
+                if self.open_count(address) >= queue.max_open:
                     return
                 channel = HttpChannel(address=address)
                 self.channels.setdefault(address, set()).add(channel)
@@ -208,12 +210,22 @@
             request = queue.first()
 
     def _give_back(self, channel: HttpChannel) -> None:
-        """Leave a granted connection to the next request."""
+        """Leave a granted connection, over which nothing was sent, to the next request."""
+        if channel.is_open:
+            self._add_idle(channel)
+            return
+        channel.close()
         if channel.transport is None:
             self.channels.get(channel.address, set()).discard(channel)
-            self._grant(channel.address)
-        else:
-            self.release(channel)
+        self._grant(channel.address)
+
+    def _add_idle(self, channel: HttpChannel) -> None:
+        """Keep a connection that is ready for a request, or grant it to one that waits."""
+        expires_at = self.clock.now() + channel.idle_timeout_s
+        self.idle.setdefault(channel.address, []).append(
+            IdleChannel(channel=channel, expires_at=expires_at)
+        )
+        self._grant(channel.address)
 
     async def _open(
         self, address: str, timeout_s: float, *, pending: HttpChannel | None = None
--- a/ringseam/web/turns.py
+++ b/ringseam/web/turns.py
@@ -16,7 +16,6 @@
 
     #: The least is served first.
     order: tuple[float, ...]
-    max_open: int
     #: Whether it has had a turn already, with a connection that was closed at once.
     again: bool = False
     granted: asyncio.Future[HttpChannel] = field(init=False)
@@ -29,8 +28,12 @@
 class WaitingRequests:
     """The requests that wait for a connection to one address."""
 
-    def __init__(self) -> None:
-        """Create an empty queue."""
+    def __init__(self, *, max_open: int) -> None:
+        """Create an empty queue.
+
+        :param max_open: the largest number of connections, by the newest request.
+        """
+        self.max_open = max_open
         self.requests: list[WaitingRequest] = []
 
     def __len__(self) -> int:
--- a/tests/test_web/test_web_pool.py
+++ b/tests/test_web/test_web_pool.py
@@ -254,3 +254,73 @@
             assert not pool.waiting
 
     asyncio.run(run())
+
+
+def test_request_that_is_cancelled_leaves_an_idle_connection_to_the_next():
+    """To open another one takes a round trip, and the server may refuse it."""
+
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            first = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            second = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            await asyncio.sleep(0)
+            make_idle(pool, held)
+            await asyncio.sleep(0)
+            first.cancel()
+            assert await second is held
+            assert held.is_open
+            assert pool.opened == 1
+
+    asyncio.run(run())
+
+
+def test_cancelled_request_without_a_successor_leaves_its_connection_idle():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = await pool.acquire(address, timeout_s=1, max_open=1)
+            waiting = asyncio.ensure_future(pool.acquire(address, timeout_s=2, max_open=1))
+            await asyncio.sleep(0)
+            make_idle(pool, held)
+            waiting.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await waiting
+            assert pool.used_count(address) == 0
+            assert await pool.acquire(address, timeout_s=1, max_open=1) is held
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('order', [(0, 1.0), (2, 1.0)])
+def test_requests_wait_by_the_newest_limit(order):
+    """The limit rises after a refusal: a request that came before it may block all others."""
+
+    async def run():
+        async with served_pool() as (pool, address):
+            await pool.acquire(address, timeout_s=1, max_open=1)
+            first = asyncio.ensure_future(
+                pool.acquire(address, timeout_s=0.3, max_open=1, order=(1, 1.0))
+            )
+            await asyncio.sleep(0)
+            second = await pool.acquire(address, timeout_s=0.3, max_open=3, order=order)
+            assert second.is_open
+            assert (await first).is_open
+            assert pool.open_count(address) == 3
+
+    asyncio.run(run())
+
+
+def test_limit_that_has_fallen_holds_for_requests_that_wait():
+    async def run():
+        async with served_pool() as (pool, address):
+            held = [await pool.acquire(address, timeout_s=1, max_open=2) for _ in range(2)]
+            waiting = asyncio.ensure_future(pool.acquire(address, timeout_s=0.2, max_open=2))
+            await asyncio.sleep(0)
+            with pytest.raises(BusyError):
+                await pool.acquire(address, timeout_s=0.01, max_open=1)
+            held[0].close()
+            with pytest.raises(BusyError):
+                await waiting
+            assert pool.open_count(address) == 1
+
+    asyncio.run(run())
