Name refused connections of clients apart from those to servers

Cause: the metric connections_refused had two meanings, told apart only by the names of its labels: clients refused for lack of descriptors, and connections that a server has reset.

Change: the clients' one is client_connections_refused.

Result: the test of refused clients finds this name and no other of refusals.

--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -72,7 +72,7 @@
         """Decide on a new connection by the descriptors that are left."""
         acceptance = self.descriptors.accept(connections)
         if acceptance is not Acceptance.accept:
-            self.metrics.add('connections_refused', outcome=acceptance.value)
+            self.metrics.add('client_connections_refused', outcome=acceptance.value)
         return acceptance
 
     def count_request(self, change: int) -> None:
--- a/tests/test_gateway/test_hosts/test_hosts_descriptors.py
+++ b/tests/test_gateway/test_hosts/test_hosts_descriptors.py
@@ -59,7 +59,9 @@
             assert b'retry-after:' in head
             assert b'connection: close' in head
             counters = gateway.role.metrics.counters
-            assert sum(n for key, n in counters.items() if key.name == 'connections_refused') == 1
+            refused = {key.name: n for key, n in counters.items() if 'refused' in key.name}
+            # Not `connections_refused`, which counts connections to servers.
+            assert refused == {'client_connections_refused': 1}
             # Health checks and clients that are connected already are served.
             _, writer = await asyncio.open_connection('127.0.0.1', gateway.ready_port)
             writer.close()
