Build the next calls of busy servers once for each choice

Cause: each idle server built all next calls of the busy ones again, and each piece was compared with all calls before the first one with a place.

Change: the busy servers are looked up once for each state of the queue; their calls are opened when they are needed, and calls without places leave the list.

A differential test finds the places of a plain search.

--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -65,6 +65,8 @@
     policy: ServerPolicy
     #: Time until a server of a zone has room for a result of a size, seconds.
     available_in_s: dict[tuple[str, int], float] = field(default_factory=dict)
+    #: Next calls of busy servers, by the size of a result, bytes.
+    next_calls: dict[int, NextCalls] = field(default_factory=dict)
 
     @functools.cached_property
     def zones(self) -> set[str]:
@@ -361,15 +363,18 @@
             return []
         spec, now = snapshot.spec, snapshot.now
         size = max(1, pieces[0].job.result_bytes)
-        calls = NextCalls(
-            policy=snapshot.policy,
-            servers=snapshot.servers,
-            zones=snapshot.zones,
-            overflow=snapshot.overflow,
-            throughput=self.throughput,
-            room=lambda other: self.capacity.free_bytes(other.instance, spec, now) / size,
-            spec=spec,
-            now=now,
+        calls = snapshot.next_calls.setdefault(
+            size,
+            NextCalls(
+                policy=snapshot.policy,
+                servers=snapshot.servers,
+                zones=snapshot.zones,
+                overflow=snapshot.overflow,
+                throughput=self.throughput,
+                room=lambda other: self.capacity.free_bytes(other.instance, spec, now) / size,
+                spec=spec,
+                now=now,
+            ),
         )
         kept = snapshot.policy.sooner_here(server, pieces, calls)
         self.awaited_at = min(self.awaited_at, calls.awaited_at)
--- a/ringseam/gateway/stages/serverchoice.py
+++ b/ringseam/gateway/stages/serverchoice.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import abc
+import functools
+import heapq
+import itertools
 import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -25,8 +28,18 @@
 
 
 @dataclass(frozen=True, kw_only=True)
+class BusyServer:
+    """When a busy server takes its next call, and with how many pieces."""
+
+    server: BackendReport
+    free_at: float
+    places: int
+    duration_s: float
+
+
+@dataclass(kw_only=True, eq=False)
 class NextCall:
-    """The next call of a busy server, with places for pieces that prefer its zone."""
+    """The next call of a busy server, with the places that are left for pieces."""
 
     server: BackendReport
     ends_at: float
@@ -114,7 +127,7 @@
         spec, now = calls.spec, calls.now
         factor = self.duration_factor(server, now)
         latest = now + factor * spec.full_call_s
-        assigned = calls.assign(server, by_job(pieces), latest)
+        assigned = calls.assign(by_job(pieces), latest)
         left = len(pieces)
         for job_size, ends_at in assigned:
             size = min(spec.batch, left)
@@ -141,34 +154,57 @@
     #: When the first server that is waited for should be free.
     awaited_at: float = field(default=math.inf)
 
-    def assign(
-        self, server: BackendReport, jobs: list[list[Piece]], latest: float
-    ) -> Iterator[tuple[int, float]]:
-        """Yield the size of each job and when it would end in calls of other servers.
+    @functools.cached_property
+    def busy(self) -> list[BusyServer]:
+        """Return the servers that are busy and answer.
+
+        An idle server counts for nothing: it is asked on its own.
+        """
+        return [
+            self._busy_server(server)
+            for server in self.servers
+            if self.throughput.is_busy(server.instance, self.spec) and self._answers(server)
+        ]
+
+    @property
+    def batch(self) -> int:
+        """Return how many pieces a server without results takes at a time."""
+        return self.spec.batch * self.spec.slots
+
+    def assign(self, jobs: list[list[Piece]], latest: float) -> Iterator[tuple[int, float]]:
+        """Yield the size of each job and when it would end in calls of busy servers.
 
         A job that no call which ends before ``latest`` has places for ends at infinity.
         """
-        calls = sorted(
-            (call for other in self.servers for call in self._calls(other, server, latest)),
-            key=_end_of,
-        )
-        places = [call.places for call in calls]
+        upcoming = heapq.merge(*(self._calls(one, latest) for one in self.busy), key=_end_of)
+        opened: list[NextCall] = []
         for job in jobs:
             ends_at: float = 0
             for piece in job:
-                number = self._first_call(piece, calls, places)
-                if number is None:
-                    ends_at = math.inf
+                ends_at = max(ends_at, self._take_place(piece, opened, upcoming))
+                if ends_at == math.inf:
                     break
-                places[number] -= 1
-                ends_at = max(ends_at, calls[number].ends_at)
             yield len(job), ends_at
 
-    def _first_call(self, piece: Piece, calls: list[NextCall], places: list[int]) -> int | None:
-        for number, call in enumerate(calls):
-            if places[number] and self._may_run(piece, call.server):
-                return number
-        return None
+    def _take_place(
+        self, piece: Piece, opened: list[NextCall], upcoming: Iterator[NextCall]
+    ) -> float:
+        """Return the end of the first call that has a place for a piece, which is taken.
+
+        :param opened: the calls with places that others didn't take; those that come are added.
+        """
+        for call in itertools.chain(tuple(opened), self._open(opened, upcoming)):
+            if self._may_run(piece, call.server):
+                call.places -= 1
+                if not call.places:
+                    opened.remove(call)
+                return call.ends_at
+        return math.inf
+
+    def _open(self, opened: list[NextCall], upcoming: Iterator[NextCall]) -> Iterator[NextCall]:
+        for call in upcoming:
+            opened.append(call)
+            yield call
 
     def _may_run(self, piece: Piece, server: BackendReport) -> bool:
         """Return whether a piece would be part of the next call of a server."""
@@ -179,34 +215,28 @@
             and (zone == server.zone or zone not in self.zones or piece in self.overflow)
         )
 
-    def _calls(
-        self, other: BackendReport, server: BackendReport, latest: float
-    ) -> Iterator[NextCall]:
-        """Yield the next calls of a server that is busy now and end in time.
-
-        An idle server counts for nothing: it is asked on its own.
-        """
-        if other is server or not self.throughput.is_busy(other.instance, self.spec):
-            return
-        if not self._answers(other):
-            return
-        last = self.throughput.last_calls[other.instance]
+    def _busy_server(self, server: BackendReport) -> BusyServer:
+        last = self.throughput.last_calls[server.instance]
         # A call that is overdue is expected to take as long again.
         free_at = self.now + abs(last.expected_end - self.now)
-        batch = self.spec.batch * self.spec.slots
-        places = min(batch, int(self.room(other)))
+        places = min(self.batch, int(self.room(server)))
         if places <= 0:
             # It gets some room when the results of its last call are consumed.
-            places = batch
+            places = self.batch
             free_at += self.spec.call_s
-        duration_s = self.policy.duration_factor(other, self.now) * self.spec.full_call_s
-        ends_at = free_at + duration_s
+        duration_s = self.policy.duration_factor(server, self.now) * self.spec.full_call_s
+        return BusyServer(server=server, free_at=free_at, places=places, duration_s=duration_s)
+
+    def _calls(self, busy: BusyServer, latest: float) -> Iterator[NextCall]:
+        """Yield the next calls of a busy server that end in time."""
+        batch = self.batch
+        places, ends_at = busy.places, busy.free_at + busy.duration_s
         if ends_at < latest:
-            self.awaited_at = min(self.awaited_at, max(free_at, self.now + _MIN_WAIT_S))
+            self.awaited_at = min(self.awaited_at, max(busy.free_at, self.now + _MIN_WAIT_S))
         while ends_at < latest:
-            yield NextCall(server=other, ends_at=ends_at, places=places)
+            yield NextCall(server=busy.server, ends_at=ends_at, places=places)
             places = batch
-            ends_at += duration_s
+            ends_at += busy.duration_s
 
     def _answers(self, server: BackendReport) -> bool:
         health = self.policy.health.of(server.instance)
--- a/tests/test_gateway/test_stages/test_stages_serverchoice.py
+++ b/tests/test_gateway/test_stages/test_stages_serverchoice.py
@@ -2,7 +2,8 @@
 
 Guards against full calls at a server that takes three times as long while a faster one is free
 before such a call would end, against pieces that wait for a server which doesn't answer, against a
-speed that is counted twice, and against changes where the settings don't ask for it.
+speed that is counted twice, against a choice that takes pieces times calls, and against changes
+where the settings don't ask for it.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.stages.batching import Batcher, QueueSnapshot
 from ringseam.gateway.stages.jobs import PieceJob, StageCall
-from ringseam.gateway.stages.serverchoice import CompletionPolicy, SlownessPolicy
+from ringseam.gateway.stages.serverchoice import CompletionPolicy, NextCalls, SlownessPolicy
 from ringseam.routes import BatchSpec, ServiceName
 
 SERVICE = ServiceName('crops')
@@ -277,6 +278,108 @@
     assert sorted(seen) == sorted(expected)
 
 
+class PlainCalls(NextCalls):
+    """Next calls that are built for each server, and searched from the first one for each piece."""
+
+    def assign(self, jobs, latest):
+        calls = []
+        for other in self.servers:
+            if not self.throughput.is_busy(other.instance, SPEC) or not self._answers(other):
+                continue
+            expected_end = self.throughput.last_calls[other.instance].expected_end
+            free_at = NOW + abs(expected_end - NOW)
+            places = min(SPEC.batch, int(self.room(other)))
+            if places <= 0:
+                places, free_at = SPEC.batch, free_at + SPEC.call_s
+            duration_s = self.policy.duration_factor(other, NOW) * SPEC.full_call_s
+            ends_at = free_at + duration_s
+            while ends_at < latest:
+                calls.append([ends_at, places, other])
+                places, ends_at = SPEC.batch, ends_at + duration_s
+        calls.sort(key=lambda call: call[0])
+        for one in jobs:
+            ends = []
+            for piece in one:
+                call = next((it for it in calls if it[1] and self._may_run(piece, it[2])), None)
+                ends.append(math.inf if call is None else call[0])
+                if call is None:
+                    break
+                call[1] -= 1
+            yield len(one), max(ends)
+
+
+ZONES = st.sampled_from(['a', 'b', ''])
+
+
+@given(
+    busy=st.lists(
+        st.tuples(st.floats(0.3, 5), st.floats(0, 1), ZONES, st.integers(0, 1_000_000)), max_size=5
+    ),
+    jobs=st.lists(st.tuples(st.integers(1, 5), ZONES), min_size=1, max_size=12),
+    latest=st.lists(st.floats(0, 8), min_size=1, max_size=4),
+    size=st.sampled_from([1, 100_000, 400_000]),
+)
+def test_places_are_those_of_a_plain_search(busy, jobs, latest, size):
+    """One object answers for several idle servers, each with another time."""
+    batcher = new_batcher({'own': 1.0, **{f's{n}': one[0] for n, one in enumerate(busy)}})
+    servers = [server('own'), *(server(f's{n}', one[2]) for n, one in enumerate(busy))]
+    for one, (_, free_in_s, _, used) in zip(servers[1:], busy, strict=True):
+        call = StageCall(server=one, pieces=[], expected_s=free_in_s)
+        batcher.throughput.call_started(call, NOW, has_backlog=False)
+        batcher.capacity.reserve(one.instance, used)
+    pieces = [
+        batcher.add(job(f'r{number}', count, zone=zone), NOW)
+        for number, (count, zone) in enumerate(jobs)
+    ]
+    made = [
+        kind(
+            policy=batcher._server_policy(servers, SPEC, NOW),
+            servers=servers,
+            zones={one.zone for one in servers},
+            overflow=pieces[0],
+            throughput=batcher.throughput,
+            room=lambda one: batcher.capacity.free_bytes(one.instance, SPEC, NOW) / size,
+            spec=SPEC,
+            now=NOW,
+        )
+        for kind in (NextCalls, PlainCalls)
+    ]
+    for until_s in latest:
+        found, plain = (list(calls.assign(pieces, NOW + until_s)) for calls in made)
+        assert found == plain
+
+
+def test_choice_looks_at_each_piece_about_once_for_each_idle_server(monkeypatch):
+    """With many servers and a long queue, the search through full calls delays the dispatches."""
+    looked, built = [], []
+    may_run, answers = NextCalls._may_run, NextCalls._answers
+
+    def counted_may_run(calls, piece, one):
+        looked.append(piece)
+        return may_run(calls, piece, one)
+
+    def counted_answers(calls, one):
+        built.append(one)
+        return answers(calls, one)
+
+    monkeypatch.setattr(NextCalls, '_may_run', counted_may_run)
+    monkeypatch.setattr(NextCalls, '_answers', counted_answers)
+    slow, fast = [f'slow{number}' for number in range(8)], [f'f{number}' for number in range(40)]
+    batcher = new_batcher({**dict.fromkeys(slow, 30.0), **dict.fromkeys(fast, 1.0)})
+    servers = [server(name) for name in (*slow, *fast)]
+    for number in range(40):
+        batcher.add(job(f'first{number}', pieces=4), NOW)
+    for one in servers[8:]:
+        assert batcher.next_call([one], SPEC, NOW) is not None
+    for number in range(70):
+        batcher.add(job(f'r{number}', pieces=4), NOW)
+    looked.clear()
+    built.clear()
+    assert batcher.next_call(servers, SPEC, NOW) is None
+    assert len(looked) == 8 * 280
+    assert len(built) == 40
+
+
 class FormerBatcher(Batcher):
     """The choice of a server before reports of interference were used for it."""
 
