Remove the count of used connections when a service leaves force

Cause: the gauge was only set for services in force, and kept its last value for others.

Change: the gauges of services that were exported before and aren't in force now are removed.

Result: the new test finds the gauges of the services in force, and no others.

--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -285,8 +285,7 @@
             self.permits.keep_only(known)
             self.notices.keep_only(known)
             self.connection_limits.shares.keep_only(known)
-            for service, used in self.connection_limits.used_by_service(self.pool).items():
-                self.metrics.put('connections_used', used, service=service)
+            self.connection_limits.export(self.pool, self.metrics)
             self.switch.sees_interference = self.health.speeds.reports.reports_interference(known)
             self.owner_log.export(self.ownership, self.follower.table.services)
             self.forwarder.sharing.clean_up(known)
--- a/ringseam/gateway/serverload/connections.py
+++ b/ringseam/gateway/serverload/connections.py
@@ -11,6 +11,7 @@
 
     from ringseam.backends import BackendId, BackendReport, BackendView
     from ringseam.gateway.serverload.reports import LoadReports
+    from ringseam.metrics import Metrics
     from ringseam.routes import RouteTable, ServiceName
     from ringseam.web.pool import HttpChannelPool
 
@@ -132,6 +133,8 @@
     directory: ServiceDirectory
     reports: LoadReports
     shares: ConnectionShares
+    #: Services whose used connections are exported.
+    exported: set[ServiceName] = field(default_factory=set)
 
     def limit(self, server: BackendReport, now: float) -> int | None:
         """Return how many connections this gateway may have to a server; None: any number."""
@@ -160,6 +163,15 @@
                 used[server.service] = used.get(server.service, 0) + count
         return used
 
+    def export(self, pool: HttpChannelPool, metrics: Metrics) -> None:
+        """Export the used connections of each service in force, and remove those of others."""
+        used = self.used_by_service(pool)
+        for service in self.exported - set(used):
+            metrics.remove('connections_used', service=service)
+        for service, count in used.items():
+            metrics.put('connections_used', count, service=service)
+        self.exported = set(used)
+
     def _is_in_force(self, server: BackendReport) -> bool:
         serving = self.directory.view.serving(server.service)
         return self.reports.reports_interference(known.instance for known in serving)
--- a/tests/test_gateway/test_serverload/test_serverload_connections.py
+++ b/tests/test_gateway/test_serverload/test_serverload_connections.py
@@ -12,7 +12,8 @@
 from hypothesis import strategies as st
 
 from ringseam.backends import BackendId
-from ringseam.gateway.serverload.connections import ConnectionShares
+from ringseam.gateway.serverload.connections import ConnectionLimits, ConnectionShares
+from ringseam.metrics import Metrics, series
 
 SERVER = BackendId('s1')
 
@@ -99,3 +100,14 @@
     # Refusals long ago tell nothing of the present.
     shares.record_refusal(SERVER, 1.2)
     assert shares.record_refusal(SERVER, 10)
+
+
+def test_used_connections_of_a_service_that_leaves_force_are_not_exported(monkeypatch):
+    """A gauge that keeps its last value looks like connections that are never released."""
+    limits_of = ConnectionLimits(directory=None, reports=None, shares=ConnectionShares(name='g0'))
+    metrics = Metrics()
+    for used in ({'llm': 3, 'plain': 1}, {'llm': 0}, {}, {'llm': 2}):
+        monkeypatch.setattr(limits_of, 'used_by_service', lambda pool, used=used: used)
+        limits_of.export(None, metrics)
+        expected = {series('connections_used', service=name): n for name, n in used.items()}
+        assert metrics.counters == expected
