Keep the bound of clients while open descriptors can't be counted

Cause: counting takes a descriptor; when none was left, the count was 0, so that the bound opened and a full host was announced as not full. Change: without a count the last number of other descriptors stays in force; the first failure of a row is logged as a warning. Measured: tests of the bound and of the announced state with a failing count pass.

--- a/ringseam/gateway/following/hostannouncing.py
+++ b/ringseam/gateway/following/hostannouncing.py
@@ -41,6 +41,8 @@
             capacity=host.capacity, now=node.clock.now(), processor_s=time.process_time()
         )
         self.counted_at = float('-inf')
+        #: Whether the open descriptors could be counted the last time.
+        self.is_counted = True
         #: Whether the readiness check fails for lack of room.
         self.is_out = False
 
@@ -55,7 +57,7 @@
         clients = self.host.client_count
         if self.host.descriptors.limit and now >= self.counted_at + _COUNT_INTERVAL_S:
             self.counted_at = now
-            self.host.descriptors.update(open_descriptors=count_open_descriptors(), clients=clients)
+            self._count_descriptors(clients)
         connections = self.host.descriptors.share(clients)
         held = self.host.budget.share
         self.meter.measure_processor(time.process_time(), now)
@@ -66,6 +68,14 @@
         self._update_readiness(now)
         self._export(clients, late_s)
 
+    def _count_descriptors(self, clients: int) -> None:
+        count = count_open_descriptors()
+        if count is None and self.is_counted:
+            others = self.host.descriptors.others
+            logger.warning('open descriptors not counted, %d others are assumed', others)
+        self.is_counted = count is not None
+        self.host.descriptors.update(open_descriptors=count, clients=clients)
+
     def _update_readiness(self, now: float) -> None:
         is_out = self.readiness.is_out(self.follower.gateways, now)
         if is_out == self.is_out:
--- a/ringseam/gateway/hosts/descriptors.py
+++ b/ringseam/gateway/hosts/descriptors.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import resource
 
 from ringseam.web.server import Acceptance
 
+logger = logging.getLogger(__name__)
+
 #: Descriptors of this process; absent on some systems.
 _OPEN_DESCRIPTORS = '/proc/self/fd'
 #: Share of the descriptors that is kept for servers, peers and files even while fewer are open:
@@ -30,9 +33,13 @@
         """Return the number of connections above which clients are refused."""
         return max(0, self._room)
 
-    def update(self, *, open_descriptors: int, clients: int) -> None:
-        """Record how many descriptors are open, connections of clients included."""
-        self.others = max(0, open_descriptors - clients)
+    def update(self, *, open_descriptors: int | None, clients: int) -> None:
+        """Record how many descriptors are open, connections of clients included.
+
+        If that is unknown, the last count of the others stays in force.
+        """
+        if open_descriptors is not None:
+            self.others = max(0, open_descriptors - clients)
 
     def accept(self, clients: int) -> Acceptance:
         """Decide on a new connection; ``clients`` includes it."""
@@ -70,9 +77,13 @@
     return stated if limit == resource.RLIM_INFINITY else min(stated, limit)
 
 
-def count_open_descriptors() -> int:
-    """Return the number of open descriptors of this process; 0: unknown."""
+def count_open_descriptors() -> int | None:
+    """Return the number of open descriptors of this process; None: it can't be read.
+
+    Reading takes a descriptor, so that it fails when none is left.
+    """
     try:
         return len(os.listdir(_OPEN_DESCRIPTORS))
-    except OSError:
-        return 0
+    except OSError as error:
+        logger.debug('open descriptors not counted: %s', error)
+        return None
--- a/tests/test_gateway/test_following/test_following_hostannouncing.py
+++ b/tests/test_gateway/test_following/test_following_hostannouncing.py
@@ -124,6 +124,26 @@
     asyncio.run(run())
 
 
+def test_host_without_a_descriptor_left_stays_full(key_file, clock, monkeypatch, caplog):
+    async def run():
+        async with Host(key_file, clock) as host:
+            host.others = (other(),)
+            monkeypatch.setattr(hostannouncing, 'count_open_descriptors', lambda: 64)
+            host.pass_time(3)
+            assert host.role.follower.state.full
+            monkeypatch.setattr(hostannouncing, 'count_open_descriptors', lambda: None)
+            host.pass_time(5)
+            assert host.role.host.descriptors.max_clients == 0
+            assert host.role.follower.state.full
+            assert caplog.text.count('not counted, 64 others') == 1
+            monkeypatch.setattr(hostannouncing, 'count_open_descriptors', lambda: 10)
+            host.pass_time(5)
+            assert not host.role.follower.state.full
+
+    with caplog.at_level(logging.WARNING, logger='ringseam'):
+        asyncio.run(run())
+
+
 def test_without_limits_nothing_is_published(key_file, clock):
     async def run():
         async with Host(key_file, clock, limits='') as host:
--- a/tests/test_gateway/test_hosts/test_hosts_descriptors.py
+++ b/tests/test_gateway/test_hosts/test_hosts_descriptors.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import resource
 
 import pytest
@@ -166,7 +167,23 @@
     with (tmp_path / 'f').open('w'):
         assert count_open_descriptors() == before + 1
     monkeypatch.setattr(descriptors, '_OPEN_DESCRIPTORS', str(tmp_path / 'absent'))
-    assert count_open_descriptors() == 0
+    assert count_open_descriptors() is None
+
+
+def test_bound_holds_while_descriptors_have_run_out(monkeypatch):
+    """The count needs a descriptor itself: without one it must not look as if all were free."""
+
+    def fail(path):
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    budget = DescriptorBudget(limit=LIMIT)
+    budget.update(open_descriptors=50, clients=20)
+    monkeypatch.setattr(descriptors.os, 'listdir', fail)
+    budget.update(open_descriptors=count_open_descriptors(), clients=26)
+    assert budget.others == 30
+    assert budget.max_clients == 26
+    assert budget.accept(27) is Acceptance.refuse
+    assert budget.share(26) == 1
 
 
 @pytest.mark.parametrize('clients', [0, 1, 10**6])
