--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -19,7 +19,6 @@
     from ringseam.gateway.following.follower import Follower
     from ringseam.metrics import Metrics
     from ringseam.node import Node
-    from ringseam.routes import RouteTable
 
 logger = logging.getLogger(__name__)
 
@@ -29,8 +28,6 @@
 #: A previous owner may have calls in flight for this long after it was replaced, seconds: it
 #: covers two calls that are queued at a server.
 _SETTLE_S = 2.0
-#: Services with many decisions go to hosts with at least this share of the mean weight.
-_MIN_WEIGHT_SHARE = 0.75
 _DIGEST_BYTES = 8
 #: Bits of a digest that are used as a fraction: one less than those of a float, so that all
 #: fractions are exact, above 0 and below 1.
@@ -65,10 +62,6 @@
     def first(self, key: str, names: Collection[str]) -> str:
         """Return the first of ``names`` in the order for ``key``."""
 
-    def assign(self, keys: Collection[str], names: Collection[str]) -> dict[str, str]:
-        """Return the owner of each of the keys that have many decisions."""
-        return {key: self.first(key, names) for key in keys}
-
 
 class UniformOrder(OwnerOrder):
     """Each gateway is first for about the same number of keys."""
@@ -94,25 +87,6 @@
         """Return the first of ``names`` in the order for ``key``."""
         return max(names, key=lambda name: self._score(key, name))
 
-    def assign(self, keys: Collection[str], names: Collection[str]) -> dict[str, str]:
-        """Return the owner of each of the keys that have many decisions.
-
-        None has two of them while a host that is large enough has none.
-        """
-        counts = dict.fromkeys(self._large_enough(names), 0)
-        assigned = {}
-        for key in sorted(keys):
-            fewest = min(counts.values())
-            first = self.first(key, [name for name, count in counts.items() if count == fewest])
-            assigned[key] = first
-            counts[first] += 1
-        return assigned
-
-    def _large_enough(self, names: Collection[str]) -> list[str]:
-        weights = {name: self.weights.get(name, self.smallest) for name in names}
-        least = _MIN_WEIGHT_SHARE * math.fsum(weights.values()) / len(weights)
-        return [name for name, weight in weights.items() if weight >= least]
-
     def _score(self, key: str, name: str) -> tuple[float, bytes]:
         digest = _weight(key, name)
         odd = 2 * (int.from_bytes(digest, 'big') >> _DROPPED_BITS) + 1
@@ -136,13 +110,6 @@
     return WeightedOrder(weights={name: weight or mean for name, weight in weights.items()})
 
 
-def services_with_many_decisions(table: RouteTable) -> frozenset[str]:
-    """Return the services whose owner decides for each piece of each request."""
-    return frozenset(
-        service.name for service in table.services.values() if service.batching is not None
-    )
-
-
 class Ownership:
     """Determine the owner of each service: the gateway that decides for it."""
 
@@ -156,10 +123,6 @@
         #: Cached owner addresses by service. Computing one over 68 gateways takes 80 us, and
         #: each request needs about a dozen.
         self.owners: dict[str, str] = {}
-        #: Services that are spread over hosts, see :meth:`spread`.
-        self.heavy: frozenset[str] = frozenset()
-        #: Cached owners of these services by the gateways among which they were chosen.
-        self.assignments: dict[tuple[str, ...], dict[str, str]] = {}
         #: The latest owner of each service, also from before the gateways changed.
         self.known_owners: dict[str, str] = {}
         #: Called when a service moves to this gateway or away from it.
@@ -172,19 +135,16 @@
         """Return whether a gateway is a member, even if it is draining."""
         return any(state.address == address for state in self.follower.gateways)
 
-    def spread(self, services: frozenset[str]) -> None:
-        """Let different hosts, where they are uneven, decide for each of these services."""
-        if services != self.heavy:
-            self.heavy = services
-            self._discard()
-
     def refresh(self) -> None:
         """Discard computed owners if the gateways have changed."""
         if self.follower.gateways == self.gateways:
             return
         self.gateways = self.follower.gateways
         self.order = order_for(self.gateways)
-        self._discard()
+        self.owners.clear()
+        for service in list(self.sole_since):
+            if not self._is_sole(service):
+                self.sole_since.pop(service)
 
     def owner_of(self, service: str) -> str:
         """Return the address of the owner of a service; empty: this gateway."""
@@ -198,7 +158,8 @@
     def is_settled(self, service: str, now: float) -> bool:
         """Return whether this gateway has been the only owner of a service for a while.
 
-        Gateways that join or leave do not affect services that they do not own.
+        Gateways that join or leave do not affect services that they do not own, while the
+        processors of all hosts are known or all are unknown.
         """
         if self.owner_of(service):
             return False
@@ -208,23 +169,9 @@
             self.sole_since[service] = now
         return now >= self.sole_since[service] + _SETTLE_S
 
-    def _discard(self) -> None:
-        self.owners.clear()
-        self.assignments.clear()
-        for service in list(self.sole_since):
-            if not self._is_sole(service):
-                self.sole_since.pop(service)
-
     def _is_sole(self, service: str) -> bool:
         names = {state.name for state in self.gateways} | {self.name}
-        return self._first(service, tuple(sorted(names))) == self.name
-
-    def _first(self, service: str, names: tuple[str, ...]) -> str:
-        if service not in self.heavy:
-            return self.order.first(service, names)
-        if names not in self.assignments:
-            self.assignments[names] = self.order.assign(self.heavy, names)
-        return self.assignments[names][service]
+        return self.order.first(service, names) == self.name
 
     def _compute_owner(self, service: str) -> str:
         staying = [state for state in self.gateways if not state.draining]
@@ -235,7 +182,7 @@
         if not staying:
             return ''
         addresses = {state.name: state.address for state in staying}
-        name = self._first(service, tuple(sorted(addresses)))
+        name = self.order.first(service, sorted(addresses))
         return '' if name == self.name else addresses[name]
 
     def _record_owner(self, service: str, owner: str) -> None:
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -17,11 +17,7 @@
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.following.hostannouncing import HostAnnouncer
 from ringseam.gateway.following.lag import LagMonitor
-from ringseam.gateway.following.ownership import (
-    OwnerLog,
-    Ownership,
-    services_with_many_decisions,
-)
+from ringseam.gateway.following.ownership import OwnerLog, Ownership
 from ringseam.gateway.following.pacing import Pacer
 from ringseam.gateway.following.serverwords import ServerNotices
 from ringseam.gateway.following.turns import PermitAllocator
@@ -270,7 +266,6 @@
         self.metrics.put('contents_suspected', len(quarantine.suspects))
         self.metrics.put('zones_drained', len(self.follower.view.drained.names))
         self.retries.processes = max(1, len(self.follower.gateways))
-        self.ownership.spread(services_with_many_decisions(self.follower.table))
         self.ownership.refresh()
         self.piece_scheduler.refresh()
 
