A host that has lost contact to control passes its readiness check

Cause: a gateway that was out and then cut stayed out by its old view; another one of a zone of two that became full meanwhile was out too. Change: a check fails only while the gateway follows a leader; afterwards the announcement settles anew. Measured: tests of the decision and of a gateway that is cut and returns pass.

--- a/ringseam/gateway/following/hostannouncing.py
+++ b/ringseam/gateway/following/hostannouncing.py
@@ -77,7 +77,9 @@
         self.host.descriptors.update(open_descriptors=count, clients=clients)
 
     def _update_readiness(self, now: float) -> None:
-        is_out = self.readiness.is_out(self.follower.gateways, now)
+        is_out = self.readiness.is_out(
+            self.follower.gateways, now, is_connected=self.follower.is_connected
+        )
         if is_out == self.is_out:
             return
         self.is_out = is_out
--- a/ringseam/gateway/hosts/readiness.py
+++ b/ringseam/gateway/hosts/readiness.py
@@ -63,11 +63,15 @@
             self.changing_since = None
         return self.is_full
 
-    def is_out(self, gateways: Collection[GatewayState], now: float) -> bool:
-        """Return whether the readiness check fails, by the states of all gateways."""
+    def is_out(self, gateways: Collection[GatewayState], now: float, *, is_connected: bool) -> bool:
+        """Return whether the readiness check fails, by the states of all gateways.
+
+        :param is_connected: whether these states are kept up to date; by old ones more than
+            half of a zone could be out.
+        """
         zone = [state for state in gateways if state.zone == self.zone]
         full = sorted(state.name for state in zone if state.full and not state.draining)
-        if not self.is_full or self.name not in full:
+        if not is_connected or not self.is_full or self.name not in full:
             self.announced_since = None
             return False
         if self.announced_since is None:
--- a/tests/test_gateway/test_following/test_following_hostannouncing.py
+++ b/tests/test_gateway/test_following/test_following_hostannouncing.py
@@ -40,11 +40,14 @@
         self.role = GatewayRole(settings=read_settings('gateway', text, path='g.ini'))
         self.clock = self.role.node.clock = clock
         self.others = ()
+        #: Whether the gateway reaches control.
+        self.is_connected = True
 
     def pass_time(self, seconds, late_s=0.0):
         """Check as often as the role does; the directory returns each announcement."""
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
+            self.role.follower.is_connected = self.is_connected
             self.role.announcer.record(late_s)
             self.set_gateways(self.role.follower.state, *self.others)
 
@@ -93,6 +96,24 @@
     assert [number for number in numbers if number in wanted] == wanted
 
 
+def test_full_host_that_is_cut_from_control_is_ready(key_file, clock):
+    async def run():
+        async with Host(key_file, clock) as host:
+            host.add_server(await ScriptedServer(answer).start())
+            host.others = (other(),)
+            host.role.host.budget.count(Holder.client_responses, 9 * BOUND // 10)
+            host.pass_time(3)
+            assert not await host.is_ready()
+            host.is_connected = False
+            host.pass_time(STEP_S)
+            assert await host.is_ready()
+            host.is_connected = True
+            host.pass_time(2)
+            assert not await host.is_ready()
+
+    asyncio.run(run())
+
+
 def test_full_host_stays_ready_while_half_of_its_zone_is_out(key_file, clock):
     async def run():
         async with Host(key_file, clock) as host:
--- a/tests/test_gateway/test_hosts/test_hosts_readiness.py
+++ b/tests/test_gateway/test_hosts/test_hosts_readiness.py
@@ -60,21 +60,21 @@
 def is_out(name, gateways):
     """Return whether a full host is out once its announcement has settled."""
     readiness = full(name)
-    readiness.is_out(gateways, 0)
-    return readiness.is_out(gateways, 5)
+    readiness.is_out(gateways, 0, is_connected=True)
+    return readiness.is_out(gateways, 5, is_connected=True)
 
 
 def test_host_is_out_only_after_others_have_learned_that_it_is_full():
     readiness = full('a')
     free = [state('a'), state('b')]
     known = [state('a', full=True), state('b')]
-    assert not readiness.is_out(free, 0)
-    assert not readiness.is_out(free, 10)
-    assert not readiness.is_out(known, 10)
-    assert not readiness.is_out(known, 10.9)
-    assert readiness.is_out(known, 11)
+    assert not readiness.is_out(free, 0, is_connected=True)
+    assert not readiness.is_out(free, 10, is_connected=True)
+    assert not readiness.is_out(known, 10, is_connected=True)
+    assert not readiness.is_out(known, 10.9, is_connected=True)
+    assert readiness.is_out(known, 11, is_connected=True)
     readiness.is_full = False
-    assert not readiness.is_out(known, 12)
+    assert not readiness.is_out(known, 12, is_connected=True)
 
 
 def test_host_without_contact_to_control_stays_ready():
@@ -83,6 +83,20 @@
     assert not is_out('a', [state('b'), state('c')])
 
 
+def test_host_that_loses_contact_to_control_is_ready_again():
+    """Its view is as it was: others that have become full since then may be out as well."""
+    readiness = full('b')
+    frozen = [state('a'), state('b', full=True)]
+    readiness.is_out(frozen, 0, is_connected=True)
+    assert readiness.is_out(frozen, 2, is_connected=True)
+    assert not readiness.is_out(frozen, 3, is_connected=False)
+    assert is_out('a', [state('a', full=True), state('b', full=True)])
+    # After the contact has returned the announcement has to settle again.
+    assert not readiness.is_out(frozen, 4, is_connected=True)
+    assert not readiness.is_out(frozen, 4.9, is_connected=True)
+    assert readiness.is_out(frozen, 5, is_connected=True)
+
+
 def test_host_alone_in_its_zone_stays_ready():
     others = [state(name, zone='other') for name in 'bcd']
     assert not is_out('a', [state('a', full=True), *others])
@@ -138,6 +152,6 @@
             is_busy = now >= starts_at and not (number in freed and now > 4)
             readiness[name].update(connections=float(is_busy), held=0, now=now)
             seen = history[max(0, step - late_steps)]
-            if readiness[name].is_out(seen, now):
+            if readiness[name].is_out(seen, now, is_connected=True):
                 out.append(name)
         assert len(out) <= len(hosts) // 2
