Count refused connections apart from clients

Cause: refused connections that linger, for up to 1 s, counted against the bound of clients, so that clients were refused for whom there was room. Change: the server counts refused connections apart; the bound of clients, the share that makes a host full and the metric leave them out, the bound of all descriptors and the count of other descriptors don't. Measured: tests of the decision (with any number of refused ones the limit isn't exceeded), of the server and of a gateway with lingering refused clients pass.

--- a/ringseam/gateway/following/hostannouncing.py
+++ b/ringseam/gateway/following/hostannouncing.py
@@ -57,7 +57,7 @@
         clients = self.host.client_count
         if self.host.descriptors.limit and now >= self.counted_at + _COUNT_INTERVAL_S:
             self.counted_at = now
-            self._count_descriptors(clients)
+            self._count_descriptors()
         connections = self.host.descriptors.share(clients)
         held = self.host.budget.share
         self.meter.measure_processor(time.process_time(), now)
@@ -68,13 +68,14 @@
         self._update_readiness(now)
         self._export(clients, late_s)
 
-    def _count_descriptors(self, clients: int) -> None:
+    def _count_descriptors(self) -> None:
         count = count_open_descriptors()
         if count is None and self.is_counted:
             others = self.host.descriptors.others
             logger.warning('open descriptors not counted, %d others are assumed', others)
         self.is_counted = count is not None
-        self.host.descriptors.update(open_descriptors=count, clients=clients)
+        connections = self.host.connection_count
+        self.host.descriptors.update(open_descriptors=count, clients=connections)
 
     def _update_readiness(self, now: float) -> None:
         is_out = self.readiness.is_out(
--- a/ringseam/gateway/hosts/descriptors.py
+++ b/ringseam/gateway/hosts/descriptors.py
@@ -36,18 +36,23 @@
     def update(self, *, open_descriptors: int | None, clients: int) -> None:
         """Record how many descriptors are open, connections of clients included.
 
-        If that is unknown, the last count of the others stays in force.
+        :param open_descriptors: None: unknown, the last count of the others stays in force.
+        :param clients: all connections of clients, also refused ones.
         """
         if open_descriptors is not None:
             self.others = max(0, open_descriptors - clients)
 
-    def accept(self, clients: int) -> Acceptance:
-        """Decide on a new connection; ``clients`` includes it."""
-        if not self.limit or clients <= self.max_clients:
+    def accept(self, clients: int, refused: int = 0) -> Acceptance:
+        """Decide on a new connection.
+
+        :param clients: connections that are open, without refused ones, the new one included.
+        :param refused: connections that are refused and not closed yet.
+        """
+        if not self.limit:
             return Acceptance.accept
-        if clients <= self._room + self._free // 2:
-            return Acceptance.refuse
-        return Acceptance.close
+        if clients + refused > self._room + self._free // 2:
+            return Acceptance.close
+        return Acceptance.accept if clients <= self.max_clients else Acceptance.refuse
 
     def share(self, clients: int) -> float:
         """Return the share of the connections of clients that are open; 0 without a bound."""
--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -63,14 +63,19 @@
 
     @property
     def client_count(self) -> int:
-        """Return the number of open connections of clients."""
+        """Return the number of open connections of clients that are not refused."""
+        return 0 if self.server is None else self.server.client_count
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of all open connections of clients."""
         return 0 if self.server is None else len(self.server.connections)
 
     # -- what client connections report --------------------------------------
 
-    def accept(self, connections: int) -> Acceptance:
+    def accept(self, clients: int, refused: int) -> Acceptance:
         """Decide on a new connection by the descriptors that are left."""
-        acceptance = self.descriptors.accept(connections)
+        acceptance = self.descriptors.accept(clients, refused)
         if acceptance is not Acceptance.accept:
             self.metrics.add('client_connections_refused', outcome=acceptance.value)
         return acceptance
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -166,10 +166,11 @@
 class HttpAccounting:
     """Counts what client connections hold, and bounds what they read; here neither."""
 
-    def accept(self, connections: int) -> Acceptance:
+    def accept(self, clients: int, refused: int) -> Acceptance:
         """Decide on a new connection.
 
-        :param connections: number of open connections, the new one included.
+        :param clients: number of open connections that are not refused, the new one included.
+        :param refused: number of those that are refused and not closed yet.
         """
         return Acceptance.accept
 
@@ -222,11 +223,14 @@
         self.transport = transport  # type: ignore[assignment]
         self.transport.set_write_buffer_limits(high=_MAX_WRITE_BUFFER_BYTES)
         self.server.connections.add(self)
-        acceptance = self.server.accounting.accept(len(self.server.connections))
+        server = self.server
+        acceptance = server.accounting.accept(server.client_count, server.refused)
+        if acceptance is not Acceptance.accept:
+            self.is_refused = True
+            server.refused += 1
         if acceptance is Acceptance.close:
             self.abort()
             return
-        self.is_refused = acceptance is Acceptance.refuse
         self._start_idle_timer()
 
     def data_received(self, chunk: bytes) -> None:
@@ -252,6 +256,7 @@
         """Cancel the handler, as its response can no longer be sent."""
         self._clear_timer()
         self.server.connections.discard(self)
+        self.server.refused -= self.is_refused
         self.writable.set()
         self.server.paused.discard(self)
         self._count_unread(0)
@@ -498,6 +503,8 @@
         self.limits = limits
         self.accounting = HttpAccounting()
         self.connections: set[HttpConnection] = set()
+        #: How many of these are refused.
+        self.refused = 0
         #: Connections whose request bodies have to wait.
         self.paused: set[HttpConnection] = set()
         self.active = 0
@@ -517,6 +524,11 @@
         )
         return self.listener.sockets[0].getsockname()[1]
 
+    @property
+    def client_count(self) -> int:
+        """Return the number of open connections that are not refused."""
+        return len(self.connections) - self.refused
+
     def stop_listening(self) -> None:
         """Stop accepting new connections."""
         if self.listener is not None:
--- a/tests/test_gateway/test_hosts/test_hosts_descriptors.py
+++ b/tests/test_gateway/test_hosts/test_hosts_descriptors.py
@@ -119,6 +119,29 @@
     asyncio.run(run())
 
 
+def test_refused_clients_that_stay_take_no_place_of_others(key_file):
+    """Guards against a service that falls with the rate of refused clients."""
+
+    async def run():
+        async with LocalGateway(key_file) as gateway:
+            gateway.role.host.descriptors.limit = LIMIT
+            gateway.add_server(await ScriptedServer(answer).start())
+            opened = await open_clients(gateway, MOST_CLIENTS)
+            staying = await open_clients(gateway, REFUSED + 10)
+            server = gateway.role.client_server
+            assert (server.client_count, server.refused) == (MOST_CLIENTS, REFUSED)
+            assert gateway.role.host.client_count == MOST_CLIENTS
+            assert gateway.role.host.connection_count == MOST_CLIENTS + REFUSED
+            await close_all(opened[:2])
+            assert (await gateway.fetch('/once/'))[0] == 200
+            opened += await open_clients(gateway, 1)
+            assert server.client_count == MOST_CLIENTS - 1
+            await close_all([*opened, *staying])
+            assert (server.client_count, server.refused) == (0, 0)
+
+    asyncio.run(run())
+
+
 def test_without_the_key_no_client_is_refused(key_file):
     async def run():
         async with LocalGateway(key_file) as gateway:
@@ -131,14 +154,14 @@
     asyncio.run(run())
 
 
-@given(st.integers(1, 5000), st.integers(0, 6000), st.integers(0, 6000))
-def test_descriptors_are_never_exceeded(limit, others, clients):
+@given(st.integers(1, 5000), st.integers(0, 6000), st.integers(0, 6000), st.integers(0, 800))
+def test_descriptors_are_never_exceeded(limit, others, clients, refused):
     """A naive count: whoever is let in, all that is open fits into the limit."""
     budget = DescriptorBudget(limit=limit)
-    budget.update(open_descriptors=others + clients, clients=clients)
-    if budget.accept(clients + 1) is not Acceptance.close:
-        assert others + clients + 1 <= limit
-    if budget.accept(clients + 1) is Acceptance.accept:
+    budget.update(open_descriptors=others + clients + refused, clients=clients + refused)
+    if budget.accept(clients + 1, refused) is not Acceptance.close:
+        assert others + clients + refused + 1 <= limit
+    if budget.accept(clients + 1, refused) is Acceptance.accept:
         assert clients + 1 <= limit - limit // 4
         assert budget.share(clients) <= 1
 
--- a/tests/test_web/test_web_server.py
+++ b/tests/test_web/test_web_server.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ringseam.web.server import HttpLimits, HttpServer
+from ringseam.web.server import Acceptance, HttpAccounting, HttpLimits, HttpServer
 
 LIMITS = HttpLimits(header_bytes=2000, body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.4)
 
@@ -99,6 +99,39 @@
     asyncio.run(serve(echo, check))
 
 
+class Refusing(HttpAccounting):
+    """Accepts one client, refuses one and closes the rest."""
+
+    def accept(self, clients, refused):
+        self.asked = [*getattr(self, 'asked', ()), (clients, refused)]
+        if clients == 1:
+            return Acceptance.accept
+        return Acceptance.close if refused else Acceptance.refuse
+
+
+def test_refused_connections_count_apart_until_they_are_closed():
+    """Guards against refused connections that count for the bound, or stay counted."""
+
+    async def check(port, server):
+        server.accounting = Refusing()
+        writers = []
+        for _ in range(4):
+            writers.append((await asyncio.open_connection('127.0.0.1', port))[1])
+            await asyncio.sleep(0.02)
+        assert server.accounting.asked == [(1, 0), (2, 0), (2, 1), (2, 1)]
+        assert (server.client_count, server.refused) == (1, 1)
+        writers[0].close()
+        await asyncio.sleep(0.02)
+        assert (server.client_count, server.refused) == (0, 1)
+        for writer in writers[1:]:
+            writer.close()
+        await asyncio.sleep(0.02)
+        assert (server.client_count, server.refused) == (0, 0)
+        assert not server.connections
+
+    asyncio.run(serve(echo, check))
+
+
 def test_closed_connection_cancels_the_handler():
     async def check(port, server):
         _, writer = await asyncio.open_connection('127.0.0.1', port)
