Don't publish the load of a gateway's host

Cause: nothing read it, yet each change of a level was sent to all gateways, discarded their owners and dispatched all services. Change: the levels stay metrics of their gateway; GatewayState has no load.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -6,7 +6,7 @@
 import types
 from dataclasses import dataclass, field
 
-from ringseam.hostcapacity import NO_LOAD, UNKNOWN_CAPACITY, HostCapacity, HostLoad
+from ringseam.hostcapacity import UNKNOWN_CAPACITY, HostCapacity
 from ringseam.lifetimes import BackendId, EndedLifetimes, name_of, start_ms_of
 from ringseam.messages import Message
 from ringseam.routes import ServiceName
@@ -51,8 +51,6 @@
     busy: bool = False
     #: What its host has; all zero if its settings don't say.
     capacity: HostCapacity = UNKNOWN_CAPACITY
-    #: What is in use of it.
-    load: HostLoad = NO_LOAD
     #: Whether its host can take no more clients. Of those of a zone only some fail their
     #: readiness checks.
     full: bool = False
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -17,7 +17,7 @@
 from ringseam.gateway.following.coldservers import ColdServers
 from ringseam.gateway.following.confinement import Confinement
 from ringseam.gateway.following.documentfetch import DocumentFetcher
-from ringseam.hostcapacity import NO_LOAD, UNKNOWN_CAPACITY
+from ringseam.hostcapacity import UNKNOWN_CAPACITY
 from ringseam.platform.manifest import decode_manifest
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.routes import RouteTable
@@ -27,7 +27,7 @@
     from collections.abc import Callable, Collection
 
     from ringseam.backends import BackendReport
-    from ringseam.hostcapacity import HostCapacity, HostLoad
+    from ringseam.hostcapacity import HostCapacity
     from ringseam.node import Node
     from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient
@@ -100,8 +100,7 @@
         self.leader = ''
         self.draining = False
         self.busy = False
-        #: What is in use on this host, and whether it can take no more clients.
-        self.load: HostLoad = NO_LOAD
+        #: Whether this host can take no more clients.
         self.full = False
         self.is_connected = False
         #: Set and replaced with each update.
@@ -117,7 +116,6 @@
             draining=self.draining,
             busy=self.busy,
             capacity=self.capacity,
-            load=self.load,
             full=self.full,
         )
 
--- a/ringseam/gateway/following/hostannouncing.py
+++ b/ringseam/gateway/following/hostannouncing.py
@@ -1,4 +1,4 @@
-"""Announces the load of a gateway's host, and whether it takes new clients."""
+"""Announces whether a gateway's host takes new clients, and exports its load."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from ringseam.gateway.hosts.descriptors import count_open_descriptors
 from ringseam.gateway.hosts.load import LoadMeter
 from ringseam.gateway.hosts.readiness import HostReadiness
-from ringseam.hostcapacity import UNKNOWN_CAPACITY
+from ringseam.hostcapacity import UNKNOWN_CAPACITY, HostLoad
 
 if TYPE_CHECKING:
     from ringseam.gateway.following.follower import Follower
@@ -40,6 +40,9 @@
         self.meter = LoadMeter(
             capacity=host.capacity, now=node.clock.now(), processor_s=time.process_time()
         )
+        #: What is in use on this host. It isn't published, as each change of a gateway's state is
+        #: sent to all gateways, and none decides by it.
+        self.load = HostLoad()
         self.counted_at = float('-inf')
         #: Whether the open descriptors could be counted the last time.
         self.is_counted = True
@@ -61,9 +64,7 @@
         connections = self.host.descriptors.share(clients)
         held = self.host.budget.share
         self.meter.measure_processor(time.process_time(), now)
-        self.follower.load = self.meter.update(
-            late_s=late_s, held=held, connections=connections, now=now
-        )
+        self.load = self.meter.update(late_s=late_s, held=held, connections=connections, now=now)
         self.follower.full = self.readiness.update(connections=connections, held=held, now=now)
         self._update_readiness(now)
         self._export(clients, late_s)
@@ -99,12 +100,11 @@
         self.metrics.put('processor_share', self.meter.processor_share)
         self.metrics.put('host_full', int(self.follower.full))
         self.metrics.put('host_out', int(self.is_out))
-        load = self.follower.load
         levels = {
-            'lag': load.lag,
-            'processor': load.processor,
-            'held': load.held,
-            'connections': load.connections,
+            'lag': self.load.lag,
+            'processor': self.load.processor,
+            'held': self.load.held,
+            'connections': self.load.connections,
         }
         for kind, level in levels.items():
             self.metrics.put('host_load', level.value, kind=kind)
--- a/ringseam/gateway/hosts/load.py
+++ b/ringseam/gateway/hosts/load.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ringseam.hostcapacity import NO_LOAD, HostLoad, LoadLevel
+from ringseam.hostcapacity import HostLoad, LoadLevel
 
 if TYPE_CHECKING:
     from ringseam.hostcapacity import HostCapacity
@@ -79,16 +79,12 @@
         :param held: share of the bound of held bytes.
         :param connections: share of the bound of connections that are open.
         """
-        load = HostLoad(
+        return HostLoad(
             lag=self.lag.update(late_s, now),
             processor=self.processor.update(self.processor_share, now),
             held=self.held.update(held, now),
             connections=self.connections.update(connections, now),
         )
-        if load == NO_LOAD:
-            # Messages omit a default only if it is this very object.
-            return NO_LOAD
-        return load
 
 
 def _since(since: float | None, now: float, *, holds: bool) -> float | None:
--- a/ringseam/hostcapacity.py
+++ b/ringseam/hostcapacity.py
@@ -4,6 +4,7 @@
 
 import enum
 import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from ringseam.messages import Message
@@ -47,7 +48,8 @@
     high = 2
 
 
-class HostLoad(Message, frozen=True, kw_only=True, omit_defaults=True):
+@dataclass(frozen=True, kw_only=True)
+class HostLoad:
     """What is in use on a host, coarse enough to change seldom; low: also if it is unknown."""
 
     #: How late the timers of the event loop fire.
@@ -59,10 +61,6 @@
     connections: LoadLevel = LoadLevel.low
 
 
-#: Messages omit a default only if it is this very object.
-NO_LOAD = HostLoad()
-
-
 def read_capacity(options: Mapping[str, Any]) -> HostCapacity:
     """Return the capacity that the ``host_...`` keys of a role's settings state."""
     capacity = HostCapacity(
