--- a/ringseam/gateway/following/ownership.py
+++ b/ringseam/gateway/following/ownership.py
@@ -97,17 +97,14 @@
 def order_for(gateways: Iterable[GatewayState]) -> OwnerOrder:
     """Return the order by the processors of the hosts, or a uniform one.
 
-    It is uniform if the processors of all hosts are equal, as far as they are known. A host whose
-    processor is unknown counts as the mean of the others, so that a group in which some gateways
-    are of a version that doesn't announce it, or lack the settings, keeps its order for the rest.
+    It is uniform if hosts are equal, or if the processor of any is unknown: a gateway of a
+    version that doesn't announce it comes to the uniform order too.
     """
     weights = {state.name: state.capacity.processor for state in gateways}
-    known = [weight for weight in weights.values() if weight]
-    if len(set(known)) < 2:
+    distinct = set(weights.values())
+    if len(distinct) < 2 or 0 in distinct:
         return UniformOrder()
-    # The sum is exact, so that it doesn't depend on the order of the gateways.
-    mean = math.fsum(known) / len(known)
-    return WeightedOrder(weights={name: weight or mean for name, weight in weights.items()})
+    return WeightedOrder(weights=weights)
 
 
 class Ownership:
@@ -158,8 +155,7 @@
     def is_settled(self, service: str, now: float) -> bool:
         """Return whether this gateway has been the only owner of a service for a while.
 
-        Gateways that join or leave do not affect services that they do not own, while the
-        processors of all hosts are known or all are unknown.
+        Gateways that join or leave do not affect services that they do not own.
         """
         if self.owner_of(service):
             return False
