Admit a request whose service the gateway's table lacks

Cause: a forecast for a service that is missing from the route table of the gateway raised a KeyError, and only a cancellation withdrew what was reserved, so that an error kept the request as held while the gateway lived. Change: the due time of such a stage isn't checked; any error during admission withdraws.

--- a/ringseam/gateway/requests/pathforecast.py
+++ b/ringseam/gateway/requests/pathforecast.py
@@ -69,8 +69,11 @@
         that doesn't fit into the next calls waits for a full one at least.
         """
         forecast = self.forecasts.get(number)
-        spec = self.plan.services[self.plan.stages[number].service].batching
-        if forecast is None or spec is None or forecast.wait_ms < spec.full_call_s * MS_PER_S:
+        service = self.plan.services.get(self.plan.stages[number].service)
+        if forecast is None or service is None or service.batching is None:
+            return None
+        spec = service.batching
+        if forecast.wait_ms < spec.full_call_s * MS_PER_S:
             return None
         time = self._time(number, {})
         # A queue gives up what a call of one piece couldn't end in time.
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import dataclasses
 import enum
 from typing import TYPE_CHECKING
@@ -67,16 +66,16 @@
     async def admit(self, context: RequestContext, stages: StageRun) -> Refusal | None:
         """Reserve capacity on the whole path, and withdraw it if the request is refused."""
         attempt_id = context.request.attempt_id
-        refusal = None
+        is_admitted = False
         self.running[attempt_id] = stages
         try:
             path = await self._reserve(context, stages)
             refusal = self._decide(context, path) or self._check_stages(context, stages, path)
-        except asyncio.CancelledError:
-            self.ended(context)
-            raise
-        if refusal is not None:
-            self.ended(context)
+            is_admitted = refusal is None
+        finally:
+            # Also after an error or a cancellation, which would leave the capacity reserved.
+            if not is_admitted:
+                self.ended(context)
         return refusal
 
     def ended(self, context: RequestContext) -> None:
