Withdraw with the plain ID of an attempt and the name of the gateway

Cause: a withdrawal carried the ID scoped by the gateway; an owner of the former version knows reservations by the plain ID and withdrew nothing. Change: the name of the gateway is a field of its own, and the owner scopes the ID. A message without the field withdraws what was reserved without one.

--- a/ringseam/gateway/requests/reservationclient.py
+++ b/ringseam/gateway/requests/reservationclient.py
@@ -80,16 +80,17 @@
     def withdraw(self, attempt_id: str, services: Collection[ServiceName]) -> None:
         """End the reservations of a request for some services, in the background."""
         self.held.drop(attempt_id)
-        request_id = scoped_id(self.ownership.name, attempt_id)
         by_owner: dict[str, list[ServiceName]] = {}
         for service in sorted(services):
             by_owner.setdefault(self.ownership.owner_of(service), []).append(service)
         for owner, names in by_owner.items():
             if owner:
-                message = WithdrawRequest(attempt_id=request_id, services=tuple(names))
+                message = WithdrawRequest(
+                    gateway=self.ownership.name, attempt_id=attempt_id, services=tuple(names)
+                )
                 self.tasks.spawn(self._withdraw_at(owner, message))
             else:
-                self.own.withdraw(request_id, names)
+                self.own.withdraw(scoped_id(self.ownership.name, attempt_id), names)
 
     # -- helpers ------------------------------------------------------------
 
--- a/ringseam/gateway/reservations/messages.py
+++ b/ringseam/gateway/reservations/messages.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
 from ringseam.rpc import Method
@@ -69,12 +67,13 @@
     forecasts: tuple[StageForecast, ...] = ()
 
 
-class WithdrawRequest(Message, frozen=True, kw_only=True):
-    """Give up the reservations of a request."""
+class WithdrawRequest(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """Give up the reservations of a request of one gateway."""
 
-    #: The ID as :func:`scoped_id` returns it.
+    #: Name of the gateway that holds the reservations; empty: they were made without a name.
+    gateway: str = ''
     attempt_id: str
-    services: tuple[ServiceName, ...] = msgspec.field(default=())
+    services: tuple[ServiceName, ...] = ()
 
 
 def scoped_id(gateway: str, attempt_id: str) -> str:
--- a/ringseam/gateway/stages/client.py
+++ b/ringseam/gateway/stages/client.py
@@ -16,7 +16,7 @@
 from ringseam.clock import MS_PER_S
 from ringseam.errors import UnreachableError
 from ringseam.gateway.priorities import Precedence
-from ringseam.gateway.reservations.messages import RESERVE, WITHDRAW
+from ringseam.gateway.reservations.messages import RESERVE, WITHDRAW, scoped_id
 from ringseam.gateway.stages.jobs import PieceJob
 from ringseam.gateway.stages.messages import (
     PIECES,
@@ -172,7 +172,8 @@
     async def serve_withdraw(self, received: ReceivedMessage) -> Empty:
         """End the reservations of a request that another gateway does not run."""
         request: WithdrawRequest = received.body
-        self.reservations.withdraw(request.attempt_id, request.services)
+        request_id = scoped_id(request.gateway, request.attempt_id)
+        self.reservations.withdraw(request_id, request.services)
         return Empty()
 
     async def serve_pieces(self, received: ReceivedMessage) -> PieceReply:
--- a/tests/test_gateway/test_requests/test_requests_reservationfailures.py
+++ b/tests/test_gateway/test_requests/test_requests_reservationfailures.py
@@ -19,8 +19,10 @@
     WITHDRAW,
     ReserveRequest,
     StageDemand,
+    WithdrawRequest,
 )
 from ringseam.gateway.reservations.work import StageKey
+from ringseam.messages import Message
 from ringseam.model.experiment import Experiment
 from ringseam.model.pattern import read_pattern
 from ringseam.model.virtualtime import run_virtual
@@ -39,6 +41,12 @@
 FREE_AGAIN_S = 2.0
 
 
+def demand_of(starts_ms):
+    return StageDemand(
+        stage=STAGE, service=SERVICE, pieces=PIECES, starts_ms=starts_ms, due_ms=DUE_MS
+    )
+
+
 class FaultyNetwork:
     """Loses or repeats the calls of some methods."""
 
@@ -110,15 +118,7 @@
         request = ReserveRequest(
             attempt_id=attempt_id,
             rank=1,
-            demands=(
-                StageDemand(
-                    stage=STAGE,
-                    service=SERVICE,
-                    pieces=PIECES,
-                    starts_ms=starts_ms,
-                    due_ms=DUE_MS,
-                ),
-            ),
+            demands=(demand_of(starts_ms),),
         )
         forecasts = await self.clients[gateway].reserve(request, started)
         return forecasts[STAGE].wait_ms / 1000
@@ -255,6 +255,34 @@
     assert cluster.reserved() == {(second.node.name, 'r')}
 
 
+class FormerMessage(Message, frozen=True, kw_only=True):
+    """The withdrawal of the former version."""
+
+    attempt_id: str
+    services: tuple[ServiceName, ...] = ()
+
+
+def test_owner_of_the_former_version_is_told_the_plain_id_of_the_attempt():
+    message = WithdrawRequest(gateway='g1', attempt_id='r', services=(SERVICE,))
+    former = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=FormerMessage)
+    assert former == FormerMessage(attempt_id='r', services=(SERVICE,))
+
+
+@in_cluster
+async def test_gateway_of_the_former_version_withdraws_what_it_reserved(cluster):
+    """Neither of its messages names the gateway; a reservation of another one stays."""
+    holder, owner = cluster.others[0], cluster.owner
+    await cluster.reserve(holder)
+    owner.pieces.reservations.reserve(
+        ReserveRequest(attempt_id='r', rank=1, demands=(demand_of(STARTS_MS),))
+    )
+    assert cluster.reserved() == {(holder.node.name, 'r'), ('', 'r')}
+    former = FormerMessage(attempt_id='r', services=(SERVICE,))
+    received = msgspec.msgpack.decode(msgspec.msgpack.encode(former), type=WithdrawRequest)
+    await cluster.network.call(owner.node.address, WITHDRAW, received, timeout_s=1)
+    assert cluster.reserved() == {(holder.node.name, 'r')}
+
+
 @in_cluster
 async def test_arrival_at_one_of_two_gateways_uses_one_reservation(cluster):
     first, second = cluster.others[:2]
