Don't refuse a retry for a stage if it is expected within its time limit

Cause: the due times of stages leave room for the usual queues after them, so a client that returned was refused again although the forecast fitted its limit (3.0 to 3.15 s expected, 3.2 s left). Change: the check of stages is skipped for retries.

--- a/ringseam/gateway/requests/pathforecast.py
+++ b/ringseam/gateway/requests/pathforecast.py
@@ -62,8 +62,8 @@
         """Return the longest wait for the account's share at a service, seconds."""
         return _largest(forecast.share_wait_ms for forecast in self.forecasts.values()) / MS_PER_S
 
-    def latest_end_s(self, number: int, *, with_spread: bool) -> float | None:
-        """Return when a queued stage is expected to end, seconds from now.
+    def latest_end_s(self, number: int) -> float | None:
+        """Return when a queued stage should end at the latest, seconds from now.
 
         None: its pieces go with the next calls, so its queue gives up no late piece. Work
         that doesn't fit into the next calls waits for a full one at least.
@@ -77,8 +77,7 @@
             return None
         time = self._time(number, {})
         # A queue gives up what a call of one piece couldn't end in time.
-        end_s = time.end_s - (spec.full_call_s - spec.call_s - spec.piece_s)
-        return end_s + time.spread_s if with_spread else end_s
+        return time.end_s + time.spread_s - (spec.full_call_s - spec.call_s - spec.piece_s)
 
     def _stages(self) -> list[int]:
         plan = self.plan
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -178,14 +178,19 @@
     def _check_stages(
         self, context: RequestContext, stages: StageRun, path: PathForecast
     ) -> Refusal | None:
-        """Refuse now what the queue of a stage would give up as late after it has waited."""
+        """Refuse now what the queue of a stage would give up as late after it has waited.
+
+        A retry that is expected within its time limit is not refused again: the due times of
+        its stages leave room for the usual queues after them, which its forecast has instead.
+        """
+        if context.precedence.returned:
+            return None
         now = self.clock.now()
-        with_spread = not context.precedence.returned
         late_s = max(
             (
                 now + end_s - stages.due_at(number)
                 for number in path.forecasts
-                if (end_s := path.latest_end_s(number, with_spread=with_spread)) is not None
+                if (end_s := path.latest_end_s(number)) is not None
             ),
             default=0,
         )
--- a/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
@@ -280,6 +280,25 @@
     assert refusal is None
 
 
+@pytest.mark.parametrize('wait_ms', [1900, 2000, 2100])
+def test_client_that_returns_and_fits_its_time_limit_is_not_refused_for_a_stage(wait_ms):
+    """Its first stage ends so late that a usual queue after it would be too long."""
+    gateway = Gateway(first_stage_waits(wait_ms))
+    context, stages = gateway.request(since_first_attempt_s=0.5)
+    context.deadline = 3.2
+    assert stages.due_at(0) < CALL_S + wait_ms / 1000
+    assert asyncio.run(gateway.policy.admit(context, stages)) is None
+    assert context.predicted_duration_s <= context.deadline
+
+
+def test_client_that_returns_and_misses_its_time_limit_is_refused():
+    gateway = Gateway(first_stage_waits(2500))
+    context, stages = gateway.request(since_first_attempt_s=0.5)
+    context.deadline = 3.2
+    assert asyncio.run(gateway.policy.admit(context, stages)) is not None
+    assert context.decided_by == 'forecast'
+
+
 def test_unreachable_owners_leave_the_decision_to_what_is_known():
     owners = FakeOwners(wait_ms=900)
     owners.unreachable = {f'{service}:1' for service in SERVICES}
