Keep a reservation as long as its gateway renews it, counted as asked once

Cause: a renewed stage that was more than 1 s overdue expired at once, was taken over with the next renewal, and counted as asked for each time. A new owner counted all held work as asked for just now, as if a burst began. Change: a reservation of a named gateway expires by its lease alone; work that is taken over counts as used but not as asked for.

--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -115,14 +115,16 @@
         )
 
     def renew(self, work: StageWork, load: ServiceLoad, now: float) -> None:
-        """Keep a reservation that its gateway still holds; take it over if it is unknown."""
+        """Keep a reservation that its gateway still holds; take it over if it is unknown.
+
+        What is taken over counts as used, but not as asked for: it was when it was admitted.
+        """
         self._end_expired(now)
         if self._has_arrived(work.key):
             return
         earlier = self._remove(work.key)
         if earlier is None:
             demand = _account_demand(work, load)
-            self.shares.asked(demand, now)
             self.shares.admitted(demand, now)
             taken = Reservation(work=work, wait_s=None, demand=demand, reserved_at=now)
         else:
--- a/ringseam/gateway/reservations/work.py
+++ b/ringseam/gateway/reservations/work.py
@@ -16,8 +16,8 @@
     from ringseam.gateway.priorities import Precedence
     from ringseam.routes import AccountName
 
-#: A reservation ends this long after its pieces should have arrived, or were due, seconds. Pieces
-#: arrive later than that only if the stages before them took much longer than forecast.
+#: A reservation that no gateway renews ends this long after its pieces should have arrived, or
+#: were due, seconds.
 _EXPIRY_S = 1.0
 #: A reservation ends if its gateway doesn't renew it for this long, seconds: a gateway that died
 #: leaves no capacity reserved, and one lost message costs nothing.
@@ -110,8 +110,10 @@
     @property
     def expires_at(self) -> float:
         """Return when the reservation ends if the pieces don't arrive."""
-        ends_at = min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
-        return min(ends_at, self.renewed_at + LEASE_S) if self.work.key.gateway else ends_at
+        if self.work.key.gateway:
+            # Its gateway renews it while the pieces may come, however late the stages before are.
+            return self.renewed_at + LEASE_S
+        return min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/gateway/stages/ownerreservations.py
+++ b/ringseam/gateway/stages/ownerreservations.py
@@ -106,7 +106,6 @@
             spec = self.scheduler.spec_of(demand.service)
             if spec is not None:
                 work = _stage_work(gateway, held, demand, spec, now)
-                self._count_asked(demand.service, work, now)
                 load = self._load(demand.service, work.call_s, spec)
                 self.scheduler.state_of(demand.service).book.renew(work, load, now)
 
--- a/tests/test_gateway/test_requests/test_requests_reservationfailures.py
+++ b/tests/test_gateway/test_requests/test_requests_reservationfailures.py
@@ -41,9 +41,9 @@
 FREE_AGAIN_S = 2.0
 
 
-def demand_of(starts_ms):
+def demand_of(starts_ms, due_ms=DUE_MS):
     return StageDemand(
-        stage=STAGE, service=SERVICE, pieces=PIECES, starts_ms=starts_ms, due_ms=DUE_MS
+        stage=STAGE, service=SERVICE, pieces=PIECES, starts_ms=starts_ms, due_ms=due_ms
     )
 
 
@@ -113,12 +113,14 @@
         self.experiment.gateways.remove(gateway)
         self.set_gateways(self.experiment.gateways)
 
-    async def reserve(self, gateway, attempt_id='r', *, starts_ms=STARTS_MS, started=()):
+    async def reserve(
+        self, gateway, attempt_id='r', *, starts_ms=STARTS_MS, due_ms=DUE_MS, started=()
+    ):
         """Reserve a stage, and return the wait that is forecast for it, seconds."""
         request = ReserveRequest(
             attempt_id=attempt_id,
             rank=1,
-            demands=(demand_of(starts_ms),),
+            demands=(demand_of(starts_ms, due_ms),),
         )
         forecasts = await self.clients[gateway].reserve(request, started)
         return forecasts[STAGE].wait_ms / 1000
@@ -134,6 +136,12 @@
     def book_of(self, gateway):
         return gateway.piece_scheduler.state_of(SERVICE).book
 
+    def asked_per_s(self, gateway):
+        """Return both recent rates at which the service is asked for, pieces per second."""
+        state = gateway.piece_scheduler.state_of(SERVICE)
+        now = self.clock.now()
+        return state.book.asked.per_s(now), state.batcher.throughput.asked.per_s(now)
+
     def reserved(self, gateway=None):
         """Return the requests whose reservations an owner counts."""
         owner = gateway or self.owner
@@ -166,6 +174,29 @@
     assert await cluster.wait_of_another(starts_s=STARTS_MS / 1000 - 0.7) > TAKES_S / 2
 
 
+@in_cluster
+async def test_new_owner_counts_what_is_held_as_reserved_and_not_as_asked_for_now(cluster):
+    """Else a change of owner would look like a burst, which leaves nothing to retries."""
+    for number in range(5):
+        await cluster.reserve(cluster.others[0], f'r{number}')
+    assert cluster.asked_per_s(cluster.owner) != (0, 0)
+    await cluster.kill(cluster.owner)
+    await asyncio.sleep(0.6)
+    assert len(cluster.reserved()) == 5
+    assert cluster.asked_per_s(cluster.owner) == (0, 0)
+
+
+@in_cluster
+async def test_overdue_stage_is_counted_once_while_it_is_held(cluster):
+    holder = cluster.others[0]
+    await cluster.reserve(holder, starts_ms=100, due_ms=400)
+    book = cluster.book_of(cluster.owner)
+    await asyncio.sleep(6)
+    assert cluster.reserved() == {(holder.node.name, 'r')}
+    assert not book.ended
+    assert sum(cluster.asked_per_s(cluster.owner)) < PIECES / 6
+
+
 @in_cluster
 async def test_reservations_move_to_the_new_owner_while_the_former_one_drains(cluster):
     former, holder = cluster.owner, cluster.others[0]
--- a/tests/test_gateway/test_reservations/test_reservations_book.py
+++ b/tests/test_gateway/test_reservations/test_reservations_book.py
@@ -69,11 +69,12 @@
 
     def __init__(self, wait_s=0.0):
         self.used = 0
+        self.asked_for = 0
         self.wait_s = wait_s
         self.loads = []
 
     def asked(self, demand, now):
-        """Count nothing."""
+        self.asked_for += demand.amount
 
     def admitted(self, demand, now):
         self.used += demand.amount
@@ -258,6 +259,31 @@
     assert book.ended == {ReservationEnd.expired: 1}
 
 
+def test_stage_that_is_long_overdue_is_kept_while_its_gateway_renews_it():
+    """The stages before it take much longer than forecast; it was asked for once."""
+    book = ReservationBook(shares=RecordingShares())
+    reserve(book, service_load(), name='held', gateway='g1', starts_at=0.2, due_at=0.4)
+    for half_seconds in range(1, 12):
+        now = half_seconds / 2
+        overdue = stage_work('held', gateway='g1', starts_at=max(now, 0.2), due_at=0.4)
+        book.renew(overdue, service_load(), now)
+        book.expire(now + 0.4)
+    assert book.reserved.keys() == {StageKey('held', 0, 'g1')}
+    assert not book.ended
+    assert book.reserved[StageKey('held', 0, 'g1')].reserved_at == 0
+    assert book.shares.used == book.shares.asked_for == pytest.approx(0.02)
+    book.expire(now + LEASE_S + 0.1)
+    assert book.ended == {ReservationEnd.expired: 1}
+    assert book.shares.used == pytest.approx(0)
+
+
+def test_work_that_is_taken_over_counts_as_used_and_not_as_asked_for():
+    book = ReservationBook(shares=RecordingShares())
+    book.renew(stage_work('held', gateway='g1'), service_load(), 0)
+    assert book.shares.used == pytest.approx(0.02)
+    assert book.shares.asked_for == 0
+
+
 @settings(max_examples=200, deadline=None)
 @given(
     st.lists(
