Hold an attempt that a gateway receives twice by its later run

Cause: the second run of an attempt shared what the first had sent, so its own stages weren't renewed; the end of either withdrew the reservations of both. Change: the later run replaces the earlier one, whose end withdraws nothing.

--- a/ringseam/gateway/requests/reservationclient.py
+++ b/ringseam/gateway/requests/reservationclient.py
@@ -77,8 +77,19 @@
         )
         return {forecast.stage: forecast for found in replies for forecast in found}
 
-    def withdraw(self, attempt_id: str, services: Collection[ServiceName]) -> None:
-        """End the reservations of a request for some services, in the background."""
+    def withdraw(
+        self,
+        attempt_id: str,
+        services: Collection[ServiceName],
+        started: Collection[int] | None = None,
+    ) -> None:
+        """End the reservations of a request for some services, in the background.
+
+        :param started: as it was given to :meth:`reserve`. Nothing is withdrawn if the attempt has
+            been received again since, which took over the reservations. None: always withdraw.
+        """
+        if started is not None and self.held.is_replaced(attempt_id, started):
+            return
         self.held.drop(attempt_id)
         by_owner: dict[str, list[ServiceName]] = {}
         for service in sorted(services):
--- a/ringseam/gateway/requests/reservedpolicy.py
+++ b/ringseam/gateway/requests/reservedpolicy.py
@@ -56,8 +56,9 @@
         self.clock = clock
         self.reservations = reservations
         self.admission = admission
-        #: Stage runs of admitted requests that are not over.
-        self.running: dict[str, StageRun] = {}
+        #: Stage runs of admitted requests that are not over, by the identity of their context:
+        #: clients may send an attempt twice.
+        self.running: dict[int, StageRun] = {}
         #: Moving average of the time from the end of the stages to the first event, by route.
         self.final_server_s: dict[str, float] = {}
         #: The last forecast wait for each service, seconds, and when it was given.
@@ -65,9 +66,8 @@
 
     async def admit(self, context: RequestContext, stages: StageRun) -> Refusal | None:
         """Reserve capacity on the whole path, and withdraw it if the request is refused."""
-        attempt_id = context.request.attempt_id
         is_admitted = False
-        self.running[attempt_id] = stages
+        self.running[id(context)] = stages
         try:
             path = await self._reserve(context, stages)
             refusal = self._decide(context, path) or self._check_stages(context, stages, path)
@@ -80,12 +80,14 @@
 
     def ended(self, context: RequestContext) -> None:
         """Withdraw the reservations of stages that are no longer run."""
-        stages = self.running.pop(context.request.attempt_id, None)
+        stages = self.running.pop(id(context), None)
         if stages is None:
             return
         if context.first_event_at and context.stages_duration_s:
             self._record_final_server(context)
-        self.reservations.withdraw(context.request.attempt_id, stages.unstarted_services())
+        self.reservations.withdraw(
+            context.request.attempt_id, stages.unstarted_services(), stages.started
+        )
 
     # -- helpers ------------------------------------------------------------
 
--- a/ringseam/gateway/reservations/holding.py
+++ b/ringseam/gateway/reservations/holding.py
@@ -59,14 +59,23 @@
     requests: dict[str, HeldRequest] = field(default_factory=dict)
 
     def add(self, request: ReserveRequest, started: Collection[int], now: float) -> None:
-        """Record what is asked for; a stage that is asked for again replaces the earlier one."""
+        """Record what is asked for; a stage that is asked for again replaces the earlier one.
+
+        An attempt that is received again, which ``started`` shows, replaces the earlier run: owners
+        keep one reservation for both.
+        """
         held = self.requests.get(request.attempt_id)
-        if held is None:
+        if held is None or held.started is not started:
             held = HeldRequest(request=request, started=started)
             self.requests[request.attempt_id] = held
         for demand in request.demands:
             held.stages[demand.stage] = HeldStage(demand=demand, asked_at=now)
 
+    def is_replaced(self, attempt_id: str, started: Collection[int]) -> bool:
+        """Return whether another run of an attempt than that of ``started`` is held."""
+        held = self.requests.get(attempt_id)
+        return held is not None and held.started is not started
+
     def drop(self, attempt_id: str) -> None:
         """Forget a request that is over."""
         self.requests.pop(attempt_id, None)
--- a/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
+++ b/tests/test_gateway/test_requests/test_requests_reservedpolicy.py
@@ -354,6 +354,26 @@
     assert len(gateway.owners.withdrawn) == 3
 
 
+def test_attempt_that_is_received_again_keeps_its_reservations_when_the_first_run_ends():
+    gateway = Gateway(FakeOwners())
+    (first, first_stages), (second, second_stages) = gateway.request(), gateway.request()
+
+    async def run():
+        assert await gateway.policy.admit(first, first_stages) is None
+        assert await gateway.policy.admit(second, second_stages) is None
+        gateway.policy.ended(first)
+        await asyncio.sleep(0.01)
+        assert not gateway.owners.withdrawn
+        assert gateway.policy.reservations.held.requests
+        gateway.policy.ended(second)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+    assert len(gateway.owners.withdrawn) == 3
+    assert not gateway.policy.running
+    assert not gateway.policy.reservations.held.requests
+
+
 def test_request_is_admitted_although_a_service_is_missing_from_the_table():
     """The owner has received a configuration that this gateway hasn't."""
     services = {name: service for name, service in TABLE.services.items() if name != 'index'}
--- a/tests/test_gateway/test_reservations/test_reservations_holding.py
+++ b/tests/test_gateway/test_reservations/test_reservations_holding.py
@@ -58,3 +58,20 @@
     held.add(request_of('r', 700), set(), 0.05)
     (work,) = held.by_owner(lambda service: '', 0.05)['']
     assert [one.starts_ms for one in work.demands] == [700]
+
+
+def test_attempt_that_is_received_again_is_held_by_what_its_own_run_has_sent():
+    """A hedging client sends an attempt twice to one gateway; the first run is ahead."""
+    held = HeldReservations()
+    first, second = set(), set()
+    held.add(request_of('r', 0, 800), first, 0.0)
+    first.update((0, 1))
+    held.add(request_of('r', 0, 800), second, 0.1)
+    (work,) = held.by_owner(lambda service: '', 0.1)['']
+    assert [one.stage for one in work.demands] == [0, 1]
+    second.add(0)
+    (work,) = held.by_owner(lambda service: '', 0.1)['']
+    assert [one.stage for one in work.demands] == [1]
+    assert held.is_replaced('r', first)
+    assert not held.is_replaced('r', second)
+    assert not held.is_replaced('unknown', first)
