Renew reservations at the own owner at once

Cause: a renewal at the gateway that owns the service ran in a task of its own and a withdrawal at once, so that the renewal could take over what had just been withdrawn, until its lease ended. Change: the renewal is a direct call as well.

--- a/ringseam/gateway/requests/reservationclient.py
+++ b/ringseam/gateway/requests/reservationclient.py
@@ -112,7 +112,12 @@
                 await asyncio.sleep(_RENEWAL_INTERVAL_S)
                 now = self.clock.now()
                 for owner, works in self.held.by_owner(self.ownership.owner_of, now).items():
-                    self.tasks.spawn(self._reserve_at(owner, self._renewal(works)))
+                    renewal = self._renewal(works)
+                    if owner:
+                        self.tasks.spawn(self._reserve_at(owner, renewal))
+                    else:
+                        # At once, as a withdrawal, which must not be overtaken by a renewal.
+                        self.own.reserve(renewal)
         finally:
             self.renewing = False
 
--- a/tests/test_gateway/test_requests/test_requests_reservationfailures.py
+++ b/tests/test_gateway/test_requests/test_requests_reservationfailures.py
@@ -326,6 +326,28 @@
     assert not book.arrive(StageKey('r', STAGE), cluster.clock.now())
 
 
+@in_cluster
+async def test_withdrawal_at_the_own_owner_is_not_overtaken_by_a_renewal(cluster):
+    """The request ends between the turn of the renewals and any task that they start."""
+    owner = cluster.owner
+    client, reservations = cluster.clients[owner], owner.pieces.reservations
+    await cluster.reserve(owner)
+    by_owner = client.held.by_owner
+    withdrawn = []
+
+    def withdraw_after(owner_of, now):
+        loop = asyncio.get_running_loop()
+        loop.call_soon(client.withdraw, 'r', {SERVICE})
+        loop.call_soon(withdrawn.append, now)
+        return by_owner(owner_of, now)
+
+    client.held.by_owner = withdraw_after
+    await asyncio.sleep(0.7)
+    assert withdrawn
+    assert reservations is client.own
+    assert not cluster.reserved()
+
+
 @in_cluster
 async def test_renewals_end_when_nothing_is_held(cluster):
     holder = cluster.others[0]
