--- a/ringseam/gateway/requests/reservationclient.py
+++ b/ringseam/gateway/requests/reservationclient.py
@@ -112,15 +112,17 @@
                 await asyncio.sleep(_RENEWAL_INTERVAL_S)
                 now = self.clock.now()
                 for owner, works in self.held.by_owner(self.ownership.owner_of, now).items():
-                    renewal = self._renewal(works)
-                    if owner:
-                        self.tasks.spawn(self._reserve_at(owner, renewal))
-                    else:
-                        # At once, as a withdrawal, which must not be overtaken by a renewal.
-                        self.own.reserve(renewal)
+                    self._renew_at(owner, self._renewal(works))
         finally:
             self.renewing = False
 
+    def _renew_at(self, owner: str, renewal: ReserveRequest) -> None:
+        if owner:
+            self.tasks.spawn(self._reserve_at(owner, renewal))
+        else:
+            # At once, as a withdrawal, which must not be overtaken by a renewal.
+            self.own.reserve(renewal)
+
     def _renewal(self, works: tuple[HeldWork, ...]) -> ReserveRequest:
         return ReserveRequest(
             gateway=self.ownership.name, held=works, attempt_id='', rank=0, demands=()
--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -131,7 +131,7 @@
             # Work that is delayed by earlier stages is expected as soon as possible.
             kept = earlier.work if earlier.work.starts_at >= now else work
             taken = replace(earlier, work=kept)
-        self._insert(replace(taken, renewed_at=now))
+        self._insert(replace(taken, renewed_at=now, is_renewed=True))
 
     def knows(self, key: StageKey) -> bool:
         """Return whether a stage is reserved, or its pieces have arrived and aren't done."""
--- a/ringseam/gateway/reservations/work.py
+++ b/ringseam/gateway/reservations/work.py
@@ -16,7 +16,7 @@
     from ringseam.gateway.priorities import Precedence
     from ringseam.routes import AccountName
 
-#: A reservation that no gateway renews ends this long after its pieces should have arrived, or
+#: A reservation that was not renewed ends this long after its pieces should have arrived, or
 #: were due, seconds.
 _EXPIRY_S = 1.0
 #: A reservation ends if its gateway doesn't renew it for this long, seconds: a gateway that died
@@ -106,14 +106,18 @@
     reserved_at: float = 0
     #: When the gateway last said that it holds the reservation.
     renewed_at: float = 0
+    #: Whether the gateway has said so since it asked for the reservation.
+    is_renewed: bool = False
 
     @property
     def expires_at(self) -> float:
         """Return when the reservation ends if the pieces don't arrive."""
-        if self.work.key.gateway:
-            # Its gateway renews it while the pieces may come, however late the stages before are.
-            return self.renewed_at + LEASE_S
-        return min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
+        lease_ends_at = self.renewed_at + LEASE_S
+        if self.is_renewed:
+            # The pieces may still come, however late the stages before them are.
+            return lease_ends_at
+        ends_at = min(self.work.due_at, self.work.starts_at) + _EXPIRY_S
+        return min(ends_at, lease_ends_at) if self.work.key.gateway else ends_at
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/test_gateway/test_reservations/test_reservations_book.py
+++ b/tests/test_gateway/test_reservations/test_reservations_book.py
@@ -277,6 +277,16 @@
     assert book.shares.used == pytest.approx(0)
 
 
+def test_reservation_that_was_never_renewed_ends_soon_after_its_start():
+    """The request was refused, and the withdrawal is lost."""
+    book = ReservationBook(shares=RecordingShares())
+    reserve(book, service_load(), name='refused', gateway='g1', starts_at=0.0)
+    book.expire(0.9)
+    assert book.reserved
+    book.expire(1.05)
+    assert not book.reserved
+
+
 def test_work_that_is_taken_over_counts_as_used_and_not_as_asked_for():
     book = ReservationBook(shares=RecordingShares())
     book.renew(stage_work('held', gateway='g1'), service_load(), 0)
