Fair order: take the durations of calls from the service

Cause: the order assumed calls of 0.4 s. Jobs due sooner went behind all others of their precedence, also with shorter calls, without overload and with the rate unknown.

Change: the batcher passes the shortest and the full call. A job that is due before the shortest call could end goes last, and only where there isn't time for all others; room in the schedule is reckoned with full calls, since calls are full under overload. Placing such jobs stays in the order: early shedding, which does so too, may be off.

New: other durations, short queues, jobs that can't be in time, and the batcher.

--- a/ringseam/gateway/stages/batching.py
+++ b/ringseam/gateway/stages/batching.py
@@ -19,6 +19,7 @@
 from ringseam.gateway.stages.capacity import ResultCapacity
 from ringseam.gateway.stages.jobs import Piece, PieceGroup, StageCall
 from ringseam.gateway.stages.order import (
+    CallTimes,
     DispatchClass,
     DispatchOrder,
     UrgencyOrder,
@@ -275,7 +276,8 @@
         def is_late(piece: Piece) -> bool:  # noqa: WPS430
             return self.shed_policy.is_certainly_late(piece, spec, now)
 
-        ordered = self.order.order(pieces, now)
+        calls = CallTimes(spec.call_s + spec.piece_s, spec.full_call_s)
+        ordered = self.order.order(pieces, now, calls=calls)
         return [
             piece
             for _, equals in itertools.groupby(ordered, key=rank_of)
--- a/ringseam/gateway/stages/fairorder.py
+++ b/ringseam/gateway/stages/fairorder.py
@@ -5,10 +5,13 @@
 import collections
 import heapq
 import itertools
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ringseam.gateway.stages.order import (
+    NO_TIME,
+    CallTimes,
     DispatchClass,
     DispatchOrder,
     by_job,
@@ -22,19 +25,17 @@
 
     from ringseam.gateway.stages.jobs import Piece, PieceGroup
 
-#: Assumed duration of the call that a piece runs in, seconds.
-_CALL_S = 0.4
-
 
 class FairOrder(DispatchOrder):
     """Order by dispatch class, precedence and due time; what exceeds a share goes behind.
 
-    While all jobs of a class and precedence can be in time, this is the order of urgency.
-    Otherwise the last job of the account that has most pieces goes behind, and so on, until
-    the others can be in time: accounts get max-min fair shares of what the service does
-    until then. Of the others, the jobs of accounts that keep within their share come first.
-    Nothing is left out, so calls stay as full as without shares. An account that is alone
-    is served by due time.
+    A job that is due before the shortest call could end can't be in time. While all others
+    of a class and precedence can be, this is the order of urgency. Otherwise the last job of
+    the account that has most pieces goes behind, and so on, until the others can be in time:
+    accounts get max-min fair shares of what the service does until then. Of the others, the
+    jobs of accounts that keep within their share come first; those that can't be in time go
+    last. Nothing is left out, so calls stay as full as without shares. An account that is
+    alone is served by due time.
 
     Late jobs are removed from a schedule by due time as in Moore, "An n job, one machine
     sequencing algorithm for minimizing the number of late jobs", 1968. Shares follow from
@@ -49,7 +50,9 @@
         #: Number of pieces that were last ordered.
         self.queued = 0
 
-    def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
+    def order(
+        self, waiting: Collection[Piece], now: float, *, calls: CallTimes = NO_TIME
+    ) -> list[Piece]:
         """Return the pieces, whole jobs one after another."""
         self.queued = len(waiting)
         self.exceeding.intersection_update([piece.group for piece in waiting])
@@ -60,7 +63,7 @@
         for (dispatch_class, _), group in itertools.groupby(keyed, key=_group_of):
             jobs = [pieces for _, pieces in group]
             if dispatch_class == DispatchClass.in_time and _compete(jobs):
-                jobs = self._shared(jobs, before, now)
+                jobs = self._shared(jobs, before, now, calls)
             ordered.extend(jobs)
             before += sum(map(len, jobs))
         return in_piece_order(ordered)
@@ -69,24 +72,26 @@
         """Record how fast pieces are sent."""
         self.rate.sent(len(pieces), now, has_backlog=self.queued > len(pieces))
 
-    def _shared(self, jobs: list[list[Piece]], before: int, now: float) -> list[list[Piece]]:
+    def _shared(
+        self, jobs: list[list[Piece]], before: int, now: float, calls: CallTimes
+    ) -> list[list[Piece]]:
         """Return jobs by due time, those that exceed shares last.
 
         :param before: the number of pieces that are sent before any of these.
         """
+        soonest, full = now + calls.shortest_s, now + calls.full_s
+        if self._has_time_for_all(jobs, before, soonest, full):
+            return jobs
         schedule = Schedule(jobs=jobs, pieces=before)
-        soonest = now + _CALL_S
         exceeding: list[list[Piece]] = []
         hopeless: list[list[Piece]] = []
         for number, pieces in enumerate(jobs):
-            left_s = pieces[0].job.due - soonest
-            if left_s <= 0:
+            if pieces[0].job.due <= soonest:
                 hopeless.append(pieces)
             elif pieces[0].group in self.exceeding:
                 exceeding.append(pieces)
             else:
-                # As many pieces may go before the job without making it late.
-                schedule.add(number, left_s * self.rate.per_s)
+                schedule.add(number, self._room(pieces, full))
         exceeding.extend(jobs[index] for index in schedule.behind)
         exceeding.sort(key=_due_of)
         self.exceeding.update(map(_group_of_job, exceeding))
@@ -94,6 +99,27 @@
         kept = sorted(schedule.kept_jobs(), key=lambda job: _account_of(job) in large)
         return [*kept, *exceeding, *hopeless]
 
+    def _room(self, pieces: list[Piece], full: float) -> float:
+        """Return how many pieces may go before a job without making it late.
+
+        :param full: when a full call that starts now would end.
+        """
+        return max(0, pieces[0].job.due - full) * self.rate.per_s
+
+    def _has_time_for_all(
+        self, jobs: list[list[Piece]], before: int, soonest: float, full: float
+    ) -> bool:
+        """Return whether all jobs that can still be in time are, in the order of urgency."""
+        if math.isinf(self.rate.per_s):
+            return True
+        for pieces in jobs:
+            if pieces[0].group in self.exceeding:
+                return False
+            if pieces[0].job.due > soonest and before > self._room(pieces, full):
+                return False
+            before += len(pieces)
+        return True
+
 
 @dataclass(kw_only=True)
 class Schedule:
--- a/ringseam/gateway/stages/order.py
+++ b/ringseam/gateway/stages/order.py
@@ -5,7 +5,7 @@
 import abc
 import collections
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from ringseam.gateway.priorities import route_priority
 
@@ -72,12 +72,30 @@
     return spare < 0 < job.due - now
 
 
+class CallTimes(NamedTuple):
+    """Durations of the calls of a service, seconds."""
+
+    #: With a single piece.
+    shortest_s: float
+    #: With as many pieces as fit.
+    full_s: float
+
+
+#: Calls that end at once: every job that isn't late can still be in time.
+NO_TIME = CallTimes(0, 0)
+
+
 class DispatchOrder(abc.ABC):
     """Base class of orders in which queued pieces are sent."""
 
     @abc.abstractmethod
-    def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
-        """Return the pieces in the order in which they are sent."""
+    def order(
+        self, waiting: Collection[Piece], now: float, *, calls: CallTimes = NO_TIME
+    ) -> list[Piece]:
+        """Return the pieces in the order in which they are sent.
+
+        :param calls: how long calls of the service take.
+        """
 
     def sent(self, pieces: Collection[Piece], now: float) -> None:  # noqa: B027 - optional
         """Record that pieces have left the queue in a call."""
@@ -86,7 +104,9 @@
 class UrgencyOrder(DispatchOrder):
     """Order by dispatch class, precedence and due time, whatever the account."""
 
-    def order(self, waiting: Collection[Piece], now: float) -> list[Piece]:
+    def order(
+        self, waiting: Collection[Piece], now: float, *, calls: CallTimes = NO_TIME
+    ) -> list[Piece]:
         """Return the pieces, the most urgent job first."""
         return dispatch_order(waiting, now)
 
--- a/tests/test_gateway/test_stages/test_stages_fairorder.py
+++ b/tests/test_gateway/test_stages/test_stages_fairorder.py
@@ -10,6 +10,7 @@
 
 import collections
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -19,7 +20,7 @@
 from ringseam.gateway.following.health import HealthTracker
 from ringseam.gateway.stages.batching import Batcher
 from ringseam.gateway.stages.fairorder import FairOrder
-from ringseam.gateway.stages.order import UrgencyOrder, dispatch_class_of, dispatch_order
+from ringseam.gateway.stages.order import CallTimes, UrgencyOrder, dispatch_class_of, dispatch_order
 from ringseam.quarantinemessages import Suspect
 from tests.test_gateway.test_stages.test_stages_batching import (
     SERVICE,
@@ -31,8 +32,8 @@
 )
 
 SIZES = st.integers(1, 4)
-#: Duration of a call that the order assumes, seconds.
-CALL_S = 0.4
+#: Duration of a full call, seconds.
+CALL_S = SPEC.full_call_s
 JOBS = st.lists(
     st.tuples(
         st.sampled_from('abc'),
@@ -83,12 +84,12 @@
     )
 
 
-def order_of(pieces, rate, now=0):
+def order_of(pieces, rate, now=0, call_s=CALL_S):
     """Return the pieces in their order, with a service that sends ``rate`` pieces a second."""
     order = FairOrder()
     for second in (0, 1):
         order.rate.sent(rate, second, has_backlog=True)
-    return order.order(pieces, now)
+    return order.order(pieces, now, calls=CallTimes(call_s, call_s))
 
 
 def naive_shares(demands, room):
@@ -163,6 +164,57 @@
     assert FairOrder().order(pieces, 0) == dispatch_order(pieces, 0)
 
 
+@pytest.mark.parametrize('call_s', [0.01, 0.1, 0.25, 0.4, 3])
+def test_job_is_hopeless_by_the_call_of_its_service_only(call_s):
+    """The first job can just be in time; with too little time for all, others go behind."""
+    drawn = [('a', 1, call_s + 0.01, 0, False), ('b', 1, call_s + 3, 0, False)]
+    overload = [('c', 1, call_s + 1, 0, False)] * 20
+    assert accounts_of(order_of(queued([*drawn, *overload]), 10, call_s=call_s))[0] == 'a'
+    drawn[0] = ('a', 1, call_s - 0.005, 0, False)
+    assert accounts_of(order_of(queued([*drawn, *overload]), 10, call_s=call_s))[-1] == 'a'
+
+
+@given(drawn=JOBS, rate=st.floats(0.1, 20), call_s=st.floats(0.01, 2))
+def test_jobs_that_cannot_be_in_time_keep_their_places_without_overload(drawn, rate, call_s):
+    """There is time for all that can still be in time, also behind those that can't."""
+    latest = call_s + 100 / rate
+    pieces = queued(
+        [
+            (account, size, latest + due if due >= 0 else -due * call_s, *rest)
+            for account, size, due, *rest in drawn
+        ]
+    )
+    assert order_of(pieces, rate, call_s=call_s) == dispatch_order(pieces, 0)
+
+
+@pytest.mark.parametrize('call_s', [0.1, 0.4])
+@pytest.mark.parametrize('known', [False, True])
+def test_order_of_a_short_queue_is_that_of_urgency_whatever_the_call_takes(call_s, known):
+    pieces = queued([('a', 1, 0.3, 0, False), ('a', 1, 3, 0, False), ('b', 1, 5, 0, False)])
+    order = FairOrder()
+    for second in (0, 1) if known else ():
+        order.rate.sent(10, second, has_backlog=True)
+    ordered = order.order(pieces, 0, calls=CallTimes(call_s, call_s))
+    assert [piece.job.due for piece in ordered] == [0.3, 3, 5]
+
+
+def test_batcher_orders_by_the_shortest_call_of_the_service():
+    spec = replace(SPEC, call_s=1, piece_s=0.5)
+    for due, first in ((1.4, False), (1.6, True)):
+        batcher = fair_batcher()
+        for second in (-1, 0):
+            batcher.order.rate.sent(10, second, has_backlog=True)
+        for number in range(40):
+            batcher.add(job_of('large', number, due=2 + number / 100), 0)
+        batcher.add(job_of('small', 0, due=due), 0)
+        call = batcher.next_call([server('s')], spec, 0)
+        assert ('small0' in requests_of(call)) is first
+
+
+def accounts_of(pieces):
+    return [piece.job.suspect.account for piece in pieces]
+
+
 def test_small_account_goes_before_a_queue_behind_which_it_would_be_late():
     batcher = fair_batcher()
     for number in range(40):
