Account shares: apply a change of the accounts to each table at once

Cause: each account that was renamed or dropped renewed all sums of the table, which takes time quadratic in the number of accounts.

Change: UsageTable.change_accounts takes the whole change and renews the sums once, and not at all if none of the accounts has been counted. It replaces rename and forget, which have no other callers.

Tests: that of renaming and dropping uses the new method, with the same expectations; new ones count the renewals for 5,000 changed accounts (one) and for accounts that were never counted (none).

--- a/ringseam/gateway/accounts/maxmin.py
+++ b/ringseam/gateway/accounts/maxmin.py
@@ -10,7 +10,7 @@
 from ringseam.gateway.accounts.usage import UsageTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection, Mapping
 
     from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad
     from ringseam.routes import AccountName
@@ -132,15 +132,15 @@
             )
         return found
 
-    def rename(self, old: AccountName, new: AccountName, now: float) -> None:
-        """Let an account succeed another one, with what that has asked and used."""
-        for table in self.ranks.values():
-            table.rename(old, new, now)
-
-    def forget(self, account: AccountName) -> None:
-        """Drop an account that no longer exists."""
+    def change_accounts(
+        self,
+        renamed: Mapping[AccountName, AccountName],
+        gone: Collection[AccountName],
+        now: float,
+    ) -> None:
+        """Drop accounts; their successors, if any, take over what they asked and used."""
         for table in self.ranks.values():
-            table.forget(account)
+            table.change_accounts(renamed, gone, now)
 
     def drop_idle(self, now: float) -> None:
         """Drop accounts without recent requests, and ranks without accounts."""
--- a/ringseam/gateway/accounts/succession.py
+++ b/ringseam/gateway/accounts/succession.py
@@ -23,10 +23,7 @@
 
     def apply(self, shares: MaxMinShares, now: float) -> None:
         """Let new accounts succeed those that they replace, and drop the others."""
-        for old, new in self.renamed.items():
-            shares.rename(old, new, now)
-        for account in self.gone:
-            shares.forget(account)
+        shares.change_accounts(self.renamed, self.gone, now)
 
 
 def change_between(before: Collection[Account], after: Collection[Account]) -> AccountChange:
--- a/ringseam/gateway/accounts/usage.py
+++ b/ringseam/gateway/accounts/usage.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
     from ringseam.routes import AccountName
 
 #: Amounts are decayed explicitly after this many time constants; what an account had asked
@@ -146,21 +148,24 @@
             for name in names
         ]
 
-    def rename(self, old: AccountName, new: AccountName, now: float) -> None:
-        """Count what an account has asked and used as that of its successor."""
-        self._scale(now)
-        use = self.accounts.get(old)
-        if use is None:
-            return
-        successor = self.accounts.setdefault(new, AccountUse(weight=use.weight))
-        successor.asked += use.asked
-        successor.used += use.used
-        successor.counted_at = max(successor.counted_at, use.counted_at)
-        self.forget(old)
+    def change_accounts(
+        self,
+        renamed: Mapping[AccountName, AccountName],
+        gone: Collection[AccountName],
+        now: float,
+    ) -> None:
+        """Drop accounts, and count what renamed ones asked and used as their successors'.
 
-    def forget(self, account: AccountName) -> None:
-        """Drop an account; what others ask and use stays the same."""
-        if self.accounts.pop(account, None) is not None:
+        What others ask and use stays the same. All sums are renewed at most once.
+        """
+        self._scale(now)
+        dropped = [name for name in (*renamed, *gone) if name in self.accounts]
+        for name in dropped:
+            use = self.accounts.pop(name)
+            successor = renamed.get(name)
+            if successor is not None:
+                self._succeed(use, successor)
+        if dropped:
             self._replace(self.accounts)
 
     def drop_idle(self, now: float) -> None:
@@ -169,6 +174,12 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _succeed(self, use: AccountUse, new: AccountName) -> None:
+        successor = self.accounts.setdefault(new, AccountUse(weight=use.weight))
+        successor.asked += use.asked
+        successor.used += use.used
+        successor.counted_at = max(successor.counted_at, use.counted_at)
+
     def _scale(self, now: float) -> float:
         if self.renewed_at is None:
             self.renewed_at = now
--- a/tests/test_gateway/test_accounts/test_accounts_usage.py
+++ b/tests/test_gateway/test_accounts/test_accounts_usage.py
@@ -127,14 +127,42 @@
     table = UsageTable(decay_s=DECAY_S)
     for number in range(5):
         table.count(f'a{number}', 0, asked=number, used=number / 2)
-    table.rename('a4', 'new', 1)
-    table.rename('a3', 'a2', 1)
-    table.rename('unknown', 'a1', 1)
-    table.forget('a1')
-    table.forget('unknown')
+    table.change_accounts({'a4': 'new', 'a3': 'a2', 'unknown': 'a1'}, {'a1', 'absent'}, 1)
     assert set(table.accounts) == {'a0', 'a2', 'new'}
     assert table.used_by('new', 0) == pytest.approx(2)
     assert table.used_by('a2', 0) == pytest.approx(2.5)
     assert table.total_used == pytest.approx(4.5)
     assert table.total_demand == pytest.approx(9)
     assert sum(group.count for group in table.groups.values()) == 3
+
+
+class CountingTable(UsageTable):
+    """A table that counts how often all its sums are renewed."""
+
+    replaced = 0
+
+    def _replace(self, accounts):
+        self.replaced += 1
+        super()._replace(accounts)
+
+
+def test_thousands_of_changed_accounts_renew_the_sums_once():
+    table = CountingTable(decay_s=DECAY_S)
+    for number in range(6000):
+        table.count(f'a{number}', 0, asked=2, used=1)
+    renamed = {f'a{number}': f'b{number // 2}' for number in range(2000)}
+    table.change_accounts(renamed, [f'a{number}' for number in range(2000, 5000)], 0)
+    assert table.replaced == 1
+    assert len(table.accounts) == 2000
+    assert {table.used_by(f'b{number}', 0) for number in range(1000)} == {2}
+    assert {table.used_by(f'a{number}', 0) for number in range(5000, 6000)} == {1}
+    assert table.total_used == pytest.approx(3000)
+    assert table.total_demand == pytest.approx(6000)
+
+
+def test_accounts_that_were_never_counted_renew_nothing():
+    table = CountingTable(decay_s=DECAY_S)
+    table.count('a', 0, asked=1)
+    table.change_accounts({'old': 'new'}, [f'b{number}' for number in range(4000)], 0)
+    assert table.replaced == 0
+    assert list(table.accounts) == ['a']
