Account sharing: compare accounts of route tables only with the feature

Cause: a gateway compared the accounts of each new route table also without account shares, which blocks its event loop while there are many.

Change: return early unless the feature is in force; nothing else uses the result, since stage services have no shares without it either.

Test: the comparisons made with and without the feature are counted.

--- a/ringseam/gateway/requests/accountsharing.py
+++ b/ringseam/gateway/requests/accountsharing.py
@@ -46,7 +46,8 @@
         #: The accounts that shares were last adjusted to, and what changed then.
         self.accounts: tuple[Account, ...] = ()
         self.change = AccountChange()
-        if Feature.account_shares in features:
+        self.in_force = Feature.account_shares in features
+        if self.in_force:
             attempts.plain_shares = self.plain_shares
 
     def publish_stage(self, owned: ServiceShares) -> None:
@@ -85,6 +86,9 @@
         self.plain_shares.publish(self.follower, now)
 
     def _adjust_to_accounts(self, now: float) -> None:
+        if not self.in_force:
+            # Comparing the accounts of large route tables takes long.
+            return
         accounts = self.follower.table.accounts
         self.change = AccountChange()
         if accounts is not self.accounts:
--- a/tests/test_gateway/test_requests/test_requests_accountsharing.py
+++ b/tests/test_gateway/test_requests/test_requests_accountsharing.py
@@ -15,8 +15,10 @@
 from ringseam.gateway.accounts.maxmin import MaxMinShares
 from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, ServiceShares, UnsharedPolicy
 from ringseam.gateway.accounts.reports import ShareReports
+from ringseam.gateway.accounts.succession import change_between
 from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.priorities import Precedence
+from ringseam.gateway.requests import accountsharing
 from ringseam.gateway.requests.accountsharing import AccountSharing
 from ringseam.gateway.stages.fairorder import FairOrder
 from ringseam.gateway.stages.order import UrgencyOrder
@@ -136,6 +138,34 @@
     assert 'ringseam_account' not in page
 
 
+@pytest.mark.parametrize('features', [frozenset(), frozenset({Feature.account_shares})])
+def test_accounts_of_route_tables_are_compared_only_with_the_feature(
+    key_file, features, monkeypatch
+):
+    compared = []
+
+    def compare(before, after):
+        compared.append((len(before), len(after)))
+        return change_between(before, after)
+
+    async def change_routes():
+        async with LocalGateway(key_file) as gateway:
+            sharing = AccountSharing(
+                features=features,
+                attempts=gateway.role.forwarder.attempts,
+                metrics=gateway.role.metrics,
+            )
+            for tenants in (TENANTS, TENANTS[1:]):
+                gateway.apply_document(manifest(tenants=tenants))
+                sharing.clean_up(set())
+            return sharing.change
+
+    monkeypatch.setattr(accountsharing, 'change_between', compare)
+    change = asyncio.run(change_routes())
+    assert compared == ([(0, 2), (2, 1)] if features else [])
+    assert change.gone == ({'large'} if features else set())
+
+
 @pytest.mark.parametrize(
     ('features', 'order'),
     [(frozenset(), UrgencyOrder), (frozenset({Feature.account_shares}), FairOrder)],
