Fair order: let jobs of large accounts keep their time where others can wait

Cause: the schedule finds the kept jobs in time in due order, but then all jobs of accounts above their share went behind those of others, also where these had plenty of time. 12 jobs due 1.41 s and 10 of another account due 6 s, 10 pieces/s: 2 and 10 in time.

Change: kept jobs go by due time, those of large accounts only while the others keep two thirds of the time until they are due; so every kept job of the others stays in time.

Measured: the case above, 11 and 10 in time (the twelfth exceeds by the schedule).

Changed test: test_small_account_goes_before_a_queue_behind_which_it_would_ be_late wanted a job due 3 s in the first call, before jobs due 2 s, which is the fault mended here. Now it names the call for five due times: the first one up to 1.5 s, the fifth for 3 s (ends 1 s before it is due), and wants all calls full and the large account's jobs in them in time.

--- a/ringseam/gateway/stages/fairorder.py
+++ b/ringseam/gateway/stages/fairorder.py
@@ -25,6 +25,9 @@
 
     from ringseam.gateway.stages.jobs import Piece, PieceGroup
 
+#: Share of the time until a job is due that jobs of accounts above their share may take up.
+_LARGE_ACCOUNTS_SHARE = 1 / 3
+
 
 class FairOrder(DispatchOrder):
     """Order by dispatch class, precedence and due time; what exceeds a share goes behind.
@@ -32,9 +35,10 @@
     A job that is due before the shortest call could end can't be in time. While all others
     of a class and precedence can be, this is the order of urgency. Otherwise the last job of
     the account that has most pieces goes behind, and so on, until the others can be in time:
-    accounts get max-min fair shares of what the service does until then. Of the others, the
-    jobs of accounts that keep within their share come first; those that can't be in time go
-    last. Nothing is left out, so calls stay as full as without shares. An account that is
+    accounts get max-min fair shares of what the service does until then. Of these, a
+    job of an account that exceeds its share goes before those of other accounts only while
+    they keep a reserve for what they haven't queued yet. Jobs that can't be in time go last.
+    Nothing is left out, so calls stay as full as without shares. An account that is
     alone is served by due time.
 
     Late jobs are removed from a schedule by due time as in Moore, "An n job, one machine
@@ -96,9 +100,45 @@
         exceeding.sort(key=_due_of)
         self.exceeding.update(map(_group_of_job, exceeding))
         large = set(map(_account_of, exceeding))
-        kept = sorted(schedule.kept_jobs(), key=lambda job: _account_of(job) in large)
+        kept = self._with_reserve(schedule.kept_jobs(), large, before, full)
         return [*kept, *exceeding, *hopeless]
 
+    def _with_reserve(
+        self, kept: list[list[Piece]], large: set[str], before: int, full: float
+    ) -> list[list[Piece]]:
+        """Return jobs by due time, those of large accounts only as far as others keep a reserve.
+
+        Others need the reserve for jobs that they haven't queued yet.
+
+        :param kept: jobs by due time that can all be in time.
+        :param before: the number of pieces that are sent before any of these.
+        """
+        limits = self._limits([job for job in kept if _account_of(job) not in large], full)
+        ordered: list[list[Piece]] = []
+        deferred: list[list[Piece]] = []
+        for job in kept:
+            if _account_of(job) not in large:
+                limits.pop()
+            elif deferred or before + len(job) > limits[-1]:
+                deferred.append(job)
+                continue
+            ordered.append(job)
+            before += len(job)
+        return ordered + deferred
+
+    def _limits(self, jobs: list[list[Piece]], full: float) -> list[float]:
+        """Return how many pieces may go before each job and those behind it, the last job first.
+
+        The first limit is that behind all jobs.
+
+        :param jobs: jobs by due time.
+        """
+        limits = [math.inf]
+        for job in reversed(jobs):
+            room = _LARGE_ACCOUNTS_SHARE * self._room(job, full)
+            limits.append(min(limits[-1] - len(job), room))
+        return limits
+
     def _room(self, pieces: list[Piece], full: float) -> float:
         """Return how many pieces may go before a job without making it late.
 
--- a/tests/test_gateway/test_stages/test_stages_fairorder.py
+++ b/tests/test_gateway/test_stages/test_stages_fairorder.py
@@ -215,14 +215,22 @@
     return [piece.job.suspect.account for piece in pieces]
 
 
-def test_small_account_goes_before_a_queue_behind_which_it_would_be_late():
+@pytest.mark.parametrize(('due', 'calls'), [(0.6, 1), (1, 1), (1.5, 1), (1.9, 2), (3, 5)])
+def test_small_account_goes_before_a_queue_behind_which_it_would_be_late(due, calls):
+    """It goes before two thirds of its time are over; until then, large jobs are in time."""
     batcher = fair_batcher()
     for number in range(40):
-        batcher.add(job_of('large', number, due=2 + number / 100), 0)
-    batcher.add(job_of('small', 0, due=3), 0)
+        batcher.add(job_of('large', number, due=min(2, due - 0.05) + number / 1000), 0)
+    batcher.add(job_of('small', 0, due=due), 0)
     for second in (-1, 0):
         batcher.order.rate.sent(10, second, has_backlog=True)
-    assert 'small0' in requests_of(batcher.next_call([server('s')], SPEC, 0))
+    for number in range(calls):
+        now = number * CALL_S
+        call = batcher.next_call([server('s')], SPEC, now)
+        batcher.call_ended(call)
+        assert len(call.pieces) == SPEC.batch
+        assert all(piece.job.due >= now + CALL_S for piece in call.pieces)
+        assert ('small0' in requests_of(call)) is (number == calls - 1)
 
 
 def test_large_account_goes_first_by_due_time_while_the_small_one_has_time():
@@ -236,6 +244,33 @@
     assert ordered[-1].job.attempt_id == 'small0'
 
 
+def test_large_account_keeps_its_time_while_the_small_one_has_plenty():
+    """Ten pieces a second; one job of the large account can't be in time by the schedule."""
+    batcher = fair_batcher()
+    for second in (-1, 0):
+        batcher.order.rate.sent(10, second, has_backlog=True)
+    for number in range(12):
+        batcher.add(job_of('large', number, due=1.41), 0)
+    for number in range(10):
+        batcher.add(job_of('small', number, due=6), 0)
+    in_time = collections.Counter()
+    for number in range(6):
+        now = number * CALL_S
+        call = batcher.next_call([server('s')], SPEC, now)
+        batcher.call_ended(call)
+        in_time.update(
+            piece.job.suspect.account for piece in call.pieces if piece.job.due >= now + CALL_S
+        )
+    assert in_time == {'large': 11, 'small': 10}
+
+
+@pytest.mark.parametrize(('due', 'first'), [(2.1, 'small'), (6, 'large')])
+def test_small_account_keeps_a_reserve_before_a_large_one(due, first):
+    """The large account asks for all of the next second and a half, and for more."""
+    drawn = [('large', 1, 1.9, 0, False)] * 20 + [('small', 1, due, 0, False)] * 6
+    assert accounts_of(order_of(queued(drawn), 10))[0] == first
+
+
 def test_sixty_thousand_accounts_leave_no_state_behind():
     batcher = fair_batcher()
     order = batcher.order
