Service rate: count only a few calls of the time until the next one

Cause: time without servers counted in full while pieces waited. The rate was then far too low, and jobs that came next counted as exceeding a share, which they stay while they wait.

Change: the time until the next call counts as three full calls at most. The rate isn't capped by the servers' slots, which the order doesn't know.

Tests: after 2, 20 and 600 s without servers, the rate is over a third of that before and within a tenth of it ten calls later; no job exceeds a share.

--- a/ringseam/gateway/stages/fairorder.py
+++ b/ringseam/gateway/stages/fairorder.py
@@ -51,14 +51,16 @@
         self.rate = ServiceRate()
         #: Queued jobs that have exceeded the share of their account; they stay behind.
         self.exceeding: set[PieceGroup] = set()
-        #: Number of pieces that were last ordered.
+        #: Number of pieces that were last ordered, and the calls they were ordered for.
         self.queued = 0
+        self.calls = NO_TIME
 
     def order(
         self, waiting: Collection[Piece], now: float, *, calls: CallTimes = NO_TIME
     ) -> list[Piece]:
         """Return the pieces, whole jobs one after another."""
         self.queued = len(waiting)
+        self.calls = calls
         self.exceeding.intersection_update([piece.group for piece in waiting])
         keyed = [(urgency(pieces[0], now), pieces) for pieces in by_job(waiting)]
         keyed.sort(key=_key_of)
@@ -74,7 +76,12 @@
 
     def sent(self, pieces: Collection[Piece], now: float) -> None:
         """Record how fast pieces are sent."""
-        self.rate.sent(len(pieces), now, has_backlog=self.queued > len(pieces))
+        self.rate.sent(
+            len(pieces),
+            now,
+            has_backlog=self.queued > len(pieces),
+            full_call_s=self.calls.full_s or math.inf,
+        )
 
     def _shared(
         self, jobs: list[list[Piece]], before: int, now: float, calls: CallTimes
--- a/ringseam/gateway/stages/servicerate.py
+++ b/ringseam/gateway/stages/servicerate.py
@@ -7,6 +7,8 @@
 
 #: Time constant of the decay of the rate, seconds in which pieces waited.
 _DECAY_S = 2.0
+#: The time until the next call counts as at most this many full calls: servers were missing.
+_MAX_CALLS = 3
 
 
 @dataclass(kw_only=True)
@@ -15,7 +17,8 @@
 
     Calls count for the time until the next one, those sent at once together. Time in which
     nothing waited after a call doesn't count, so a service that has little to do isn't taken
-    for a slow one.
+    for a slow one. Of a longer time without calls, only that of a few calls counts, so one
+    whose servers were gone for a while isn't either.
     """
 
     #: Pieces that were sent, and the time that it took, both decayed.
@@ -27,9 +30,15 @@
     #: Whether pieces waited after the last call.
     has_backlog: bool = False
 
-    def sent(self, pieces: int, now: float, *, has_backlog: bool) -> None:
-        """Record a call; ``has_backlog``: pieces stay in the queue."""
-        took_s = now - self.last_at
+    def sent(
+        self, pieces: int, now: float, *, has_backlog: bool, full_call_s: float = math.inf
+    ) -> None:
+        """Record a call.
+
+        :param has_backlog: pieces stay in the queue.
+        :param full_call_s: duration of a full call, seconds.
+        """
+        took_s = min(now - self.last_at, _MAX_CALLS * full_call_s)
         if self.has_backlog and took_s > 0:
             decay = math.exp(-took_s / _DECAY_S)
             self.pieces = (self.pieces + self.last_pieces) * decay
--- a/tests/test_gateway/test_stages/test_stages_fairorder.py
+++ b/tests/test_gateway/test_stages/test_stages_fairorder.py
@@ -271,6 +271,27 @@
     assert accounts_of(order_of(queued(drawn), 10))[0] == first
 
 
+def test_jobs_do_not_exceed_a_share_because_servers_were_gone():
+    """Ten pieces a second before; 20 s later, both accounts can be in time."""
+    batcher = fair_batcher()
+    order = batcher.order
+    for second in range(5):
+        for number in range(20):
+            batcher.add(job_of(f'old{second}', number, due=30), second)
+        order.order(batcher.waiting, second, calls=CallTimes(0.25, CALL_S))
+        order.sent(list(batcher.waiting)[:10], second)
+    batcher.cancel(list(batcher.waiting))
+    for account in 'ab':
+        for number in range(10):
+            batcher.add(job_of(account, number, due=28), 24)
+    order.order(batcher.waiting, 24, calls=CallTimes(0.25, CALL_S))
+    order.sent(list(batcher.waiting)[:4], 24)
+    batcher.cancel(list(batcher.waiting)[:4])
+    order.order(batcher.waiting, 24, calls=CallTimes(0.25, CALL_S))
+    assert order.rate.per_s > 5
+    assert not order.exceeding
+
+
 def test_sixty_thousand_accounts_leave_no_state_behind():
     batcher = fair_batcher()
     order = batcher.order
--- a/tests/test_gateway/test_stages/test_stages_servicerate.py
+++ b/tests/test_gateway/test_stages/test_stages_servicerate.py
@@ -42,3 +42,18 @@
     end = send(rate, 10, 0.4)
     send(rate, 10, 0.4, start=end + 0.4, servers=2)
     assert 40 < rate.per_s < 50
+
+
+@pytest.mark.parametrize('gone_s', [2, 20, 600])
+def test_time_without_servers_lowers_the_rate_by_a_few_calls_at_most(gone_s):
+    """Pieces wait all the time; the rate is still over a third, and soon as before."""
+    rate = ServiceRate()
+    end = 0
+    for number in range(10):
+        end = number * 0.4
+        rate.sent(32, end, has_backlog=True, full_call_s=0.4)
+    rate.sent(32, end + gone_s, has_backlog=True, full_call_s=0.4)
+    assert 80 / 3 < rate.per_s < 80
+    for number in range(1, 11):
+        rate.sent(32, end + gone_s + number * 0.4, has_backlog=True, full_call_s=0.4)
+    assert rate.per_s == pytest.approx(80, rel=0.1)
