One decaying counter for the rates of arrivals and of what is asked for

Cause: AskedRate repeated DecayingCounter with another time constant.

Change: DecayingCounter in util.decay takes its time constant; AskedRate is gone, its test plays the same figures on the counter.

--- a/ringseam/gateway/reservations/book.py
+++ b/ringseam/gateway/reservations/book.py
@@ -9,7 +9,6 @@
 
 from ringseam.gateway.accounts.policy import AccountDemand, PlaceLoad, UnsharedPolicy
 from ringseam.gateway.reservations.accuracy import ErrorSummary, ForecastErrors
-from ringseam.gateway.reservations.askedrate import AskedRate
 from ringseam.gateway.reservations.work import (
     ArrivedWork,
     Forecast,
@@ -19,11 +18,15 @@
     StageKey,
     StageWork,
 )
+from ringseam.util.decay import DecayingCounter
 
 if TYPE_CHECKING:
     from ringseam.gateway.accounts.policy import SharePolicy
     from ringseam.gateway.priorities import Precedence
 
+#: Time constant of the rate that is asked for, seconds: a few calls, so that the rate is that of
+#: a burst before its queue is full.
+ASKED_DECAY_S = 1.5
 #: Interval between searches for expired reservations, seconds.
 _EXPIRY_INTERVAL_S = 0.1
 
@@ -71,7 +74,8 @@
     #: All reservations by expected arrival.
     by_start: list[Reservation] = field(default_factory=list)
     arrived: dict[StageKey, ArrivedWork] = field(default_factory=dict)
-    asked: AskedRate = field(default_factory=AskedRate)
+    #: Pieces of first attempts that a reservation was asked for lately, admitted or not.
+    asked: DecayingCounter = field(default_factory=lambda: DecayingCounter(decay_s=ASKED_DECAY_S))
     errors: dict[Precedence, ForecastErrors] = field(default_factory=dict)
     #: Number of reservations that ended, by how.
     ended: collections.Counter[ReservationEnd] = field(default_factory=collections.Counter)
--- a/ringseam/gateway/stages/throughput.py
+++ b/ringseam/gateway/stages/throughput.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ringseam.util.decay import DecayingCounter
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -15,7 +16,7 @@
 
 #: Time constant of the exponential decay of arrivals, seconds. It spans several calls, so
 #: that a single burst isn't taken for the arrival rate.
-_DECAY_S = 5.0
+_ARRIVALS_DECAY_S = 5.0
 #: Weight of the newest call in the moving average of the time per piece.
 _PACE_WEIGHT = 0.1
 #: A call that took more than this many times its expected time is no sample of the
@@ -23,26 +24,6 @@
 _OUTLIER_FACTOR = 4.0
 
 
-@dataclass(kw_only=True)
-class DecayingCounter:
-    """A sum of recent amounts that decays exponentially."""
-
-    amount: float = 0
-    at: float = 0
-
-    def add(self, amount: float, now: float) -> None:
-        """Add an amount."""
-        self.amount = self._decayed(now) + amount
-        self.at = now
-
-    def per_s(self, now: float) -> float:
-        """Return the recent rate per second."""
-        return self._decayed(now) / _DECAY_S
-
-    def _decayed(self, now: float) -> float:
-        return self.amount * math.exp(-(now - self.at) / _DECAY_S)
-
-
 @dataclass(frozen=True, kw_only=True)
 class LastCall:
     """The last call sent to a server; ``has_backlog``: pieces stayed in the queue."""
@@ -53,6 +34,10 @@
     has_backlog: bool
 
 
+def _new_counter() -> DecayingCounter:
+    return DecayingCounter(decay_s=_ARRIVALS_DECAY_S)
+
+
 @dataclass(kw_only=True)
 class Throughput:
     """Calls in progress, and the throughput of one service's servers.
@@ -63,9 +48,9 @@
     """
 
     #: Arrivals of pieces of first attempts; clients that retry after a refusal not counted.
-    arrivals: DecayingCounter = field(default_factory=DecayingCounter)
+    arrivals: DecayingCounter = field(default_factory=_new_counter)
     #: Pieces of first attempts that a reservation was asked for, whether admitted or not.
-    asked: DecayingCounter = field(default_factory=DecayingCounter)
+    asked: DecayingCounter = field(default_factory=_new_counter)
     #: Number of calls in progress by server.
     calls: dict[BackendId, int] = field(default_factory=dict)
     last_calls: dict[BackendId, LastCall] = field(default_factory=dict)
--- a/tests/test_gateway/test_reservations/test_reservations_askedrate.py
+++ b/tests/test_util/test_util_decay.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from ringseam.gateway.reservations.askedrate import AskedRate
+from ringseam.gateway.reservations.book import ASKED_DECAY_S
+from ringseam.util.decay import DecayingCounter
 
 RATE = 50
 
@@ -16,7 +17,7 @@
 
 
 def test_rate_of_a_burst_is_known_within_a_second_and_a_half_and_forgotten_within_four():
-    asked = AskedRate()
+    asked = DecayingCounter(decay_s=ASKED_DECAY_S)
     now = ask(asked, start=0, seconds=10, per_s=RATE)
     assert asked.per_s(now) == pytest.approx(RATE, rel=0.05)
     now = ask(asked, start=now, seconds=1.5, per_s=4 * RATE)
@@ -26,4 +27,4 @@
 
 
 def test_nothing_asked_is_no_rate():
-    assert AskedRate().per_s(5) == 0
+    assert DecayingCounter(decay_s=ASKED_DECAY_S).per_s(5) == 0
