Look up once per service whether its connections are shared

Cause: the gauge of used connections asked for each server whether its service is in force, which lists all servers of the service: quadratic in the servers, at each clean-up, on every deployment.

Change: one lookup per service; without any server that reports interference none.

Result: the test failed before with 300 lookups for 300 servers of 3 services.

--- a/ringseam/gateway/serverload/connections.py
+++ b/ringseam/gateway/serverload/connections.py
@@ -139,7 +139,7 @@
     def limit(self, server: BackendReport, now: float) -> int | None:
         """Return how many connections this gateway may have to a server; None: any number."""
         service = self.directory.table.services.get(server.service)
-        if service is None or not self._is_in_force(server):
+        if service is None or not self._is_in_force(server.service):
             return None
         names = self.directory.gateway_names
         return self.shares.limit(server.instance, service.max_connections, names, now)
@@ -150,17 +150,19 @@
         :param others_open: whether other connections to the server are open. A server that has
             crashed has none, and its crash is found by probing it.
         """
-        if not others_open or not self._is_in_force(server):
+        if not others_open or not self._is_in_force(server.service):
             return False
         return self.shares.record_refusal(server.instance, now)
 
     def used_by_service(self, pool: HttpChannelPool) -> dict[ServiceName, int]:
         """Return how many connections of each service in force are in use."""
-        used: dict[ServiceName, int] = {}
-        for server in self.directory.view.backends.values():
-            if self._is_in_force(server):
-                count = pool.used_count(server.address)
-                used[server.service] = used.get(server.service, 0) + count
+        servers = self.directory.view.backends.values()
+        services = {server.service for server in servers}
+        in_force = set(filter(self._is_in_force, services))
+        used = dict.fromkeys(in_force, 0)
+        for server in servers:
+            if server.service in in_force:
+                used[server.service] += pool.used_count(server.address)
         return used
 
     def export(self, pool: HttpChannelPool, metrics: Metrics) -> None:
@@ -172,8 +174,8 @@
             metrics.put('connections_used', count, service=service)
         self.exported = set(used)
 
-    def _is_in_force(self, server: BackendReport) -> bool:
-        serving = self.directory.view.serving(server.service)
+    def _is_in_force(self, service: ServiceName) -> bool:
+        serving = self.directory.view.serving(service)
         return self.reports.reports_interference(known.instance for known in serving)
 
 
--- a/ringseam/gateway/serverload/reports.py
+++ b/ringseam/gateway/serverload/reports.py
@@ -103,7 +103,9 @@
 
         :param instances: the servers of the service.
         """
-        return self.always or not self.interfered.isdisjoint(instances)
+        if self.always or not self.interfered:
+            return self.always
+        return not self.interfered.isdisjoint(instances)
 
     def newest(self, instance: BackendId) -> ServerLoad | None:
         """Return the newest load of a server."""
--- a/tests/test_gateway/test_serverload/test_serverload_connections.py
+++ b/tests/test_gateway/test_serverload/test_serverload_connections.py
@@ -7,13 +7,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ringseam.backends import BackendId
+from ringseam.backends import BackendId, BackendReport
 from ringseam.gateway.serverload.connections import ConnectionLimits, ConnectionShares
+from ringseam.gateway.serverload.reports import LoadReports
 from ringseam.metrics import Metrics, series
+from ringseam.routes import ServiceName
 
 SERVER = BackendId('s1')
 
@@ -111,3 +115,37 @@
         limits_of.export(None, metrics)
         expected = {series('connections_used', service=name): n for name, n in used.items()}
         assert metrics.counters == expected
+
+
+class CountingView:
+    """Servers of three services, and how often those of a service were looked up."""
+
+    def __init__(self):
+        self.backends = {
+            f's{number}': BackendReport(
+                instance=BackendId(f's{number}'),
+                service=ServiceName(f'service{number % 3}'),
+                address=f'10.0.0.1:{number}',
+                zone='a',
+                sequence=1,
+            )
+            for number in range(300)
+        }
+        self.lookups = 0
+
+    def serving(self, service):
+        self.lookups += 1
+        return [server for server in self.backends.values() if server.service == service]
+
+
+def test_used_connections_of_many_servers_are_counted_with_one_lookup_per_service():
+    """A lookup for each server would take time quadratic in the servers, every few seconds."""
+    view = CountingView()
+    limits = ConnectionLimits(
+        directory=SimpleNamespace(view=view),
+        reports=LoadReports(always=True),
+        shares=ConnectionShares(name='g1'),
+    )
+    pool = SimpleNamespace(used_count=lambda address: 1)
+    assert limits.used_by_service(pool) == {f'service{number}': 100 for number in range(3)}
+    assert view.lookups <= 3
