Log the software version of each send and the attempt that it continues

Cause: event 333 named the server and the last event, so that neither the version at which a stream goes on nor the attempt that the client continues could be told from the lines. Change: fields software and resumes; the header Resumes of clients is decoded. Result: the new test fails without the fields and passes with them.

--- a/ringseam/calls.py
+++ b/ringseam/calls.py
@@ -39,6 +39,9 @@
     pieces: tuple[int, ...] = ()
     piece_key: str = ''
     last_event: int | None = None
+    #: The attempt of the same client that brought the first event of the stream that this
+    #: request continues; empty: it continues none, or the client doesn't tell.
+    resumes: str = ''
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -118,9 +118,11 @@
             context,
             Event.request_sent,
             backend=server.instance,
+            software=server.software,
             content=context.content_id,
             sends=context.tries.sends,
             last=relay.last_event,
+            resumes=context.request.resumes,
         )
         self.guard.crashes.request_sent(server, context.request.attempt_id, context.suspect)
         charged = self._charge(context, server)
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -21,6 +21,8 @@
 _AUTHORIZATION = 'Authorization'
 _BEARER = 'bearer '
 _LAST_EVENT_ID = 'Last-Event-Id'
+# The attempt of the same client that brought the first event of the stream it continues.
+_RESUMES = 'Resumes'
 # Number of prompt tokens and maximum number of output tokens, comma-separated.
 _TOKENS = 'Token-Counts'
 _PROMPT_PREFIX = 'Prompt-Prefix'
@@ -98,6 +100,7 @@
         pieces=_parse_integers(request.header(_PIECES)),
         piece_key=request.header(_PIECE_KEY),
         last_event=_parse_integer(request.header(_LAST_EVENT_ID)),
+        resumes=request.header(_RESUMES).strip(),
     )
 
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -212,7 +212,12 @@
         self.role._apply_changes()
 
     def add_server(
-        self, address: str, service: str = 'plain', name: str = '', zone: str = 'a'
+        self,
+        address: str,
+        service: str = 'plain',
+        name: str = '',
+        zone: str = 'a',
+        software: str = '',
     ) -> None:
         self.role.follower.view.apply(
             BackendReport(
@@ -221,6 +226,7 @@
                 address=address,
                 zone=zone,
                 sequence=1,
+                software=software,
                 slots=4,
             ),
         )
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -42,6 +42,7 @@
     ('Pieces', '2,0,3'),
     ('Piece-Key', 'pk'),
     ('Last-Event-Id', '12'),
+    ('Resumes', 'r0'),
     ('Tenant', 'forged'),
     ('Expect-Instance', 'forged'),
     ('X-Other', 'kept'),
@@ -62,6 +63,7 @@
     assert [part.tokens for part in decoded.prefix] == [800, 410]
     assert decoded.pieces == (2, 0, 3)
     assert decoded.last_event == 12
+    assert decoded.resumes == 'r0'
 
 
 @given(st.lists(st.tuples(st.sampled_from([name for name, _ in HEADERS]), st.text(max_size=12))))
