--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -19,9 +19,8 @@
 _ATTEMPT_ID = 'Attempt-Id'
 _DEADLINE = 'Deadline-Ms'
 _AUTHORIZATION = 'Authorization'
-_BEARER = 'bearer '
+_BEARER = 'bearer'
 _LAST_EVENT_ID = 'Last-Event-Id'
-# The attempt of the same client that brought the first event of the stream it continues.
 _RESUMES = 'Resumes'
 # Number of prompt tokens and maximum number of output tokens, comma-separated.
 _TOKENS = 'Token-Counts'
@@ -84,16 +83,13 @@
     tokens = _parse_integers(request.header(_TOKENS))
     left_ms = _parse_integer(request.header(_DEADLINE))
     host = request.header('Host').lower()
-    authorization = request.header(_AUTHORIZATION)
-    key = ''
-    if authorization.lower().startswith(_BEARER):
-        key = authorization[len(_BEARER) :].strip()
+    scheme, _, key = request.header(_AUTHORIZATION).partition(' ')
     return ClientRequest(
         attempt_id=request.header(_ATTEMPT_ID),
         host=host.rpartition(':')[0] if host.rpartition(':')[2].isdigit() else host,
         path=request.path,
         time_left_s=None if left_ms is None else left_ms / MS_PER_S,
-        key=key,
+        key=key.strip() if scheme.lower() == _BEARER else '',
         prompt_tokens=tokens[0] if tokens else 0,
         output_tokens=_parse_integer(request.header(_LENGTH_HINT)) or (*tokens, 0, 0)[1],
         prefix=_parse_prompt_parts(request.header(_PROMPT_PREFIX)),
