Continue a stream only at the service and software version that began it

Cause: session state that nobody kept. What two versions write doesn't fit together, but a server was chosen for the rest of a stream as for a new one: within a response (event 333 with sends of 1 after event 337 at another version), and where a client resumes a stream at another gateway, which knows nothing of its beginning. Change: the origin of a stream (service, version, lifetime of the server) is recorded with its first event. The next tries of that request go to that version only, also where the owner of the service places them. Copies of the record are sent to three other gateways, by the id of the attempt and over availability zones, while the first event goes out; a gateway that a client names an attempt to asks up to six. No copies are made while all servers of a service have run one version for longer than any of its streams lasts, and its routes have led nowhere else: then the origin is known without a record. What isn't known, what the route no longer allows and what no server can continue is refused at once, before its stages, as not run. LocalGateway counts its servers as long-running, as the model does: without that, tests of resumption that name no attempt would test a gateway that has just started.

--- a/ringseam/backends.py
+++ b/ringseam/backends.py
@@ -5,6 +5,7 @@
 import enum
 import types
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from ringseam.hostcapacity import UNKNOWN_CAPACITY, HostCapacity
 from ringseam.lifetimes import BackendId, EndedLifetimes, name_of, start_ms_of
@@ -12,6 +13,9 @@
 from ringseam.routes import ServiceName
 from ringseam.zones import DrainedZones
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 #: Maximum number of departed servers that are remembered.
 MAX_DEPARTED = 4096
 #: Sequence of departure reports, which carry none of their own; above all others.
@@ -83,11 +87,9 @@
 
 def is_visible_change(report: BackendReport, known: BackendReport) -> bool:
     """Return whether a report differs in a way that gateways must learn of."""
-    return (
-        report.state is not known.state
-        or report.address != known.address
-        or report.service != known.service
-        or report.slots != known.slots
+    return any(
+        getattr(report, name) != getattr(known, name)
+        for name in ('state', 'address', 'service', 'software', 'slots')
     )
 
 
@@ -103,6 +105,16 @@
     )
 
 
+def versions_by_service(
+    reports: Iterable[BackendReport],
+) -> dict[ServiceName, frozenset[str]]:
+    """Return the software versions that the servers of each service run."""
+    versions: dict[ServiceName, set[str]] = {}
+    for report in reports:
+        versions.setdefault(report.service, set()).add(report.software)
+    return {service: frozenset(names) for service, names in versions.items()}
+
+
 @dataclass(frozen=True, kw_only=True)
 class BackendIndex:
     """Lookup tables of a view by service and by address."""
@@ -113,6 +125,8 @@
     leaving: dict[ServiceName, list[BackendId]]
     #: Availability zones by address.
     zones: dict[str, str]
+    #: Software versions of all known servers, also of those that take no new work.
+    versions: dict[ServiceName, frozenset[str]]
 
 
 @dataclass(kw_only=True)
@@ -196,6 +210,11 @@
         """Return the availability zones of servers by address."""
         return self._current_index().zones
 
+    @property
+    def versions(self) -> dict[ServiceName, frozenset[str]]:
+        """Return the software versions of the known servers of each service."""
+        return self._current_index().versions
+
     def _is_superseded_lifetime(self, instance: BackendId) -> bool:
         known = self.lifetimes.get(name_of(instance))
         return known is not None and start_ms_of(instance) < start_ms_of(known)
@@ -215,5 +234,10 @@
                 elif report.state is BackendState.ready and report.zone not in self.drained.names:
                     by_service.setdefault(report.service, []).append(report)
             zones = {known.address: known.zone for known in self.backends.values()}
-            self.index = BackendIndex(by_service=by_service, leaving=leaving, zones=zones)
+            self.index = BackendIndex(
+                by_service=by_service,
+                leaving=leaving,
+                zones=zones,
+                versions=versions_by_service(self.backends.values()),
+            )
         return self.index
--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -7,13 +7,21 @@
 
 import msgspec
 
-from ringseam.backends import BackendEntry, BackendState, is_visible_change, supersedes
+from ringseam.backends import (
+    BackendEntry,
+    BackendState,
+    is_visible_change,
+    supersedes,
+    versions_by_service,
+)
 from ringseam.followmessages import WatchUpdate
 from ringseam.lifetimes import EndedLifetimes, backend_id, name_of, start_ms_of
+from ringseam.softwareversions import VersionHistory
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId, BackendReport, GatewayState
     from ringseam.followmessages import WatchRequest
+    from ringseam.softwareversions import UniformVersion
 
 #: Maximum number of removals that are remembered for lagging gateways.
 _MAX_REMOVED = 4096
@@ -62,6 +70,7 @@
     oldest_removed: int = 0
     #: The latest change of the set of gateways.
     gateways_change: int = 0
+    versions: VersionHistory = field(default_factory=VersionHistory)
 
     def report(self, report: BackendReport, now: float) -> bool:
         """Record a report; return whether gateways must learn of it.
@@ -87,6 +96,8 @@
         change = self.change if changed or previous is None else previous.change
         self.entries[report.instance] = BackendEntry(report=report, received_at=now, change=change)
         self.lifetimes[name_of(report.instance)] = report.instance
+        if changed:
+            self._observe_versions(now)
         return changed
 
     def with_lifetime(self, report: BackendReport, wall_ms: int) -> BackendReport | None:
@@ -113,6 +124,8 @@
         ]
         for name in silent:
             self._remove(name)
+        if silent:
+            self._observe_versions(now)
         if len(self.removed) > _MAX_REMOVED:
             self.oldest_removed = self.removed[-_MAX_REMOVED][0]
             self.removed = self.removed[-_MAX_REMOVED:]
@@ -179,6 +192,7 @@
             ),
             silent=() if whole else tuple(name for change, name in self.removed if change > first),
             gateways=self._gateway_states(),
+            uniform=self._uniform_versions(now) if whole else (),
         )
 
     def retire(self, retired: EndedLifetimes) -> None:
@@ -189,6 +203,14 @@
                 entry.change = self.change
                 entry.report = _as_draining(entry.report)
 
+    def _observe_versions(self, now: float) -> None:
+        self.versions.observe(
+            versions_by_service(entry.report for entry in self.entries.values()), now
+        )
+
+    def _uniform_versions(self, now: float) -> tuple[UniformVersion, ...]:
+        return self.versions.report(complete_since=self.started + self.silence_timeout_s, now=now)
+
     def _gateway_states(self) -> tuple[GatewayState, ...]:
         return tuple(gateway.state for gateway in self.gateways.values())
 
--- a/ringseam/followmessages.py
+++ b/ringseam/followmessages.py
@@ -10,6 +10,7 @@
 from ringseam.messages import Empty, Message, Redirect, Tagged
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.rpc import Method
+from ringseam.softwareversions import UniformVersion
 from ringseam.zones import DrainedZones
 
 
@@ -57,6 +58,8 @@
     #: Quarantined contents; None if unchanged.
     quarantine: Optional[QuarantineSnapshot] = None
     zones: DrainedZones = DrainedZones()
+    #: With ``whole``: services whose servers have all run one version, as the leader knows.
+    uniform: tuple[UniformVersion, ...] = ()
 
 
 class WatchReply(Message, frozen=True, kw_only=True):
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -37,7 +37,7 @@
     from ringseam.gateway.requestcontext import RequestContext
     from ringseam.node import Node
     from ringseam.routes import BackendService
-    from ringseam.rpc import CallClient
+    from ringseam.rpc import CallClient, CallServer
 
 logger = logging.getLogger(__name__)
 
@@ -113,7 +113,7 @@
         if not (paused or self.permits.limits.count):
             return False
         serving = self.follower.serving(
-            context.service, context.suspect.account, context.allowed_zones
+            context.service, context.suspect.account, context.allowed_zones, context.software
         )
         return bool(serving) and all(
             server.instance in paused or self._is_limited(server) for server in serving
@@ -138,6 +138,11 @@
 
     # -- calls of other gateways --------------------------------------------
 
+    def register(self, server: CallServer) -> None:
+        """Serve the calls of other gateways."""
+        server.add(PLACE, self.serve_place)
+        server.add(PROGRESS, self.serve_progress)
+
     async def serve_place(self, received: ReceivedMessage) -> PlaceReply:
         """Place a request for another gateway."""
         query: PlaceRequest = received.body
@@ -228,6 +233,7 @@
                 server.instance for server in self.follower.view.serving(context.service)
             ),
             output=self._expected_output(context),
+            software=context.software,
         )
 
     def _expected_output(self, context: RequestContext) -> int:
@@ -244,7 +250,7 @@
         if service is None:
             return None
         placer = self._placer(service.name)
-        engines = self.follower.serving(service.name, query.account, query.zones)
+        engines = self.follower.serving(service.name, query.account, query.zones, query.software)
         now = self.clock.now()
         placement = placer.place(query, engines, service, now, peers=peers)
         if placement is None:
@@ -281,7 +287,9 @@
             return EngineChoice(engine=None, wait_s=reply.wait_s)
         serving = self.follower.view.serving(ServiceName(query.service))
         engine = next((known for known in serving if known.instance == reply.instance), None)
-        return None if engine is None else EngineChoice(engine=engine, wait_s=reply.wait_s)
+        if engine is None or not _runs_version(engine, query.software):
+            return None
+        return EngineChoice(engine=engine, wait_s=reply.wait_s)
 
     def _report_progress(self, context: RequestContext, *, over: bool) -> None:
         request = context.request.attempt_id
@@ -335,3 +343,8 @@
 
     def _service(self, name: str) -> BackendService | None:
         return self.follower.table.services.get(ServiceName(name))
+
+
+def _runs_version(engine: BackendReport, software: str | None) -> bool:
+    """Return whether an engine runs a version; an owner of an older build may choose any."""
+    return software is None or engine.software == software
--- a/ringseam/gateway/engines/messages.py
+++ b/ringseam/gateway/engines/messages.py
@@ -41,6 +41,8 @@
     limits: tuple[LimitReport, ...] = ()
     #: Tokens that the request is expected to generate; 0: unknown.
     output: int = 0
+    #: The software version that the engine must run; None: any.
+    software: Optional[str] = None
 
 
 class PlaceReply(Message, frozen=True, kw_only=True, omit_defaults=True):
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -21,6 +21,7 @@
 from ringseam.platform.manifest import decode_manifest
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.routes import RouteTable
+from ringseam.softwareversions import VersionHistory
 from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -45,6 +46,9 @@
 #: seconds.
 _RETRY_DELAY_S = 0.1
 _CONFIRM_S = 1.0
+#: After this long without an update, other versions may have served unnoticed, seconds. The
+#: leader sends an update at least every second.
+_MAX_UPDATE_GAP_S = 2.0
 
 
 @dataclass(kw_only=True)
@@ -97,6 +101,8 @@
         self.confinement = Confinement()
         self.cold_servers = ColdServers()
         self.cursor = DirectoryCursor()
+        self.versions = VersionHistory()
+        self.updated_at = node.clock.now()
         self.leader = ''
         self.draining = False
         self.busy = False
@@ -147,6 +153,7 @@
         service: ServiceName,
         account: str,
         zones: Collection[str] | None = None,
+        software: str | None = None,
     ) -> list[BackendReport]:
         """Return the servers that may run the requests of an account.
 
@@ -154,14 +161,27 @@
         so that crashes that it causes affect other accounts no further.
 
         :param zones: zones in which the servers may be; None: all zones.
+        :param software: the version that they must run; None: any.
         """
         servers = self.view.serving(service)
         if zones is not None:
             servers = [server for server in servers if server.zone in zones]
         key = (account, service)
-        if key not in self.quarantine.confined:
+        if key in self.quarantine.confined:
+            servers = self.confinement.select(key, servers)
+        if software is None:
             return servers
-        return self.confinement.select(key, servers)
+        return [server for server in servers if server.software == software]
+
+    def uniform_version(self, service: ServiceName, *, duration_s: float) -> str | None:
+        """Return the only version of a service's servers in the last ``duration_s`` seconds.
+
+        None: there were others, or it isn't known.
+        """
+        now = self.node.clock.now()
+        if now - self.updated_at > _MAX_UPDATE_GAP_S:
+            return None
+        return self.versions.uniform_version(service, duration_s=duration_s, now=now)
 
     def is_serving(self, server: BackendReport) -> bool:
         """Return whether a server accepts new requests."""
@@ -188,6 +208,7 @@
             self.newest_number = update.number
             self.newest_seen_at = self.node.clock.now()
         self._apply_zones(update.zones)
+        self._check_update_gap()
         if not self.epoch and not self.view.backends:
             self.cold_servers.observed_since = self.node.clock.now()
         for report in update.reports:
@@ -199,6 +220,8 @@
         self.cursor.since = update.upto
         if update.warm and self.cursor.pruned_in_epoch != update.epoch:
             self._prune(update)
+        self.versions.observe(self.view.versions, self.node.clock.now())
+        self.versions.learn(update.uniform, self.node.clock.now())
         self.gateways = update.gateways
         if update.control:
             self.addresses = list(update.control)
@@ -289,6 +312,12 @@
         self.quarantine = snapshot
         self.confinement.keep_only(snapshot.confined)
 
+    def _check_update_gap(self) -> None:
+        now = self.node.clock.now()
+        if now - self.updated_at > _MAX_UPDATE_GAP_S:
+            self.versions.restart(now)
+        self.updated_at = now
+
     def _apply_report(self, report: BackendReport) -> None:
         if self.view.apply(report) and report.cold_left_s:
             self.cold_servers.mark_cold(report.instance, self.node.clock.now() + report.cold_left_s)
--- a/ringseam/gateway/requestcontext.py
+++ b/ringseam/gateway/requestcontext.py
@@ -11,9 +11,11 @@
 from ringseam.tries import TryRecord
 
 if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
     from ringseam.calls import ClientRequest, ResponseMetadata
     from ringseam.contents import ContentId
     from ringseam.routes import Account, Route, ServiceName
+    from ringseam.streamorigins import StreamOrigin
     from ringseam.web.client import HttpChannel, ResponseHead
     from ringseam.web.server import Exchange
 
@@ -73,6 +75,10 @@
     predicted_spread_s: float = 0
     #: When the first event, or the body, of the response was forwarded; 0: not yet.
     first_event_at: float = 0
+    #: The server that the request was last sent to.
+    server: BackendReport | None = None
+    #: What a stream must continue at; None: it may begin at any server.
+    origin: StreamOrigin | None = None
     #: What decided whether the request was admitted; empty: it has no stages.
     decided_by: str = ''
 
@@ -82,6 +88,11 @@
             repeatable=self.route.repeatable, max_servers=self.route.max_attempts
         )
 
+    @property
+    def software(self) -> str | None:
+        """Return the software version that the server must run; None: any."""
+        return None if self.origin is None else self.origin.software
+
     @property
     def account_name(self) -> str:
         """Return the name of the client account; empty: it has none."""
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -24,9 +24,9 @@
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.guard import QuarantineGuard
     from ringseam.gateway.requestcontext import RequestContext, TryOutcome
-    from ringseam.gateway.requests.answers import Responder
     from ringseam.gateway.requests.plainshares import PlainShares, PlainTry
     from ringseam.gateway.requests.sending import Sender
+    from ringseam.gateway.requests.streambinding import StreamBinder
     from ringseam.gateway.stages.graph import StageRun
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
@@ -63,17 +63,18 @@
         sender: Sender,
         placements: PlacementClient,
         retries: RetryPolicy,
-        responder: Responder,
         guard: QuarantineGuard,
+        binder: StreamBinder,
     ) -> None:
         """Create an instance that sends through ``sender``."""
+        self.binder = binder
         self.clock = node.clock
         self.follower = follower
         self.sender = sender
         self.health = sender.health
         self.placements = placements
         self.retries = retries
-        self.responder = responder
+        self.responder = binder.responder
         self.guard = guard
         #: Shares of client accounts of services without stages; None: all are served alike.
         self.plain_shares: PlainShares | None = None
@@ -101,6 +102,8 @@
 
     async def choose(self, context: RequestContext) -> BackendReport | None:
         """Return the server with the lowest expected latency."""
+        if not self.binder.may_continue(context):
+            return None
         if context.route.affinity:
             return await self.placements.choose(context)
         return await self.selector.choose(context)
@@ -114,6 +117,7 @@
         """Send once; the response of an :class:`Answered` has been forwarded completely."""
         health = self.health.of(server.instance)
         health.in_flight += 1
+        context.server = server
         self.responder.log(
             context,
             Event.request_sent,
@@ -242,6 +246,8 @@
         """
         if stages is not None:
             stages.release()
+        if context.server is not None:
+            self.binder.began(context, context.server)
         self.guard.end_trial(context)
         if context.route.affinity:
             self.placements.started(context)
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -36,6 +36,7 @@
     from ringseam.gateway.hosts.monitor import HostMonitor
     from ringseam.gateway.requests.answers import Responder
     from ringseam.gateway.requests.attempts import AttemptRunner
+    from ringseam.gateway.requests.originsharing import OriginSharing
     from ringseam.gateway.stages.client import PieceClient
     from ringseam.node import Node
     from ringseam.routes import Account, Route, ServiceName
@@ -91,6 +92,11 @@
         self.fairness = Fairness(min_ratio=_MIN_ON_TIME_RATIO)
         self.random = random.Random(node.incarnation)  # noqa: S311 - weighted routing only
 
+    @property
+    def origins(self) -> OriginSharing:
+        """Return the origins of streams that this gateway knows."""
+        return self.attempts.binder.sharing
+
     async def serve(self, exchange: Exchange) -> None:
         """Serve one client request."""
         request = decode_request(exchange.request)
@@ -214,7 +220,7 @@
 
     async def _serve(self, context: RequestContext) -> None:
         try:
-            if await self._admit_content(context):
+            if await self._admit_content(context) and not await self._refuse_unresumable(context):
                 await self._run(context)
         finally:
             self.attempts.guard.end_trial(context)
@@ -239,6 +245,23 @@
         )
         return True
 
+    async def _refuse_unresumable(self, context: RequestContext) -> bool:
+        """Refuse a stream that no server may continue; return whether it was refused."""
+        refusal = await self.attempts.binder.bind(context)
+        if refusal is None:
+            return False
+        await self.responder.refuse(
+            context.exchange,
+            context.request,
+            refusal.detail,
+            retry_after_s=honoured_retry_after_s(
+                refusal.retry_after_s, context.deadline - self.clock.now()
+            ),
+            route=context.route.name,
+            context=context,
+        )
+        return True
+
     async def _admit_content(self, context: RequestContext) -> bool:
         """Return whether the content may be sent; if not, respond to the request."""
         state = await self.attempts.guard.admit(context)
--- /dev/null
+++ b/ringseam/gateway/requests/originmessages.py
@@ -0,0 +1,32 @@
+"""Messages by which gateways keep copies of the origins of streams."""
+
+from __future__ import annotations
+
+from typing import Optional
+
+from ringseam.contents import ContentId
+from ringseam.messages import Empty, Message
+from ringseam.rpc import Method
+from ringseam.streamorigins import OriginRecord
+
+
+class SaveOrigins(Message, frozen=True, kw_only=True):
+    """Keep copies of records."""
+
+    records: tuple[OriginRecord, ...]
+
+
+class FindOrigin(Message, frozen=True, kw_only=True):
+    """Ask for the record of a client attempt."""
+
+    key: ContentId
+
+
+class FoundOrigin(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """The record; None: it isn't known here."""
+
+    record: Optional[OriginRecord] = None
+
+
+SAVE_ORIGINS = Method('/ringseam.Gateway/SaveOrigins', SaveOrigins, Empty, multiplexed=True)
+FIND_ORIGIN = Method('/ringseam.Gateway/FindOrigin', FindOrigin, FoundOrigin, multiplexed=True)
--- /dev/null
+++ b/ringseam/gateway/requests/originsharing.py
@@ -0,0 +1,249 @@
+"""Copies of the origins of streams at other gateways, where clients may resume them."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+import logging
+from typing import TYPE_CHECKING
+
+from ringseam.errors import UnreachableError
+from ringseam.gateway.following.ownership import rendezvous_order
+from ringseam.gateway.requests.originmessages import (
+    FIND_ORIGIN,
+    SAVE_ORIGINS,
+    FindOrigin,
+    FoundOrigin,
+    SaveOrigins,
+)
+from ringseam.messages import Empty
+from ringseam.routes import RequestKind
+from ringseam.streamorigins import OriginStore
+from ringseam.util.tasks import TaskSet, cancel_and_wait
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from ringseam.backends import GatewayState
+    from ringseam.contents import ContentId
+    from ringseam.envelopes import ReceivedMessage
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.metrics import Metrics
+    from ringseam.node import Node
+    from ringseam.routes import RouteTable, ServiceName
+    from ringseam.rpc import CallClient, CallServer
+    from ringseam.streamorigins import OriginRecord, StreamOrigin
+
+    #: Numbers of servers or streams by service and software version.
+    VersionCounts = collections.Counter[tuple[ServiceName, str]]
+
+logger = logging.getLogger(__name__)
+
+#: Number of other gateways that keep a copy.
+_COPIES = 3
+#: Number of gateways that are asked for a record: the order of those that keep it changes with
+#: each gateway that joins or leaves.
+_ASKED = 2 * _COPIES
+_SAVE_TIMEOUT_S = 1.0
+#: A round trip takes milliseconds; a client waits for the answer.
+_FIND_TIMEOUT_S = 0.15
+
+
+class RouteHistory:
+    """Track which services are the only ones that their routes have led to; times in seconds."""
+
+    def __init__(self) -> None:
+        """Start without routes."""
+        self.number = 0
+        #: Services of each stream route, by host and prefix.
+        self.services: dict[tuple[str, str], frozenset[ServiceName]] = {}
+        #: When a route last had other services beside a service or before it.
+        self.shared_at: dict[ServiceName, float] = {}
+        #: Services that share a route with another one.
+        self.shared: set[ServiceName] = set()
+
+    def observe(self, table: RouteTable, now: float) -> None:
+        """Record the routes of a new table."""
+        if table.number == self.number:
+            return
+        self.number = table.number
+        previous = self.services
+        self.services = {
+            (route.host, route.prefix): frozenset(target.service for target in route.targets)
+            for route in table.routes
+            if route.kind is RequestKind.stream
+        }
+        self.shared_at.update(dict.fromkeys(self.shared, now))
+        several = [services for services in self.services.values() if len(services) > 1]
+        self.shared = set(itertools.chain.from_iterable(several))
+        for place, services in self.services.items():
+            if previous.get(place, services) != services:
+                self.shared_at.update(dict.fromkeys(services | previous[place], now))
+
+    def is_alone(self, service: ServiceName, *, duration_s: float, now: float) -> bool:
+        """Return whether the routes to a service have led nowhere else for ``duration_s``."""
+        if service in self.shared:
+            return False
+        shared_at = self.shared_at.get(service)
+        return shared_at is None or now - shared_at >= duration_s
+
+
+class OriginSharing:
+    """Keep the origins of this gateway's streams, with copies at other gateways.
+
+    No copies are made while all servers of a service have run one version for longer than any
+    of its streams lasts: then the origin of each stream is known without a record.
+    """
+
+    def __init__(self, *, node: Node, client: CallClient, follower: Follower) -> None:
+        """Start without any records."""
+        self.node = node
+        self.client = client
+        self.follower = follower
+        self.store = OriginStore()
+        self.routes = RouteHistory()
+        self.tasks = TaskSet()
+        #: Services whose records are copied to other gateways.
+        self.copied_services: set[ServiceName] = set()
+        #: Services and versions of each exported metric.
+        self.exported: dict[str, VersionCounts] = {}
+
+    def register(self, server: CallServer) -> None:
+        """Serve the calls of other gateways."""
+        server.add(SAVE_ORIGINS, self.serve_save)
+        server.add(FIND_ORIGIN, self.serve_find)
+
+    def began(self, key: ContentId, origin: StreamOrigin) -> None:
+        """Record the origin of a stream whose first event is about to be forwarded."""
+        now = self.node.clock.now()
+        self.store.add(key, origin, now)
+        record = self.store.find(key, now)
+        if record is not None and self.certain_version(origin.service) is None:
+            self._copy([record])
+
+    def certain_version(self, service: ServiceName) -> str | None:
+        """Return the version that began any stream of a service; None: it depends."""
+        longest_s = self.follower.table.longest_stream_s(service)
+        if not self.routes.is_alone(service, duration_s=longest_s, now=self.node.clock.now()):
+            return None
+        return self.follower.uniform_version(service, duration_s=longest_s)
+
+    def refresh(self) -> None:
+        """Copy the records of services whose servers no longer all run one version."""
+        now = self.node.clock.now()
+        self.store.expire(now)
+        self.routes.observe(self.follower.table, now)
+        for service in self.follower.table.stream_limits_s:
+            if self.certain_version(service) is not None:
+                self.copied_services.discard(service)
+            elif service not in self.copied_services:
+                self.copied_services.add(service)
+                self._copy(self.store.records(service, now))
+
+    def hand_over(self) -> None:
+        """Copy all records, as this process stops."""
+        for service in self.copied_services:
+            self._copy(self.store.records(service, self.node.clock.now()))
+
+    def export(self, metrics: Metrics) -> None:
+        """Set the metrics of the versions that serve, and of the streams that they began."""
+        servers: VersionCounts = collections.Counter()
+        for report in self.follower.view.backends.values():
+            servers[report.service, report.software] += 1
+        self._export('backend_versions', servers, metrics)
+        self._export('stream_origins', self.store.counts, metrics)
+
+    async def find(self, key: ContentId) -> OriginRecord | None:
+        """Return the record of an attempt from this or another gateway."""
+        record = self.store.find(key, self.node.clock.now())
+        if record is not None:
+            return record
+        pending = {
+            asyncio.ensure_future(self._ask(peer, key)) for peer in self._holders(key, _ASKED)
+        }
+        try:
+            while pending and record is None:
+                done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+                record = next((task.result() for task in done if task.result()), None)
+        finally:
+            for task in pending:
+                await cancel_and_wait(task)
+        if record is not None:
+            self.store.add_record(record, self.node.clock.now())
+        return record
+
+    # -- calls of other gateways --------------------------------------------
+
+    async def serve_save(self, received: ReceivedMessage) -> Empty:
+        """Keep copies of another gateway's records."""
+        saved: SaveOrigins = received.body
+        for record in saved.records:
+            self.store.add_record(record, self.node.clock.now())
+        return Empty()
+
+    async def serve_find(self, received: ReceivedMessage) -> FoundOrigin:
+        """Return a record that is kept here."""
+        query: FindOrigin = received.body
+        return FoundOrigin(record=self.store.find(query.key, self.node.clock.now()))
+
+    # -- helpers ------------------------------------------------------------
+
+    def _holders(self, key: ContentId, count: int) -> list[str]:
+        """Return the addresses of the other gateways that keep a record."""
+        ordered = holders(key, self.follower.gateways)
+        others = [state.address for state in ordered if state.name != self.node.name]
+        return others[:count]
+
+    def _export(
+        self,
+        name: str,
+        counts: VersionCounts,
+        metrics: Metrics,
+    ) -> None:
+        previous = self.exported.get(name, collections.Counter())
+        self.exported[name] = collections.Counter(counts)
+        for service, software in previous.keys() - counts.keys():
+            metrics.remove(name, service=service, software=software)
+        for (counted, version), count in counts.items():
+            metrics.put(name, count, service=counted, software=version)
+
+    def _copy(self, records: Iterable[OriginRecord]) -> None:
+        by_address: dict[str, list[OriginRecord]] = {}
+        for record in records:
+            for address in self._holders(record.key, _COPIES):
+                by_address.setdefault(address, []).append(record)
+        for address, group in by_address.items():
+            self.tasks.spawn(self._save(address, SaveOrigins(records=tuple(group))))
+
+    async def _save(self, address: str, message: SaveOrigins) -> None:
+        try:
+            await self.client.call(address, SAVE_ORIGINS, message, timeout_s=_SAVE_TIMEOUT_S)
+        except UnreachableError as error:
+            logger.debug('origins of streams not copied: %s', error)
+
+    async def _ask(self, address: str, key: ContentId) -> OriginRecord | None:
+        try:
+            received = await self.client.call(
+                address, FIND_ORIGIN, FindOrigin(key=key), timeout_s=_FIND_TIMEOUT_S
+            )
+        except UnreachableError as error:
+            logger.debug('gateway not asked for the origin of a stream: %s', error)
+            return None
+        found: FoundOrigin = received.body
+        return found.record
+
+
+def holders(key: ContentId, gateways: Iterable[GatewayState]) -> list[GatewayState]:
+    """Return all gateways in the order in which they keep a record.
+
+    Of the gateways of each availability zone the first come before any second one.
+    """
+    by_name = {state.name: state for state in gateways}
+    in_zone: dict[str, int] = {}
+    places = {}
+    for name in rendezvous_order(key, by_name):
+        zone = by_name[name].zone
+        places[name] = in_zone.get(zone, 0)
+        in_zone[zone] = places[name] + 1
+    return [by_name[holder] for holder in sorted(places, key=places.__getitem__)]
--- a/ringseam/gateway/requests/serverselection.py
+++ b/ringseam/gateway/requests/serverselection.py
@@ -110,7 +110,7 @@
     def _untried(self, context: RequestContext) -> list[BackendReport]:
         """Return the servers that the request has not been sent to."""
         serving = self.follower.serving(
-            context.service, context.suspect.account, context.allowed_zones
+            context.service, context.suspect.account, context.allowed_zones, context.software
         )
         untried = [server for server in serving if server.instance not in context.tries.tried]
         return [server for server in untried if self._may_connect(server)] or untried
--- /dev/null
+++ b/ringseam/gateway/requests/streambinding.py
@@ -0,0 +1,165 @@
+"""Decides where a stream may continue that a client resumes."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ringseam.clock import MS_PER_S
+from ringseam.events import Event
+from ringseam.gateway.requests.answers import DEFAULT_RETRY_AFTER_S
+from ringseam.gateway.requests.originsharing import OriginSharing
+from ringseam.routes import RequestKind
+from ringseam.streamorigins import StreamOrigin, is_certain, origin_key
+
+if TYPE_CHECKING:
+    from ringseam.backends import BackendReport
+    from ringseam.contents import ContentId
+    from ringseam.gateway.following.follower import Follower
+    from ringseam.gateway.requestcontext import RequestContext
+    from ringseam.gateway.requests.answers import Responder
+    from ringseam.node import Node
+    from ringseam.rpc import CallClient
+
+logger = logging.getLogger(__name__)
+
+#: Retry-After of a stream that no server can continue, seconds: a server that has crashed
+#: starts again in a few seconds.
+_NO_SERVER_RETRY_AFTER_S = 2.0
+
+
+class Knowledge(enum.Enum):
+    """How a gateway knows the origin of a stream."""
+
+    #: From a record, of this gateway or of another one.
+    record = 'record'
+    #: No other version has served since the stream can have begun.
+    uniform = 'uniform'
+
+
+class Obstacle(enum.Enum):
+    """Why a stream can't continue."""
+
+    unknown = 'unknown'
+    #: The route doesn't lead to the service that began it any more.
+    service = 'service'
+    #: No server of the version that began it takes work.
+    version = 'version'
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """A stream that can't continue."""
+
+    obstacle: Obstacle
+    detail: str
+    retry_after_s: float = DEFAULT_RETRY_AFTER_S
+
+
+_UNKNOWN = Refusal(
+    obstacle=Obstacle.unknown, detail='the server version that began the stream is not known'
+)
+_OTHER_SERVICE = Refusal(
+    obstacle=Obstacle.service,
+    detail='the route no longer leads to the service that began the stream',
+    retry_after_s=_NO_SERVER_RETRY_AFTER_S,
+)
+_NO_SERVER = Refusal(
+    obstacle=Obstacle.version,
+    detail='no server of the version that began the stream',
+    retry_after_s=_NO_SERVER_RETRY_AFTER_S,
+)
+
+
+class StreamBinder:
+    """Bind streams to the service and the software version that began them."""
+
+    def __init__(
+        self, *, node: Node, client: CallClient, follower: Follower, responder: Responder
+    ) -> None:
+        """Keep copies of the origins at other gateways, which are called by ``client``."""
+        self.node = node
+        self.follower = follower
+        self.sharing = OriginSharing(node=node, client=client, follower=follower)
+        self.responder = responder
+
+    async def bind(self, context: RequestContext) -> Refusal | None:
+        """Set the origin of a stream that the client resumes, or return why it can't go on."""
+        if not _is_resumption(context):
+            return None
+        refusal = await self._bind(context)
+        if refusal is not None:
+            self.responder.metrics.add('streams_unresumed', reason=refusal.obstacle.value)
+            self.responder.log(
+                context,
+                Event.stream_unresumed,
+                resumes=context.request.resumes,
+                reason=refusal.obstacle.value,
+                software=context.software,
+            )
+        return refusal
+
+    def began(self, context: RequestContext, server: BackendReport) -> None:
+        """Record that a server has brought the first event of a response."""
+        if context.origin is None:
+            context.origin = StreamOrigin(
+                service=server.service,
+                software=server.software,
+                server=server.instance,
+                began_ms=self.node.clock.wall_ms(),
+            )
+        self.sharing.began(self._key(context, context.request.attempt_id), context.origin)
+
+    def may_continue(self, context: RequestContext) -> bool:
+        """Return whether the version of a stream that has begun is still certain."""
+        return context.origin is None or is_certain(context.origin, self.follower.view)
+
+    async def _bind(self, context: RequestContext) -> Refusal | None:
+        origin, knowledge, age_ms = await self._find(context)
+        if origin is None:
+            return _UNKNOWN
+        if all(target.service != origin.service for target in context.route.targets):
+            return _OTHER_SERVICE
+        context.origin = origin
+        context.service = origin.service
+        self.responder.metrics.add('streams_resumed', known_by=knowledge.value)
+        self.responder.log(
+            context,
+            Event.stream_resumed,
+            resumes=context.request.resumes,
+            service=origin.service,
+            software=origin.software,
+            backend=origin.server,
+            known_by=knowledge.value,
+            age_ms=age_ms,
+        )
+        servers = self.follower.serving(
+            context.service, context.suspect.account, context.allowed_zones, context.software
+        )
+        return None if servers else _NO_SERVER
+
+    async def _find(self, context: RequestContext) -> tuple[StreamOrigin | None, Knowledge, int]:
+        """Return what began a stream, how it is known, and how long ago it began, ms."""
+        if context.request.resumes:
+            record = await self.sharing.find(self._key(context, context.request.resumes))
+            if record is not None:
+                certain = is_certain(record.origin, self.follower.view)
+                return record.origin if certain else None, Knowledge.record, record.age_ms
+        software = self.sharing.certain_version(context.service)
+        if software is None:
+            return None, Knowledge.uniform, 0
+        origin = StreamOrigin(service=context.service, software=software)
+        longest_s = self.follower.table.longest_stream_s(context.service)
+        return origin, Knowledge.uniform, int(longest_s * MS_PER_S)
+
+    def _key(self, context: RequestContext, attempt_id: str) -> ContentId:
+        return origin_key(context.account_name, attempt_id, secret=self.node.secret)
+
+
+def _is_resumption(context: RequestContext) -> bool:
+    """Return whether a request continues a stream of which the client has events."""
+    request = context.request
+    is_stream = context.route.kind is RequestKind.stream
+    return is_stream and bool(request.resumes or request.last_event)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -9,7 +9,6 @@
 from ringseam.control.founding import cluster_addresses
 from ringseam.events import Event
 from ringseam.gateway.engines.client import PlacementClient
-from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceDetector
 from ringseam.gateway.featureswitch import FeatureSwitch
 from ringseam.gateway.following.follower import Follower
@@ -26,6 +25,7 @@
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
 from ringseam.gateway.requests.sending import Sender
+from ringseam.gateway.requests.streambinding import StreamBinder
 from ringseam.gateway.stages.calls import PieceCalls
 from ringseam.gateway.stages.client import PieceClient
 from ringseam.gateway.stages.scheduler import PieceScheduler
@@ -151,6 +151,9 @@
         self.piece_scheduler.release_inputs = self.pieces.release
         self.connection_limits = self.health.connection_limits(self.follower, self.node.name)
         responder = Responder(node=self.node, metrics=self.metrics)
+        binder = StreamBinder(
+            node=self.node, client=self.client, follower=self.follower, responder=responder
+        )
         self.forwarder = Forwarder(
             node=self.node,
             follower=self.follower,
@@ -168,8 +171,8 @@
                 ),
                 placements=self.placements,
                 retries=self.retries,
-                responder=responder,
                 guard=self.guard,
+                binder=binder,
             ),
             responder=responder,
             host=self.host,
@@ -211,6 +214,7 @@
         loop = asyncio.get_running_loop()
         self.follower.draining = True
         self.client_server.closing = True
+        self.forwarder.origins.hand_over()
         stop_at = loop.time() + max(0, self.drain_timeout_s - _ABORT_RESERVE_S)
         await asyncio.sleep(
             min(
@@ -241,9 +245,9 @@
 
     def _register_methods(self) -> None:
         self.pieces.register(self.server)
-        self.server.add(PLACE, self.placements.serve_place)
-        self.server.add(PROGRESS, self.placements.serve_progress)
+        self.placements.register(self.server)
         self.permits.register(self.server)
+        self.forwarder.origins.register(self.server)
 
     async def _answer_probe(self, exchange: Exchange) -> None:
         path = exchange.request.path
@@ -268,6 +272,7 @@
         self.retries.processes = max(1, len(self.follower.gateways))
         self.ownership.refresh()
         self.piece_scheduler.refresh()
+        self.forwarder.origins.refresh()
 
     async def _run_cleanup(self) -> None:
         while True:  # noqa: WPS457 - ends with the role
@@ -284,6 +289,7 @@
             self.switch.sees_interference = self.health.speeds.reports.reports_interference(known)
             self.owner_log.export(self.ownership, self.follower.table.services)
             self.forwarder.sharing.clean_up(known)
+            self.forwarder.origins.export(self.metrics)
             self._count_reservations()
 
     def _count_reservations(self) -> None:
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -12,7 +12,6 @@
 from ringseam.envelopes import ReceivedMessage
 from ringseam.errors import UnreachableError
 from ringseam.gateway.engines.client import PlacementClient
-from ringseam.gateway.engines.messages import PLACE, PROGRESS
 from ringseam.gateway.engines.silence import SilenceDetector
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
@@ -23,6 +22,7 @@
 from ringseam.gateway.requests.answers import Responder
 from ringseam.gateway.requests.attempts import AttemptRunner
 from ringseam.gateway.requests.forwarding import Forwarder
+from ringseam.gateway.requests.streambinding import StreamBinder
 from ringseam.gateway.stages.client import PieceClient
 from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.metrics import Metrics
@@ -79,9 +79,20 @@
     def zones_within(self, *limits: frozenset[str]) -> None:
         """Return None: all zones are allowed."""
 
-    def serving(self, service: ServiceName, account: str, zones: None) -> list[BackendReport]:
-        """Return the servers of a service; no client account is confined."""
-        return self.view.serving(service)
+    def serving(
+        self, service: ServiceName, account: str, zones: None, software: str | None = None
+    ) -> list[BackendReport]:
+        """Return the servers of a service and version; no client account is confined."""
+        servers = self.view.serving(service)
+        return [server for server in servers if software in {None, server.software}]
+
+    def uniform_version(self, service: ServiceName, *, duration_s: float) -> str | None:
+        """Return the version of all servers of a service; None: they differ.
+
+        The servers count as long-running.
+        """
+        versions = self.view.versions.get(service, frozenset())
+        return next(iter(versions)) if len(versions) == 1 else None
 
     def is_serving(self, server: BackendReport) -> bool:
         """Return whether a server accepts new requests."""
@@ -256,8 +267,10 @@
             sender=sender,
             placements=self.placements,
             retries=retries,
-            responder=responder,
             guard=self.guard,
+            binder=StreamBinder(
+                node=node, client=client, follower=self.follower, responder=responder
+            ),
         )
         self.forwarder = Forwarder(
             node=node,
@@ -292,11 +305,8 @@
         self.network.handlers[self.node.address, method.path] = handler
 
     def _register_handlers(self, permits: PermitAllocator) -> None:
-        for method, handler in (
-            (PLACE, self.placements.serve_place),
-            (PROGRESS, self.placements.serve_progress),
-        ):
-            self.add(method, handler)
         registrar: Any = self
+        self.placements.register(registrar)
+        self.forwarder.origins.register(registrar)
         self.pieces.register(registrar)
         permits.register(registrar)
--- a/ringseam/routes.py
+++ b/ringseam/routes.py
@@ -6,6 +6,9 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
+#: A stream and its resumption together last at most this many times the time limit of a route:
+#: a client may resume it when the first request has reached its limit.
+_LIMITS_PER_STREAM = 2
 #: Name of a service: a group of interchangeable backend servers.
 ServiceName = NewType('ServiceName', str)
 #: Name of a client account, as sent to backend servers.
@@ -178,11 +181,15 @@
     limits: ClientLimits = ClientLimits()
     by_host: dict[str, HostRoutes] = field(init=False, default_factory=dict)
     by_key: dict[str, Account] = field(init=False, default_factory=dict)
+    #: How long a stream of a service may last with its resumptions, seconds.
+    stream_limits_s: dict[ServiceName, float] = field(init=False, default_factory=dict)
 
     def __post_init__(self) -> None:
         """Index routes by host and accounts by key."""
         for route in self.routes:
             self.by_host.setdefault(route.host, HostRoutes()).add(route)
+            if route.kind is RequestKind.stream:
+                self._index_stream(route)
         for account in self.accounts:
             self.by_key.update(dict.fromkeys(account.keys, account))
 
@@ -191,6 +198,16 @@
         routes = self.by_host.get(host)
         return routes.match(path) if routes else None
 
+    def longest_stream_s(self, service: ServiceName) -> float:
+        """Return how long a stream of a service may last with its resumptions, seconds."""
+        return self.stream_limits_s.get(service, 0)
+
     def account_by_key(self, key: str) -> Account | None:
         """Return the client account with this API key."""
         return self.by_key.get(key)
+
+    def _index_stream(self, route: Route) -> None:
+        limit_s = _LIMITS_PER_STREAM * route.timeout_s
+        for target in route.targets:
+            known_s = self.longest_stream_s(target.service)
+            self.stream_limits_s[target.service] = max(limit_s, known_s)
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -202,6 +203,8 @@
         self.port = await role.client_server.start('127.0.0.1', 0)
         self.ready_port = await role.probe_server.start('127.0.0.1', 0)
         self.apply_document(manifest())
+        # The servers count as the only ones that have ever served, and their list as current.
+        role.follower.updated_at = math.inf
         return self
 
     async def __aexit__(self, *failure) -> None:
@@ -231,6 +234,14 @@
             ),
         )
         self.role.piece_scheduler.refresh()
+        self.observe_versions()
+
+    def observe_versions(self) -> None:
+        """Treat the known servers of a service as long-running while they run one version."""
+        follower = self.role.follower
+        for service, versions in follower.view.versions.items():
+            since = -math.inf if len(versions) == 1 else follower.node.clock.now()
+            follower.versions.observe({service: versions}, since)
 
     def set_gateways(self, *states: GatewayState) -> None:
         self.role.follower.gateways = states
