--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -119,7 +119,7 @@
         now = self.node.clock.now()
         self.store.add(key, origin, now)
         record = self.store.find(key, now)
-        if record is not None and self.certain_version(origin.service) is None:
+        if record is not None and self._makes_copies(origin.service):
             self._copy([record])
 
     def certain_version(self, service: ServiceName) -> str | None:
@@ -189,6 +189,10 @@
 
     # -- helpers ------------------------------------------------------------
 
+    def _makes_copies(self, service: ServiceName) -> bool:
+        """Return whether records are copied at once; else :meth:`refresh` copies them later."""
+        return service in self.copied_services or self.certain_version(service) is None
+
     def _holders(self, key: ContentId, count: int) -> list[str]:
         """Return the addresses of the other gateways that keep a record."""
         ordered = holders(key, self.follower.gateways)
--- a/tests/test_control/test_control_follow.py
+++ b/tests/test_control/test_control_follow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ringseam.backends import (
@@ -62,6 +63,30 @@
     return WatchRequest(gateway=GATEWAY, **fields)
 
 
+def test_only_whole_deltas_of_a_warm_directory_tell_that_versions_are_uniform():
+    """A gateway that has just started learns from them what it has not seen itself."""
+    directory = new_directory()
+    directory.report(report('i-1'), 0)
+    assert directory.delta(request(), 4).uniform == ()
+    (uniform,) = directory.delta(request(), 7).uniform
+    assert (uniform.software, uniform.duration_s) == ('', 3)
+    assert directory.delta(request(epoch='e1', since=directory.change), 7).uniform == ()
+    other = msgspec.structs.replace(report('i-2'), software='v2')
+    directory.report(other, 8)
+    assert directory.delta(request(), 20).uniform == ()
+    directory.report(report('i-1', 2), 10)
+    directory.expire(12.5)
+    (uniform,) = directory.delta(request(), 13).uniform
+    assert (uniform.software, uniform.duration_s) == ('', 0.5)
+
+
+def test_changed_version_is_told_to_gateways():
+    directory = new_directory()
+    directory.report(report('i-1'), 0)
+    changed = msgspec.structs.replace(report('i-1', 2), software='v2')
+    assert directory.report(changed, 1)
+
+
 def test_delta_holds_what_changed_since():
     directory = new_directory()
     directory.report(report('i-1'), 0)
