Soak: servers of several versions, and clients that resume their streams

Stand-in servers reported no version, and no client of the soak resumed anything, so neither rule could break there. Servers of the stream service now come in three versions, which come and go beside kills, stops and freezes; clients drop streams and resume them at any gateway, twice. Checked from what they saw: events of one version only, none missing or twice, and resumptions that go on at least half as often as new streams begin.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,7 +6,8 @@
 again under their names; some contents end each server that runs them, and come again
 and again. A zone is drained and used again, documents grow to 1,500 routes, and others send
 reports that aren't a server's. Servers name limits, ask for pauses and say that they
-leave. Clients and servers read slowly, and the gateways' hosts are of unequal size. What
+leave. Clients and servers read slowly, and the gateways' hosts are of unequal size. Servers of
+several software versions come and go, and clients resume their streams at any gateway. What
 callers and servers see is checked while it runs.
 """
 
@@ -37,6 +38,7 @@
     respond_large,
     stream_large,
 )
+from bench.soakstreams import VERSION_FAULTS, VERSIONS, StreamClients
 from bench.soakwords import COUNTED_FAULTS, WORD_FAULTS, Words
 from ringseam.backends import BackendReport, BackendState
 from ringseam.calls import ClientRequest
@@ -76,6 +78,7 @@
 WAY_FAULTS = {'both', 'delay', 'silence', 'reset', 'again', 'twice', 'ending', 'slow-server'}
 EVERY_FAULT = (*ZONE_FAULTS, *WORD_FAULTS)
 UNEVEN_FAULTS = (*EVERY_FAULT, *READING_FAULTS)
+SKEWED_FAULTS = (*UNEVEN_FAULTS, *VERSION_FAULTS)
 #: The zone of a third of the servers, which is drained for a while, seconds; they get
 #: nothing later than this after the acknowledgement, seconds.
 ZONE = 'zone-2'
@@ -330,7 +333,7 @@
 class Soak:
     """One run: processes, servers, clients, an operator and faults."""
 
-    def __init__(self, *, folder, seed, kinds=UNEVEN_FAULTS):
+    def __init__(self, *, folder, seed, kinds=SKEWED_FAULTS):
         self.dice = random.Random(seed)
         self.kinds = kinds
         self.routes = 0
@@ -338,6 +341,7 @@
         self.hosts = hosts_of(seed)
         self.pages = settings(self.system.layout, self.hosts)
         self.readers = Readers(self)
+        self.streams = StreamClients(self, seed)
         #: Runs of checks that count what reaches a server from a known number of clients.
         self.counting = 0
         self.crowds = 0
@@ -372,6 +376,8 @@
             await asyncio.sleep(2)
             tasks += [asyncio.create_task(self.ask_always(number)) for number in range(CLIENTS)]
             tasks.append(asyncio.create_task(self.operate_always()))
+            if self.has_versions:
+                tasks.append(asyncio.create_task(self.streams.run()))
             await self.disturb(seconds)
             self.ending = True
             await asyncio.gather(*tasks[1:], *self.insisting, *self.saying)
@@ -387,8 +393,15 @@
                 await server.http.close()
         return self.book
 
-    async def add_server(self, service):
+    @property
+    def has_versions(self):
+        """Return whether servers of several versions serve side by side."""
+        return bool(set(VERSION_FAULTS) & set(self.kinds))
+
+    async def add_server(self, service, software=''):
         self.number += 1
+        if not software and self.has_versions:
+            software = VERSIONS[0]
         server = Server(
             book=self.book,
             dice=self.dice,
@@ -396,6 +409,7 @@
             service=ServiceName(service),
             control=self.http_of(CONTROL[0]),
             zone='zone-1' if self.number % 3 else ZONE,
+            software=software,
         )
         await server.begin()
         self.servers.append(server)
@@ -570,6 +584,8 @@
         elif kind == 'drain':
             if self.draining is None or self.draining.done():
                 self.draining = asyncio.create_task(self.drain_for_a_while())
+        elif kind in VERSION_FAULTS:
+            await self.change_version()
         elif kind in WORD_FAULTS:
             server = self.a_staying_server()
             # A crowd sends more than the checks of what reaches a server allow for.
@@ -612,10 +628,27 @@
         await asyncio.sleep(self.dice.uniform(0, 0.5))
         self.system.start(name)
 
+    async def change_version(self):
+        """Add a server of any version; as often as not another one leaves for it."""
+        dice = self.streams.dice
+        software = dice.choice(VERSIONS)
+        await self.add_server(ENGINE_SERVICE, software)
+        await self.report(self.servers[-1], BackendState.ready)
+        staying = [
+            server
+            for server in self.servers[:-1]
+            if server.service == ENGINE_SERVICE and server.left_at is None and not server.ended
+        ]
+        if staying and dice.randrange(2):
+            await self.let_leave(dice.choice(staying))
+
     async def leave(self):
         server = self.a_staying_server()
-        await self.add_server(server.service)
+        await self.add_server(server.service, server.software)
         await self.report(self.servers[-1], BackendState.ready)
+        await self.let_leave(server)
+
+    async def let_leave(self, server):
         for _ in range(50):
             lifetime = server.instance
             acknowledged = await self.report(server, BackendState.draining)
@@ -696,6 +729,7 @@
         for name in plain:
             self.book.check(ran[name] == 1, f'TWICE {name}: {ran[name]}')
         self.check_endings()
+        self.streams.check_shares()
         for name in self.book.refused:
             self.book.check(not ran[name], f'REFUSED {name} and it ran')
         until = time.monotonic() + 10
@@ -776,7 +810,7 @@
     return whole
 
 
-def soak(seed, seconds, folder, kinds=UNEVEN_FAULTS):
+def soak(seed, seconds, folder, kinds=SKEWED_FAULTS):
     """Return the book and the faults of one run."""
     run = Soak(folder=Path(folder), seed=seed, kinds=kinds)
     return asyncio.run(run.run(seconds)), run.faults
@@ -787,7 +821,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--kinds', default=','.join(UNEVEN_FAULTS))
+    parser.add_argument('--kinds', default=','.join(SKEWED_FAULTS))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -40,8 +40,7 @@
 # Proves that a response comes from the backend server itself.
 _SERVER_SEAL = 'Server-Seal'
 _NOT_EXECUTED = 'Not-Executed'
-# Running requests, queued requests, slots and, optionally, the duration of work on the host
-# in hundredths of the usual one, comma-separated.
+# Running and queued requests, slots and, optionally, how slow work is in hundredths of the usual.
 _WORKER_LOAD = 'Worker-Load'
 _RETRY_AFTER = 'Retry-After'
 # Rate limit in requests per second over all gateways; in force while the server sends it.
@@ -180,6 +179,8 @@
     if request.pieces:
         headers.append((_PIECES, ','.join(map(str, request.pieces))))
         headers.append((_PIECE_KEY, request.piece_key))
+    if request.resumes:
+        headers += [(_LAST_EVENT_ID, str(request.last_event)), (_RESUMES, request.resumes)]
     return headers
 
 
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -55,12 +55,15 @@
         service: ServiceName,
         control: str,
         zone: str = 'zone-1',
+        software: str = '',
     ) -> None:
         """Send reports to ``control``, the HTTP address of a control host."""
         self.instance = instance
         self.service = service
         self.control = control
         self.zone = zone
+        #: The version that it reports, and writes into the events of its streams.
+        self.software = software
         self.address = ''
         self.sequence = 0
         #: Announced in response headers: the rate limit in requests per second, and shutdown.
@@ -89,6 +92,7 @@
             address=self.address,
             zone=self.zone,
             sequence=self.sequence,
+            software=self.software,
             slots=_SLOTS,
             state=state,
         )
@@ -146,7 +150,8 @@
         exchange.start(_HTTP_OK, [*headers, ('Content-Type', 'text/event-stream')])
         for number in range((request.last_event or 0) + 1, _STREAM_EVENTS + 1):
             await asyncio.sleep(_EVENT_INTERVAL_S)
-            await exchange.send(f'id: {number}\ndata: token {number}\n\n'.encode())
+            text = f'token {number} {self.software}'.rstrip()
+            await exchange.send(f'id: {number}\ndata: {text}\n\n'.encode())
         await exchange.finish()
 
     async def _run_pieces(self, exchange: Exchange) -> None:
--- a/tests/test_system/test_system_soak.py
+++ b/tests/test_system/test_system_soak.py
@@ -17,6 +17,7 @@
     unchunked,
 )
 from bench.soakreaders import HOSTS, LARGE_HOST, READING_FAULTS, SMALL_HOST, hosts_of
+from bench.soakstreams import VERSION_FAULTS
 from bench.soakwords import WORD_FAULTS
 
 pytestmark = pytest.mark.processes
@@ -31,10 +32,13 @@
     (6, WORD_FAULTS),
     (7, UNEVEN_FAULTS),
     (8, READING_FAULTS),
+    (9, (*VERSION_FAULTS, 'kill', 'stop', 'freeze')),
 )
 
 
-@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6', '7', '8'])
+@pytest.mark.parametrize(
+    ('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6', '7', '8', '9']
+)
 def test_guarantees_hold_under_faults(seed, kinds, tmp_path):
     book, faults = soak(seed, 6, tmp_path, kinds)
     assert book.broken == []
