--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -41,10 +41,10 @@
 logger = logging.getLogger(__name__)
 
 #: Number of other gateways that keep a copy.
-_COPIES = 3
+COPIES = 3
 #: Number of gateways that are asked for a record: the order of those that keep it changes with
 #: each gateway that joins or leaves.
-_ASKED = 2 * _COPIES
+ASKED = 2 * COPIES
 _SAVE_TIMEOUT_S = 1.0
 #: A round trip takes milliseconds; a client waits for the answer.
 _FIND_TIMEOUT_S = 0.15
@@ -160,7 +160,7 @@
         if record is not None:
             return record
         pending = {
-            asyncio.ensure_future(self._ask(peer, key)) for peer in self._holders(key, _ASKED)
+            asyncio.ensure_future(self._ask(peer, key)) for peer in self._holders(key, ASKED)
         }
         try:
             while pending and record is None:
@@ -215,7 +215,7 @@
     def _copy(self, records: Iterable[OriginRecord]) -> None:
         by_address: dict[str, list[OriginRecord]] = {}
         for record in records:
-            for address in self._holders(record.key, _COPIES):
+            for address in self._holders(record.key, COPIES):
                 by_address.setdefault(address, []).append(record)
         for address, group in by_address.items():
             self.tasks.spawn(self._save(address, SaveOrigins(records=tuple(group))))
