Copy only a gateway's own recent records when copying begins

When all records of a service are copied at once, a gateway also sent those of other gateways and those of streams that can no longer be resumed: up to 120 s of its streams and three times as many copies, over links of 5 Mbit/s at some hosts. Now its own ones within the longest time of a stream; one that stops still hands over its copies. Found by reading; the new test fails before.

--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -139,12 +139,12 @@
                 self.copied_services.discard(service)
             elif service not in self.copied_services:
                 self.copied_services.add(service)
-                self._copy(self.store.records(service, now))
+                self._copy_all(service, copies=False)
 
     def hand_over(self) -> None:
         """Copy all records, as this process stops."""
         for service in self.copied_services:
-            self._copy(self.store.records(service, self.node.clock.now()))
+            self._copy_all(service, copies=True)
 
     def export(self, metrics: Metrics) -> None:
         """Set the metrics of the versions that serve, and of the streams that they began."""
@@ -212,6 +212,12 @@
         for (counted, version), count in counts.items():
             metrics.put(name, count, service=counted, software=version)
 
+    def _copy_all(self, service: ServiceName, *, copies: bool) -> None:
+        """Copy the records of streams that may still be resumed."""
+        now = self.node.clock.now()
+        longest_s = self.follower.table.longest_stream_s(service)
+        self._copy(self.store.records(service, now, max_age_s=longest_s, copies=copies))
+
     def _copy(self, records: Iterable[OriginRecord]) -> None:
         by_address: dict[str, list[OriginRecord]] = {}
         for record in records:
--- a/ringseam/streamorigins.py
+++ b/ringseam/streamorigins.py
@@ -47,6 +47,8 @@
 
     origin: StreamOrigin
     began_at: float
+    #: Whether it is a copy of another gateway's record.
+    is_copy: bool = False
 
 
 class OriginStore:
@@ -61,18 +63,20 @@
         #: Number of kept streams by service and software version.
         self.counts: collections.Counter[tuple[ServiceName, str]] = collections.Counter()
 
-    def add(self, key: ContentId, origin: StreamOrigin, began_at: float) -> None:
+    def add(
+        self, key: ContentId, origin: StreamOrigin, began_at: float, *, is_copy: bool = False
+    ) -> None:
         """Keep an origin; a known one stays, as the first event of a stream comes once."""
         if key in self.kept:
             return
-        self.kept[key] = KeptOrigin(origin=origin, began_at=began_at)
+        self.kept[key] = KeptOrigin(origin=origin, began_at=began_at, is_copy=is_copy)
         self.counts[origin.service, origin.software] += 1
         if len(self.kept) > self.capacity:
             self._drop(next(iter(self.kept)))
 
     def add_record(self, record: OriginRecord, now: float) -> None:
         """Keep a copy of another gateway's record."""
-        self.add(record.key, record.origin, now - record.age_ms / MS_PER_S)
+        self.add(record.key, record.origin, now - record.age_ms / MS_PER_S, is_copy=True)
 
     def find(self, key: ContentId, now: float) -> OriginRecord | None:
         """Return the record of an attempt, if it is kept."""
@@ -81,12 +85,19 @@
             return None
         return _as_record(key, kept, now)
 
-    def records(self, service: ServiceName, now: float) -> list[OriginRecord]:
-        """Return the records of a service."""
+    def records(
+        self, service: ServiceName, now: float, *, max_age_s: float, copies: bool = False
+    ) -> list[OriginRecord]:
+        """Return the records of a service that are not older than ``max_age_s`` seconds.
+
+        :param copies: whether to include those of other gateways.
+        """
         return [
             _as_record(key, kept, now)
             for key, kept in self.kept.items()
             if kept.origin.service == service
+            and now - kept.began_at <= max_age_s
+            and (copies or not kept.is_copy)
         ]
 
     def expire(self, now: float) -> None:
--- a/tests/test_streamorigins.py
+++ b/tests/test_streamorigins.py
@@ -47,6 +47,20 @@
     assert not store.counts
 
 
+# Old records and copies filled the links of gateways when a second version appeared.
+def test_only_own_recent_records_are_copied_again():
+    store = OriginStore()
+    store.add('old', origin(), 0)
+    store.add('own', origin(), 50)
+    store.add('copy', origin(), 50, is_copy=True)
+    own = store.records(SERVICE, 60, max_age_s=40)
+    assert [record.key for record in own] == ['own']
+    assert own[0].age_ms == 10_000
+    every = store.records(SERVICE, 60, max_age_s=40, copies=True)
+    assert [record.key for record in every] == ['own', 'copy']
+    assert store.records(ServiceName('other'), 60, max_age_s=40) == []
+
+
 @pytest.mark.parametrize('attempt', ['', 'r1', 'x' * 10_000_000, '\udcff'])
 def test_keys_have_one_length_for_any_id(attempt):
     key = origin_key('acme', attempt, secret=b's')
