--- a/tests/test_bench/test_bench_soak.py
+++ b/tests/test_bench/test_bench_soak.py
@@ -96,7 +96,7 @@
         soak.servers.append(server)
         left = []
 
-        async def add_server(service):
+        async def add_server(service, software=''):
             soak.servers.append(make_server())
 
         async def report(one, state):
