--- a/ringseam/contents.py
+++ b/ringseam/contents.py
@@ -13,6 +13,9 @@
 #: Identifies a request by its caller, address and body; hexadecimal digits.
 ContentId = NewType('ContentId', str)
 
+#: Identifies a part of a prompt; hexadecimal digits.
+PartId = NewType('PartId', str)
+
 #: 96 bits: the chance of a collision among a million contents is about 10^-17.
 _ID_HEX_DIGITS = 24
 _LENGTH_BYTES = 4
@@ -48,3 +51,16 @@
     """
     address = (account, request.method, host, request.target)
     return keyed_content_id(address, request.body, secret=secret)
+
+
+def prompt_part_ids(names: Iterable[str], *, secret: bytes) -> tuple[PartId, ...]:
+    """Return the ids of the parts of a prompt, in order.
+
+    They are keyed like content ids, as they are logged and sent between hosts too. A part has
+    the same id whichever client account and address it is used with.
+
+    :param names: the parts as the client names them.
+    """
+    return tuple(
+        PartId(keyed_content_id(('prompt part', name), b'', secret=secret)) for name in names
+    )
--- a/ringseam/gateway/requestcontext.py
+++ b/ringseam/gateway/requestcontext.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
     from ringseam.calls import ClientRequest, ResponseMetadata
-    from ringseam.contents import ContentId
+    from ringseam.contents import ContentId, PartId
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.streamorigins import StreamOrigin
     from ringseam.web.client import HttpChannel, ResponseHead
@@ -43,6 +43,8 @@
     account: Account | None
     #: A digest of what the client asks for, independent of the request's id.
     content_id: ContentId
+    #: The parts of its prompt, in order.
+    part_ids: tuple[PartId, ...] = ()
     arrived: float
     #: The client's deadline or the route's timeout, whichever is earlier.
     deadline: float
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -124,6 +124,8 @@
             backend=server.instance,
             software=server.software,
             content=context.content_id,
+            parts=context.part_ids,
+            account=context.account_name,
             sends=context.tries.sends,
             last=relay.last_event,
             resumes=context.request.resumes,
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -6,7 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from ringseam.contents import request_content_id
+from ringseam.contents import prompt_part_ids, request_content_id
 from ringseam.events import Event
 from ringseam.features import Feature
 from ringseam.gateway.featureswitch import FeatureSwitch
@@ -199,6 +199,9 @@
                 account=account.name if account else '',
                 secret=self.node.secret,
             ),
+            part_ids=prompt_part_ids(
+                (part.name for part in request.prefix), secret=self.node.secret
+            ),
             arrived=arrived,
             deadline=arrived + limit,
             table_number=self.follower.table.number,
