--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -300,8 +300,8 @@
     Mutation(
         'a run on trial whose server ended goes on elsewhere',
         'ringseam/gateway/following/guard.py',
-        "        return self.last_crash_at.get(content, float('-inf')) < trial_at\n",
-        '        return True\n',
+        "self.last_crash_at.get(key, float('-inf')) < trial_at",
+        'True',
         GUARD,
     ),
     Mutation(
@@ -320,15 +320,15 @@
     ),
     Mutation(
         'an explained end counts against others',
-        'ringseam/quarantine.py',
-        'other in self.verdicts\n                for other',
-        'other in ()\n                for other',
+        'ringseam/attribution.py',
+        'for verdict in self._causes_of(crash_id)\n',
+        'for verdict in ()\n',
         QUARANTINE,
     ),
     Mutation(
         'a suspected content runs more than once at a time',
         'ringseam/quarantine.py',
-        '        self.trial_deadlines[content] = now + duration_s\n',
+        '        self.trials[suspect.content] = TrialRun(deadline=now + duration_s, keys=keys)\n',
         '        pass\n',
         QUARANTINE,
     ),
--- a/ringseam/commands.py
+++ b/ringseam/commands.py
@@ -49,9 +49,17 @@
 
 
 class RecordVerdict(Tagged, frozen=True, kw_only=True, omit_defaults=True):
-    """Record that a content crashes servers, or, if ``lifted``, release it for a retest."""
+    """Record that a content crashes servers, or, if ``lifted``, release it for a retest.
 
+    Verdicts on prompt parts are recorded in the same way.
+    """
+
+    #: The id of the verdict.
     content: str
+    #: Its keys, if it is on several parts.
+    keys: tuple[str, ...] = ()
+    #: Whether it applies to the requests of the account only.
+    is_scoped: bool = False
     service: str = ''
     account: str = ''
     #: The software versions that it crashed.
--- a/ringseam/contents.py
+++ b/ringseam/contents.py
@@ -1,24 +1,31 @@
-"""Content ids: identify requests for the same work, regardless of their request ids."""
+"""Ids of requests for the same work and of prompt parts, regardless of request ids."""
 
 from __future__ import annotations
 
 import hmac
+import itertools
 from typing import TYPE_CHECKING, NewType
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ringseam.calls import PromptPart
     from ringseam.web.server import Request
 
 #: Identifies a request by its caller, address and body; hexadecimal digits.
 ContentId = NewType('ContentId', str)
 
-#: Identifies a part of a prompt; hexadecimal digits.
-PartId = NewType('PartId', str)
+#: Identifies a part of a prompt for the servers of one service. It may stand wherever a content
+#: id may: both are keys by which requests are suspected of crashing servers.
+PartId = NewType('PartId', ContentId)
 
 #: 96 bits: the chance of a collision among a million contents is about 10^-17.
 _ID_HEX_DIGITS = 24
 _LENGTH_BYTES = 4
+_PART_MARK = 'part-'
+#: Parts of a prompt that are considered, of up to several thousand in a header of maximum size.
+#: Usual prompts have less than ten.
+MAX_PARTS = 64
 
 
 def keyed_content_id(address: Iterable[str], body: bytes, *, secret: bytes) -> ContentId:
@@ -53,14 +60,25 @@
     return keyed_content_id(address, request.body, secret=secret)
 
 
-def prompt_part_ids(names: Iterable[str], *, secret: bytes) -> tuple[PartId, ...]:
-    """Return the ids of the parts of a prompt, in order.
+def prompt_part_ids(
+    parts: Iterable[PromptPart], *, service: str, secret: bytes
+) -> tuple[PartId, ...]:
+    """Return the ids of the parts of a prompt, in order and each once.
 
-    They are keyed like content ids, as they are logged and sent between hosts too. A part has
-    the same id whichever client account and address it is used with.
+    They are keyed like content ids, as they are logged and sent between hosts too. Names of
+    parts are hexadecimal numbers, so case and leading zeros make no difference. A part has
+    the same id whichever client account uses it.
 
-    :param names: the parts as the client names them.
+    :param service: the service that reads the prompt; a part that crashes its servers may be
+        harmless to others.
     """
+    names = dict.fromkeys(part.name.strip().lower().lstrip('0') for part in parts)
     return tuple(
-        PartId(keyed_content_id(('prompt part', name), b'', secret=secret)) for name in names
+        PartId(ContentId(_PART_MARK + keyed_content_id((service, name), b'', secret=secret)))
+        for name in itertools.islice(names, MAX_PARTS)
     )
+
+
+def is_part(key: ContentId) -> bool:
+    """Return whether a key identifies a part of a prompt, not a whole request."""
+    return key.startswith(_PART_MARK)
--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -20,6 +20,7 @@
     EvidenceReply,
     Heard,
     QuarantineSnapshot,
+    Suspect,
     TrialAnswer,
     TrialReply,
 )
@@ -81,6 +82,8 @@
                 account=record.account,
                 software=frozenset(record.software),
                 quarantined_at=now,
+                keys=frozenset(map(ContentId, record.keys)),
+                is_scoped=record.is_scoped,
                 lifts=record.lifts,
             )
             self.quarantine.restore(ContentId(content), verdict)
@@ -110,7 +113,9 @@
             return EvidenceReply(reply=redirect)
         served: ServedReport = received.body
         with self._publish_changes():
-            self.quarantine.record_answer(served.content, served.software, self.node.clock.now())
+            now = self.node.clock.now()
+            for key in (served.content, *served.parts):
+                self.quarantine.record_answer(key, served.software, now)
         return EvidenceReply(reply=Heard())
 
     async def handle_trial(self, received: ReceivedMessage) -> TrialReply:
@@ -123,7 +128,8 @@
             self.quarantine.finish_trial(request.content)
             return TrialReply(reply=TrialAnswer(state=TrialState.granted.value))
         now = self.node.clock.now()
-        state = self.quarantine.request_run(request.content, now, request.lasts_ms / MS_PER_S)
+        suspect = Suspect(content=request.content, account=request.account, parts=request.parts)
+        state = self.quarantine.request_run(suspect, now, request.lasts_ms / MS_PER_S)
         self.node.events.emit(
             logger,
             Event.trial_asked,
@@ -155,6 +161,16 @@
                 content: wall_ms - int((now - verdict.quarantined_at) * MS_PER_S)
                 for content, verdict in self.quarantine.verdicts.items()
             },
+            keys={
+                known_id: tuple(sorted(verdict.keys))
+                for known_id, verdict in self.quarantine.verdicts.items()
+                if verdict.keys != {known_id}
+            },
+            accounts={
+                known_id: verdict.account
+                for known_id, verdict in self.quarantine.verdicts.items()
+                if verdict.is_scoped
+            },
             suspects=tuple(self.quarantine.suspects),
             confined=tuple(self.quarantine.confined),
         )
@@ -171,14 +187,20 @@
     def _publish_changes(self) -> Iterator[None]:
         """Notify gateways of what the block changes, and record released contents."""
         version = self.quarantine.version
-        previous = set(self.quarantine.verdicts)
+        released = dict(self.quarantine.verdicts)
         yield
-        for content in previous - set(self.quarantine.verdicts):
-            is_retest = content in self.quarantine.lifted
-            self._release(content, 'lifted for a retest' if is_retest else 'evidence refuted')
+        for content in released.keys() - self.quarantine.verdicts.keys():
+            self._release(content, self._release_reason(content, released[content]))
         if self.quarantine.version != version:
             self.notify_watchers()
 
+    def _release_reason(self, content: ContentId, released: Verdict) -> str:
+        if content in self.quarantine.lifted:
+            return 'lifted for a retest'
+        if any(verdict.covers(released) for verdict in self.quarantine.verdicts.values()):
+            return 'covered by another verdict'
+        return 'evidence refuted'
+
     def _record_crash(self, crash: ServerCrash) -> None:
         planned = self.is_planned(crash.instance)
         self.node.events.emit(
@@ -211,6 +233,8 @@
             service=verdict.service,
             ends=sorted(verdict.crashes),
             software=software,
+            keys=sorted(verdict.keys),
+            scoped=verdict.is_scoped,
         )
         command = RecordVerdict(
             content=content,
@@ -218,6 +242,8 @@
             account=verdict.account,
             software=software,
             lifts=verdict.lifts,
+            keys=() if verdict.keys == {content} else tuple(sorted(verdict.keys)),
+            is_scoped=verdict.is_scoped,
         )
         self.tasks.spawn(self._commit(command))
 
--- a/ringseam/entry/guard.py
+++ b/ringseam/entry/guard.py
@@ -52,10 +52,10 @@
             )
         if context.is_trial_run and context.content_id not in self.quarantine.verdicts:
             return TrialState.granted
-        trial_state = self.quarantine.request_run(context.content_id, now, context.remaining_s(now))
+        suspect = Suspect(content=context.content_id, account=context.account.name)
+        trial_state = self.quarantine.request_run(suspect, now, context.remaining_s(now))
         context.is_trial_run = (
-            trial_state is TrialState.granted
-            and context.content_id in self.quarantine.trial_deadlines
+            trial_state is TrialState.granted and context.content_id in self.quarantine.trials
         )
         return trial_state
 
--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ringseam.clock import MS_PER_S
+from ringseam.contents import is_part
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
 from ringseam.evidence import EVIDENCE_RETENTION_S
@@ -29,6 +30,7 @@
     from ringseam.evidence import RecentAnswers
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthTracker
+    from ringseam.gateway.following.inflight import InFlightRequest
     from ringseam.lifetimes import BackendId
     from ringseam.node import Node
     from ringseam.quarantinemessages import Suspect
@@ -77,10 +79,21 @@
     acknowledged: bool = False
 
     def clear_content(self, content: ContentId, software: str) -> None:
-        """Remove a content that servers of ``software`` survive from the suspects."""
-        if self.crash.software == software:
-            suspects = tuple(one for one in self.crash.suspects if one.content != content)
-            self.crash = msgspec.structs.replace(self.crash, suspects=suspects)
+        """Remove a content that servers of ``software`` survive, or a part, from the suspects."""
+        if is_part(content):
+            cleared = tuple(one.without({content}) for one in self.crash.suspects)
+            self.crash = msgspec.structs.replace(self.crash, suspects=cleared)
+        elif self.crash.software == software:
+            kept = [
+                (one, ran_ms)
+                for one, ran_ms in self.crash.suspects_with_age()
+                if one.content != content
+            ]
+            self.crash = msgspec.structs.replace(
+                self.crash,
+                suspects=tuple(one for one, _ in kept),
+                ran_ms=tuple(ran_ms for _, ran_ms in kept),
+            )
 
     def report(self, now: float) -> ServerCrash:
         """Return the crash as reported to the leader."""
@@ -125,7 +138,7 @@
 
     def request_sent(self, server: BackendReport, attempt_id: str, suspect: Suspect) -> None:
         """Record that a server may have started a request."""
-        self.in_flight.add(server.instance, attempt_id, suspect)
+        self.in_flight.add(server.instance, attempt_id, suspect, self.clock.now())
 
     def request_finished(self, server: BackendReport, attempt_id: str) -> None:
         """Record that a request is no longer in flight on a server."""
@@ -198,14 +211,16 @@
         """Probe again in the background, in case only a packet was lost."""
         if server.instance not in self.reprobing:
             self.reprobing.add(server.instance)
-            suspects = self.in_flight.of(server.instance)
-            self.tasks.spawn(self._reprobe(server, suspects, at))
+            requests = self.in_flight.of(server.instance)
+            self.tasks.spawn(self._reprobe(server, requests, at))
 
-    async def _reprobe(self, server: BackendReport, suspects: set[Suspect], at: float) -> None:
+    async def _reprobe(
+        self, server: BackendReport, requests: set[InFlightRequest], at: float
+    ) -> None:
         try:
             if await self._refused_on_reprobe(server):
                 await self._record_crash(
-                    server, suspects | self.in_flight.pop_all(server.instance), at
+                    server, requests | self.in_flight.pop_all(server.instance), at
                 )
         finally:
             self.reprobing.discard(server.instance)
@@ -230,26 +245,30 @@
         channel.close()
         return ProbeResult.listens
 
-    async def _record_crash(self, server: BackendReport, suspects: set[Suspect], at: float) -> None:
+    async def _record_crash(
+        self, server: BackendReport, requests: set[InFlightRequest], at: float
+    ) -> None:
         self.health.record_failure(server.instance, self.clock.now(), hard=True)
-        if not suspects:
+        if not requests:
             return
+        sent_at = {
+            request.suspect: request.sent_at
+            for request in sorted(requests, key=_sent_at)
+            if request.suspect.content
+            and not self.recent_answers.contains(request.suspect.content, server.software, at)
+        }
         crash = ServerCrash(
             instance=server.instance,
             service=server.service,
             software=server.software,
-            suspects=tuple(
-                suspect
-                for suspect in suspects
-                if suspect.content
-                and not self.recent_answers.contains(suspect.content, server.software, at)
-            ),
+            suspects=tuple(self._without_answered(suspect, at) for suspect in sent_at),
+            ran_ms=tuple(int((at - since) * MS_PER_S) for since in sent_at.values()),
         )
         self.node.events.emit(
             logger,
             Event.backend_ended,
             backend=server.instance,
-            under_way=len(suspects),
+            under_way=len({request.suspect for request in requests}),
             contents=[suspect.content for suspect in crash.suspects][:_CONTENTS_LOGGED],
         )
         observed = ObservedCrash(at=at, crash=crash)
@@ -257,6 +276,11 @@
         self.on_crash(crash, at)
         await self._report([observed], LEADER_CALL_S)
 
+    def _without_answered(self, suspect: Suspect, at: float) -> Suspect:
+        """Return a request without the parts that servers have answered lately."""
+        answered = {part for part in suspect.parts if self.recent_answers.contains(part, '', at)}
+        return suspect.without(answered)
+
     def _unacknowledged(self, now: float) -> list[ObservedCrash]:
         return [
             observed
@@ -286,3 +310,7 @@
             acknowledged = not isinstance(received.body.reply, Redirect)
             for observed in unacknowledged:
                 observed.acknowledged = acknowledged
+
+
+def _sent_at(request: InFlightRequest) -> float:
+    return request.sent_at
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ringseam.backends import BackendView, GatewayState
 from ringseam.clock import MS_PER_S
 from ringseam.errors import FindingsError, UnreachableError
@@ -307,8 +305,7 @@
             return
         snapshot = update.quarantine
         if update.epoch != self.epoch and not update.warm:
-            merged = {**self.quarantine.quarantined, **snapshot.quarantined}
-            snapshot = msgspec.structs.replace(snapshot, quarantined=merged)
+            snapshot = snapshot.merged_with(self.quarantine)
         self.quarantine = snapshot
         self.confinement.keep_only(snapshot.confined)
 
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -1,4 +1,4 @@
-"""Protection of backend servers against contents that crash every server that runs them.
+"""Protection of backend servers against requests that crash every server that runs them.
 
 A gateway reports to the leader what was in flight on a crashed server, and enforces the
 verdicts of the leader. Without a leader it decides on its own observations, which costs three
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
@@ -23,9 +24,11 @@
     QuarantineSnapshot,
     ServedReport,
     ServerCrash,
+    Suspect,
     TrialRequest,
 )
 from ringseam.util.tasks import TaskSet
+from ringseam.verdicts import EnforcedVerdicts
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -42,6 +45,10 @@
 #: Delay after which a client may retry a suspected content whose trial run is in progress,
 #: seconds: most runs are shorter, and the client loses little time.
 RETRY_AFTER_S = 1.0
+#: A trial run is over this long after its first event, seconds: requests that crash servers do
+#: so as the response begins, in some cases after an event. A complete response takes seconds,
+#: in which others that are suspected of the same crash would have to wait.
+SURVIVAL_S = 0.5
 
 
 class QuarantineGuard:  # noqa: WPS214 - evidence and verdicts in one place
@@ -65,7 +72,7 @@
         #: Verdicts based only on the observations of this gateway.
         self.local_quarantine = Quarantine()
         self.tasks = TaskSet()
-        #: When suspected contents were last in flight on a server that crashed.
+        #: When suspected contents and parts were last in flight on a server that crashed.
         self.last_crash_at: dict[ContentId, float] = {}
         self.crashes = CrashReporter(
             node=node,
@@ -78,61 +85,85 @@
         )
         #: The quarantine and the epoch that were last applied.
         self.applied_snapshot = QuarantineSnapshot(version=0)
+        self.enforced = EnforcedVerdicts(snapshot=self.applied_snapshot)
         self.epoch = ''
 
     # -- evidence -----------------------------------------------------------
 
-    def record_success(self, server: BackendReport, content: ContentId) -> None:
-        """Record that a server answered a content successfully, so it survives the content."""
+    def record_success(self, server: BackendReport, suspect: Suspect) -> None:
+        """Record that a server answered a request successfully, so it survives the request."""
         now = self.clock.now()
-        self.recent_answers.record(content, server.software, now)
-        if (
-            content in self.local_quarantine.evidence.crashes_by_content
-            or self._is_listed_by_leader(content)
-        ):
-            self.local_quarantine.record_answer(content, server.software, now)
-            self.crashes.clear_content(content, server.software)
-            self._report_served(content, server.software)
+        listed = []
+        for key in suspect.keys:
+            self.recent_answers.record(key, server.software, now)
+            if self._is_listed(key):
+                listed.append(key)
+                self.local_quarantine.record_answer(key, server.software, now)
+                self.crashes.clear_content(key, server.software)
+        if listed:
+            self._report_served(suspect, server.software)
 
     # -- admission ----------------------------------------------------------
 
-    async def admit(self, context: RequestContext) -> TrialState:
-        """Return whether a request may be sent to a server now."""
-        content = context.content_id
-        if self.is_quarantined(content):
+    async def admit(self, context: RequestContext, *, reads_prompt: bool = True) -> TrialState:
+        """Return whether a request may be sent to a server now.
+
+        :param reads_prompt: whether the server reads the prompt; those that run stages don't,
+            so suspected parts need no trial run there.
+        """
+        if self.is_rejected(context):
             return TrialState.quarantined
+        suspect = context.suspect if reads_prompt else context.suspect.without(context.part_ids)
+        suspected = frozenset(filter(self._is_suspected, suspect.keys))
         if context.trial_at is not None:
-            if self._is_trial_valid(content, context.trial_at):
+            if suspected <= context.trial_keys and self._is_trial_valid(suspect, context.trial_at):
                 return TrialState.granted
             context.trial_at = None
-            await self._release_trial(content)
-        if not self._is_suspected(content):
+            await self._release_trial(context.content_id)
+        if not suspected:
             return TrialState.granted
         requested_at = self.clock.now()
-        state = await self._request_trial(content, max(0, context.deadline - requested_at))
+        state = await self._request_trial(suspect, max(0, context.deadline - requested_at))
         if state is TrialState.granted:
             context.trial_at = requested_at
+            context.trial_keys = suspected
         return state
 
+    def response_began(self, context: RequestContext) -> None:
+        """Release the trial run of a request soon after the first event of its response."""
+        if context.trial_at is not None:
+            asyncio.get_running_loop().call_later(
+                SURVIVAL_S, self._end_same_trial, context, context.trial_at
+            )
+
     def end_trial(self, context: RequestContext) -> None:
-        """Release the trial run of a request that has answered or finished."""
+        """Release the trial run of a request that has finished."""
         if context.trial_at is not None:
             context.trial_at = None
             self.tasks.spawn(self._release_trial(context.content_id))
 
-    def may_process_pieces(self, content: ContentId, *, trial_at: float | None) -> bool:
+    def may_process_pieces(self, suspect: Suspect, *, trial_at: float | None) -> bool:
         """Return whether pieces of a request may be processed."""
-        if self.is_quarantined(content):
+        if self.find_verdict(suspect) is not None:
             return False
         if trial_at is not None:
-            return self._is_trial_valid(content, trial_at)
-        return not self._is_suspected(content)
+            return self._is_trial_valid(suspect.without(suspect.parts), trial_at)
+        return not self._is_suspected(suspect.content)
 
-    def is_quarantined(self, content: ContentId) -> bool:
-        """Return whether a content is known to crash servers."""
-        if content in self.follower.quarantine.quarantined:
-            return True
-        return not self.follower.is_connected and content in self.local_quarantine.verdicts
+    def is_rejected(self, context: RequestContext) -> bool:
+        """Return whether a request is known to crash servers, and note by which verdict."""
+        context.verdict = self.find_verdict(context.suspect)
+        return context.verdict is not None
+
+    def find_verdict(self, suspect: Suspect) -> ContentId | None:
+        """Return the id of a verdict in force that applies to a request; None: there is none."""
+        snapshot = self.follower.quarantine
+        if snapshot is not self.enforced.snapshot:
+            self.enforced = EnforcedVerdicts(snapshot=snapshot)
+        found = self.enforced.find(suspect)
+        if found is None and not self.follower.is_connected:
+            return self.local_quarantine.find_verdict(suspect)
+        return found
 
     # -- updates ------------------------------------------------------------
 
@@ -150,6 +181,8 @@
                 logger,
                 Event.quarantine_in_force,
                 content=content,
+                keys=snapshot.keys.get(content, (content,)),
+                account=snapshot.accounts.get(content, ''),
                 since_ms=snapshot.quarantined[content],
                 version=snapshot.version,
             )
@@ -157,7 +190,7 @@
         now = self.clock.now()
         for known, software in list(self.recent_answers.answered_at):
             if known in snapshot.suspects and self.recent_answers.contains(known, software, now):
-                self._report_served(known, software)
+                self._report_served(Suspect(content=known), software)
 
     def evaluate(self) -> None:
         """Evaluate local evidence, for times without a leader, and run periodic work."""
@@ -169,36 +202,40 @@
 
     # -- helpers ------------------------------------------------------------
 
-    def _is_trial_valid(self, content: ContentId, trial_at: float) -> bool:
+    def _is_trial_valid(self, suspect: Suspect, trial_at: float) -> bool:
         """Return whether no server has crashed during the trial run.
 
         Only one run was granted; a retry would cost another server, as the verdict follows
         slightly later.
         """
-        return self.last_crash_at.get(content, float('-inf')) < trial_at
+        return all(self.last_crash_at.get(key, float('-inf')) < trial_at for key in suspect.keys)
+
+    def _end_same_trial(self, context: RequestContext, trial_at: float) -> None:
+        """End a trial run unless it has ended; a retry may have begun another one."""
+        if context.trial_at == trial_at:
+            self.end_trial(context)
 
     def _on_crash(self, crash: ServerCrash, at: float) -> None:
         self.local_quarantine.record_crash(crash, at)
         for suspect in crash.suspects:
-            if self._is_suspected(suspect.content):
-                self.last_crash_at[suspect.content] = at
+            self.last_crash_at.update({key: at for key in suspect.keys if self._is_suspected(key)})
 
-    def _is_listed_by_leader(self, content: ContentId) -> bool:
+    def _is_listed(self, key: ContentId) -> bool:
+        """Return whether there is evidence against a key, here or at the leader."""
+        if key in self.local_quarantine.evidence.crashes_by_content:
+            return True
         snapshot = self.follower.quarantine
-        return content in snapshot.suspects or content in snapshot.quarantined
+        return key in snapshot.suspects or key in snapshot.quarantined
 
-    def _is_suspected(self, content: ContentId) -> bool:
-        return (
-            content in self.follower.quarantine.suspects
-            or content in self.local_quarantine.suspects
-        )
+    def _is_suspected(self, key: ContentId) -> bool:
+        return key in self.follower.quarantine.suspects or key in self.local_quarantine.suspects
 
-    async def _request_trial(self, content: ContentId, duration_s: float) -> TrialState:
+    async def _request_trial(self, suspect: Suspect, duration_s: float) -> TrialState:
         """Request a trial run; without a leader local evidence decides."""
         if self.follower.is_connected:
             await self.crashes.flush()
-            return await self._request_trial_from_leader(content, duration_s)
-        return self.local_quarantine.request_run(content, self.clock.now(), duration_s)
+            return await self._request_trial_from_leader(suspect, duration_s)
+        return self.local_quarantine.request_run(suspect, self.clock.now(), duration_s)
 
     async def _release_trial(self, content: ContentId) -> None:
         """Allow another trial run to start."""
@@ -206,8 +243,13 @@
         if self.follower.is_connected:
             await self._send_trial_end(content)
 
-    async def _request_trial_from_leader(self, content: ContentId, duration_s: float) -> TrialState:
-        request = TrialRequest(content=content, lasts_ms=int(duration_s * MS_PER_S))
+    async def _request_trial_from_leader(self, suspect: Suspect, duration_s: float) -> TrialState:
+        request = TrialRequest(
+            content=suspect.content,
+            account=suspect.account,
+            parts=tuple(filter(self._is_suspected, suspect.parts)),
+            lasts_ms=int(duration_s * MS_PER_S),
+        )
         try:
             received = await self.client.call(
                 self.follower.leader,
@@ -221,8 +263,8 @@
         reply = received.body.reply
         return TrialState.busy if isinstance(reply, Redirect) else TrialState(reply.state)
 
-    def _report_served(self, content: ContentId, software: str) -> None:
-        report = ServedReport(content=content, software=software)
+    def _report_served(self, suspect: Suspect, software: str) -> None:
+        report = ServedReport(content=suspect.content, software=software, parts=suspect.parts)
         self.tasks.spawn(self._send_served_report(report))
 
     async def _send_served_report(self, report: ServedReport) -> None:
--- a/ringseam/gateway/following/inflight.py
+++ b/ringseam/gateway/following/inflight.py
@@ -10,15 +10,25 @@
     from ringseam.quarantinemessages import Suspect
 
 
+@dataclass(frozen=True, kw_only=True)
+class InFlightRequest:
+    """A request that a server may have started, and when it was sent."""
+
+    suspect: Suspect
+    sent_at: float
+
+
 @dataclass(kw_only=True)
 class InFlightRequests:
     """Requests that a server may have started, by server instance."""
 
-    by_server: dict[BackendId, dict[str, Suspect]] = field(default_factory=dict)
+    by_server: dict[BackendId, dict[str, InFlightRequest]] = field(default_factory=dict)
 
-    def add(self, instance: BackendId, attempt_id: str, suspect: Suspect) -> None:
+    def add(self, instance: BackendId, attempt_id: str, suspect: Suspect, now: float) -> None:
         """Record a request that is sent to a server."""
-        self.by_server.setdefault(instance, {})[attempt_id] = suspect
+        self.by_server.setdefault(instance, {})[attempt_id] = InFlightRequest(
+            suspect=suspect, sent_at=now
+        )
 
     def remove(self, instance: BackendId, attempt_id: str) -> None:
         """Remove a request that has finished on a server, with any outcome."""
@@ -27,11 +37,11 @@
         if not attempts:
             self.by_server.pop(instance, None)
 
-    def of(self, instance: BackendId) -> set[Suspect]:
-        """Return the suspects of the requests in flight on a server."""
+    def of(self, instance: BackendId) -> set[InFlightRequest]:
+        """Return the requests in flight on a server."""
         return set(self.by_server.get(instance, {}).values())
 
-    def pop_all(self, instance: BackendId) -> set[Suspect]:
+    def pop_all(self, instance: BackendId) -> set[InFlightRequest]:
         """Remove and return what was in flight on a server that has crashed.
 
         A connection whose reset was lost breaks seconds later; as nothing is left by then, it
--- a/ringseam/gateway/requestcontext.py
+++ b/ringseam/gateway/requestcontext.py
@@ -64,8 +64,12 @@
     allowed_zones: frozenset[str] | None = None
     #: Whether the request was rejected because of its content, not for lack of capacity.
     rejected_for_content: bool = False
-    #: When the trial run of a suspected content was granted; None: not a trial run.
+    #: When the trial run of a suspected request was granted; None: not a trial run.
     trial_at: float | None = None
+    #: What the request was suspected for when the trial run was granted.
+    trial_keys: frozenset[ContentId] = frozenset()
+    #: The verdict for which the request was rejected.
+    verdict: ContentId | None = None
     #: Time until a server that is rate-limited or paused may accept the request, seconds;
     #: 0: a server was found, or there is none to wait for.
     available_in_s: float = 0
@@ -103,7 +107,7 @@
     @property
     def suspect(self) -> Suspect:
         """Return what is reported of the request if its server crashes."""
-        return Suspect(content=self.content_id, account=self.account_name)
+        return Suspect(content=self.content_id, account=self.account_name, parts=self.part_ids)
 
     @property
     def objective_deadline(self) -> float:
--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -60,7 +60,12 @@
         The status tells the client not to retry: another attempt would be rejected too.
         """
         context.rejected_for_content = True
-        self.log(context, Event.request_quarantined, content=context.content_id)
+        self.log(
+            context,
+            Event.request_quarantined,
+            content=context.content_id,
+            verdict=context.verdict,
+        )
         self.metrics.add('requests_quarantined', route=context.route.name)
         self.metrics.add('requests', status=str(BAD_REQUEST), route=context.route.name)
         await context.exchange.respond(BAD_REQUEST, _attempt_headers(context.request))
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -108,6 +108,11 @@
             return await self.placements.choose(context)
         return await self.selector.choose(context)
 
+    def withdraw_choice(self, context: RequestContext) -> None:
+        """Record that a request isn't sent to the server that was chosen for it."""
+        if context.route.affinity:
+            self.placements.ended(context)
+
     async def send_once(
         self,
         context: RequestContext,
@@ -143,7 +148,7 @@
         self._log_refusal(context, server, outcome)
         # Only a success shows that the content ran: an error may precede the run.
         if isinstance(outcome, Answered) and outcome.head.status < _BAD_REQUEST:
-            self.guard.record_success(server, context.content_id)
+            self.guard.record_success(server, context.suspect)
         return outcome
 
     async def _refuse_over_share(self, context: RequestContext) -> bool:
@@ -243,14 +248,14 @@
     def _handle_first_event(self, context: RequestContext, stages: StageRun | None) -> None:
         """Release inputs and the trial on the first event: the server has its inputs.
 
-        A content that crashes servers does so at the start of its run, so another
-        suspect may be tried now.
+        A request that crashes servers does so at the start of its run, so another
+        suspect may be tried soon.
         """
         if stages is not None:
             stages.release()
         if context.server is not None:
             self.binder.began(context, context.server)
-        self.guard.end_trial(context)
+        self.guard.response_began(context)
         if context.route.affinity:
             self.placements.started(context)
 
--- a/ringseam/gateway/requests/directtries.py
+++ b/ringseam/gateway/requests/directtries.py
@@ -49,6 +49,10 @@
         if not await self._is_admitted():
             return None
         server = await self.runner.choose(self.context)
+        # Choosing can take seconds, in which the request may have been quarantined.
+        if server is not None and not await self._is_admitted():
+            self.runner.withdraw_choice(self.context)
+            return None
         if self.context.deadline <= self.runner.clock.now():
             return None
         return server
@@ -77,8 +81,9 @@
         if state is TrialState.quarantined:
             self.outcome = Quarantined()
         elif state is TrialState.busy:
+            self.context.rejected_for_content = True
             self.outcome = NotRun(
-                detail='content is suspected of crashing servers; a trial run is in progress'
+                detail='request is suspected of crashing servers; a trial run is in progress'
             )
         return state is TrialState.granted
 
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -187,11 +187,12 @@
         limit = route.timeout_s
         if request.time_left_s is not None:
             limit = min(limit, request.time_left_s)
+        service = self._pick_service(route)
         return RequestContext(
             exchange=exchange,
             request=request,
             route=route,
-            service=self._pick_service(route),
+            service=service,
             account=account,
             content_id=request_content_id(
                 exchange.request,
@@ -199,9 +200,7 @@
                 account=account.name if account else '',
                 secret=self.node.secret,
             ),
-            part_ids=prompt_part_ids(
-                (part.name for part in request.prefix), secret=self.node.secret
-            ),
+            part_ids=prompt_part_ids(request.prefix, service=service, secret=self.node.secret),
             arrived=arrived,
             deadline=arrived + limit,
             table_number=self.follower.table.number,
@@ -267,7 +266,9 @@
 
     async def _admit_content(self, context: RequestContext) -> bool:
         """Return whether the content may be sent; if not, respond to the request."""
-        state = await self.attempts.guard.admit(context)
+        state = await self.attempts.guard.admit(
+            context, reads_prompt=not has_stages(context.route, context.request.pieces)
+        )
         if state is TrialState.quarantined:
             await self.responder.reject_content(context)
         elif state is TrialState.busy:
@@ -385,7 +386,7 @@
         self, context: RequestContext, stages: StageRun, fault: StageFault
     ) -> None:
         """Refuse a request whose stages failed; the client may retry."""
-        if self.attempts.guard.is_quarantined(context.content_id):
+        if self.attempts.guard.is_rejected(context):
             await self.responder.reject_content(context)
             return
         remaining_s = context.deadline - self.clock.now()
--- a/ringseam/gateway/stages/client.py
+++ b/ringseam/gateway/stages/client.py
@@ -281,6 +281,7 @@
         inputs_of=job.inputs_of,
         content=job.suspect.content,
         account=job.suspect.account,
+        parts=job.suspect.parts,
         trial_ms=-1 if job.trial_at is None else max(0, int((now - job.trial_at) * MS_PER_S)),
     )
 
@@ -302,7 +303,7 @@
         zones=None if request.zones is None else frozenset(request.zones),
         expires=math.inf if request.expires_ms < 0 else now + request.expires_ms / MS_PER_S,
         inputs_of=request.inputs_of,
-        suspect=Suspect(content=request.content, account=request.account),
+        suspect=Suspect(content=request.content, account=request.account, parts=request.parts),
         trial_at=None if request.trial_ms < 0 else now - request.trial_ms / MS_PER_S,
     )
 
--- a/ringseam/gateway/stages/messages.py
+++ b/ringseam/gateway/stages/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ringseam.contents import ContentId
+from ringseam.contents import ContentId, PartId
 from ringseam.messages import Empty, Message
 from ringseam.routes import ServiceName
 from ringseam.rpc import Method
@@ -34,6 +34,8 @@
     inputs_of: str = ''
     content: ContentId = ContentId('')
     account: str = ''
+    #: Parts of its prompt, by which the request may be quarantined while it waits.
+    parts: tuple[PartId, ...] = ()
     #: Time since the single trial run of a suspected content was granted; negative: no trial.
     trial_ms: int = -1
 
--- a/ringseam/gateway/stages/scheduler.py
+++ b/ringseam/gateway/stages/scheduler.py
@@ -269,9 +269,7 @@
         quarantined = [
             piece
             for piece in call.pieces
-            if not self.guard.may_process_pieces(
-                piece.job.suspect.content, trial_at=piece.job.trial_at
-            )
+            if not self.guard.may_process_pieces(piece.job.suspect, trial_at=piece.job.trial_at)
         ]
         for piece in quarantined:
             state.batcher.remove_from_call(call, piece)
@@ -308,7 +306,9 @@
     async def _attempt(self, call: StageCall, limit_s: float) -> list[PieceResult] | CallFailure:
         """Send a call and return its results or why it failed."""
         for piece in call.pieces:
-            self.guard.crashes.request_sent(call.server, _piece_id(piece), piece.job.suspect)
+            # Servers that run stages don't read the prompt.
+            suspect = piece.job.suspect.without(piece.job.suspect.parts)
+            self.guard.crashes.request_sent(call.server, _piece_id(piece), suspect)
         try:
             async with asyncio.timeout(limit_s):
                 return await self.calls.run(call)
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -91,7 +91,7 @@
         key=key.strip() if scheme.lower() == _BEARER else '',
         prompt_tokens=tokens[0] if tokens else 0,
         output_tokens=_parse_integer(request.header(_LENGTH_HINT)) or (*tokens, 0, 0)[1],
-        prefix=_parse_prompt_parts(request.header(_PROMPT_PREFIX)),
+        prefix=_parse_prompt_parts(','.join(request.all_headers(_PROMPT_PREFIX))),
         pieces=_parse_integers(request.header(_PIECES)),
         piece_key=request.header(_PIECE_KEY),
         last_event=_parse_integer(request.header(_LAST_EVENT_ID)),
@@ -227,6 +227,6 @@
     for piece in text.split(','):
         name, _, tokens = piece.strip().partition(':')
         count = _parse_integer(tokens)
-        if name and count is not None:
-            parts.append(PromptPart(name=name, tokens=count))
+        if name:
+            parts.append(PromptPart(name=name, tokens=count or 0))
     return tuple(parts)
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -80,6 +80,10 @@
         """Return the first value of a header, or an empty string."""
         return find_header(self.headers, name)
 
+    def all_headers(self, name: str) -> list[str]:
+        """Return the values of all headers of a name, in order."""
+        return [text for known, text in self.headers if known.lower() == name.lower()]
+
 
 class Exchange:
     """A request and its single response."""
--- a/tests/test_control/test_control_quarantining.py
+++ b/tests/test_control/test_control_quarantining.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from ringseam.attribution import REPORT_SETTLE_S
 from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
 from ringseam.clock import PausedClock
 from ringseam.commands import RecordVerdict
@@ -19,7 +20,7 @@
 from ringseam.gateway.following.follower import Follower
 from ringseam.messages import Redirect
 from ringseam.node import Node
-from ringseam.quarantine import MAX_VERDICTS, REPORT_SETTLE_S, TrialState
+from ringseam.quarantine import MAX_VERDICTS, TrialState
 from ringseam.quarantinemessages import (
     CrashReport,
     Heard,
--- a/tests/test_entry/test_entry_guard.py
+++ b/tests/test_entry/test_entry_guard.py
@@ -12,11 +12,12 @@
 
 from ringseam.agent.adapters import ServiceAdapter
 from ringseam.agent.execution import Admitted
+from ringseam.attribution import REPORT_SETTLE_S
 from ringseam.clock import PausedClock
 from ringseam.entry.guard import QuarantineGuard
 from ringseam.messages import StageUnknown
 from ringseam.node import Node
-from ringseam.quarantine import REPORT_SETTLE_S, TrialState
+from ringseam.quarantine import TrialState
 from tests.test_entry.test_entry_claims import Cluster, StoppableEntry
 
 CRASHING_BODY = b'ends its server'
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ringseam.attribution import REPORT_SETTLE_S
 from ringseam.contents import request_content_id
 from ringseam.gateway.following.guard import QuarantineGuard
 from ringseam.gateway.following.health import HealthTracker
@@ -12,7 +13,7 @@
 from ringseam.model.virtualtime import run_virtual
 from ringseam.node import Node
 from ringseam.platform.stages import PieceResult, decode_piece_requests, encode_results
-from ringseam.quarantine import REPORT_SETTLE_S, TrialState
+from ringseam.quarantine import TrialState
 from ringseam.quarantinemessages import (
     CrashReport,
     Heard,
@@ -256,7 +257,9 @@
         guard.crashes.request_sent(server, 'r1', Suspect(content='c'))
         await guard.crashes.check_crash(server)
         guard.follower.is_connected = True
-        context = SimpleNamespace(content_id='c', trial_at=None, deadline=9)
+        context = SimpleNamespace(
+            content_id='c', part_ids=(), suspect=Suspect(content='c'), trial_at=None, deadline=9
+        )
         assert await guard.admit(context) is TrialState.granted
         return leader.calls
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -11,12 +11,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ringseam.attribution import CRASHES_TO_QUARANTINE_AMBIGUOUS, REPORT_SETTLE_S
 from ringseam.evidence import MAX_CRASHES, REFUTE_DELAY_S, REPORT_SPACING_S, REPORTS_TO_REFUTE
 from ringseam.quarantine import (
     CONFINEMENT_WINDOW_S,
-    CRASHES_TO_QUARANTINE_AMBIGUOUS,
     MAX_VERDICTS,
-    REPORT_SETTLE_S,
     RETEST_AFTER_S,
     VERDICTS_TO_CONFINE,
     Quarantine,
@@ -54,7 +53,7 @@
         return self.quarantine.evaluate(self.now)
 
     def ask(self, content, duration_s=5.0):
-        return self.quarantine.request_run(content, self.now, duration_s)
+        return self.quarantine.request_run(Suspect(content=content), self.now, duration_s)
 
 
 def test_third_crash_quarantines():
@@ -329,7 +328,7 @@
     quarantine.restore(
         CRASHING, Verdict(service='s', account='', software=frozenset({'v1'}), quarantined_at=0)
     )
-    assert quarantine.request_run(CRASHING, 0, 1) is TrialState.quarantined
+    assert quarantine.request_run(Suspect(content=CRASHING), 0, 1) is TrialState.quarantined
 
 
 def test_version_grows_with_published_changes_only():
