--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -128,7 +128,7 @@
         self.on_crash = on_crash
         self.in_flight = InFlightRequests()
         self.tasks = TaskSet()
-        self.probes: dict[BackendId, asyncio.Task[None]] = {}
+        self.probes: dict[BackendId, asyncio.Task[bool]] = {}
         #: Servers that are being probed again.
         self.reprobing: set[BackendId] = set()
         self.timed_out_at: dict[BackendId, float] = {}
@@ -155,8 +155,8 @@
         if server is not None:
             self._start_reprobe(server, now)
 
-    async def check_crash(self, server: BackendReport) -> None:
-        """Probe whether a server has crashed, and report it.
+    async def check_crash(self, server: BackendReport) -> bool:
+        """Probe whether a server has crashed, and report it; return whether it has.
 
         To be called before :meth:`request_finished`. A broken connection may have been reset
         alone, but a crashed server no longer listens on its address. Returns once the leader
@@ -164,13 +164,13 @@
         """
         timed_out_at = self.timed_out_at.get(server.instance, float('-inf'))
         if self.clock.now() - timed_out_at < TIMED_OUT_S:
-            return
+            return False
         probe = self.probes.get(server.instance)
         if probe is None:
             probe = asyncio.get_running_loop().create_task(self._probe(server))
             self.probes[server.instance] = probe
             probe.add_done_callback(lambda _: self.probes.pop(server.instance, None))
-        await asyncio.shield(probe)
+        return await asyncio.shield(probe)
 
     def clear_content(self, content: ContentId, software: str) -> None:
         """Stop reporting a content that servers of ``software`` survive."""
@@ -199,13 +199,14 @@
 
     # -- helpers ------------------------------------------------------------
 
-    async def _probe(self, server: BackendReport) -> None:
+    async def _probe(self, server: BackendReport) -> bool:
         outcome = await self._probe_once(server)
         if outcome is ProbeResult.refused:
             now = self.clock.now()
             await self._record_crash(server, self.in_flight.pop_all(server.instance), now)
         elif outcome is ProbeResult.silent:
             self._start_reprobe(server, self.clock.now())
+        return outcome is ProbeResult.refused
 
     def _start_reprobe(self, server: BackendReport, at: float) -> None:
         """Probe again in the background, in case only a packet was lost."""
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -300,6 +300,9 @@
             return Lost(cause=LossCause.not_whole, detail=f'{server.address}: {error}')
         finally:
             context.exchange.source = None
+        if await self._is_cut_off(server, answered):
+            self._record_server_failure(context, server)
+            return Lost(cause=LossCause.broken, detail=f'{server.address}: crashed')
         status = answered.head.status
         if status >= _SERVER_ERROR:
             self._record_server_failure(context, server)
@@ -327,6 +330,8 @@
             event=True,
         )
         end = await relay.forward(answered)
+        if end is StreamOutcome.complete and await self._is_cut_off(server, answered):
+            end = StreamOutcome.broken
         if end is StreamOutcome.complete:
             self.health.record_success(server.instance, self.clock.now())
             await context.exchange.finish()
@@ -346,6 +351,16 @@
         cause = _LOSS_CAUSES[end]
         return Lost(cause=cause, detail=f'{server.address}: stream {end.value}')
 
+    async def _is_cut_off(self, server: BackendReport, answered: Answered) -> bool:
+        """Return whether a response that ended with its connection ended by a crash.
+
+        The connections of a crashed server are closed in the same way as those of a complete
+        response without a length.
+        """
+        if not answered.head.ends_with_connection:
+            return False
+        return await self.guard.crashes.check_crash(server)
+
     def _can_retry_elsewhere(self, context: RequestContext) -> bool:
         """Return whether a failed request may be retried on another server."""
         if not context.tries.may_repeat:
--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -64,6 +64,7 @@
         self.last_used_at[part] = now
 
 
+_STREAM_HEADERS = (('Content-Type', 'text/event-stream'), ('Transfer-Encoding', 'chunked'))
 #: A request whose body starts with this crashes the engine that runs it.
 CRASHING_BODY_PREFIX = b'ends '
 #: A request with this part in its prompt does so too.
@@ -311,7 +312,7 @@
         channel.first_event = first
         reported = engine.reported_load(engine.clock.now())
         await asyncio.sleep(latency_s)
-        head = ResponseHead(status=_OK, headers=[('Content-Type', 'text/event-stream')])
+        head = ResponseHead(status=_OK, headers=list(_STREAM_HEADERS))
         metadata = replace(
             engine.notices.response_metadata(attempt, engine.clock.now()), load=reported
         )
--- a/ringseam/web/bodies.py
+++ b/ringseam/web/bodies.py
@@ -21,6 +21,8 @@
         'expect',
     ),
 )
+#: Statuses of responses without a body.
+BODILESS_STATUSES = frozenset((204, 304))
 _LINE_END = b'\n'
 _BLANK_LINES = (b'\n', b'\r\n')
 
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -14,7 +14,7 @@
 import h11
 
 from ringseam.errors import RingseamError
-from ringseam.web.bodies import Headers, find_header
+from ringseam.web.bodies import BODILESS_STATUSES, Headers, find_header
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -66,6 +66,13 @@
         """Return the first value of a header, or an empty string."""
         return find_header(self.headers, name)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the response."""
+        if self.status in BODILESS_STATUSES:
+            return False
+        return not (self.header('Content-Length') or self.header('Transfer-Encoding'))
+
 
 class HttpChannel(asyncio.Protocol):  # noqa: WPS214, WPS230 - protocol state
     """A connection to a backend server that carries one request at a time."""
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -17,7 +17,7 @@
 import h11
 
 from ringseam.clock import boottime
-from ringseam.web.bodies import Headers, find_header
+from ringseam.web.bodies import BODILESS_STATUSES, Headers, find_header
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,7 +42,6 @@
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
 _INTERNAL_ERROR = 500
-_BODILESS_STATUSES = frozenset((204, 304))
 
 
 @dataclass(kw_only=True)
@@ -112,7 +111,7 @@
     async def respond(self, status: int, headers: Headers, body: bytes = b'') -> None:
         """Send a complete response."""
         framed_headers: Headers = list(headers)
-        if status not in _BODILESS_STATUSES:
+        if status not in BODILESS_STATUSES:
             framed_headers.append(('Content-Length', str(len(body))))
         self.start(status, framed_headers)
         if body and self.request.method != 'HEAD':
