--- a/ringseam/gateway/requests/directtries.py
+++ b/ringseam/gateway/requests/directtries.py
@@ -19,6 +19,12 @@
     from ringseam.gateway.stages.graph import StageRun
 
 
+#: A stream waits this long to be continued in a trial run at most, and asks for it at this interval, both in
+#: seconds. Most runs on trial take less than one second until the next may begin.
+MAX_TRIAL_WAIT_S = 3.0
+TRIAL_POLL_S = 0.2
+
+
 class DirectTries(TryLoop['BackendReport']):
     """Send a request to one backend server after another, with the results of its stages."""
 
@@ -76,8 +82,8 @@
         return self.runner.retries.may_retry(retry)
 
     async def _is_admitted(self) -> bool:
-        """Return whether the content may be sent; it may have been quarantined meanwhile."""
-        state = await self.runner.guard.admit(self.context)
+        """Return whether the request may be sent; it may have been quarantined meanwhile."""
+        state = await self._await_trial()
         if state is TrialState.quarantined:
             self.outcome = Quarantined()
         elif state is TrialState.busy:
@@ -87,6 +93,21 @@
             )
         return state is TrialState.granted
 
+    async def _await_trial(self) -> TrialState:
+        """Ask whether the request may be sent; a stream that has begun waits for a while.
+
+        Otherwise it would be broken off for good. Others can be refused and come back.
+        """
+        clock = self.runner.clock
+        until = min(self.context.deadline, clock.now() + MAX_TRIAL_WAIT_S)
+        state = await self.runner.guard.admit(self.context)
+        while (
+            self.relay.started and state is TrialState.busy and clock.now() + TRIAL_POLL_S < until
+        ):
+            await asyncio.sleep(TRIAL_POLL_S)
+            state = await self.runner.guard.admit(self.context)
+        return state
+
     async def _has_inputs(self) -> bool:
         if self.stages is None or self.stages.has_all_inputs:
             return True
