--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,8 +8,9 @@
 reports that aren't a server's. Servers name limits, ask for pauses and say that they
 leave. Clients and servers read slowly, and the gateways' hosts are of unequal size. Servers of
 several software versions come and go, and clients resume their streams at any gateway.
-Requests that are all different share a part that ends servers, beside sound ones. What
-callers and servers see is checked while it runs.
+Requests that are all different share a part that ends servers, beside sound ones. Nearly all
+new connections reach one gateway for a while. What callers and servers see is checked while
+it runs.
 """
 
 from __future__ import annotations
@@ -90,6 +91,13 @@
 UNEVEN_FAULTS = (*EVERY_FAULT, *READING_FAULTS)
 SKEWED_FAULTS = (*UNEVEN_FAULTS, *VERSION_FAULTS)
 PARTED_FAULTS = (*SKEWED_FAULTS, *PART_FAULTS)
+#: Nearly all new connections reach one gateway for so long, seconds, and then the other one;
+#: meanwhile some more clients open connections without a pause.
+FAVOURING_FAULTS = ('favour', 'favour')
+FAVOURED_FAULTS = (*PARTED_FAULTS, *FAVOURING_FAULTS)
+FAVOURED_S = (3.0, 8.0)
+FAVOURED_SHARE = 0.95
+FAVOURING_CLIENTS = 4
 #: The zone of a third of the servers, which is drained for a while, seconds; they get
 #: nothing later than this after the acknowledgement, seconds.
 ZONE = 'zone-2'
@@ -370,6 +378,7 @@
         self.servers = []
         self.number = 0
         self.asked = 0
+        self.favouring_asked = 0
         self.ending = False
         self.insisting = set()
         self.draining = None
@@ -379,6 +388,9 @@
         self.disturbed = 0
         self.clients = CLIENTS
         self.gateways = GATEWAYS
+        #: The gateway that most new connections reach; None: none is.
+        self.favoured = None
+        self.favouring = random.Random(f'favoured of {seed}')
 
     def http_of(self, name):
         return self.system.layout.processes[name].http
@@ -415,6 +427,31 @@
                 await server.http.close()
         return self.book
 
+    def a_gateway(self, dice):
+        """Return the gateway that a new connection reaches."""
+        drawn = dice.choice(GATEWAYS)
+        if self.favoured and self.favouring.random() < FAVOURED_SHARE:
+            return self.favoured
+        return drawn
+
+    async def favour(self):
+        """Let most new connections reach one gateway for a while, then the other one."""
+        self.clients += FAVOURING_CLIENTS
+        for name in self.favouring.sample(GATEWAYS, len(GATEWAYS)):
+            self.favoured = name
+            until = time.monotonic() + self.favouring.uniform(*FAVOURED_S)
+            clients = [self.ask_while(until, number) for number in range(FAVOURING_CLIENTS)]
+            await asyncio.gather(*clients)
+        self.favoured = None
+        self.clients -= FAVOURING_CLIENTS
+
+    async def ask_while(self, until, number):
+        sent = 0
+        while time.monotonic() < until and not self.ending:
+            sent += 1
+            self.favouring_asked += 1
+            await self.ask(f'fa{number:x}{self.favouring_asked:06x}', staged=False)
+
     @property
     def has_versions(self):
         """Return whether servers of several versions serve side by side."""
@@ -538,7 +575,7 @@
             headers = encode_request(request)
             if kind != 'plain':
                 headers.append(('Accept', 'text/event-stream'))
-            host = self.address(self.dice.choice(GATEWAYS))
+            host = self.address(self.a_gateway(self.dice))
             full = f'{body}-{content}'.encode() if key else body.encode()
             status, _ = await call(host, 'POST', request.path, full, headers)
             self.book.told['ending', status] += 1
@@ -559,7 +596,7 @@
         headers = encode_request(request)
         if staged:
             headers.append(('Accept', 'text/event-stream'))
-        host = self.address(self.dice.choice(GATEWAYS))
+        host = self.address(self.a_gateway(self.dice))
         started_at = time.monotonic()
         status, body = await call(host, 'POST', request.path, body_of(name), headers)
         self.book.told[status] += 1
@@ -612,6 +649,9 @@
             # Several at once would leave no server to the sound requests.
             if not self.parts.is_running:
                 self.insisting.add(asyncio.create_task(self.parts.run(call)))
+        elif kind == 'favour':
+            if self.favoured is None and not self.counting:
+                self.begin_to_favour()
         elif kind == 'drain':
             if self.draining is None or self.draining.done():
                 self.draining = asyncio.create_task(self.drain_for_a_while())
@@ -643,6 +683,13 @@
         task.add_done_callback(lambda _: self.end_of('counting', kind in COUNTED_FAULTS))
         self.saying.add(task)
 
+    def begin_to_favour(self):
+        # A crowd sends more than the checks of what reaches a server allow for.
+        self.crowds += 1
+        task = asyncio.create_task(self.favour())
+        task.add_done_callback(lambda _: self.end_of('crowds', 1))
+        self.saying.add(task)
+
     def begin_to_read_slowly(self, kind):
         self.crowds += 1
         task = asyncio.create_task(self.readers.run(kind))
@@ -844,7 +891,7 @@
     return whole
 
 
-def soak(seed, seconds, folder, kinds=PARTED_FAULTS):
+def soak(seed, seconds, folder, kinds=FAVOURED_FAULTS):
     """Return the book and the faults of one run."""
     run = Soak(folder=Path(folder), seed=seed, kinds=kinds)
     return asyncio.run(run.run(seconds)), run.faults
@@ -855,7 +902,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=30)
-    parser.add_argument('--kinds', default=','.join(PARTED_FAULTS))
+    parser.add_argument('--kinds', default=','.join(FAVOURED_FAULTS))
     parser.add_argument('--keep', default='', help='keep logs and data below this folder')
     options = parser.parse_args()
     failed = 0
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -92,7 +92,7 @@
             piece_key=name,
         )
         headers = [*encode_request(request), ('Accept', 'text/event-stream')]
-        host = self.soak.address(self.dice.choice(self.soak.gateways))
+        host = self.soak.address(self.soak.a_gateway(self.dice))
         status, _ = await call(host, 'POST', request.path, name.encode(), headers)
         return status
 
--- a/bench/soakstreams.py
+++ b/bench/soakstreams.py
@@ -110,7 +110,7 @@
         head = ''.join(f'{key}: {text}\r\n' for key, text in headers)
         raw = f'POST {request.path} HTTP/1.1\r\n{head}\r\n'.encode() + body
         wanted = self.dice.randint(1, 4) if self.dice.random() < DROPPED else 5
-        host = self.soak.address(self.dice.choice(self.soak.gateways))
+        host = self.soak.address(self.soak.a_gateway(self.dice))
         return await read_events(host, raw, wanted)
 
     def check_shares(self):
--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -14,6 +14,8 @@
 from ringseam.events import Event
 from ringseam.quarantine import Quarantine, TrialState, Verdict
 from ringseam.quarantinemessages import (
+    LIFT_VERDICT,
+    READ_VERDICTS,
     REPORT_CRASHES,
     REPORT_SERVED,
     TRIAL,
@@ -23,6 +25,9 @@
     Suspect,
     TrialAnswer,
     TrialReply,
+    VerdictEntry,
+    VerdictList,
+    VerdictsReply,
 )
 from ringseam.util.tasks import TaskSet
 
@@ -95,6 +100,8 @@
         server.add(REPORT_CRASHES, self.handle_crashes)
         server.add(REPORT_SERVED, self.handle_served)
         server.add(TRIAL, self.handle_trial)
+        server.add(READ_VERDICTS, self.handle_read)
+        server.add(LIFT_VERDICT, self.handle_lift)
 
     async def handle_crashes(self, received: ReceivedMessage) -> EvidenceReply:
         """Record which contents were in flight on servers that crashed."""
@@ -138,6 +145,22 @@
         )
         return TrialReply(reply=TrialAnswer(state=state.value))
 
+    # -- RPC methods for operators ------------------------------------------
+
+    async def handle_read(self, received: ReceivedMessage) -> VerdictsReply:
+        """Return the verdicts in force."""
+        redirect = self.redirect()
+        return VerdictsReply(reply=self._list_verdicts() if redirect is None else redirect)
+
+    async def handle_lift(self, received: ReceivedMessage) -> VerdictsReply:
+        """Lift a verdict for a retest, and return the others."""
+        redirect = self.redirect()
+        if redirect is not None:
+            return VerdictsReply(reply=redirect)
+        with self._publish_changes():
+            self.quarantine.lift(received.body.verdict)
+        return VerdictsReply(reply=self._list_verdicts())
+
     # -- reports and snapshots ----------------------------------------------
 
     def record_report(self, report: BackendReport, software: set[str], *, is_alive: bool) -> None:
@@ -194,6 +217,25 @@
         if self.quarantine.version != version:
             self.notify_watchers()
 
+    def _list_verdicts(self) -> VerdictList:
+        now = self.node.clock.now()
+        return VerdictList(
+            verdicts=tuple(
+                VerdictEntry(
+                    verdict=known_id,
+                    keys=tuple(sorted(verdict.keys)),
+                    service=verdict.service,
+                    account=verdict.account,
+                    is_scoped=verdict.is_scoped,
+                    software=tuple(sorted(verdict.software)),
+                    crashes=tuple(sorted(verdict.crashes)),
+                    age_s=round(now - verdict.quarantined_at, 1),
+                    lifts=verdict.lifts,
+                )
+                for known_id, verdict in self.quarantine.verdicts.items()
+            )
+        )
+
     def _release_reason(self, content: ContentId, released: Verdict) -> str:
         if content in self.quarantine.lifted:
             return 'lifted for a retest'
--- a/ringseam/gateway/requests/directtries.py
+++ b/ringseam/gateway/requests/directtries.py
@@ -19,8 +19,8 @@
     from ringseam.gateway.stages.graph import StageRun
 
 
-#: A stream waits this long to be continued in a trial run at most, and asks for it at this interval, both in
-#: seconds. Most runs on trial take less than one second until the next may begin.
+#: A stream waits this long to be continued in a trial run at most, and asks for it at this
+#: interval, both in seconds. Most runs on trial let the next begin in less than a second.
 MAX_TRIAL_WAIT_S = 3.0
 TRIAL_POLL_S = 0.2
 
--- a/ringseam/quarantine.py
+++ b/ringseam/quarantine.py
@@ -205,6 +205,14 @@
             self._update_suspects()
         return lifted
 
+    def lift(self, known_id: ContentId) -> bool:
+        """Lift a verdict for a retest; return whether there was one."""
+        is_known = known_id in self.verdicts
+        if is_known:
+            self._lift(known_id)
+            self._update_suspects()
+        return is_known
+
     # -- helpers ------------------------------------------------------------
 
     def _due_verdict(self, key: ContentId, now: float) -> Verdict | None:
--- a/ringseam/quarantinemessages.py
+++ b/ringseam/quarantinemessages.py
@@ -9,7 +9,7 @@
 
 from ringseam.contents import ContentId, PartId
 from ringseam.lifetimes import BackendId
-from ringseam.messages import Message, Redirect, Tagged
+from ringseam.messages import Empty, Message, Redirect, Tagged
 from ringseam.rpc import Method
 
 if TYPE_CHECKING:
@@ -133,6 +133,45 @@
         )
 
 
+class VerdictEntry(Message, frozen=True, kw_only=True, omit_defaults=True):
+    """A verdict as operators see it."""
+
+    verdict: ContentId
+    #: The content, or the parts that requests must all have.
+    keys: tuple[ContentId, ...]
+    service: str
+    account: str = ''
+    #: Whether it applies to the requests of this account only.
+    is_scoped: bool = False
+    #: The software versions that crashed.
+    software: tuple[str, ...] = ()
+    #: The crashes that led to it; empty if an earlier leader recorded it.
+    crashes: tuple[str, ...] = ()
+    #: For how long this leader has known it, seconds.
+    age_s: float = 0
+    lifts: int = 0
+
+
+class VerdictList(Tagged, frozen=True, kw_only=True):
+    """All verdicts in force."""
+
+    verdicts: tuple[VerdictEntry, ...]
+
+
+class VerdictLift(Message, frozen=True, kw_only=True):
+    """Order to lift a verdict for a retest: one run, and one crash restores it."""
+
+    verdict: ContentId
+
+
+class VerdictsReply(Message, frozen=True, kw_only=True):
+    """The verdicts after an order, or a redirect to the leader."""
+
+    reply: Union[VerdictList, Redirect]
+
+
 REPORT_CRASHES = Method('/ringseam.Quarantine/ReportEnds', CrashReport, EvidenceReply)
 REPORT_SERVED = Method('/ringseam.Quarantine/ReportServed', ServedReport, EvidenceReply)
 TRIAL = Method('/ringseam.Quarantine/Trial', TrialRequest, TrialReply)
+READ_VERDICTS = Method('/ringseam.Quarantine/ReadVerdicts', Empty, VerdictsReply)
+LIFT_VERDICT = Method('/ringseam.Quarantine/LiftVerdict', VerdictLift, VerdictsReply)
--- a/tests/test_control/test_control_quarantining_parts.py
+++ b/tests/test_control/test_control_quarantining_parts.py
@@ -7,6 +7,7 @@
 from ringseam.attribution import CRASHES_TO_QUARANTINE_PART, REPORT_SETTLE_S
 from ringseam.control.state import StateMachine
 from ringseam.lifetimes import BackendId
+from ringseam.messages import Empty, Redirect
 from ringseam.quarantine import TrialState
 from ringseam.quarantinemessages import (
     CrashReport,
@@ -14,8 +15,9 @@
     ServerCrash,
     Suspect,
     TrialRequest,
+    VerdictLift,
 )
-from tests.test_control.test_control_quarantining import Host, received
+from tests.test_control.test_control_quarantining import FOLLOWING, Host, received
 
 BAD = 'part-bad'
 BESIDE = 'part-beside'
@@ -133,3 +135,35 @@
         assert states == [TrialState.granted, TrialState.busy]
 
     asyncio.run(run())
+
+
+def test_operator_sees_a_verdict_and_lifts_it_for_one_run():
+    async def run():
+        host = Host()
+        await crash_often(host)
+        (entry,) = (await host.quarantining.handle_read(received(Empty()))).reply.verdicts
+        assert (entry.verdict, entry.keys, entry.account) == (BAD, (BAD,), 'acme')
+        assert len(entry.crashes) == CRASHES_TO_QUARANTINE_PART
+        lifted = await host.quarantining.handle_lift(received(VerdictLift(verdict=BAD)))
+        assert lifted.reply.verdicts == ()
+        await asyncio.sleep(0.01)
+        assert not host.state_machine.state.quarantined
+        states = [await ask(host, BAD, content=f'n{number}') for number in range(2)]
+        assert states == [TrialState.granted, TrialState.busy]
+        await crash(host, unlike(9))
+        assert await ask(host, BAD) is TrialState.quarantined
+
+    asyncio.run(run())
+
+
+def test_host_that_does_not_lead_shows_and_lifts_no_verdict():
+    async def run():
+        host = Host()
+        host.service.update_leadership(FOLLOWING)
+        replies = [
+            await host.quarantining.handle_read(received(Empty())),
+            await host.quarantining.handle_lift(received(VerdictLift(verdict=BAD))),
+        ]
+        assert all(isinstance(reply.reply, Redirect) for reply in replies)
+
+    asyncio.run(run())
--- a/tests/test_system/test_system_soak.py
+++ b/tests/test_system/test_system_soak.py
@@ -8,6 +8,7 @@
     ALL_FAULTS,
     EVERY_FAULT,
     FAULTS,
+    FAVOURING_FAULTS,
     LEAST_FAULTS,
     MORE_FAULTS,
     UNEVEN_FAULTS,
@@ -16,6 +17,7 @@
     soak,
     unchunked,
 )
+from bench.soakparts import PART_FAULTS
 from bench.soakreaders import HOSTS, LARGE_HOST, READING_FAULTS, SMALL_HOST, hosts_of
 from bench.soakstreams import VERSION_FAULTS
 from bench.soakwords import WORD_FAULTS
@@ -33,12 +35,12 @@
     (7, UNEVEN_FAULTS),
     (8, READING_FAULTS),
     (9, (*VERSION_FAULTS, 'kill', 'stop', 'freeze')),
+    (10, (*PART_FAULTS, 'kill', 'reset')),
+    (11, (*FAVOURING_FAULTS, 'kill', 'stop')),
 )
 
 
-@pytest.mark.parametrize(
-    ('seed', 'kinds'), SEEDS, ids=['1', '2', '3', '4', '5', '6', '7', '8', '9']
-)
+@pytest.mark.parametrize(('seed', 'kinds'), SEEDS, ids=[str(seed) for seed, _ in SEEDS])
 def test_guarantees_hold_under_faults(seed, kinds, tmp_path):
     book, faults = soak(seed, 6, tmp_path, kinds)
     assert book.broken == []
