--- a/bench/suspicion.py
+++ b/bench/suspicion.py
@@ -14,11 +14,17 @@
 import itertools
 import math
 import random
+import time
 from dataclasses import dataclass, field
 
+import msgspec
+
 import ringseam.attribution as attribution
+from ringseam.calls import PromptPart
+from ringseam.contents import prompt_part_ids
 from ringseam.quarantine import Quarantine, TrialState
-from ringseam.quarantinemessages import ServerCrash, Suspect
+from ringseam.quarantinemessages import QuarantineSnapshot, ServerCrash, Suspect
+from ringseam.verdicts import EnforcedVerdicts
 
 SECONDS = 60.0
 SERVERS = 12
@@ -30,6 +36,9 @@
 BAD = 'part-bad'
 #: Evidence for a verdict by likelihood: odds of a million to one.
 LOG_ODDS = math.log(1e6)
+#: Of the measurement of cost.
+ROUNDS = 2000
+KEY = b'0123456789abcdef'
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -277,10 +286,42 @@
     return key.startswith('part-')
 
 
+def measure_cost():
+    """Print what the decision on one request costs, by parts of its prompt and suspects."""
+    print(f'{"parts":>6}{"suspects":>10}{"verdicts":>10}{"us a request":>14}{"bytes reported":>16}')
+    for count, known in itertools.product((0, 4, 40), (0, 200)):
+        parts = [PromptPart(name=f'{number:08x}', tokens=100) for number in range(count)]
+        others = [
+            prompt_part_ids([PromptPart(name=f'ff{number:x}', tokens=1)], service='s', secret=KEY)
+            for number in range(known)
+        ]
+        snapshot = QuarantineSnapshot(
+            version=1,
+            quarantined={part: 0 for (part,) in others},
+            suspects=tuple(part for (part,) in others),
+        )
+        enforced = EnforcedVerdicts(snapshot=snapshot)
+        suspects = frozenset(snapshot.suspects)
+        began = time.perf_counter()
+        for number in range(ROUNDS):
+            found = prompt_part_ids(parts, service='s', secret=KEY)
+            suspect = Suspect(content=f'c{number}', account='a', parts=found)
+            enforced.find(suspect)
+            suspects.intersection(suspect.keys)
+        took_us = (time.perf_counter() - began) / ROUNDS * 1e6
+        size = len(msgspec.json.encode(suspect))
+        print(f'{count:6}{known:10}{known:10}{took_us:14.1f}{size:16}')
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', type=int, default=10)
-    seeds = range(parser.parse_args().seeds)
+    parser.add_argument('--cost', action='store_true', help='measure the decision on a request')
+    options = parser.parse_args()
+    if options.cost:
+        measure_cost()
+        return
+    seeds = range(options.seeds)
     print(f'{"case":14}{"rule":16}{"crashes":>14}{"wrong":>7}{"began":>8}')
     for case_name, case in CASES.items():
         for rule_name, rule in RULES.items():
--- a/ringseam/evidence.py
+++ b/ringseam/evidence.py
@@ -63,23 +63,23 @@
 
     answered_at: dict[tuple[ContentId, str], float] = field(default_factory=dict)
 
-    def record(self, content: ContentId, software: str, now: float) -> None:
+    def record(self, key: ContentId, software: str, now: float) -> None:
         """Record that a server answered a request with this key with success."""
-        answer = _answer_of(content, software)
+        answer = _answer_of(key, software)
         self.answered_at.pop(answer, None)
         self.answered_at[answer] = now
         if len(self.answered_at) > MAX_RECENT_ANSWERS:
             self.answered_at.pop(next(iter(self.answered_at)))
 
-    def contains(self, content: ContentId, software: str, now: float) -> bool:
+    def contains(self, key: ContentId, software: str, now: float) -> bool:
         """Return whether a server of this version answered a request with this key recently."""
-        answered_at = self.answered_at.get(_answer_of(content, software), float('-inf'))
-        window_s = RECENT_PART_ANSWER_S if is_part(content) else RECENT_ANSWER_S
+        answered_at = self.answered_at.get(_answer_of(key, software), float('-inf'))
+        window_s = RECENT_PART_ANSWER_S if is_part(key) else RECENT_ANSWER_S
         return now - answered_at < window_s
 
 
-def _answer_of(content: ContentId, software: str) -> tuple[ContentId, str]:
-    return content, '' if is_part(content) else software
+def _answer_of(key: ContentId, software: str) -> tuple[ContentId, str]:
+    return key, '' if is_part(key) else software
 
 
 @dataclass(kw_only=True)
@@ -151,8 +151,8 @@
 
     crashes: dict[EndId, CrashRecord] = field(default_factory=dict)
     crashes_by_instance: dict[BackendId, set[EndId]] = field(default_factory=dict)
-    crashes_by_content: dict[ContentId, set[EndId]] = field(default_factory=dict)
-    #: Contents that were in flight at more than one crash.
+    crashes_by_key: dict[ContentId, set[EndId]] = field(default_factory=dict)
+    #: Keys that were in flight at more than one crash.
     recurring: set[ContentId] = field(default_factory=set)
     recent_answers: RecentAnswers = field(default_factory=RecentAnswers)
 
@@ -178,29 +178,29 @@
             self._remove_crash(crash_id)
         return refuted
 
-    def record_answer(self, content: ContentId, software: str, now: float) -> None:
+    def record_answer(self, key: ContentId, software: str, now: float) -> None:
         """Clear a key of all crashes, a content only at the version that answered it."""
-        self.recent_answers.record(content, software, now)
-        for crash_id in list(self.crashes_by_content.get(content, ())):
-            if is_part(content) or self.crashes[crash_id].software == software:
-                self._remove_suspect(content, crash_id)
+        self.recent_answers.record(key, software, now)
+        for crash_id in list(self.crashes_by_key.get(key, ())):
+            if is_part(key) or self.crashes[crash_id].software == software:
+                self._remove_suspect(key, crash_id)
 
-    def forget_content(self, content: ContentId) -> None:
-        """Clear a content of all crashes."""
-        for crash_id in list(self.crashes_by_content.get(content, ())):
-            self._remove_suspect(content, crash_id)
+    def forget_key(self, key: ContentId) -> None:
+        """Clear a key of all crashes."""
+        for crash_id in list(self.crashes_by_key.get(key, ())):
+            self._remove_suspect(key, crash_id)
 
-    def crashes_of(self, content: ContentId) -> set[EndId]:
-        """Return the crashes that a content is suspected of."""
-        return self.crashes_by_content.get(content, set())
+    def crashes_of(self, key: ContentId) -> set[EndId]:
+        """Return the crashes that a key is suspected of."""
+        return self.crashes_by_key.get(key, set())
 
-    def rivals_of(self, content: ContentId, crashes: Collection[EndId]) -> set[ContentId]:
+    def rivals_of(self, key: ContentId, crashes: Collection[EndId]) -> set[ContentId]:
         """Return what else is suspected of all these crashes.
 
         What is in all requests that are suspected by this key is none: it can't be told apart,
         and a verdict on both rejects the same requests.
         """
-        inseparable = {content, *self.companions_of(content, crashes)}
+        inseparable = {key, *self.companions_of(key, crashes)}
         others_by_crash = [
             self.crashes[crash_id].suspects.keys() - inseparable for crash_id in crashes
         ]
@@ -274,24 +274,24 @@
         if key not in record.suspects and len(record.suspects) >= MAX_SUSPECTS_PER_CRASH:
             return False
         record.suspects[key] = suspect.account
-        crash_ids = self.crashes_by_content.setdefault(key, set())
+        crash_ids = self.crashes_by_key.setdefault(key, set())
         crash_ids.add(crash_id)
         if len(crash_ids) > 1:
             self.recurring.add(key)
         return True
 
-    def _remove_suspect(self, content: ContentId, crash_id: EndId) -> None:
-        self.crashes[crash_id].suspects.pop(content, None)
-        crash_ids = self.crashes_by_content[content]
+    def _remove_suspect(self, key: ContentId, crash_id: EndId) -> None:
+        self.crashes[crash_id].suspects.pop(key, None)
+        crash_ids = self.crashes_by_key[key]
         crash_ids.discard(crash_id)
         if len(crash_ids) <= 1:
-            self.recurring.discard(content)
+            self.recurring.discard(key)
         if not crash_ids:
-            self.crashes_by_content.pop(content)
+            self.crashes_by_key.pop(key)
 
     def _remove_crash(self, crash_id: EndId) -> None:
-        for content in list(self.crashes[crash_id].suspects):
-            self._remove_suspect(content, crash_id)
+        for key in list(self.crashes[crash_id].suspects):
+            self._remove_suspect(key, crash_id)
         instance = self.crashes.pop(crash_id).instance
         crash_ids = self.crashes_by_instance[instance]
         crash_ids.discard(crash_id)
--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -78,16 +78,16 @@
     crash: ServerCrash
     acknowledged: bool = False
 
-    def clear_content(self, content: ContentId, software: str) -> None:
+    def clear_key(self, key: ContentId, software: str) -> None:
         """Remove a content that servers of ``software`` survive, or a part, from the suspects."""
-        if is_part(content):
-            cleared = tuple(one.without({content}) for one in self.crash.suspects)
+        if is_part(key):
+            cleared = tuple(one.without({key}) for one in self.crash.suspects)
             self.crash = msgspec.structs.replace(self.crash, suspects=cleared)
         elif self.crash.software == software:
             kept = [
                 (one, ran_ms)
                 for one, ran_ms in self.crash.suspects_with_age()
-                if one.content != content
+                if one.content != key
             ]
             self.crash = msgspec.structs.replace(
                 self.crash,
@@ -172,10 +172,10 @@
             probe.add_done_callback(lambda _: self.probes.pop(server.instance, None))
         return await asyncio.shield(probe)
 
-    def clear_content(self, content: ContentId, software: str) -> None:
-        """Stop reporting a content that servers of ``software`` survive."""
+    def clear_key(self, key: ContentId, software: str) -> None:
+        """Stop reporting a content that servers of ``software`` survive, or a part."""
         for observed in self.observed:
-            observed.clear_content(content, software)
+            observed.clear_key(key, software)
 
     def leader_changed(self) -> None:
         """Report all remembered crashes to a new leader."""
--- a/ringseam/gateway/following/guard.py
+++ b/ringseam/gateway/following/guard.py
@@ -99,7 +99,7 @@
             if self._is_listed(key):
                 listed.append(key)
                 self.local_quarantine.record_answer(key, server.software, now)
-                self.crashes.clear_content(key, server.software)
+                self.crashes.clear_key(key, server.software)
         if listed:
             self._report_served(suspect, server.software)
 
@@ -222,7 +222,7 @@
 
     def _is_listed(self, key: ContentId) -> bool:
         """Return whether there is evidence against a key, here or at the leader."""
-        if key in self.local_quarantine.evidence.crashes_by_content:
+        if key in self.local_quarantine.evidence.crashes_by_key:
             return True
         snapshot = self.follower.quarantine
         return key in snapshot.suspects or key in snapshot.quarantined
--- a/ringseam/quarantine.py
+++ b/ringseam/quarantine.py
@@ -288,7 +288,7 @@
         verdict.lifts += 1
         self.lifted[known_id] = verdict
         for key in verdict.keys:
-            self.evidence.forget_content(key)
+            self.evidence.forget_key(key)
         self._verdicts_changed()
 
     def _withdraw_verdicts(self, crash_id: EndId) -> None:
--- a/tests/test_gateway/test_following/test_following_ends.py
+++ b/tests/test_gateway/test_following/test_following_ends.py
@@ -187,8 +187,8 @@
         for content in ('bad', 'good'):
             reporter.request_sent(SERVER, content, Suspect(content=content))
         await reporter.check_crash(SERVER)
-        reporter.clear_content('good', 'other version')
-        reporter.clear_content('good', SERVER.software)
+        reporter.clear_key('good', 'other version')
+        reporter.clear_key('good', SERVER.software)
         reporter.leader_changed()
         await run_ticks(clock, reporter, 3)
         return leader.ends
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -320,7 +320,7 @@
             harness.crash(crash(f'{server}{number}', f'bad-{number}', account=''))
     assert len(harness.quarantine.verdicts) == MAX_VERDICTS
     assert len(harness.quarantine.evidence.crashes) <= MAX_CRASHES
-    assert len(harness.quarantine.evidence.crashes_by_content) <= MAX_CRASHES
+    assert len(harness.quarantine.evidence.crashes_by_key) <= MAX_CRASHES
 
 
 def test_recorded_verdict_is_in_force_at_once():
