--- a/ringseam/control/quarantining.py
+++ b/ringseam/control/quarantining.py
@@ -208,12 +208,14 @@
 
     @contextlib.contextmanager
     def _publish_changes(self) -> Iterator[None]:
-        """Notify gateways of what the block changes, and record released contents."""
+        """Notify gateways of what the block changes; record new and released verdicts."""
         version = self.quarantine.version
         released = dict(self.quarantine.verdicts)
         yield
         for content in released.keys() - self.quarantine.verdicts.keys():
             self._release(content, self._release_reason(content, released[content]))
+        for content in self.quarantine.verdicts.keys() - released.keys():
+            self._record_verdict(content)
         if self.quarantine.version != version:
             self.notify_watchers()
 
@@ -259,10 +261,11 @@
                 self.quarantine.record_crash(crash, self.node.clock.now())
 
     def _evaluate(self) -> None:
+        known = set(self.quarantine.verdicts)
         with self._publish_changes():
             quarantined = self.quarantine.evaluate(self.node.clock.now())
-        for content in quarantined:
-            self._record_verdict(content)
+        for extended in known.intersection(quarantined):
+            self._record_verdict(extended)
 
     def _record_verdict(self, content: ContentId) -> None:
         verdict = self.quarantine.verdicts[content]
--- a/tests/test_control/test_control_quarantining_parts.py
+++ b/tests/test_control/test_control_quarantining_parts.py
@@ -167,3 +167,18 @@
         assert all(isinstance(reply.reply, Redirect) for reply in replies)
 
     asyncio.run(run())
+
+
+# A verdict that an answer had narrowed to fewer parts was lost with the leader.
+def test_verdict_that_an_answer_narrows_outlives_the_leader():
+    async def run():
+        host = Host()
+        await crash_often(host, BESIDE)
+        served = ServedReport(content='sound', software='v1', parts=(BESIDE,))
+        await host.quarantining.handle_served(received(served))
+        await asyncio.sleep(0.01)
+        assert list(host.state_machine.state.quarantined) == [BAD]
+        later = Host(machine=StateMachine(snapshot=host.state_machine.snapshot()))
+        assert await ask(later, BAD) is TrialState.quarantined
+
+    asyncio.run(run())
