--- a/review/1/case.py
+++ b/review/1/case.py
@@ -108,18 +108,20 @@
             self.record.write(
                 self.name, f'runs {item["id"]} stage {item["stage"]} piece {item["piece"]}: {handle}'
             )
-        return self._answer({'items': made})
+        return self._answer(request, {'items': made})
 
     def _free(self, request) -> bytes:
         for handle in json.loads(request.body)['handles']:
             self.results.pop(handle, None)
-        return self._answer({})
+        return self._answer(request, {})
 
-    def _answer(self, content: dict) -> bytes:
+    def _answer(self, request, content: dict) -> bytes:
         body = json.dumps(content).encode()
+        # Workers echo the id of a call, if it has one.
+        echo = f'Attempt-Id: {request.attempt}\r\n' if request.attempt else ''
         return (
             'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nKeep-Alive: timeout=15\r\n'
-            f'Worker-Load: 0,0,1\r\nContent-Length: {len(body)}\r\n\r\n'
+            f'{echo}Worker-Load: 0,0,1\r\nContent-Length: {len(body)}\r\n\r\n'
         ).encode() + body
 
 
