Review: streams go on at a worker that came back with another version

Cause: a server that crashed is still taken for the version of its last report, so a stream goes on there before the new lifetime has reported. Change: a script with two workers that restart as v2, one second apart.

--- a/review/harness.py
+++ b/review/harness.py
@@ -325,6 +325,9 @@
         self.service = service
         self.answer = answer
         self.slots = slots
+        self.version = 'v1'
+        #: Unix milliseconds of its start; 0: it does not say so.
+        self.born = 0
         self.sequence = 0
         self.running: set[str] = set()
         self.server = None
@@ -343,13 +346,14 @@
             'service': self.service,
             'addr': self.address,
             'zone': ZONE,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': 'ready',
             'cold_left_ms': 0,
             'stage': 'colocated',
             'models': [{'name': 'm', 'version': 1, 'adapters': []}],
             'seq': self.sequence,
+            **({'born': self.born} if self.born else {}),
         }
         status, _ = await self.deployment.call_control(
             'PUT', f'/api/instances/{self.name}', json.dumps(body).encode(), number, timeout_s=1
@@ -368,6 +372,8 @@
             await asyncio.sleep(HEARTBEAT_MS / 1000)
             for number in range(len(self.deployment.control_ips)):
                 if await self.beat(number):
+                    if self.sequence == 1:
+                        self.record.write(self.name, f'first heartbeat as {self.version}: 200')
                     break
 
     async def _serve(self, reader, writer) -> None:
