--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A heartbeat of another writer keeps all gateways from hearing of manifests."""
+"""Heartbeats of another writer keep all gateways from hearing of manifests."""
 
 from __future__ import annotations
 
