--- a/review/3/case.py
+++ b/review/3/case.py
@@ -26,7 +26,10 @@
     trouble,
 )
 
-STREAMS = 12
+STREAMS = 42
+#: Near the end of an upgrade: two workers still run v1, and these two restart: 2 of 7.
+OLD_WORKERS = 2
+NEW_WORKERS = 5
 EVENTS = 60
 EVENT_S = 0.1
 #: How long a worker that crashed is away.
@@ -39,9 +42,9 @@
 class EngineWorker(Worker):
     """A worker that can crash and start again under its id, as another software version."""
 
-    def __init__(self, deployment, name: str) -> None:
+    def __init__(self, deployment, name: str, version: str) -> None:
         super().__init__(deployment, name, 'engine', self.write_stream, slots=128)
-        self.version = 'v1'
+        self.version = version
         self.born = int(time.time() * 1000)
         self.connections: set = set()
         self.ip = ''
@@ -88,7 +91,10 @@
 
 async def case(record) -> int:
     deployment = Deployment(record)
-    workers = [EngineWorker(deployment, f'i-engine{n}') for n in (1, 2)]
+    workers = [
+        EngineWorker(deployment, f'i-engine{n}', 'v1' if n <= OLD_WORKERS else 'v2')
+        for n in range(1, OLD_WORKERS + NEW_WORKERS + 1)
+    ]
     try:
         deployment.start()
         await deployment.put_manifest(
