Review: a failure of a script itself ends with 2

Cause: an exception that no case expects ended with 1, as a broken rule does. Change: any failure of the case is caught, and 1 stands only with the verdict in the record.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,11 @@
 #!/bin/bash
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run.
-cd "$(dirname "$0")/../.."
-PYTHONPATH=target/deps exec python3 review/3/case.py
+cd "$(dirname "$0")/../.." || exit 2
+rm -f review/3/record.txt
+PYTHONPATH=target/deps python3 review/3/case.py
+code=$?
+# A failure of Python itself also ends with 1.
+if [ $code -eq 1 ] && ! grep -q 'case: rule broken$' review/3/record.txt; then
+    code=2
+fi
+exit $code
--- a/review/harness.py
+++ b/review/harness.py
@@ -545,7 +545,7 @@
 
     try:
         verdict = asyncio.run(limited())
-    except (NotRunError, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # Any failure of the case itself is no broken rule.
         record.write('case', f'could not run: {type(error).__name__} {error}')
         verdict = NOT_RUN
     record.write('case', {HELD: 'rule held', BROKEN: 'rule broken', NOT_RUN: 'not run'}[verdict])
