A crash that one gateway sees is told to all gateways

Seen by callers: on routes without affinity a resumed stream held events of two software versions, with status 200, if the gateway that resumed it had no connection to the server that had crashed and was back as another version. Cause: only the owner of a service heard of crashes that others saw, and only gateways that ask it for an engine heard of them from it. Routes without affinity ask no owner. Servers that may just be starting (less than 10 s old, no connection accepted yet) are no news. Why it works: each gateway that chooses a server for a continuation now has the same mark as the observer. What stays open: a crash that nobody sees.

--- a/ringseam/contentorigins.py
+++ b/ringseam/contentorigins.py
@@ -133,7 +133,7 @@
         origin=msgspec.structs.replace(
             known.origin,
             began_ms=max(known.origin.began_ms, origin.began_ms),
-            doubtful=known.origin.doubtful or origin.doubtful,
+            doubtful_until_ms=max(known.origin.doubtful_until_ms, origin.doubtful_until_ms),
         ),
         began_at=max(known.began_at, began_at),
         is_copy=known.is_copy and is_copy,
--- a/ringseam/gateway/engines/client.py
+++ b/ringseam/gateway/engines/client.py
@@ -30,6 +30,7 @@
     from ringseam.backends import BackendReport
     from ringseam.envelopes import ReceivedMessage
     from ringseam.gateway.engines.placement import Placement
+    from ringseam.gateway.following.crashmessages import CrashNotice
     from ringseam.gateway.following.follower import Follower
     from ringseam.gateway.following.health import HealthTracker
     from ringseam.gateway.following.ownership import Ownership
@@ -87,7 +88,7 @@
         self.tasks = TaskSet()
         #: Until when owners that didn't reply are not called, by address.
         self.skipped_owners: dict[str, float] = {}
-        follower.on_crashed = self.report_crashed
+        follower.crash_listeners.append(self.report_crashed)
 
     async def choose(self, context: RequestContext) -> BackendReport | None:
         """Choose the engine for a request, and wait until it may be sent."""
@@ -136,15 +137,11 @@
         """Report that an engine that was silent sends data again."""
         self._publish(ProgressReport(service=service, recovered=instance))
 
-    def report_crashed(self, server: BackendReport) -> None:
+    def report_crashed(self, server: BackendReport, notice: CrashNotice) -> None:
         """Tell the owner of a service with streams that a server has crashed."""
         owner = self.ownership.owner_of(server.service)
         if owner and server.service in self.follower.table.stream_limits_s:
-            report = ProgressReport(
-                service=server.service,
-                silent=server.instance,
-                crashed=self.follower.crashed.latest_of(server.instance),
-            )
+            report = ProgressReport(service=server.service, silent=server.instance, crash=notice)
             self.tasks.spawn(self._send_progress(owner, report))
 
     def keep_only(self, instances: set[BackendId]) -> None:
@@ -164,11 +161,11 @@
         query: PlaceRequest = received.body
         self.permits.merge_limits(query.limits)
         choice = self._place_here(query)
-        crashed = self.follower.latest_crashes
+        crashes = self.follower.crashed.notices
         if choice is None:
-            return PlaceReply(crashed=crashed)
+            return PlaceReply(crashes=crashes)
         instance = choice.engine.instance if choice.engine else ''
-        return PlaceReply(instance=instance, wait_s=choice.wait_s, crashed=crashed)
+        return PlaceReply(instance=instance, wait_s=choice.wait_s, crashes=crashes)
 
     async def serve_progress(self, received: ReceivedMessage) -> Empty:
         """Apply a progress report of another gateway."""
@@ -301,8 +298,8 @@
             self.skipped_owners[owner] = self.clock.now() + _OWNER_BACKOFF_S
             return None
         reply: PlaceReply = received.body
-        for crashed in reply.crashed:
-            self.follower.learn_crash(crashed)
+        for notice in reply.crashes:
+            self.follower.learn_crash(notice)
         if not reply.instance and reply.wait_s:
             return EngineChoice(engine=None, wait_s=reply.wait_s)
         serving = self.follower.view.serving(ServiceName(query.service))
@@ -341,8 +338,8 @@
         now = self.clock.now()
         if report.silent:
             self._eject(BackendId(report.silent))
-            if report.crashed:
-                self.follower.learn_crash(BackendId(report.crashed))
+            if report.crash is not None:
+                self.follower.learn_crash(report.crash)
         elif report.recovered:
             self.health.restore(BackendId(report.recovered), now)
         elif report.over:
--- a/ringseam/gateway/engines/messages.py
+++ b/ringseam/gateway/engines/messages.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from ringseam.gateway.following.crashmessages import CrashNotice
 from ringseam.gateway.following.permitmessages import LimitReport
-from ringseam.lifetimes import BackendId
 from ringseam.messages import Empty, Message
 from ringseam.rpc import Method
 
@@ -53,9 +53,8 @@
     #: How long the request must wait before it may be sent, seconds. Without an engine: time
     #: until a rate-limited engine may have a send permit; 0: there is no such engine.
     wait_s: float = 0
-    #: Engines that crashed and may run again as another version: the latest start of each
-    #: that may have been before its crash.
-    crashed: tuple[BackendId, ...] = ()
+    #: Engines that crashed and may run again as another version.
+    crashes: tuple[CrashNotice, ...] = ()
 
 
 class ProgressReport(Message, frozen=True, kw_only=True, omit_defaults=True):
@@ -65,8 +64,8 @@
     request: str = ''
     over: bool = False
     silent: str = ''
-    #: The latest start that the silent engine may have had before it crashed; empty: it didn't.
-    crashed: str = ''
+    #: The crash of the silent engine; None: it isn't known to have crashed.
+    crash: Optional[CrashNotice] = None
     recovered: str = ''
     #: Load of the engine with the first event, see ``ServerLoad.figures``; empty: unknown.
     load: tuple[int, ...] = ()
--- a/ringseam/gateway/following/crashedservers.py
+++ b/ringseam/gateway/following/crashedservers.py
@@ -1,21 +1,21 @@
-"""Servers that crashed, as seen by one gateway, and haven't reported a new start yet."""
+"""Servers that crashed, as seen by gateways, and haven't reported a new start yet."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
 
-from ringseam.lifetimes import backend_id, name_of, start_ms_of
+from ringseam.clock import MS_PER_S
+from ringseam.gateway.following.crashmessages import CrashNotice
+from ringseam.lifetimes import BackendId, name_of, start_ms_of
 
-if TYPE_CHECKING:
-    from ringseam.lifetimes import BackendId
-
-#: A server that control still lists this long after its crash was seen, seconds, is taken to run:
-#: reports of a crashed one may arrive late by seconds. A longer time would keep streams from
-#: servers that started before they listened.
-CONFIRMED_AFTER_S = 3.0
+#: A server may report for this long after its start before it listens, seconds.
+STARTUP_S = 10.0
+#: A server that had not listened yet counts as running if control still lists it this long
+#: after a refused connection, seconds: nothing shows that it has crashed.
+STARTED_AFTER_S = 3.0
 #: Maximum number of servers that are remembered; the oldest are dropped first.
 MAX_CRASHED = 4096
+_NONE = BackendId('')
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -26,6 +26,16 @@
     at: float
     #: Lifetimes that started no later had ended by then; Unix time in ms.
     latest_start_ms: int
+    #: The lifetime that had listened before; empty: the server may just have been starting.
+    ended: BackendId = _NONE
+    #: Whether other lifetimes that control lists are taken to run.
+    others_confirmed: bool = False
+
+    def includes(self, instance: BackendId) -> bool:
+        """Return whether a lifetime may have ended."""
+        if instance == self.ended:
+            return True
+        return not self.others_confirmed and start_ms_of(instance) <= self.latest_start_ms
 
 
 class CrashedServers:
@@ -44,32 +54,70 @@
     def __contains__(self, instance: BackendId) -> bool:
         """Return whether a lifetime started before its server was seen to have crashed."""
         crash = self.seen.get(name_of(instance))
-        return crash is not None and start_ms_of(instance) <= crash.latest_start_ms
+        return crash is not None and crash.includes(instance)
 
     @property
-    def latest(self) -> tuple[BackendId, ...]:
-        """Return the latest lifetime of each server that may have ended by its crash."""
-        return tuple(map(self.latest_of, self.seen))
-
-    def latest_of(self, server: str) -> BackendId:
-        """Return the latest lifetime of a server that may have ended by its crash."""
-        name = name_of(server)
-        return backend_id(name, self.seen[name].latest_start_ms)
+    def notices(self) -> tuple[CrashNotice, ...]:
+        """Return the crashes of servers that had listened, for other gateways."""
+        return tuple(
+            CrashNotice(ended=crash.ended, latest_start_ms=crash.latest_start_ms)
+            for crash in self.seen.values()
+            if crash.ended
+        )
+
+    def doubted_for_s(self, instance: BackendId) -> float:
+        """Return for how long the version of what a lifetime begins now is uncertain, seconds."""
+        crash = self.seen.get(name_of(instance))
+        if crash is None or not crash.includes(instance):
+            return 0
+        return STARTED_AFTER_S
 
-    def add(self, instance: BackendId, now: float, wall_ms: int) -> None:
-        """Record that nobody listened at the address of a server.
+    def add(
+        self, instance: BackendId, now: float, wall_ms: int, *, has_listened: bool = True
+    ) -> bool:
+        """Record that nobody listened at the address of a server; return whether it is news.
 
         :param wall_ms: Unix time; the clock of the server's host may be ahead of it.
+        :param has_listened: whether this lifetime has accepted connections before.
         """
         name = name_of(instance)
-        latest_start_ms = max(wall_ms, start_ms_of(instance))
-        self.seen.pop(name, None)
-        self.seen[name] = SeenCrash(at=now, latest_start_ms=latest_start_ms)
+        known = self.seen.pop(name, None)
+        is_new = has_listened and (known is None or known.ended != instance)
+        self.seen[name] = SeenCrash(
+            at=now,
+            latest_start_ms=max(wall_ms, start_ms_of(instance)),
+            ended=instance if has_listened else _NONE,
+        )
         if len(self.seen) > self.capacity:
             self.seen.pop(next(iter(self.seen)))
+        return is_new
+
+    def learn(self, notice: CrashNotice, now: float) -> None:
+        """Record a crash that another gateway has seen, unless a later one is known."""
+        known = self.seen.get(name_of(notice.ended))
+        if known is None or (
+            known.ended != notice.ended and known.latest_start_ms <= notice.latest_start_ms
+        ):
+            self.add(notice.ended, now, notice.latest_start_ms)
 
     def forget_confirmed(self, now: float) -> None:
         """Forget what was seen long ago, when control lists only servers that report."""
-        self.seen = {
-            name: crash for name, crash in self.seen.items() if now - crash.at < CONFIRMED_AFTER_S
-        }
+        kept = {}
+        for name, crash in self.seen.items():
+            age_s = now - crash.at
+            has_started = age_s >= STARTED_AFTER_S
+            if age_s < STARTED_AFTER_S and (crash.ended or not has_started):
+                kept[name] = replace(crash, others_confirmed=has_started)
+        self.seen = kept
+
+
+def has_listened(instance: BackendId, accepted_ms: int, wall_ms: int) -> bool:
+    """Return whether a lifetime that refuses connections had listened before.
+
+    It may have just started and not listen yet.
+
+    :param accepted_ms: when its address last accepted a connection of this gateway; Unix time.
+    :param wall_ms: the current Unix time.
+    """
+    start_ms = start_ms_of(instance)
+    return accepted_ms > start_ms or wall_ms - start_ms >= STARTUP_S * MS_PER_S
--- a/ringseam/gateway/following/ends.py
+++ b/ringseam/gateway/following/ends.py
@@ -16,6 +16,7 @@
 from ringseam.errors import UnreachableError
 from ringseam.events import Event
 from ringseam.evidence import EVIDENCE_RETENTION_S
+from ringseam.gateway.following.crashsharing import CrashSharing
 from ringseam.gateway.following.inflight import InFlightRequests
 from ringseam.messages import Redirect
 from ringseam.quarantinemessages import REPORT_CRASHES, CrashReport, ServerCrash
@@ -130,6 +131,7 @@
         pool.on_idle_closed = self.idle_connection_closed
         self.recent_answers = recent_answers
         self.on_crash = on_crash
+        self.sharing = CrashSharing(node=node, client=client, follower=follower)
         self.in_flight = InFlightRequests()
         self.tasks = TaskSet()
         self.probes: dict[BackendId, asyncio.Task[bool]] = {}
@@ -171,7 +173,8 @@
 
     def connection_refused(self, address: str) -> None:
         """Record that nobody listened at an address."""
-        self.follower.record_refused(address)
+        accepted_ms = self.pool.accepted_ms.get(address, 0)
+        self.follower.record_refused(address, accepted_ms=accepted_ms)
 
     def idle_connection_closed(self, address: str) -> None:
         """Probe a server that closed an idle connection early, if it may continue streams.
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -14,10 +14,11 @@
 from ringseam.followmessages import CONFIRM, WATCH, DocumentConfirmation, WatchRequest, WatchUpdate
 from ringseam.gateway.following.coldservers import ColdServers
 from ringseam.gateway.following.confinement import Confinement
-from ringseam.gateway.following.crashedservers import CrashedServers
+from ringseam.gateway.following.crashedservers import CrashedServers, has_listened
+from ringseam.gateway.following.crashmessages import CrashNotice
 from ringseam.gateway.following.documentfetch import DocumentFetcher
 from ringseam.hostcapacity import UNKNOWN_CAPACITY
-from ringseam.lifetimes import name_of, start_ms_of
+from ringseam.lifetimes import name_of
 from ringseam.platform.manifest import decode_manifest
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.routes import RouteTable
@@ -102,8 +103,8 @@
         self.confinement = Confinement()
         self.cold_servers = ColdServers()
         self.crashed = CrashedServers()
-        #: Called with a server that this gateway has seen to have crashed.
-        self.on_crashed: Callable[[BackendReport], None] = _ignore_server
+        #: Called with each server that this gateway has seen to crash.
+        self.crash_listeners: list[Callable[[BackendReport, CrashNotice], None]] = []
         self.cursor = DirectoryCursor()
         self.versions = VersionHistory()
         self.updated_at = node.clock.now()
@@ -134,11 +135,6 @@
         """Return the names of all gateways, including this one."""
         return frozenset(state.name for state in self.gateways) | {self.node.name}
 
-    @property
-    def latest_crashes(self) -> tuple[BackendId, ...]:
-        """Return the latest lifetime of each crashed server, for other gateways."""
-        return self.crashed.latest
-
     @property
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
@@ -222,20 +218,25 @@
         current = (self.view.lifetimes.get(name) for name in self.crashed.seen)
         return tuple(known for known in current if known is not None and known in self.crashed)
 
-    def record_refused(self, address: str) -> None:
-        """Record that nobody listened at an address: the server there has crashed or left."""
-        clock = self.node.clock
-        for report in self.view.backends.values():
-            if report.address == address:
-                is_new = report.instance not in self.crashed
-                self.crashed.add(report.instance, clock.now(), clock.wall_ms())
-                if is_new:
-                    self.on_crashed(report)
+    def record_refused(self, address: str, *, accepted_ms: int) -> None:
+        """Record that nobody listened at an address: the server there has crashed or left.
 
-    def learn_crash(self, instance: BackendId) -> None:
-        """Record a crash that another gateway has seen, of lifetimes up to this one."""
-        if instance not in self.crashed:
-            self.crashed.add(instance, self.node.clock.now(), start_ms_of(instance))
+        :param accepted_ms: when the address last accepted a connection; Unix time.
+        """
+        wall_ms = self.node.clock.wall_ms()
+        at_address = [known for known in self.view.backends.values() if known.address == address]
+        for report in at_address:
+            listened = has_listened(report.instance, accepted_ms, wall_ms)
+            if self.crashed.add(
+                report.instance, self.node.clock.now(), wall_ms, has_listened=listened
+            ):
+                notice = CrashNotice(ended=report.instance, latest_start_ms=wall_ms)
+                for listener in self.crash_listeners:
+                    listener(report, notice)
+
+    def learn_crash(self, notice: CrashNotice) -> None:
+        """Record a crash that another gateway has seen."""
+        self.crashed.learn(notice, self.node.clock.now())
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Add further control hosts."""
@@ -457,7 +458,3 @@
             )
         self.is_connected = False
         self.leader = ''
-
-
-def _ignore_server(server: BackendReport) -> None:
-    """Do nothing."""
--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -121,14 +121,14 @@
         now = self.node.clock.now()
         self.store.add(key, origin, now)
         record = self.store.find(key, now)
-        if record is not None and (origin.doubtful or self._makes_copies(origin.service)):
+        if record is not None and (origin.doubtful_until_ms or self._makes_copies(origin.service)):
             self._copy([record])
 
     def content_began(self, key: ContentId, origin: StreamOrigin) -> None:
         """Record the origin of a stream under the key of its content."""
         now = self.node.clock.now()
         self.content_origins.add(key, origin, now)
-        if origin.doubtful or self._makes_copies(origin.service):
+        if origin.doubtful_until_ms or self._makes_copies(origin.service):
             self._copy([OriginRecord(key=key, origin=origin, age_ms=0)])
 
     def certain_version(self, service: ServiceName) -> str | None:
--- a/ringseam/gateway/requests/streambinding.py
+++ b/ringseam/gateway/requests/streambinding.py
@@ -10,7 +10,6 @@
 from ringseam.clock import MS_PER_S
 from ringseam.contentorigins import MAX_SERVERS, content_key
 from ringseam.events import Event
-from ringseam.gateway.following.crashedservers import CONFIRMED_AFTER_S
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost
 from ringseam.gateway.requests.answers import DEFAULT_RETRY_AFTER_S
 from ringseam.gateway.requests.originsharing import OriginSharing
@@ -115,7 +114,7 @@
                 software=server.software,
                 server=server.instance,
                 began_ms=self.node.clock.wall_ms(),
-                doubtful=server.instance in self.follower.crashed,
+                doubtful_until_ms=self._doubtful_until_ms(server),
             )
         self.sharing.began(self._key(context, context.request.attempt_id), context.origin)
         self.sharing.content_began(self._content_key(context), context.origin)
@@ -203,9 +202,15 @@
     def _content_key(self, context: RequestContext) -> ContentId:
         return content_key(context.account_name, context.content_id, secret=self.node.secret)
 
+    def _doubtful_until_ms(self, server: BackendReport) -> int:
+        """Return until when the version of a stream that a server begins now is uncertain."""
+        doubted_for_s = self.follower.crashed.doubted_for_s(server.instance)
+        if not doubted_for_s:
+            return 0
+        return self.node.clock.wall_ms() + int(doubted_for_s * MS_PER_S)
+
     def _is_certain(self, origin: StreamOrigin) -> bool:
-        confirmed_ms = self.node.clock.wall_ms() - CONFIRMED_AFTER_S * MS_PER_S
-        return is_certain(origin, self.follower.view, confirmed_ms=confirmed_ms)
+        return is_certain(origin, self.follower.view, self.node.clock.wall_ms())
 
     def _key(self, context: RequestContext, attempt_id: str) -> ContentId:
         return origin_key(context.account_name, attempt_id, secret=self.node.secret)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -241,6 +241,7 @@
     def _register_methods(self) -> None:
         self.pieces.register(self.server)
         self.placements.register(self.server)
+        self.guard.crashes.sharing.register(self.server)
         self.permits.register(self.server)
         self.forwarder.origins.register(self.server)
 
--- a/ringseam/model/gateways.py
+++ b/ringseam/model/gateways.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from ringseam.backends import BackendView, GatewayState
+from ringseam.backends import GatewayState
 from ringseam.control.quarantining import QuarantineService
 from ringseam.envelopes import ReceivedMessage
 from ringseam.errors import UnreachableError
@@ -27,18 +27,18 @@
 from ringseam.gateway.stages.scheduler import PieceScheduler
 from ringseam.metrics import Metrics
 from ringseam.model.engines import ModelSender
+from ringseam.model.follower import ModelFollower
 from ringseam.model.stageservers import ModelPieceCalls
 from ringseam.node import Node
-from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.retries import WindowRetries
 
 if TYPE_CHECKING:
-    from ringseam.backends import BackendReport
     from ringseam.clock import Clock
     from ringseam.gateway.featureswitch import FeatureSwitch
     from ringseam.model.engines import ModelEngine
     from ringseam.model.stageservers import ResultStore, StageServer
-    from ringseam.routes import RouteTable, ServiceName
+    from ringseam.quarantinemessages import QuarantineSnapshot
+    from ringseam.routes import RouteTable
 
 logger = logging.getLogger(__name__)
 
@@ -58,66 +58,6 @@
     event_counts: dict[str, int] = field(default_factory=dict)
 
 
-class ModelFollower:
-    """A gateway's view of routes, servers and other gateways, without a control group."""
-
-    def __init__(self, *, table: RouteTable) -> None:
-        """Create a follower with a fixed route table."""
-        self.table = table
-        self.view = BackendView()
-        #: Stays empty: no server starts again under its name.
-        self.crashed = frozenset()
-        self.latest_crashes = ()
-        self.gateways: tuple[GatewayState, ...] = ()
-        self.quarantine = QuarantineSnapshot(version=0)
-        self.is_connected = True
-        self.leader = ''
-        self.epoch = ''
-
-    @property
-    def gateway_names(self) -> frozenset[str]:
-        """Return the names of all gateways."""
-        return frozenset(state.name for state in self.gateways)
-
-    def zones_within(self, *limits: frozenset[str]) -> None:
-        """Return None: all zones are allowed."""
-
-    def serving(
-        self, service: ServiceName, account: str, zones: None, software: str | None = None
-    ) -> list[BackendReport]:
-        """Return the servers of a service and version; no client account is confined."""
-        servers = self.view.serving(service)
-        return [server for server in servers if self.runs_version(server, software)]
-
-    def runs_version(self, server: BackendReport, software: str | None) -> bool:
-        """Return whether a server runs a version; None: any."""
-        return software in {None, server.software}
-
-    def uniform_version(self, service: ServiceName, *, duration_s: float) -> str | None:
-        """Return the version of all servers of a service; None: they differ.
-
-        The servers count as long-running.
-        """
-        versions = self.view.versions.get(service, frozenset())
-        return next(iter(versions)) if len(versions) == 1 else None
-
-    def runs_other_version(self, server: BackendReport, software: str) -> bool:
-        """Return False: no server starts again under its name."""
-        return False
-
-    def unfit_for(self, software: str | None) -> tuple[()]:
-        """Return no servers: the model draws no versions."""
-        return ()
-
-    def is_serving(self, server: BackendReport, software: str | None = None) -> bool:
-        """Return whether a server accepts new requests and runs a version."""
-        is_listed = server in self.view.serving(server.service)
-        return is_listed and self.runs_version(server, software)
-
-    async def wait_for_routes(self, limit_s: float) -> None:
-        """Return at once, as the routes are always known."""
-
-
 class ModelNetwork:
     """In-memory calls between gateways, with network latency."""
 
--- a/ringseam/streamorigins.py
+++ b/ringseam/streamorigins.py
@@ -31,9 +31,9 @@
     server: str = ''
     #: When the first event arrived, Unix time in ms.
     began_ms: int = 0
-    #: Whether the server had been seen to crash, so that it may have run another version than
-    #: the one it last reported.
-    doubtful: bool = False
+    #: Until when the server, which had been seen to crash, may prove to have run another version
+    #: than the one it last reported; Unix time in ms, 0: it hadn't crashed.
+    doubtful_until_ms: int = 0
 
 
 class OriginRecord(Message, frozen=True, kw_only=True):
@@ -127,23 +127,23 @@
     return keyed_content_id(('stream', account, attempt_id), b'', secret=secret)
 
 
-def is_certain(origin: StreamOrigin, view: BackendView, *, confirmed_ms: float = 0) -> bool:
+def is_certain(origin: StreamOrigin, view: BackendView, now_ms: int = 0) -> bool:
     """Return whether the server that began a stream had the version that was recorded.
 
     It may not have had if it started again before that, under its name and with another
     version, and the report of that start arrived later.
 
-    :param confirmed_ms: servers that are listed now ran at this time, Unix time in ms.
+    :param now_ms: Unix time in ms; by default no doubt has ended.
     """
     current = view.lifetimes.get(name_of(origin.server))
     if current is None:
-        return not origin.doubtful
+        return not origin.doubtful_until_ms
     if current == origin.server:
-        return not origin.doubtful or origin.began_ms <= confirmed_ms
+        return origin.doubtful_until_ms <= now_ms
     is_later = start_ms_of(origin.server) < start_ms_of(current) <= origin.began_ms
     if is_later:
         return view.backends[current].software == origin.software
-    return not origin.doubtful
+    return not origin.doubtful_until_ms
 
 
 def as_record(key: ContentId, kept: KeptOrigin, now: float) -> OriginRecord:
--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
 from ringseam.ids import split_address
 from ringseam.web.client import ChannelError, HttpChannel, RefusedError
 from ringseam.web.turns import WaitingRequest, WaitingRequests
@@ -16,6 +17,10 @@
 
     from ringseam.clock import Clock
 
+#: Times of accepted connections are kept for this long, seconds: at least as long as a server
+#: may take to listen after its start.
+ACCEPTED_KEPT_S = 15.0
+
 
 @dataclass(kw_only=True)
 class IdleChannel:
@@ -41,6 +46,8 @@
         self.opened = 0
         #: Requests that wait for a connection, by address.
         self.waiting: dict[str, WaitingRequests] = {}
+        #: When addresses last accepted a connection, Unix time in ms; of the last seconds only.
+        self.accepted_ms: dict[str, int] = {}
         #: Called with an address at which nobody listens.
         self.on_refused: Callable[[str], None] = _ignore_address
         #: Called with the address of an idle connection that its server closed early.
@@ -110,6 +117,7 @@
             raise RefusedError(f'{address}: {error}', sent=False) from None
         except (OSError, asyncio.TimeoutError) as error:
             raise ChannelError(f'{address}: {type(error).__name__} {error}', sent=False) from None
+        self.accepted_ms[address] = self.clock.wall_ms()
         return channel
 
     def release(self, channel: HttpChannel) -> None:
@@ -127,6 +135,10 @@
     def close_expired(self) -> None:
         """Close idle connections that have expired."""
         now = self.clock.now()
+        oldest_ms = self.clock.wall_ms() - ACCEPTED_KEPT_S * MS_PER_S
+        self.accepted_ms = {
+            address: at_ms for address, at_ms in self.accepted_ms.items() if at_ms > oldest_ms
+        }
         for counted in list(self.channels):
             self.open_count(counted)
         for address, idle_channels in list(self.idle.items()):
--- a/tests/test_contentorigins.py
+++ b/tests/test_contentorigins.py
@@ -21,7 +21,7 @@
         st.sampled_from(['c1', 'c2', 'c3']),
         st.sampled_from(['v1', 'v2']),
         st.sampled_from(['a#1', 'b#1', 'b#2']),
-        st.booleans(),
+        st.integers(min_value=0, max_value=3),
     ),
     max_size=30,
 )
@@ -34,22 +34,22 @@
 def kept(store, key, now):
     """Return what is kept of a content, without the times."""
     found = (record.origin for record in store.find(key, now))
-    return {(one.software, one.server): one.doubtful for one in found}
+    return {(one.software, one.server): one.doubtful_until_ms for one in found}
 
 
 @given(STREAMS)
 def test_all_origins_are_kept_as_a_naive_list_keeps_them(streams):
     store = ContentOrigins(retention_s=10)
-    for began_at, (key, software, server, doubtful) in enumerate(streams):
-        store.add(key, origin(software, server, doubtful=doubtful), began_at)
+    for began_at, (key, software, server, until_ms) in enumerate(streams):
+        store.add(key, origin(software, server, doubtful_until_ms=until_ms), began_at)
     now = len(streams)
     for key in ('c1', 'c2', 'c3'):
-        naive: dict[tuple[str, str], bool] = {}
+        naive: dict[tuple[str, str], int] = {}
         newest: dict[tuple[str, str], int] = {}
-        for began_at, (content, software, server, doubtful) in enumerate(streams):
+        for began_at, (content, software, server, until_ms) in enumerate(streams):
             if content == key:
                 identity = (software, server)
-                naive[identity] = naive.get(identity, False) or doubtful
+                naive[identity] = max(naive.get(identity, 0), until_ms)
                 newest[identity] = began_at
         current = {one: naive[one] for one, began_at in newest.items() if now - began_at <= 10}
         assert kept(store, key, now) == current
--- a/tests/test_gateway/test_following/test_following_crashedservers.py
+++ b/tests/test_gateway/test_following/test_following_crashedservers.py
@@ -8,22 +8,28 @@
 from ringseam.clock import PausedClock
 from ringseam.followmessages import WatchUpdate
 from ringseam.gateway.following.crashedservers import (
-    CONFIRMED_AFTER_S,
+    STARTED_AFTER_S,
     CrashedServers,
 )
+from ringseam.gateway.following.crashmessages import CrashNotice
 from ringseam.gateway.following.follower import Follower
-from ringseam.lifetimes import BackendId
+from ringseam.lifetimes import BackendId, backend_id
 from ringseam.node import Node
 from ringseam.routes import ServiceName
 
-SERVER = BackendReport(
-    instance=BackendId('a#1000'),
-    service=ServiceName('plain'),
-    address='1.1.1.1:1',
-    zone='z',
-    sequence=1,
-    software='v1',
-)
+
+def server(start_ms: int = 1000, software: str = 'v1') -> BackendReport:
+    return BackendReport(
+        instance=backend_id('a', start_ms),
+        service=ServiceName('plain'),
+        address='1.1.1.1:1',
+        zone='z',
+        sequence=1,
+        software=software,
+    )
+
+
+SERVER = server()
 
 
 def update(*, warm=True, silent=()):
@@ -32,17 +38,35 @@
 
 @pytest.fixture(name='follower')
 def make_follower():
-    node = Node(name='g', role='gateway', address='g:1', secret=b'x', clock=PausedClock())
+    clock = PausedClock()
+    clock.advance(100)
+    node = Node(name='g', role='gateway', address='g:1', secret=b'x', clock=clock)
     follower = Follower(node=node, client=None, addresses=('c:1',), on_change=lambda: None)
     follower.view.apply(SERVER)
+    follower.apply(update())
     return follower
 
 
+def refuse(follower, *, accepted_ms=0):
+    follower.record_refused(SERVER.address, accepted_ms=accepted_ms)
+
+
+def advance(follower, duration_s, *, warm=True):
+    """Let time pass, at the end of which control still lists the server."""
+    follower.node.clock.advance(duration_s)
+    follower.apply(update(warm=warm))
+
+
+def continuing(follower):
+    """Return the servers that may continue a stream of the first version."""
+    return follower.serving(SERVER.service, '', None, 'v1')
+
+
 def test_only_the_lifetime_at_the_address_is_recorded(follower):
-    follower.record_refused('1.1.1.1:2')
-    assert follower.serving(SERVER.service, '', None, 'v1') == [SERVER]
-    follower.record_refused(SERVER.address)
-    assert follower.serving(SERVER.service, '', None, 'v1') == []
+    follower.record_refused('1.1.1.1:2', accepted_ms=0)
+    assert continuing(follower) == [SERVER]
+    refuse(follower)
+    assert continuing(follower) == []
     assert follower.serving(SERVER.service, '') == [SERVER]
     assert not follower.is_serving(SERVER, 'v1')
     assert follower.is_serving(SERVER)
@@ -50,20 +74,36 @@
 
 # Fault: one refused connection kept a sound server from continuing streams for good.
 def test_server_that_control_still_lists_continues_streams_again(follower):
-    follower.record_refused(SERVER.address)
-    follower.node.clock.advance(CONFIRMED_AFTER_S - 1)
-    follower.apply(update())
-    assert not follower.serving(SERVER.service, '', None, 'v1')
-    follower.node.clock.advance(1)
-    follower.apply(update())
-    assert follower.serving(SERVER.service, '', None, 'v1') == [SERVER]
+    refuse(follower, accepted_ms=2000)
+    advance(follower, STARTED_AFTER_S)
+    assert continuing(follower) == [SERVER]
 
 
 def test_leader_that_has_not_heard_of_all_servers_confirms_none(follower):
-    follower.record_refused(SERVER.address)
-    follower.node.clock.advance(2 * CONFIRMED_AFTER_S)
-    follower.apply(update(warm=False))
-    assert not follower.serving(SERVER.service, '', None, 'v1')
+    refuse(follower)
+    advance(follower, 2 * STARTED_AFTER_S, warm=False)
+    assert not continuing(follower)
+
+
+# Fault: servers that report before they listen were kept from streams as crashed ones are.
+@pytest.mark.parametrize('accepted_ms', [0, 'before its start'])
+def test_server_that_does_not_listen_yet_continues_streams_soon(follower, accepted_ms):
+    wall_ms = follower.node.clock.wall_ms()
+    starting = server(start_ms=wall_ms - 500)
+    follower.view.apply(starting)
+    refuse(follower, accepted_ms=wall_ms - 1000 if accepted_ms else 0)
+    assert not continuing(follower)
+    advance(follower, STARTED_AFTER_S)
+    assert continuing(follower) == [starting]
+
+
+def test_next_lifetime_that_had_started_by_the_crash_continues_streams_soon(follower):
+    refuse(follower, accepted_ms=2000)
+    restarted = server(start_ms=follower.node.clock.wall_ms() - 1)
+    follower.view.apply(restarted)
+    assert not continuing(follower)
+    advance(follower, STARTED_AFTER_S)
+    assert continuing(follower) == [restarted]
 
 
 def test_crashed_servers_are_bounded():
@@ -89,3 +129,21 @@
     crashed.add(BackendId('a#9000'), 0, wall_ms=3000)
     assert BackendId('a#9000') in crashed
     assert BackendId('a#9001') not in crashed
+
+
+def test_notice_of_an_earlier_crash_changes_nothing():
+    crashed = CrashedServers()
+    crashed.add(BackendId('a#2000'), 5, wall_ms=3000)
+    known = dict(crashed.seen)
+    crashed.learn(CrashNotice(ended=BackendId('a#1000'), latest_start_ms=1500), 6)
+    crashed.learn(CrashNotice(ended=BackendId('a#2000'), latest_start_ms=3100), 6)
+    assert crashed.seen == known
+
+
+def test_servers_that_may_just_be_starting_are_no_news_for_others():
+    crashed = CrashedServers()
+    assert not crashed.add(BackendId('a#1000'), 0, wall_ms=3000, has_listened=False)
+    assert crashed.notices == ()
+    assert crashed.add(BackendId('a#1000'), 0, wall_ms=3000)
+    assert not crashed.add(BackendId('a#1000'), 0, wall_ms=3500)
+    assert crashed.notices == (CrashNotice(ended=BackendId('a#1000'), latest_start_ms=3500),)
--- a/tests/test_gateway/test_following/test_following_ends.py
+++ b/tests/test_gateway/test_following/test_following_ends.py
@@ -75,7 +75,7 @@
     return CrashReporter(
         node=Node(name='g', role='gateway', address='', secret=b's', clock=clock),
         client=leader,
-        follower=SimpleNamespace(is_connected=True, leader='c1', epoch='e1'),
+        follower=SimpleNamespace(is_connected=True, leader='c1', epoch='e1', crash_listeners=[]),
         health=HealthTracker(),
         pool=pool,
         recent_answers=RecentAnswers(),
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -224,6 +224,7 @@
         leader='c1',
         epoch='e1',
         quarantine=QuarantineSnapshot(version=1),
+        crash_listeners=[],
         **known,
     )
     return QuarantineGuard(
