A crashed server continues no stream until control would have removed it

Seen by callers: streams resumed with status 200 held events of two software versions where the server that went on had crashed more than 3 s before and come back as another version. Cause: 3 s after a refused connection a lifetime that control still listed was taken to run. Control lists a silent server for 3.75 report intervals (4.5 s), and its last report may be late, so the list proves nothing until 7.5 s after the crash. Change: control tells how long it waits for reports; 3 s of delay are added. The shorter time is kept for servers that started less than 10 s ago and have accepted no connection since: they report before they listen, which had been the reason for 3 s. A stream that begins at a doubtful server keeps until when it is in doubt. Why it works: a lifetime that is listed after that time has sent a report after the refusal. Result: test_crashed_server_continues_no_stream_while_control_may_list_it and one case of test_server_that_has_listened_or_had_the_time_to_has_crashed fail with the former time.

--- a/ringseam/control/backenddirectory.py
+++ b/ringseam/control/backenddirectory.py
@@ -193,6 +193,7 @@
             silent=() if whole else tuple(name for change, name in self.removed if change > first),
             gateways=self._gateway_states(),
             uniform=self._uniform_versions(now) if whole else (),
+            silence_s=self.silence_timeout_s,
         )
 
     def retire(self, retired: EndedLifetimes) -> None:
--- a/ringseam/followmessages.py
+++ b/ringseam/followmessages.py
@@ -60,6 +60,8 @@
     zones: DrainedZones = DrainedZones()
     #: With ``whole``: services whose servers have all run one version, as the leader knows.
     uniform: tuple[UniformVersion, ...] = ()
+    #: After how long without a report a server is silent, seconds; 0: the leader doesn't tell.
+    silence_s: float = 0
 
 
 class WatchReply(Message, frozen=True, kw_only=True):
--- a/ringseam/gateway/following/crashedservers.py
+++ b/ringseam/gateway/following/crashedservers.py
@@ -8,6 +8,10 @@
 from ringseam.gateway.following.crashmessages import CrashNotice
 from ringseam.lifetimes import BackendId, name_of, start_ms_of
 
+#: The longest delay of a report that is allowed for, seconds.
+REPORT_DELAY_S = 3.0
+#: After how long without a report control removes a server, seconds, until control tells it.
+DEFAULT_SILENCE_S = 4.5
 #: A server may report for this long after its start before it listens, seconds.
 STARTUP_S = 10.0
 #: A server that had not listened yet counts as running if control still lists it this long
@@ -50,12 +54,22 @@
         self.capacity = capacity
         #: The last crash of each server, by name, in the order of these crashes.
         self.seen: dict[str, SeenCrash] = {}
+        #: After how long without a report control removes a server, seconds.
+        self.silence_s = DEFAULT_SILENCE_S
 
     def __contains__(self, instance: BackendId) -> bool:
         """Return whether a lifetime started before its server was seen to have crashed."""
         crash = self.seen.get(name_of(instance))
         return crash is not None and crash.includes(instance)
 
+    @property
+    def listed_after_s(self) -> float:
+        """Return when a lifetime that control still lists can't have ended, seconds.
+
+        Control would have removed it by then, even if its last report was late.
+        """
+        return self.silence_s + REPORT_DELAY_S
+
     @property
     def notices(self) -> tuple[CrashNotice, ...]:
         """Return the crashes of servers that had listened, for other gateways."""
@@ -70,7 +84,7 @@
         crash = self.seen.get(name_of(instance))
         if crash is None or not crash.includes(instance):
             return 0
-        return STARTED_AFTER_S
+        return self.listed_after_s if instance == crash.ended else STARTED_AFTER_S
 
     def add(
         self, instance: BackendId, now: float, wall_ms: int, *, has_listened: bool = True
@@ -106,7 +120,7 @@
         for name, crash in self.seen.items():
             age_s = now - crash.at
             has_started = age_s >= STARTED_AFTER_S
-            if age_s < STARTED_AFTER_S and (crash.ended or not has_started):
+            if age_s < self.listed_after_s and (crash.ended or not has_started):
                 kept[name] = replace(crash, others_confirmed=has_started)
         self.seen = kept
 
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -266,6 +266,7 @@
             self._apply_report(report)
         for instance in update.silent:
             self.view.remove(instance)
+        self.crashed.silence_s = update.silence_s or self.crashed.silence_s
         if update.warm:
             self.crashed.forget_confirmed(self.node.clock.now())
         self._apply_quarantine(update)
--- a/tests/test_gateway/test_following/test_following_crashedservers.py
+++ b/tests/test_gateway/test_following/test_following_crashedservers.py
@@ -5,10 +5,12 @@
 import pytest
 
 from ringseam.backends import BackendReport
-from ringseam.clock import PausedClock
+from ringseam.clock import MS_PER_S, PausedClock
 from ringseam.followmessages import WatchUpdate
 from ringseam.gateway.following.crashedservers import (
+    REPORT_DELAY_S,
     STARTED_AFTER_S,
+    STARTUP_S,
     CrashedServers,
 )
 from ringseam.gateway.following.crashmessages import CrashNotice
@@ -17,6 +19,9 @@
 from ringseam.node import Node
 from ringseam.routes import ServiceName
 
+#: After how long without a report the leader of these tests removes a server, seconds.
+SILENCE_S = 6.0
+
 
 def server(start_ms: int = 1000, software: str = 'v1') -> BackendReport:
     return BackendReport(
@@ -33,7 +38,9 @@
 
 
 def update(*, warm=True, silent=()):
-    return WatchUpdate(epoch='e1', upto=1, whole=False, warm=warm, silent=silent)
+    return WatchUpdate(
+        epoch='e1', upto=1, whole=False, warm=warm, silent=silent, silence_s=SILENCE_S
+    )
 
 
 @pytest.fixture(name='follower')
@@ -72,16 +79,23 @@
     assert follower.is_serving(SERVER)
 
 
+# Fault: a crashed server was taken to run its old version while its last reports could count.
+def test_crashed_server_continues_no_stream_while_control_may_list_it(follower):
+    refuse(follower, accepted_ms=2000)
+    advance(follower, SILENCE_S + REPORT_DELAY_S - 0.1)
+    assert not continuing(follower)
+
+
 # Fault: one refused connection kept a sound server from continuing streams for good.
 def test_server_that_control_still_lists_continues_streams_again(follower):
     refuse(follower, accepted_ms=2000)
-    advance(follower, STARTED_AFTER_S)
+    advance(follower, SILENCE_S + REPORT_DELAY_S)
     assert continuing(follower) == [SERVER]
 
 
 def test_leader_that_has_not_heard_of_all_servers_confirms_none(follower):
     refuse(follower)
-    advance(follower, 2 * STARTED_AFTER_S, warm=False)
+    advance(follower, 2 * (SILENCE_S + REPORT_DELAY_S), warm=False)
     assert not continuing(follower)
 
 
@@ -97,6 +111,19 @@
     assert continuing(follower) == [starting]
 
 
+@pytest.mark.parametrize(
+    ('age_s', 'accepted_before_s'), [(1, 0.5), (STARTUP_S, STARTUP_S + 1), (STARTUP_S, 0.5)]
+)
+def test_server_that_has_listened_or_had_the_time_to_has_crashed(
+    follower, age_s, accepted_before_s
+):
+    wall_ms = follower.node.clock.wall_ms()
+    follower.view.apply(server(start_ms=wall_ms - int(age_s * MS_PER_S)))
+    refuse(follower, accepted_ms=wall_ms - int(accepted_before_s * MS_PER_S))
+    advance(follower, STARTED_AFTER_S)
+    assert not continuing(follower)
+
+
 def test_next_lifetime_that_had_started_by_the_crash_continues_streams_soon(follower):
     refuse(follower, accepted_ms=2000)
     restarted = server(start_ms=follower.node.clock.wall_ms() - 1)
