Headers on a kept connection are bounded by the limit in force

Seen by callers: 431, which they don't retry, for headers that the document in force allows, on a connection that had been opened under an older document with a lower limit. Cause: the parser of a connection takes its limit once, when the connection opens. Change: the connection checks what is incomplete itself, against the current limit. Why it works: the check reads the limit with each received part; the parser's own bound is off.

--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -11,6 +11,7 @@
 import enum
 import logging
 import math
+import sys
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,7 @@
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _TOO_LARGE = 413
+_HEADERS_TOO_LARGE = 431
 _INTERNAL_ERROR = 500
 
 
@@ -219,10 +221,8 @@
         """Create a connection with the handler and limits of ``server``."""
         self.server = server
         self.loop = asyncio.get_running_loop()
-        self.parser = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=server.limits.header_bytes,
-        )
+        # The limit in force may change while the connection is kept: see _check_size.
+        self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self.incoming = PartialRequest()
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -300,9 +300,11 @@
     def process_events(self) -> None:
         """Handle parsed events until more data is needed."""
         try:
-            more = self._handle_event(self.parser.next_event())
-            while more:
-                more = self._handle_event(self.parser.next_event())
+            event = self.parser.next_event()
+            while self._handle_event(event):
+                event = self.parser.next_event()
+            if event is h11.NEED_DATA:
+                self._check_size()
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
@@ -390,6 +392,11 @@
             self.close()
         return False
 
+    def _check_size(self) -> None:
+        """Reject headers, or the size of a chunk, that are too large before they are complete."""
+        if len(self.parser.trailing_data[0]) > self.server.limits.header_bytes:
+            self._reject(_HEADERS_TOO_LARGE)
+
     def _add_body(self, chunk: bytes) -> bool:
         self.incoming.body.append(chunk)
         self.incoming.size += len(chunk)
