Reports hold names of bounded length, and unknown services are bounded

What could be seen: heartbeats of other writers were acknowledged with texts of up to 64 kB, with line breaks, NUL and names that no header carries; the leader passes all of them to all gateways. Cause: each entry was checked for what can be encoded, not for what a name may be, and nothing bounded their sum: 6,000 of them made a reply of 10 MB (texts of 256) or 541 MB (of 15,000) to each gateway that connects, which has 1.5 s for it. Change: texts of reports and names in paths are bounded where they are decoded (255 characters, no control characters; names in paths visible ASCII). Once a directory has 2,048 servers, new ones of services that no document names are refused with a finding. Why it works: a reply can't exceed 2,048 entries of at most 1.7 kB beside the servers in use.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -18,6 +18,7 @@
     Leadership,
     NotLeading,
 )
+from ringseam.control.reportadmission import ReportAdmission
 from ringseam.control.state import MAX_RETIRED_BACKENDS
 from ringseam.control.zonedraining import ZoneDrainService
 from ringseam.events import Event
@@ -112,6 +113,7 @@
         #: When this replica last began to lead.
         self.leading_since: float = 0
         self.directory = self._new_directory()
+        self.admission = ReportAdmission()
         self.change_event = asyncio.Event()
         self.quarantining = QuarantineService(
             node=node,
@@ -133,6 +135,7 @@
             return
         if state.number > self.state.number:
             self.documents.history.add(state.number, state.document)
+            self.admission.follow(state.document)
         if state.retired != self.state.retired:
             self.retired = EndedLifetimes(capacity=MAX_RETIRED_BACKENDS)
             for backend in state.retired:
@@ -231,7 +234,9 @@
         if not self.leadership.can_serve:
             return self.redirect
         if not _is_encodable(report):
-            return ReportRejected()
+            return ReportRejected(reason='it holds what no message can carry')
+        if not self.admission.admits(report, self.directory):
+            return ReportRejected(reason='too many servers of services that no document names')
         if not start_ms_of(report.instance):
             identified = self.directory.with_lifetime(report, self.node.clock.wall_ms())
             if identified is None:
--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -152,7 +152,7 @@
         if isinstance(reply, ReportAccepted):
             await exchange.respond(_OK, [_JSON], encode_report_reply(reply.report_to))
         elif isinstance(reply, ReportRejected):
-            await self._refuse_report(exchange, name, 'its server tells when it started')
+            await self._refuse_report(exchange, name, reply.reason)
         else:
             await exchange.respond(_UNAVAILABLE, [])
 
--- a/ringseam/followmessages.py
+++ b/ringseam/followmessages.py
@@ -102,8 +102,10 @@
     report_to: str = ''
 
 
-class ReportRejected(Tagged, frozen=True, kw_only=True, tag='ReportForeign'):
-    """The report was ignored: it isn't from the server that it names."""
+class ReportRejected(Tagged, frozen=True, kw_only=True, omit_defaults=True, tag='ReportForeign'):
+    """The report was ignored."""
+
+    reason: str = 'its server tells when it started'
 
 
 class ReportBackendReply(Message, frozen=True, kw_only=True):
--- a/ringseam/platform/registration.py
+++ b/ringseam/platform/registration.py
@@ -12,6 +12,7 @@
 from ringseam.routes import ServiceName
 from ringseam.util.bounds import NonNegativeFloat, NonNegativeInt
 from ringseam.util.jsonbody import decode_strictly
+from ringseam.util.names import checked_name, checked_segment
 
 READY_PATH = '/api/ready'
 CONFIG_PATH = '/api/config'
@@ -59,15 +60,13 @@
     """
     report = decode_strictly(body, _Report)
     return BackendReport(
-        instance=backend_id(name, report.born),
-        service=ServiceName(report.service),
+        instance=backend_id(checked_segment(name), report.born),
+        service=ServiceName(checked_name(report.service, field='service')),
         address=checked_address(report.addr),
-        zone=report.zone,
-        software=report.version,
+        zone=checked_name(report.zone, field='zone', may_be_empty=True),
+        software=checked_name(report.version, field='version', may_be_empty=True),
         slots=max(1, report.slots),
-        state=BackendState.draining
-        if report.state is _ReportedState.draining
-        else BackendState.ready,
+        state=BackendState(report.state.value),
         cold_left_s=report.cold_left_ms / _MS_PER_S,
         sequence=report.seq,
     )
@@ -79,7 +78,7 @@
     :raises ValueError: if the body is not empty and not a valid deregistration.
     """
     departure = decode_strictly(body, _Departure) if body else _Departure()
-    return departure_report(backend_id(name, departure.born))
+    return departure_report(backend_id(checked_segment(name), departure.born))
 
 
 def encode_report_reply(report_to: str) -> bytes:
--- a/ringseam/routevalidation.py
+++ b/ringseam/routevalidation.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ringseam.errors import Finding, FindingsError
+from ringseam.util.names import has_control_characters
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
@@ -14,10 +14,6 @@
     from ringseam.routes import Account, Route, RouteTable, ServiceName
 
 
-#: Control characters, which no header value contains (RFC 9110, 5.5).
-_CONTROL_CHARACTER = re.compile(r'[\x00-\x1f\x7f]')
-
-
 def validated(table: RouteTable, *, path: str) -> RouteTable:
     """Validate a table and return it without targets of weight 0.
 
@@ -81,5 +77,5 @@
 def _account_name_errors(accounts: tuple[Account, ...]) -> Iterator[tuple[str, str]]:
     """Yield the accounts whose names can't be sent to backend servers in a header."""
     for account in accounts:
-        if _CONTROL_CHARACTER.search(account.name):
+        if has_control_characters(account.name):
             yield repr(account.name), 'the name has control characters'
--- a/tests/test_control/test_control_acceptedinput.py
+++ b/tests/test_control/test_control_acceptedinput.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -11,7 +12,7 @@
 
 from ringseam.backends import BackendId, BackendReport, BackendState, GatewayState
 from ringseam.commands import DocumentPut, DrainZone, PutDocument, RetireBackend
-from ringseam.control.follow import FollowService
+from ringseam.control.follow import FollowedState, FollowService
 from ringseam.control.raftlog import EntryKind, LogEntry
 from ringseam.control.replicamessages import Leadership, NotLeading, Propose
 from ringseam.control.state import StateMachine, encode_command
@@ -41,6 +42,10 @@
     'timeout_ms': 1,
     'service': 's',
 }
+DOCUMENT = {'version': 1, 'routes': [ROUTE], 'services': [SERVICE]}
+#: What a host with a link of 100 Mbit/s sends in half a second, a quarter of the time in which a
+#: document has to be in force.
+MAX_REPLY_BYTES = 6_250_000
 ROUTE_FIELDS = (*ROUTE, 'slo_ms', 'priority', 'max_attempts', 'gap_aim_ms', 'sticky')
 SERVICE_FIELDS = ('health_path', 'max_conns', 'cold_s', 'cold_per_s')
 PIECES_FIELDS = ('slots', 'queue', 'batch', 'call_ms', 'item_ms', 'room_mb', 'handle_s')
@@ -183,6 +188,31 @@
     assert isinstance(reply.sent, DocumentPut)
 
 
+def many_reports(count, size):
+    """Return reports of many servers with texts as large as are accepted, at most ``size``."""
+    for number in range(count):
+        body = {'service': f'{number:x}'.rjust(size, 's'), 'addr': '1.2.3.4:5', 'seq': 1}
+        body |= {'zone': size * 'z', 'version': size * 'v'}
+        with contextlib.suppress(ValueError):
+            yield decode_report(f'{number}'.rjust(size, 'n'), json.dumps(body).encode())
+
+
+# Fault: bounds on one report were none on their sum, which each new gateway gets in one reply.
+@pytest.mark.parametrize('size', [255, 256, 15_000])
+def test_reports_of_many_writers_leave_replies_to_gateways_small(size):
+    async def run():
+        service = new_service()
+        service.update_state(FollowedState(number=1, document=json.dumps(DOCUMENT).encode()))
+        for odd in many_reports(6000, size):
+            await service.accept_report(odd)
+        await service.accept_report(decode_report('i-1', json.dumps(REPORT).encode()))
+        return await watch(service)
+
+    reply = asyncio.run(run())
+    assert len(AuthenticatedCodec(node=new_node()).encode(reply, WatchReply)) < MAX_REPLY_BYTES
+    assert any(known.service == 's' for known in reply.reply.reports)
+
+
 # Fault: one report that can't be encoded kept all gateways from hearing of the others.
 def test_report_that_cannot_be_encoded_harms_no_other():
     def report(name, service):
