Responses without end are bounded, and their servers rest

Seen by callers (tests, stand-in servers in threads; 12 callers, one bad server of three, and 4 callers of another service): with bodies without end 38 to 60 of 50 to 70 requests of the service were served; callers of the other service waited 1.4 s beside an endless refusal; 1.7 GB were held. Cause: a connection to a server was read whether or not anybody took what came; informational responses were counted nowhere; collected bodies had no bound; the body of a refusal was awaited though its head says all; what came was parsed in one turn of the event loop. Reading stops at 4 MiB that wait for their reader, parsing yields after 256 parts, a server over a bound loses its connection and rests, and its request goes on elsewhere if it may be repeated. Why it works: each of the bounds is per connection, and the first one that is passed ends the use of the server at this gateway for a while, so the sum stays small. Not covered: dripped bytes, streams, stages, several bad servers, callers and peers.

--- a/ringseam/gateway/following/serverwords.py
+++ b/ringseam/gateway/following/serverwords.py
@@ -95,6 +95,13 @@
         self.metrics.put('servers_leaving', len(self.leaving))
         self.metrics.put('servers_interfered', len(self.speeds.reports.interfered))
 
+    def record_endless(self, instance: BackendId, request: str, detail: str) -> None:
+        """Record a response of which a server has sent more than a response can hold."""
+        self.metrics.add('responses_endless')
+        self.node.events.emit(
+            logger, Event.response_endless, backend=instance, request=request, detail=detail
+        )
+
     # -- helpers ------------------------------------------------------------
 
     def _record_load(self, instance: BackendId, metadata: ResponseMetadata) -> None:
--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import types
 from typing import TYPE_CHECKING
 
@@ -18,7 +19,11 @@
 from ringseam.gateway.requests.serverattempt import ServerAttempt
 from ringseam.gateway.requests.serverselection import ServerSelector
 from ringseam.lifetimes import name_of
-from ringseam.web.client import ChannelError
+from ringseam.web.client import (
+    MAX_UNDECLARED_BODY_BYTES,
+    ChannelError,
+    EndlessResponseError,
+)
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -32,6 +37,8 @@
     from ringseam.gateway.stages.graph import StageRun
     from ringseam.node import Node
     from ringseam.retries import RetryPolicy
+    from ringseam.web.client import ResponseHead
+
 
 logger = logging.getLogger(__name__)
 
@@ -303,7 +310,13 @@
         context.exchange.source = answered.channel
         try:
             async with asyncio.timeout(max(0, context.deadline - self.clock.now())):
-                body = await answered.channel.read_body()
+                body = await answered.channel.read_body(max_bytes=_max_body_bytes(answered.head))
+        except EndlessResponseError as error:
+            self.sender.notices.record_endless(
+                server.instance, context.request.attempt_id, str(error)
+            )
+            self.health.record_failure(server.instance, self.clock.now(), hard=True)
+            return Lost(cause=LossCause.broken, detail=str(error))
         except ChannelError as error:
             self._record_server_failure(context, server)
             return Lost(cause=LossCause.broken, detail=f'{server.address}: {error}')
@@ -415,3 +428,8 @@
             route=context.route.name,
             context=context,
         )
+
+
+def _max_body_bytes(head: ResponseHead) -> float:
+    """Return how large a body may be that is collected before it is forwarded."""
+    return math.inf if head.header('Content-Length') else MAX_UNDECLARED_BODY_BYTES
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -13,7 +13,11 @@
 from ringseam.gateway.requests.balancing import USUAL_REQUEST_S
 from ringseam.platform.requests import decode_response_metadata, encode_call_headers
 from ringseam.web.bodies import end_to_end_headers
-from ringseam.web.client import ChannelError
+from ringseam.web.client import (
+    MAX_UNDECLARED_BODY_BYTES,
+    ChannelError,
+    EndlessResponseError,
+)
 from ringseam.web.pool import BusyError
 
 if TYPE_CHECKING:
@@ -34,6 +38,9 @@
 CONNECT_TIMEOUT_S = 0.4
 #: Number of responses to other requests that are skipped on one connection.
 _MAX_STRAY_RESPONSES = 2
+#: A refusal needs no body. One that is larger, or takes longer, costs its connection; seconds.
+_MAX_REFUSAL_BYTES = 65_536
+_REFUSAL_BODY_S = 0.2
 
 
 class Sender:
@@ -130,6 +137,10 @@
             return Lost(
                 cause=LossCause.timeout, detail=f'{server.address}: no response before the deadline'
             )
+        except EndlessResponseError as error:
+            self.notices.record_endless(server.instance, context.request.attempt_id, str(error))
+            self.health.record_failure(server.instance, self.clock.now(), hard=True)
+            return Lost(cause=LossCause.connection, detail=str(error))
         except ChannelError as error:
             self._record_connection_loss(channel, server)
             if not error.sent:
@@ -153,7 +164,7 @@
             if metadata.attempt_id in {'', context.request.attempt_id}:
                 break
             # A response to an earlier request on this connection.
-            await channel.read_body()
+            await channel.read_body(max_bytes=MAX_UNDECLARED_BODY_BYTES)
             channel.skip_response()
         self.silence.data_received(
             server.instance, metadata.attempt_id, self.clock.now(), event=False
@@ -164,7 +175,7 @@
         if metadata.load is not None:
             self._record_load(server, metadata.load.running, metadata.load.waiting)
         if metadata.not_run:
-            await self._discard_body(channel)
+            await self._discard_body(channel, server, context)
             return NotRun(
                 detail=f'{server.address}: refused with {head.status}',
                 refused_by_server=True,
@@ -222,11 +233,21 @@
             now=now,
         )
 
-    async def _discard_body(self, channel: HttpChannel) -> None:
+    async def _discard_body(
+        self, channel: HttpChannel, server: BackendReport, context: RequestContext
+    ) -> None:
+        """Read the body of a refusal, so that the connection can be used again.
+
+        What the refusal means is known by its head; a body that doesn't come is not awaited.
+        """
         try:
-            await channel.read_body()
-        except ChannelError as error:
-            logger.debug('connection failed while reading a refusal: %s', error)
+            async with asyncio.timeout(_REFUSAL_BODY_S):
+                await channel.read_body(max_bytes=_MAX_REFUSAL_BYTES)
+        except EndlessResponseError as error:
+            self.notices.record_endless(server.instance, context.request.attempt_id, str(error))
+            self.health.record_failure(server.instance, self.clock.now(), hard=True)
+        except (ChannelError, asyncio.TimeoutError) as error:
+            logger.debug('body of a refusal not read: %s', error)
             channel.close()
 
     def _release_channel(self, channel: HttpChannel, outcome: TryOutcome | None) -> None:
--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -24,7 +24,7 @@
     encode_piece_requests,
     encode_release,
 )
-from ringseam.web.client import ChannelError
+from ringseam.web.client import ChannelError, EndlessResponseError
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendId
@@ -46,6 +46,8 @@
 _MAX_FOREIGN_RESPONSES = 2
 #: Number of results that are remembered for a connection: those of several calls.
 _KNOWN_HANDLES = 256
+#: Maximum size of a response: the results of a batch have some hundred bytes each.
+_MAX_BODY_BYTES = 1_048_576
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -117,6 +119,9 @@
         try:
             await channel.send('POST', path, headers, body)
             head, answer = await self._read_response(channel, instance, call_id, path)
+        except EndlessResponseError as error:
+            self.notices.record_endless(instance, call_id, str(error))
+            raise
         except BaseException:
             channel.close()
             raise
@@ -140,7 +145,7 @@
         """
         for _ in range(_MAX_FOREIGN_RESPONSES + 1):
             head = await channel.read_head()
-            body = await channel.read_body()
+            body = await channel.read_body(max_bytes=_MAX_BODY_BYTES)
             metadata = decode_response_metadata(head)
             if metadata.attempt_id == call_id:
                 return head, body
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -6,6 +6,7 @@
 import collections
 import contextlib
 import logging
+import math
 import re
 import socket
 from dataclasses import dataclass
@@ -25,6 +26,19 @@
 _EVENT_BYTES = 200
 #: Maximum size of the status line and headers of a response.
 _MAX_HEAD_BYTES = 65_536
+#: Maximum number of informational responses (1xx) before the final one.
+_MAX_INFORMATIONAL = 16
+#: Parsed parts of a response that wait for their reader, and what comes after a complete
+#: response, bytes; above, the connection is no longer read.
+_MAX_QUEUED_BYTES = 4_194_304
+#: Parts of a response that are parsed before other connections have their turn; a part takes
+#: about 15 us.
+_PARTS_PER_TURN = 256
+#: What each part of a body counts beside its data, bytes: the time to parse it is that of about
+#: as many bytes.
+_PART_COST_BYTES = 1024
+#: Maximum size of a body that is collected and whose length isn't declared.
+MAX_UNDECLARED_BODY_BYTES = 8_388_608
 #: Time after which unacknowledged data breaks a connection (TCP user timeout, RFC 5482): a sound
 #: server may stop to read for up to 3 s.
 _USER_TIMEOUT_MS = 4000
@@ -52,6 +66,10 @@
         self.sent = sent
 
 
+class EndlessResponseError(ChannelError):
+    """A backend server has sent more than a response can hold."""
+
+
 class RefusedError(ChannelError):
     """The host is up but refused the connection: no process listens at the address."""
 
@@ -86,6 +104,16 @@
         self.events: collections.deque[object] = collections.deque()
         self.event_available = asyncio.Event()
         self.failure = ''
+        #: Whether the failure is that the server sent more than a response can hold.
+        self.is_endless = False
+        #: Size of the parsed parts that wait for their reader.
+        self.queued_bytes = 0
+        #: Whether the parser may hold further parts.
+        self.has_unparsed = False
+        self.is_parsing_scheduled = False
+        self.informational_count = 0
+        #: Bytes that came after a complete response.
+        self.surplus_bytes = 0
         self.request_sent = False
         self.request_count = 0
         self.idle_timeout_s = float('inf')
@@ -95,6 +123,7 @@
         #: Bytes of the response that are not read yet, and of the request that are not sent.
         self.spooled_bytes = 0
         self.unsent_bytes = 0
+        self.has_stopped_counting = False
         #: Called with each change of the bytes held, of the response and of the request.
         self.count_response: Callable[[int], None] = _count_nothing
         self.count_request: Callable[[int], None] = _count_nothing
@@ -120,6 +149,7 @@
             self.close()
             return
         self._parse(chunk)
+        self._limit_surplus(len(chunk))
 
     def eof_received(self) -> bool:
         """Let the parser decide whether the response is complete."""
@@ -168,8 +198,6 @@
         :raises ChannelError: if none arrives.
         """
         event = await self._next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._next_event()
         self._count_unsent(0)
         if not isinstance(event, h11.Response):
             raise ChannelError(f'{self.address}: no response', sent=True)
@@ -196,12 +224,14 @@
             return None
         raise ChannelError(f'{self.address}: incomplete response', sent=True)
 
-    async def read_body(self) -> bytes:
+    async def read_body(self, *, max_bytes: float = math.inf) -> bytes:
         """Read the rest of the body.
 
         :raises ChannelError: if the response is incomplete.
+        :param max_bytes: its bound; each part counts as 1,024 bytes beside its data.
+        :raises EndlessResponseError: if it has more.
         """
-        parts = []
+        parts: list[bytes] = []
         size = 0
         try:
             chunk = await self.read_chunk()
@@ -209,6 +239,8 @@
                 parts.append(chunk)
                 size += len(chunk)
                 self._count_spooled(len(chunk))
+                if size + _PART_COST_BYTES * len(parts) > max_bytes:
+                    raise self._endless(f'a body of {size} bytes in {len(parts)} parts')
                 chunk = await self.read_chunk()
         finally:
             self._count_spooled(-size)
@@ -224,11 +256,13 @@
         self.parser.send(h11.EndOfMessage())
         self._count_spooled(-sum(map(_size_of, self.events)))
         self.events.clear()
+        self._start_response()
         self._parse(bytes(unparsed), allow_empty=False)
 
     def close(self) -> None:
         """Abort the connection, so that the server cancels the request."""
         self.reusable = False
+        self.has_unparsed = False
         self._stop_counting()
         if self.transport is not None:
             self.transport.abort()
@@ -239,6 +273,7 @@
         if not (self.is_open and done) or self.parser.trailing_data[0] or self.events:
             return False
         self.parser.start_next_cycle()
+        self._start_response()
         self.request_sent = False
         self.event_available.clear()
         return True
@@ -255,27 +290,110 @@
             self._fail(f'invalid response: {error}')
             self.close()
 
+    def _start_response(self) -> None:
+        """Reset what is counted for one response, and read again."""
+        self.queued_bytes = 0
+        self.informational_count = 0
+        self.surplus_bytes = 0
+        self.has_unparsed = False
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     def _queue_events(self) -> None:
-        event = self.parser.next_event()
-        while isinstance(event, _RESPONSE_EVENTS):
-            self.events.append(event)
-            self._count_spooled(_size_of(event))
-            self.event_available.set()
-            if isinstance(event, h11.EndOfMessage):
-                break
+        """Parse what is received, as far as the queue and the turn of the connection allow.
+
+        :raises h11.RemoteProtocolError: if it is no response.
+        """
+        self.has_unparsed = not self._queue_some_events()
+        if self.transport is None:
+            return
+        if self.has_unparsed:
+            self.transport.pause_reading()
+            self._schedule_parsing()
+        elif self.surplus_bytes <= _MAX_QUEUED_BYTES:
+            self.transport.resume_reading()
+
+    def _queue_some_events(self) -> bool:
+        """Queue parsed parts; return whether there are no others until more is received."""
+        for _ in range(_PARTS_PER_TURN):
+            if self._is_queue_full:
+                return False
             event = self.parser.next_event()
+            if isinstance(event, h11.InformationalResponse):
+                self._count_informational()
+            elif isinstance(event, _RESPONSE_EVENTS):
+                self._queue_event(event)
+            else:
+                return True
+            if self.is_endless or isinstance(event, h11.EndOfMessage):
+                return True
+        return False
+
+    def _queue_event(self, event: object) -> None:
+        size = _size_of(event)
+        self.events.append(event)
+        self.queued_bytes += size
+        self._count_spooled(size)
+        self.event_available.set()
+
+    def _schedule_parsing(self) -> None:
+        """Parse the rest after other connections have had their turn."""
+        if self.has_unparsed and not (self._is_queue_full or self.is_parsing_scheduled):
+            self.is_parsing_scheduled = True
+            asyncio.get_running_loop().call_soon(self._parse_rest)
+
+    def _parse_rest(self) -> None:
+        self.is_parsing_scheduled = False
+        if not self.has_unparsed:
+            return
+        try:
+            self._queue_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(f'invalid response: {error}')
+            self.close()
+        if self.failure and not self.has_unparsed:
+            self.event_available.set()
+
+    @property
+    def _is_queue_full(self) -> bool:
+        return self.queued_bytes >= _MAX_QUEUED_BYTES
+
+    def _count_informational(self) -> None:
+        self.informational_count += 1
+        if self.informational_count > _MAX_INFORMATIONAL:
+            self._endless(f'over {_MAX_INFORMATIONAL} informational responses')
+
+    def _limit_surplus(self, size: int) -> None:
+        """Stop to read what comes after a complete response once there is much of it."""
+        if self.parser.their_state in {h11.DONE, h11.MUST_CLOSE} and self.transport is not None:
+            self.surplus_bytes += size
+            if self.surplus_bytes > _MAX_QUEUED_BYTES:
+                self.transport.pause_reading()
+
+    def _endless(self, detail: str) -> EndlessResponseError:
+        """Close the connection of a server that sends without end; return the error."""
+        self.is_endless = True
+        self._fail(detail)
+        self.close()
+        return EndlessResponseError(f'{self.address}: {detail}', sent=True)
 
     async def _next_event(self) -> object:
         while not self.events:
-            if self.failure:
-                raise ChannelError(f'{self.address}: {self.failure}', sent=self.request_sent)
+            if self.failure and not self.has_unparsed:
+                error_type = EndlessResponseError if self.is_endless else ChannelError
+                raise error_type(f'{self.address}: {self.failure}', sent=self.request_sent)
             self.event_available.clear()
             await self.event_available.wait()
         event = self.events.popleft()
-        self._count_spooled(-_size_of(event))
+        size = _size_of(event)
+        self._count_spooled(-size)
+        self.queued_bytes -= size
+        self._schedule_parsing()
         return event
 
     def _count_spooled(self, change: int) -> None:
+        if self.has_stopped_counting:
+            return
         self.spooled_bytes += change
         self.count_response(change)
 
@@ -283,6 +401,7 @@
         """Count what is held as released: a reader drops it soon."""
         self._count_unsent(0)
         self._count_spooled(-self.spooled_bytes)
+        self.has_stopped_counting = True
         self.count_response = _count_nothing
         self.count_request = _count_nothing
 
@@ -330,4 +449,4 @@
 )
 
 
-_RESPONSE_EVENTS = (h11.InformationalResponse, h11.Response, h11.Data, h11.EndOfMessage)
+_RESPONSE_EVENTS = (h11.Response, h11.Data, h11.EndOfMessage)
--- a/tests/test_gateway/test_stages/test_stages_calls.py
+++ b/tests/test_gateway/test_stages/test_stages_calls.py
@@ -44,7 +44,7 @@
         self.clock.advance(CALL_S)
         return ResponseHead(status=200, headers=[])
 
-    async def read_body(self):
+    async def read_body(self, *, max_bytes):
         return encode_results([])
 
     def release(self, channel):
