Connections count and pause with less work for each part of a response

Cause: the flow control of connections to servers cost 120 us of 1,170 us for reading a stream of 60 events, and 3 us of 120 us for a plain response. Change: flags in place of calls for each part; the transport is told only of changes.

--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -112,8 +112,11 @@
         self.has_unparsed = False
         self.is_parsing_scheduled = False
         self.informational_count = 0
-        #: Bytes that came after a complete response.
+        #: Whether the end of the response has been parsed, and the bytes that came after it.
+        self.is_whole = False
         self.surplus_bytes = 0
+        #: Whether the transport has been told not to read.
+        self.is_paused = False
         self.request_sent = False
         self.request_count = 0
         self.idle_timeout_s = float('inf')
@@ -149,7 +152,8 @@
             self.close()
             return
         self._parse(chunk)
-        self._limit_surplus(len(chunk))
+        if self.is_whole:
+            self._limit_surplus(len(chunk))
 
     def eof_received(self) -> bool:
         """Let the parser decide whether the response is complete."""
@@ -294,10 +298,10 @@
         """Reset what is counted for one response, and read again."""
         self.queued_bytes = 0
         self.informational_count = 0
+        self.is_whole = False
         self.surplus_bytes = 0
         self.has_unparsed = False
-        if self.transport is not None:
-            self.transport.resume_reading()
+        self._read_again()
 
     def _queue_events(self) -> None:
         """Parse what is received, as far as the queue and the turn of the connection allow.
@@ -305,40 +309,47 @@
         :raises h11.RemoteProtocolError: if it is no response.
         """
         self.has_unparsed = not self._queue_some_events()
-        if self.transport is None:
-            return
         if self.has_unparsed:
-            self.transport.pause_reading()
+            self._stop_reading()
             self._schedule_parsing()
-        elif self.surplus_bytes <= _MAX_QUEUED_BYTES:
-            self.transport.resume_reading()
+        elif self.is_paused and self.surplus_bytes <= _MAX_QUEUED_BYTES:
+            self._read_again()
 
     def _queue_some_events(self) -> bool:
         """Queue parsed parts; return whether there are no others until more is received."""
         for _ in range(_PARTS_PER_TURN):
-            if self._is_queue_full:
+            if self.queued_bytes >= _MAX_QUEUED_BYTES:
                 return False
             event = self.parser.next_event()
-            if isinstance(event, h11.InformationalResponse):
+            if isinstance(event, _RESPONSE_EVENTS):
+                size = _size_of(event)
+                self.events.append(event)
+                self.queued_bytes += size
+                self._count_spooled(size)
+                self.event_available.set()
+                self.is_whole = isinstance(event, h11.EndOfMessage)
+            elif isinstance(event, h11.InformationalResponse):
                 self._count_informational()
-            elif isinstance(event, _RESPONSE_EVENTS):
-                self._queue_event(event)
             else:
                 return True
-            if self.is_endless or isinstance(event, h11.EndOfMessage):
+            if self.is_whole or self.is_endless:
                 return True
         return False
 
-    def _queue_event(self, event: object) -> None:
-        size = _size_of(event)
-        self.events.append(event)
-        self.queued_bytes += size
-        self._count_spooled(size)
-        self.event_available.set()
+    def _stop_reading(self) -> None:
+        if self.transport is not None:
+            self.is_paused = True
+            self.transport.pause_reading()
+
+    def _read_again(self) -> None:
+        if self.is_paused and self.transport is not None:
+            self.is_paused = False
+            self.transport.resume_reading()
 
     def _schedule_parsing(self) -> None:
         """Parse the rest after other connections have had their turn."""
-        if self.has_unparsed and not (self._is_queue_full or self.is_parsing_scheduled):
+        is_full = self.queued_bytes >= _MAX_QUEUED_BYTES
+        if self.has_unparsed and not (is_full or self.is_parsing_scheduled):
             self.is_parsing_scheduled = True
             asyncio.get_running_loop().call_soon(self._parse_rest)
 
@@ -354,10 +365,6 @@
         if self.failure and not self.has_unparsed:
             self.event_available.set()
 
-    @property
-    def _is_queue_full(self) -> bool:
-        return self.queued_bytes >= _MAX_QUEUED_BYTES
-
     def _count_informational(self) -> None:
         self.informational_count += 1
         if self.informational_count > _MAX_INFORMATIONAL:
@@ -365,10 +372,9 @@
 
     def _limit_surplus(self, size: int) -> None:
         """Stop to read what comes after a complete response once there is much of it."""
-        if self.parser.their_state in {h11.DONE, h11.MUST_CLOSE} and self.transport is not None:
-            self.surplus_bytes += size
-            if self.surplus_bytes > _MAX_QUEUED_BYTES:
-                self.transport.pause_reading()
+        self.surplus_bytes += size
+        if self.surplus_bytes > _MAX_QUEUED_BYTES:
+            self._stop_reading()
 
     def _endless(self, detail: str) -> EndlessResponseError:
         """Close the connection of a server that sends without end; return the error."""
@@ -388,7 +394,8 @@
         size = _size_of(event)
         self._count_spooled(-size)
         self.queued_bytes -= size
-        self._schedule_parsing()
+        if self.has_unparsed:
+            self._schedule_parsing()
         return event
 
     def _count_spooled(self, change: int) -> None:
