--- a/tests/endlessservers.py
+++ b/tests/endlessservers.py
@@ -2,14 +2,30 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import itertools
+import json
 import socket
 import threading
 import time
 from dataclasses import dataclass
 
+from tests.gateways import http_response, manifest
+
 HEAD = b'HTTP/1.1 %s\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\n%s\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n'
+CALLERS = 12
+CALLERS_BESIDE = 4
+DURATION_S = 3.0
+PAUSE_S = 0.1
+#: The longest time for a caller of another service, seconds.
+MAX_BESIDE_S = 0.5
+MIN_SERVED_SHARE = 0.95
+#: Requests that one server may get before it rests: those in flight at the same time.
+MAX_BAD_REQUESTS = 3 * CALLERS
+#: What a gateway may hold for one such server, bytes.
+MAX_HELD_BYTES = 64_000_000
 #: How much is sent at a time, bytes.
 _PART_BYTES = 65_536
 
@@ -93,3 +109,56 @@
                 connection.sendall(part)
                 self.sent_bytes += len(part)
                 time.sleep(self.form.pause_s)
+
+
+async def respond(request, writer):
+    """Serve a request, as the script of a sound server."""
+    writer.write(http_response(request))
+
+
+def two_services() -> bytes:
+    """Return a document with a second service, ``beside``."""
+    document = json.loads(manifest())
+    idempotent = next(route for route in document['routes'] if route['name'] == 'idem')
+    beside = {'name': 'beside', 'path_prefix': '/beside/', 'service': 'beside'}
+    document['routes'].append(idempotent | beside)
+    document['services'].append({'name': 'beside', 'max_conns': 10})
+    return json.dumps(document).encode()
+
+
+async def call_repeatedly(gateway, path, caller, until, **headers):
+    """Return the status and the duration of each request of one caller, seconds."""
+    outcomes = []
+    while time.monotonic() < until:
+        started = time.monotonic()
+        attempt = f'{caller}-{len(outcomes)}'
+        status, _ = await gateway.fetch(path, read_s=6, Attempt_Id=attempt, **headers)
+        outcomes.append((status, time.monotonic() - started))
+        await asyncio.sleep(PAUSE_S)
+    return outcomes
+
+
+async def run_callers(gateway, path, **headers):
+    """Return the outcomes of the callers of one service, and of those beside them."""
+    until = time.monotonic() + DURATION_S
+    own = [
+        call_repeatedly(gateway, path, f'o{number}', until, **headers) for number in range(CALLERS)
+    ]
+    beside = [
+        call_repeatedly(gateway, '/beside/x', f'b{number}', until)
+        for number in range(CALLERS_BESIDE)
+    ]
+    outcomes = await asyncio.gather(*own, *beside)
+    by_service = outcomes[:CALLERS], outcomes[CALLERS:]
+    return tuple(list(itertools.chain.from_iterable(some)) for some in by_service)
+
+
+def assert_harmless(outcomes, bad, gateway):
+    """Check that one bad server cost hardly anybody an answer, and got few requests."""
+    own, beside = outcomes
+    assert {status for status, _ in beside} == {200}
+    assert max(duration_s for _, duration_s in beside) < MAX_BESIDE_S
+    assert 0 not in {status for status, _ in own}
+    assert sum(status == 200 for status, _ in own) >= MIN_SERVED_SHARE * len(own)
+    assert bad.requests <= MAX_BAD_REQUESTS
+    assert gateway.role.host.budget.largest < MAX_HELD_BYTES
