Pieces are tried again on new connections

Seen by callers: 503 for requests with stages, where stage servers that echo no ids repeat responses late. Cause: a call on a kept connection may meet the response to an earlier call and fails; its retry took another idle connection, which may hold such a response too, until the three tries of a piece were used up. Change: a retry opens a connection, which holds no earlier response.

--- a/ringseam/gateway/stages/calls.py
+++ b/ringseam/gateway/stages/calls.py
@@ -90,7 +90,11 @@
         ]
         server = call.server
         body, duration_s = await self._post(
-            server.address, server.instance, RUN_PATH, encode_piece_requests(orders)
+            server.address,
+            server.instance,
+            RUN_PATH,
+            encode_piece_requests(orders),
+            is_retry=any(piece.tries for piece in call.pieces),
         )
         self.notices.speeds.observe(
             server.service,
@@ -109,10 +113,19 @@
         await self._post(address, instance, RELEASE_PATH, encode_release(handles))
 
     async def _post(
-        self, address: str, instance: BackendId, path: str, body: bytes
+        self,
+        address: str,
+        instance: BackendId,
+        path: str,
+        body: bytes,
+        *,
+        is_retry: bool = False,
     ) -> tuple[bytes, float]:
-        """Return the body of a response and how long it took, without connecting, seconds."""
-        channel = await self.pool.acquire(address, timeout_s=_CONNECT_S)
+        """Return the body of a response and how long it took, without connecting, seconds.
+
+        A retry opens a new connection: idle ones may hold responses to other calls.
+        """
+        channel = await self.pool.acquire(address, timeout_s=_CONNECT_S, is_new=is_retry)
         call_id = secrets.token_hex(_CALL_ID_BYTES)
         headers = [*stage_call_headers(instance), attempt_id_header(call_id)]
         sent_at = self.clock.now()
--- a/ringseam/web/pool.py
+++ b/ringseam/web/pool.py
@@ -60,16 +60,19 @@
         timeout_s: float,
         max_open: int | None = None,
         order: tuple[float, ...] = (),
+        is_new: bool = False,
     ) -> HttpChannel:
         """Return an idle connection or open a new one.
 
+        :param is_new: without ``max_open``: open a new one in any case.
         :param max_open: the largest number of connections to ``address``; None: any number.
         :param order: of the requests that wait for one; equal ones are served as they come.
         :raises BusyError: if that many are in use until ``timeout_s``.
         :raises ChannelError: if none can be opened in time.
         """
         if max_open is None:
-            return self._take_idle(address) or await self._open(address, timeout_s)
+            idle = None if is_new else self._take_idle(address)
+            return idle or await self._open(address, timeout_s)
         queue = self.waiting.get(address)
         if queue is not None:
             queue.max_open = max_open
--- a/tests/test_gateway/test_stages/test_stages_calls.py
+++ b/tests/test_gateway/test_stages/test_stages_calls.py
@@ -33,7 +33,7 @@
         self.clock = clock
         self.request_count = 1
 
-    async def acquire(self, address, *, timeout_s):
+    async def acquire(self, address, *, timeout_s, is_new=False):
         self.clock.advance(CONNECT_S)
         return self
 
--- a/tests/test_gateway/test_stages/test_stages_foreignanswers.py
+++ b/tests/test_gateway/test_stages/test_stages_foreignanswers.py
@@ -209,6 +209,19 @@
     assert metrics.counters[series('answers_foreign')] == len(logged)
 
 
+# Fault: the tries of a piece were used up on idle connections with responses to other calls.
+@pytest.mark.parametrize('seed', SEEDS)
+def test_piece_is_tried_again_on_a_new_connection(key_file, seed):
+    async def run():
+        repeating = {'moments': ('at reuse',), 'kinds': ('repeated',), 'share': 1}
+        stages = [FaultyServer(f'{seed}-{n}', echoes=False, **repeating) for n in range(2)]
+        engine = FaultyServer(seed, share=0)
+        responses, _ = await play(key_file, stages, engine, ['/staged/x'])
+        assert_own_answers(responses, engine)
+
+    asyncio.run(run())
+
+
 def test_each_call_to_a_stage_server_has_an_id_of_its_own(key_file):
     async def run():
         crops, engine = FaultyServer(1), FaultyServer(2, share=0)
