--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -33,7 +33,7 @@
 _MAX_QUEUED_BYTES = 4_194_304
 #: Parts of a response that are parsed before other connections have their turn; a part takes
 #: about 15 us.
-_PARTS_PER_TURN = 256
+_PARTS_PER_TURN = 32
 #: What each part of a body counts beside its data, bytes: the time to parse it is that of about
 #: as many bytes.
 _PART_COST_BYTES = 1024
