--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,119 +1,164 @@
-"""A gateway that is asked to stop takes a request on a kept channel and cuts it."""
+"""An event of a stream that never ends makes a gateway grow beyond its memory."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from stand_ins_2 import BOUNDS, Channel, Worker, main, manifest, route, trouble  # noqa: E402
+from stand_ins_2 import Channel, Worker, main, manifest, route, trouble  # noqa: E402
 
-CLIENTS = 6
-#: Events of the first and of the second stream of each client, and their interval, seconds.
-FIRST_EVENTS = 18
-SECOND_EVENTS = 24
-INTERVAL_S = 0.25
-#: The first streams have run for so long when the signal comes, seconds.
-BEFORE_STOP_S = 0.5
-DEADLINE_MS = 15_000
+CLIENTS = 12
+STREAM_CLIENTS = 24
+DURATION_S = 30.0
+#: Time limit of the streams, as that of the site's longest ones.
+STREAM_TIMEOUT_MS = 15_000
+BODY = b'y' * 800
+ALLOWED = 3
+MEMORY_MB = 300
+
+
+class SoundWorker(Worker):
+    async def answer(self, line, headers, body, reader, writer):
+        attempt = headers['attempt-id']
+        self.note_run(attempt)
+        await asyncio.sleep(0.1)
+        writer.write(self.head(attempt, f'Content-Length: {len(BODY)}\r\n') + BODY)
 
 
 class StreamWorker(Worker):
+    is_bad = False
+
     async def answer(self, line, headers, body, reader, writer):
         attempt = headers['attempt-id']
         self.note_run(attempt)
         writer.write(
             self.head(attempt, 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n')
         )
-        for number in range(1, int(body) + 1):
+        if self.is_bad:
+            sent = 0
+            part = b'%x\r\n%s\r\n' % (65536, b'z' * 65536)
+            try:
+                while True:
+                    writer.write(part)
+                    await writer.drain()
+                    sent += 65536
+            finally:
+                self.record.write(self.name, f'{attempt}: the caller closed after {sent} bytes')
+        for number in range(1, 9):
             event = f'id: {number}\ndata: token {number}\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(0.1)
         writer.write(b'0\r\n\r\n')
-        await writer.drain()
-        self.record.write(self.name, f'has finished {attempt}')
 
 
 async def case(record, deploy):
     deployment = deploy(controls=3, gateways=2)
     deployment.start()
-    workers = [StreamWorker(deployment, f'i-talk-{number}', 'talk') for number in (1, 2)]
-    streams = route(
-        'read',
-        'stream',
-        'talk',
-        timeout_ms=DEADLINE_MS,
-        slo_ms=3600,
-        gap_aim_ms=500,
-        max_attempts=1,
-    )
-    await deployment.put_manifest(manifest(1, [streams], ['talk']))
-    for worker in workers:
+    sound = [SoundWorker(deployment, f'i-sound-{number}', 'sound') for number in (1, 2)]
+    talk = [StreamWorker(deployment, f'i-talk-{number}', 'talk') for number in (1, 2, 3)]
+    talk[0].is_bad = trouble()
+    routes = [
+        route('sound', 'idempotent', 'sound', max_attempts=1),
+        route('talk', 'stream', 'talk', timeout_ms=STREAM_TIMEOUT_MS, slo_ms=3600, max_attempts=1),
+    ]
+    await deployment.put_manifest(manifest(1, routes, ['sound', 'talk']))
+    for worker in (*sound, *talk):
         await worker.start()
     await deployment.await_ready()
-    await asyncio.sleep(4)  # contact_ms: every machine is in touch.
-
-    stopped_at = asyncio.get_running_loop().create_future()
-    broken = []
+    await asyncio.sleep(4)
+
+    cut = []
+    served = 0
+    killed = 0
+    slowest = 0.0
+    largest = 0
+    until = record.now() + DURATION_S
+    front = deployment.machines['front-1']
+
+    async def watch_memory():
+        nonlocal killed, largest
+        while True:
+            await asyncio.sleep(0.05)
+            try:
+                text = Path(f'/proc/{front.process.pid}/status').read_text()
+            except OSError:
+                continue
+            found = [line for line in text.splitlines() if line.startswith('VmRSS')]
+            if not found:
+                continue
+            used = int(found[0].split()[1]) // 1024
+            largest = max(largest, used)
+            if used > MEMORY_MB:
+                killed += 1
+                record.write('platform', f'front-1 uses {used} MB of {MEMORY_MB}: killed')
+                front.kill()
+                await asyncio.sleep(0.3)
+                deployment.restart('front-1')
 
     async def client(number):
-        channel = Channel(record, f'client-{number}')
-        await channel.open(deployment.front('front-1'))
-        status, headers, _ = await channel.request(
-            f'c{number}-first', '/read/x', body=str(FIRST_EVENTS).encode(), deadline_ms=DEADLINE_MS
-        )
-        if status != 200 or headers.get('connection', '').lower() == 'close':
-            record.write(channel.name, 'the channel is not kept')
-            channel.close()
-            return
-        sent_at = record.now()
-        attempt = f'c{number}-second'
-        try:
-            await channel.request(
-                attempt, '/read/x', body=str(SECOND_EVENTS).encode(), deadline_ms=DEADLINE_MS
-            )
-        except (asyncio.IncompleteReadError, OSError, ValueError) as error:
-            ended_at = record.now()
-            record.write(channel.name, f'{attempt} ends without a complete answer: {error!r}')
-            was_run = any(attempt in worker.run for worker in workers)
-            if not was_run or not trouble():
-                if not trouble():
-                    broken.append(attempt)
-                return
-            after_s = sent_at - await stopped_at
-            # Excused: sent within 3 s of the signal, or the client's time limit was reached.
-            if after_s > 3 and ended_at - sent_at < DEADLINE_MS / 1000:
-                record.write(
-                    'judge', f'{attempt}: sent {after_s:.2f} s after SIGTERM, run, cut: LOST'
-                )
-                broken.append(attempt)
-        finally:
+        nonlocal served, slowest
+        name = f'client-{number}'
+        channel = Channel(record, name)
+        sent = 0
+        while record.now() < until:
+            sent += 1
+            attempt = f'c{number}-{sent}'
+            try:
+                if channel.writer is None:
+                    channel = Channel(record, name)
+                    await channel.open(deployment.front('front-1'))
+                kept = channel.requests > 0
+            except OSError:
+                await asyncio.sleep(0.3)
+                continue
+            began = record.now()
+            try:
+                status, headers, data = await channel.request(attempt, '/sound/x')
+            except (asyncio.IncompleteReadError, OSError) as error:
+                was_run = any(attempt in worker.run for worker in sound)
+                record.write(name, f'{attempt} ends without an answer: {error!r}')
+                if kept and was_run:
+                    record.write('judge', f'{attempt}: kept channel, sound worker, no answer: LOST')
+                    cut.append(attempt)
+                channel.close()
+                channel = Channel(record, name)
+                continue
+            slowest = max(slowest, record.now() - began)
+            served += status == 200 and data == BODY
+            if status == 503:
+                await asyncio.sleep(float(headers.get('retry-after', '0.3')))
+        channel.close()
+
+    async def stream_client(number):
+        sent = 0
+        while record.now() < until:
+            sent += 1
+            channel = Channel(record, f'stream-client-{number}')
+            try:
+                await channel.open(deployment.front('front-1'))
+                await channel.request(f's{number}-{sent}', '/talk/x', deadline_ms=STREAM_TIMEOUT_MS)
+            except (asyncio.IncompleteReadError, OSError, ValueError) as error:
+                record.write(channel.name, f's{number}-{sent} ends without an answer: {error!r}')
             channel.close()
+            await asyncio.sleep(0.5)
 
-    clients = [asyncio.ensure_future(client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(BEFORE_STOP_S)
-    if trouble():
-        deployment.machines['front-1'].signal(signal.SIGTERM)
-        stopped_at.set_result(record.now())
-        record.write('platform', f'SIGTERM to front-1; SIGKILL after {BOUNDS["grace_s"]} s')
-
-        def end():
-            if deployment.machines['front-1'].process.poll() is None:
-                record.write('platform', 'SIGKILL to front-1')
-                deployment.machines['front-1'].kill()
-            else:
-                record.write('platform', 'front-1 has ended')
-
-        asyncio.get_running_loop().call_later(BOUNDS['grace_s'], end)
-    await asyncio.gather(*clients)
-    await asyncio.sleep(1)
-    record.write('judge', f'{len(broken)} requests lost: {", ".join(broken)}')
-    return bool(broken)
+    watcher = asyncio.ensure_future(watch_memory())
+    await asyncio.gather(
+        *(client(number) for number in range(CLIENTS)),
+        *(stream_client(number) for number in range(STREAM_CLIENTS)),
+    )
+    watcher.cancel()
+    record.write(
+        'judge',
+        f'{served} served, {len(cut)} cut, killed {killed} times, slowest {slowest:.2f} s, '
+        f'largest {largest} MB',
+    )
+    return len(cut) > (ALLOWED if trouble() else 0)
 
 
 main(case, HERE)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -35,6 +35,7 @@
 }
 HEARTBEAT_MS = 1200
 ZONE = 'zone-a'
+OTHER_ZONE = 'zone-b'
 HOST = 'app.example'
 KEY = 'key-of-the-tenant'
 TENANT = 'tenant-1'
@@ -170,7 +171,7 @@
             'ip': ip,
             'zone': ZONE,
             'region': 'region-1',
-            'zones': {ZONE: 'region-1'},
+            'zones': {ZONE: 'region-1', OTHER_ZONE: 'region-1'},
             'listen': listen,
             'port_range': PORT_RANGE,
             'seeds': seeds,
@@ -324,6 +325,9 @@
         self.service = service
         self.slots = slots
         self.version = version
+        self.zone = ZONE
+        #: Unix milliseconds of its start; 0: it doesn't say.
+        self.born = 0
         self.state = 'ready'
         self.sequence = 0
         self.run: list[str] = []
@@ -348,13 +352,15 @@
         body = {
             'service': self.service,
             'addr': self.address,
-            'zone': ZONE,
+            'zone': self.zone,
             'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'cold_left_ms': 0,
             'seq': self.sequence,
         }
+        if self.born:
+            body['born'] = self.born
         status, _ = await self.deployment.control_call(
             'PUT', f'/api/instances/{self.name}', json.dumps(body).encode()
         )
@@ -504,11 +510,13 @@
             async with asyncio.timeout(float(os.environ.get('CASE_LIMIT_S', '110'))):
                 return await case(record, deploy)
         finally:
-            others = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in others:
-                task.cancel()
-            if others:
-                await asyncio.wait(others, timeout=1)
+            # Channels that are being accepted become tasks while others end.
+            for _ in range(3):
+                others = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in others:
+                    task.cancel()
+                if others:
+                    await asyncio.wait(others, timeout=1)
 
     code = 2
     # The processes of the case are ended also if the script itself is.
