A server that stops ends each connection with the response on it

Cause: a stopping gateway asks clients to leave in the heads of responses and closes idle connections every 20 ms. A stream that began before the signal has no such head, and its client goes on within milliseconds over a connection that still reads. Change: after a response a closing server reads what has arrived and closes the connection unless that holds a request. A request that crosses the close is not read and reaches no server.

--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -509,6 +509,9 @@
             self.incoming.started = boottime()
             self._set_timer(self.server.limits.header_timeout_s, self._on_request_timeout)
         self.process_events()
+        if self.server.closing:
+            # The response may have begun before, and so not have asked for the close.
+            self.close_if_idle()
 
     def _reject(self, status: int) -> None:
         """Respond to an invalid request with an error status, then close the connection."""
@@ -576,6 +579,7 @@
         self.refused = 0
         #: Connections whose request bodies have to wait.
         self.paused: set[HttpConnection] = set()
+        #: Number of requests that are being handled.
         self.active = 0
         #: Whether responses ask clients to close the connection.
         self.closing = False
