Control hosts end only once their connections are closed

Cause: a stopping control host ended once no request was in progress. Idle connections were open until the server closed, and a request that was read meanwhile got no answer. Change: the host closes idle connections and ends once none is left. Test: test_stopped_control_host_has_no_connection_that_may_carry_a_request failed before, passes now.

--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -346,7 +346,7 @@
         await self.open_metrics(self.metrics)
 
     async def _finish_requests(self) -> None:
-        while self.web is not None and self.web.active:
+        while self.web is not None and self.web.connections:
             self.web.close_idle()
             await asyncio.sleep(_DRAIN_POLL_S)
 
--- a/tests/test_control/test_control_stopping.py
+++ b/tests/test_control/test_control_stopping.py
@@ -107,3 +107,22 @@
         return statuses
 
     assert asyncio.run(run()) == [200, 200]
+
+
+# Guards against a request that is read after the last one was answered, and gets no answer.
+def test_stopped_control_host_has_no_connection_that_may_carry_a_request(tmp_path):
+    async def run():
+        address = free_address()
+        role = new_role(tmp_path, address, split_address(free_address())[1])
+        await role.start()
+        await until_ready(role)
+        reader, writer = await asyncio.open_connection(*split_address(address))
+        writer.write(b'GET /api/config HTTP/1.1\r\nHost: c\r\n\r\n')
+        assert await reader.readline()
+        await role.stop()
+        connections = len(role.web.connections)
+        await role.close()
+        writer.close()
+        return connections
+
+    assert asyncio.run(run()) == 0
