Stopping gateways refuse at once what they would break off

Found on a path related to the streams over kept connections; not seen by callers. Cause: a request that is read late in the grace period (its body comes slowly, it was sent ahead, or its connection was accepted just before the gateway stopped listening) was passed on, and broken off at the end of the period. Change: a gateway that stops refuses, as not run, what would end after it: the time limit is later than the end of the grace period, and so is the time that 95 in 100 of the last 64 responses of the route took. Test: test_request_that_a_stop_would_break_off_is_refused_at_once failed before for the stream, passes now; a short request is still served.

--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -7,6 +7,7 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.events import Event
+from ringseam.gateway.requests.durations import ResponseDurations
 from ringseam.platform.requests import attempt_id_header, find_reserved_headers, retry_after_header
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
         """Create a responder that logs through ``node``."""
         self.node = node
         self.metrics = metrics
+        self.durations = ResponseDurations()
 
     def count_forged_headers(self, headers: Headers) -> None:
         """Count client headers that are reserved for the system."""
@@ -138,7 +140,9 @@
         :param first_event_at: when its first event, or its body, was forwarded.
         :param gap: its longest pause between events, seconds.
         """
-        took_ms = (self.node.clock.now() - context.arrived) * MS_PER_S
+        took_s = self.node.clock.now() - context.arrived
+        took_ms = took_s * MS_PER_S
+        self.durations.record(context.route.name, took_s)
         context.first_event_at = first_event_at
         gap_exceeded = 0 < context.route.gap_objective_s < gap
         late = gap_exceeded or first_event_at > context.objective_deadline
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -89,6 +90,8 @@
         self.host = host
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
+        #: When requests under way are ended; infinite: this process doesn't stop.
+        self.ends_at = math.inf
         #: Whether requests under way are ended, as their time is up.
         self.stopping = False
         self.admission = Admission(seed=node.incarnation)
@@ -139,6 +142,10 @@
         finally:
             self._record_fairness(context)
 
+    def plan_stop(self, left_s: float) -> None:
+        """Refuse requests that would not be finished in ``left_s`` seconds."""
+        self.ends_at = self.clock.now() + left_s
+
     def stop(self) -> None:
         """Answer requests that are cancelled from now on, as this process stops."""
         self.stopping = True
@@ -266,7 +273,7 @@
         return self.random.choices(services, weights)[0]
 
     async def _serve(self, context: RequestContext) -> None:
-        if await self._refuse_for_memory(context):
+        if await self._refuse_for_stop(context) or await self._refuse_for_memory(context):
             return
         try:
             if await self._admit_content(context) and not await self._refuse_unresumable(context):
@@ -276,6 +283,16 @@
             if context.exchange.status >= _SERVER_ERROR:
                 self.admission.record_unserved(context.route.name)
 
+    async def _refuse_for_stop(self, context: RequestContext) -> bool:
+        """Refuse a request that this process would break off; return whether it was refused."""
+        needed_s = self.responder.durations.estimate_s(context.route.name)
+        if min(context.deadline, self.clock.now() + needed_s) <= self.ends_at:
+            return False
+        await self.responder.refuse(
+            context.exchange, context.request, _STOPPING, route=context.route.name, context=context
+        )
+        return True
+
     async def _refuse_for_memory(self, context: RequestContext) -> bool:
         """Refuse a request that this host has no room for; return whether it was refused."""
         retry_after_s = None if self.host is None else self.host.admit(context)
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -219,7 +219,9 @@
         self.follower.draining = True
         self.client_server.closing = True
         self.forwarder.origins.hand_over()
-        stop_at = loop.time() + max(0, self.drain_timeout_s - _ABORT_RESERVE_S)
+        left_s = max(0, self.drain_timeout_s - _ABORT_RESERVE_S)
+        stop_at = loop.time() + left_s
+        self.forwarder.plan_stop(left_s)
         await asyncio.sleep(
             min(
                 _DEREGISTRATION_DELAY_S,
--- a/ringseam/platform/manifest.py
+++ b/ringseam/platform/manifest.py
@@ -17,6 +17,7 @@
     EngineSpec,
     RequestKind,
     Route,
+    RouteName,
     RouteStage,
     RouteTable,
     ServiceName,
@@ -137,7 +138,7 @@
 def _route(route: _Route) -> Route:
     shares = route.split or (_Share(service=route.service, weight=1),)
     return Route(
-        name=route.name,
+        name=RouteName(route.name),
         host=route.host.lower(),
         prefix=route.path_prefix,
         kind=route.kind,
--- a/ringseam/routes.py
+++ b/ringseam/routes.py
@@ -9,6 +9,8 @@
 #: A stream and its resumption together last at most this many times the time limit of a route:
 #: a client may resume it when the first request has reached its limit.
 _LIMITS_PER_STREAM = 2
+#: Name of a route.
+RouteName = NewType('RouteName', str)
 #: Name of a service: a group of interchangeable backend servers.
 ServiceName = NewType('ServiceName', str)
 #: Name of a client account, as sent to backend servers.
@@ -44,7 +46,7 @@
 class Route:
     """How requests for a host and path prefix are served."""
 
-    name: str
+    name: RouteName
     host: str
     prefix: str
     kind: RequestKind
--- a/tests/test_gateway/test_requests/test_requests_stopping.py
+++ b/tests/test_gateway/test_requests/test_requests_stopping.py
@@ -120,3 +120,44 @@
             await stopping
 
     asyncio.run(run())
+
+
+async def send_slowly(gateway, path, pause_s):
+    """Send a request whose body comes after a pause; return the reader and the writer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', gateway.port)
+    head, _, body = request_bytes(path, 'late').partition(b'\r\n\r\n')
+    writer.write(head + b'\r\n\r\n')
+    await asyncio.sleep(pause_s)
+    writer.write(body)
+    return reader, writer
+
+
+# Guards against requests that are read late in the grace period, passed on, and broken off.
+@pytest.mark.parametrize(('path', 'status'), [('/cut/x', 503), ('/idem/x', 200)])
+def test_request_that_a_stop_would_break_off_is_refused_at_once(key_file, path, status):
+    async def respond(request, writer):
+        if 'cut' in request.lines[0]:
+            await slow_stream(8, 0.1)(request, writer)
+        else:
+            writer.write(http_response(request))
+
+    async def run():
+        server = ScriptedServer(respond)
+        async with LocalGateway(key_file) as gateway:
+            gateway.add_server(await server.start(), name='a')
+            for known in ('/cut/x', '/idem/x'):
+                assert (await gateway.fetch(known, Attempt_Id='known'))[0] == 200
+            stopping = await stopping_gateway(gateway)
+            reader, writer = await send_slowly(gateway, path, pause_s=1.8)
+            begun = time.monotonic()
+            head = await reader.readuntil(b'\r\n\r\n')
+            took_s = time.monotonic() - begun
+            writer.close()
+            await stopping
+        assert head.startswith(b'HTTP/1.1 %d' % status)
+        assert b'Connection: close' in head
+        assert took_s < 0.3
+        sent = [request for request in server.requests if request.attempt_id == 'late']
+        assert len(sent) == (status == 200)
+
+    asyncio.run(run())
