Gateways learn which routes and limits were in force before they started

Seen by callers (reported): after all gateways were killed at once, streams that clients took up again were joined from events of two versions, answered 200. Cause: a gateway that has just started took the present document for the only one ever. A route that had led to another service, or a limit that had been longer, did not count, so the version that serves now was taken for the one that began the stream. Ruled out: the versions that the leader reports; it counts from when it has heard all servers. Change: control hosts observe the routes of streams; the leader tells gateways, for each document, for how long a service has been alone on its routes and how long its streams may last. Also: a document that a gateway misses between two others, a route that is removed and comes back, and one whose requests a longer prefix takes over; found by comparison with all documents, not seen.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -21,6 +21,7 @@
 from ringseam.control.reportadmission import ReportAdmission
 from ringseam.control.state import MAX_RETIRED_BACKENDS
 from ringseam.control.zonedraining import ZoneDrainService
+from ringseam.errors import FindingsError
 from ringseam.events import Event
 from ringseam.followmessages import (
     CONFIRM,
@@ -33,6 +34,8 @@
 )
 from ringseam.lifetimes import EndedLifetimes, name_of, start_ms_of
 from ringseam.messages import Empty, Redirect
+from ringseam.platform.manifest import decode_stream_routes
+from ringseam.streamroutes import RouteHistory, StreamRoutes
 from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
@@ -46,6 +49,7 @@
     from ringseam.node import Node
     from ringseam.quarantinemessages import QuarantineSnapshot
     from ringseam.rpc import CallServer
+    from ringseam.streamroutes import RouteSpans
 
 logger = logging.getLogger(__name__)
 
@@ -72,6 +76,8 @@
 
     number: int = 0
     document: bytes = b''
+    #: How many documents this replica has had in force.
+    documents: int = 0
     #: Lifetimes of backend servers that are shutting down or have left.
     retired: tuple[str, ...] = ()
     #: Quarantined contents: they crash the servers that run them.
@@ -113,6 +119,8 @@
         #: When this replica last began to lead.
         self.leading_since: float = 0
         self.directory = self._new_directory()
+        #: Observed by all replicas, so that the next leader knows it too.
+        self.routes = RouteHistory()
         self.admission = ReportAdmission()
         self.change_event = asyncio.Event()
         self.quarantining = QuarantineService(
@@ -133,6 +141,8 @@
         """Replace the followed state, unless its document is older, and notify watchers."""
         if state.number < self.state.number:
             return
+        if state.number > self.state.number:
+            self._observe_routes(state)
         if state.number > self.state.number:
             self.documents.history.add(state.number, state.document)
             self.admission.follow(state.document)
@@ -208,6 +218,7 @@
                 control=self.leadership.members,
                 quarantine=self._quarantine_changes(request),
                 zones=self.state.zones,
+                routes=self._route_spans(request),
             ),
         )
 
@@ -295,6 +306,22 @@
             return True
         return self.directory.has_changes(request, self.state.number)
 
+    def _observe_routes(self, state: FollowedState) -> None:
+        is_next = state.documents == self.state.documents + 1
+        try:
+            routes = decode_stream_routes(state.document)
+        except FindingsError as error:
+            # It was validated before it was accepted, so this is a bug.
+            logger.error('accepted document is invalid, its routes are not known: %s', error)
+            routes = StreamRoutes(number=state.number)
+        self.routes.observe(routes, self.node.clock.now(), is_next=is_next)
+
+    def _route_spans(self, request: WatchRequest) -> RouteSpans | None:
+        """Return what is known of the routes, for a gateway that hasn't heard it."""
+        if request.routes == self.state.number:
+            return None
+        return self.routes.report(self.node.clock.now())
+
     def _quarantine_changes(self, request: WatchRequest) -> QuarantineSnapshot | None:
         same_epoch = request.epoch == self.directory.epoch
         if same_epoch and request.quarantine == self.quarantining.quarantine.version:
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -142,6 +142,7 @@
             followed = FollowedState(
                 number=machine.state.number,
                 document=machine.state.document,
+                documents=machine.documents,
                 retired=tuple(machine.state.retired),
                 quarantined=dict(machine.state.quarantined),
                 zones=machine.state.zones,
--- a/ringseam/followmessages.py
+++ b/ringseam/followmessages.py
@@ -11,6 +11,7 @@
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.rpc import Method
 from ringseam.softwareversions import UniformVersion
+from ringseam.streamroutes import RouteSpans
 from ringseam.zones import DrainedZones
 
 
@@ -31,6 +32,8 @@
     quarantine: int = 0
     #: The newest change of drained zones that the gateway applied.
     zones: int = 0
+    #: The document for which the gateway has learned what was known of routes.
+    routes: int = 0
 
 
 class DocumentConfirmation(Message, frozen=True, kw_only=True):
@@ -60,6 +63,8 @@
     zones: DrainedZones = DrainedZones()
     #: With ``whole``: services whose servers have all run one version, as the leader knows.
     uniform: tuple[UniformVersion, ...] = ()
+    #: What the leader knows of the routes of the newest document; None if the gateway has that.
+    routes: Optional[RouteSpans] = None
     #: After how long without a report a server is silent, seconds; 0: the leader doesn't tell.
     silence_s: float = 0
 
--- a/ringseam/gateway/following/follower.py
+++ b/ringseam/gateway/following/follower.py
@@ -23,6 +23,7 @@
 from ringseam.quarantinemessages import QuarantineSnapshot
 from ringseam.routes import RouteTable
 from ringseam.softwareversions import VersionHistory
+from ringseam.streamroutes import RouteHistory
 from ringseam.util.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -107,6 +108,7 @@
         self.crash_listeners: list[Callable[[BackendReport, CrashNotice], None]] = []
         self.cursor = DirectoryCursor()
         self.versions = VersionHistory()
+        self.routes = RouteHistory()
         self.updated_at = node.clock.now()
         self.leader = ''
         self.draining = False
@@ -276,6 +278,8 @@
             self._prune(update)
         self.versions.observe(self.view.versions, self.node.clock.now())
         self.versions.learn(update.uniform, self.node.clock.now())
+        if update.routes is not None:
+            self.routes.learn(update.routes, self.node.clock.now())
         self.gateways = update.gateways
         if update.control:
             self.addresses = list(update.control)
@@ -332,6 +336,7 @@
             heard=self.newest_number if is_current else 0,
             quarantine=self.quarantine.version if is_current else 0,
             zones=self.view.drained.change,
+            routes=self.routes.learned_number,
         )
         limit_s = _WATCH_TIMEOUT_S if is_current else _SEARCH_TIMEOUT_S
         try:
--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import itertools
 import logging
 from typing import TYPE_CHECKING
 
@@ -19,8 +18,8 @@
     SaveOrigins,
 )
 from ringseam.messages import Empty
-from ringseam.routes import RequestKind
 from ringseam.streamorigins import OriginRecord, OriginStore
+from ringseam.streamroutes import stream_routes
 from ringseam.util.tasks import TaskSet, cancel_and_wait
 
 if TYPE_CHECKING:
@@ -32,7 +31,7 @@
     from ringseam.gateway.following.follower import Follower
     from ringseam.metrics import Metrics
     from ringseam.node import Node
-    from ringseam.routes import RouteTable, ServiceName
+    from ringseam.routes import ServiceName
     from ringseam.rpc import CallClient, CallServer
     from ringseam.streamorigins import StreamOrigin
 
@@ -51,45 +50,6 @@
 _FIND_TIMEOUT_S = 0.15
 
 
-class RouteHistory:
-    """Track which services are the only ones that their routes have led to; times in seconds."""
-
-    def __init__(self) -> None:
-        """Start without routes."""
-        self.number = 0
-        #: Services of each stream route, by host and prefix.
-        self.services: dict[tuple[str, str], frozenset[ServiceName]] = {}
-        #: When a route last had other services beside a service or before it.
-        self.shared_at: dict[ServiceName, float] = {}
-        #: Services that share a route with another one.
-        self.shared: set[ServiceName] = set()
-
-    def observe(self, table: RouteTable, now: float) -> None:
-        """Record the routes of a new table."""
-        if table.number == self.number:
-            return
-        self.number = table.number
-        previous = self.services
-        self.services = {
-            (route.host, route.prefix): frozenset(target.service for target in route.targets)
-            for route in table.routes
-            if route.kind is RequestKind.stream
-        }
-        self.shared_at.update(dict.fromkeys(self.shared, now))
-        several = [services for services in self.services.values() if len(services) > 1]
-        self.shared = set(itertools.chain.from_iterable(several))
-        for place, services in self.services.items():
-            if previous.get(place, services) != services:
-                self.shared_at.update(dict.fromkeys(services | previous[place], now))
-
-    def is_alone(self, service: ServiceName, *, duration_s: float, now: float) -> bool:
-        """Return whether the routes to a service have led nowhere else for ``duration_s``."""
-        if service in self.shared:
-            return False
-        shared_at = self.shared_at.get(service)
-        return shared_at is None or now - shared_at >= duration_s
-
-
 class OriginSharing:
     """Keep the origins of this gateway's streams, with copies at other gateways.
 
@@ -104,7 +64,6 @@
         self.follower = follower
         self.store = OriginStore()
         self.content_origins = ContentOrigins()
-        self.routes = RouteHistory()
         self.tasks = TaskSet()
         #: Services whose records are copied to other gateways.
         self.copied_services: set[ServiceName] = set()
@@ -133,17 +92,22 @@
 
     def certain_version(self, service: ServiceName) -> str | None:
         """Return the version that began any stream of a service; None: it depends."""
-        longest_s = self.follower.table.longest_stream_s(service)
-        if not self.routes.is_alone(service, duration_s=longest_s, now=self.node.clock.now()):
+        longest_s = self.longest_stream_s(service)
+        now = self.node.clock.now()
+        if not self.follower.routes.is_alone(service, duration_s=longest_s, now=now):
             return None
         return self.follower.uniform_version(service, duration_s=longest_s)
 
+    def longest_stream_s(self, service: ServiceName) -> float:
+        """Return how long a stream that may still go on may last with its resumptions."""
+        return self.follower.routes.longest_s(service, self.node.clock.now())
+
     def refresh(self) -> None:
         """Copy the records of services whose servers no longer all run one version."""
         now = self.node.clock.now()
         self.store.expire(now)
         self.content_origins.expire(now)
-        self.routes.observe(self.follower.table, now)
+        self.follower.routes.observe(stream_routes(self.follower.table), now)
         for service in self.follower.table.stream_limits_s:
             if self.certain_version(service) is not None:
                 self.copied_services.discard(service)
@@ -253,7 +217,7 @@
     def _copy_all(self, service: ServiceName, *, copies: bool) -> None:
         """Copy the records of streams that may still be resumed."""
         now = self.node.clock.now()
-        longest_s = self.follower.table.longest_stream_s(service)
+        longest_s = self.longest_stream_s(service)
         for store in (self.store, self.content_origins):
             self._copy(store.records(service, now, max_age_s=longest_s, copies=copies))
 
--- a/ringseam/gateway/requests/streambinding.py
+++ b/ringseam/gateway/requests/streambinding.py
@@ -179,14 +179,14 @@
         if software is None:
             return None, Knowledge.uniform, 0
         origin = StreamOrigin(service=context.service, software=software)
-        longest_s = self.follower.table.longest_stream_s(context.service)
+        longest_s = self.sharing.longest_stream_s(context.service)
         return origin, Knowledge.uniform, int(longest_s * MS_PER_S)
 
     async def _find_content(self, context: RequestContext) -> list[OriginRecord]:
         """Return the records of all streams of a content that may still go on, oldest first."""
-        longest_ms = self.follower.table.longest_stream_s(context.service) * MS_PER_S
+        longest_s = self.sharing.longest_stream_s(context.service)
         found = await self.sharing.find_content(self._content_key(context))
-        current = [record for record in found if record.age_ms <= longest_ms]
+        current = [record for record in found if record.age_ms <= longest_s * MS_PER_S]
         return sorted(current, key=lambda record: -record.age_ms)
 
     def _common_origin(self, records: list[OriginRecord]) -> StreamOrigin | None:
--- a/ringseam/model/follower.py
+++ b/ringseam/model/follower.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from ringseam.backends import BackendView, GatewayState
 from ringseam.gateway.following.crashedservers import CrashedServers
 from ringseam.quarantinemessages import QuarantineSnapshot
+from ringseam.streamroutes import RouteHistory, stream_routes
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
@@ -19,6 +21,9 @@
     def __init__(self, *, table: RouteTable) -> None:
         """Create a follower with a fixed route table."""
         self.table = table
+        #: The routes count as having been there for ever.
+        self.routes = RouteHistory()
+        self.routes.observe(stream_routes(table), -math.inf)
         self.view = BackendView()
         #: Stay empty: no server starts again under its name.
         self.crashed = CrashedServers()
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -205,6 +205,9 @@
         self.apply_document(manifest())
         # The servers count as the only ones that have ever served, and their list as current.
         role.follower.updated_at = math.inf
+        # What this gateway hasn't seen hasn't happened.
+        for history in role.follower.routes.services.values():
+            history.alone_since = -math.inf
         return self
 
     async def __aexit__(self, *failure) -> None:
