Records of a content count only if they may be complete

Cause: gateways that had all just started knew only the streams of a content that had begun since, at any version, and took these records for all of them. Evidence: with servers of two versions and new streams of the same contents, streams that are taken up were joined from two versions on. Change: a gateway tells for how long it has kept records; an answer counts if that is as long as a stream may last. Test: test_stream_without_a_named_attempt_is_not_joined_with_a_new_one_of_its_content failed before, passes now.

--- a/ringseam/gateway/requests/originmessages.py
+++ b/ringseam/gateway/requests/originmessages.py
@@ -28,6 +28,8 @@
     record: Optional[OriginRecord] = None
     #: The other records of a content, which several servers may have begun.
     others: tuple[OriginRecord, ...] = ()
+    #: For a content: for how long the gateway has kept records. Those of before may be missing.
+    known_for_ms: int = 0
 
 
 SAVE_ORIGINS = Method('/ringseam.Gateway/SaveOrigins', SaveOrigins, Empty, multiplexed=True)
--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -7,6 +7,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from ringseam.clock import MS_PER_S
 from ringseam.contentorigins import ContentOrigins, is_content_key
 from ringseam.errors import UnreachableError
 from ringseam.gateway.following.ownership import rendezvous_order
@@ -18,7 +19,7 @@
     SaveOrigins,
 )
 from ringseam.messages import Empty
-from ringseam.streamorigins import OriginRecord, OriginStore
+from ringseam.streamorigins import RETENTION_S, OriginRecord, OriginStore
 from ringseam.streamroutes import stream_routes
 from ringseam.util.tasks import TaskSet, cancel_and_wait
 
@@ -64,6 +65,8 @@
         self.follower = follower
         self.store = OriginStore()
         self.content_origins = ContentOrigins()
+        #: Since when this gateway has kept records, seconds.
+        self.started_at = node.clock.now()
         self.tasks = TaskSet()
         #: Services whose records are copied to other gateways.
         self.copied_services: set[ServiceName] = set()
@@ -148,16 +151,22 @@
             self.store.add_record(record, self.node.clock.now())
         return record
 
-    async def find_content(self, key: ContentId) -> tuple[OriginRecord, ...]:
+    async def find_content(self, key: ContentId, *, within_s: float) -> tuple[OriginRecord, ...]:
         """Return the records of a content; none if some may be missing.
 
         Another gateway may have begun a stream of the same content at another version, so
-        those that keep the copies are asked in any case.
+        those that keep the copies are asked in any case. One that has started since then
+        may lack copies.
+
+        :param within_s: how long ago the streams may have begun.
         """
         replies = await asyncio.gather(
             *(self._ask(peer, key) for peer in self._holders(key, ASKED))
         )
-        if not self._keeps_all(key) and not any(replies[:COPIES]):
+        known_for_s = [reply.known_for_ms / MS_PER_S for reply in replies[:COPIES] if reply]
+        if self._keeps_all(key):
+            known_for_s.append(self._known_for_s)
+        if max(known_for_s, default=0) < within_s:
             return ()
         found = list(self.content_origins.find(key, self.node.clock.now()))
         for reply in replies:
@@ -180,11 +189,20 @@
         query: FindOrigin = received.body
         if is_content_key(query.key):
             records = self.content_origins.find(query.key, self.node.clock.now())
-            return FoundOrigin(record=records[0], others=records[1:]) if records else FoundOrigin()
+            return FoundOrigin(
+                record=records[0] if records else None,
+                others=records[1:],
+                known_for_ms=int(min(self._known_for_s, RETENTION_S) * MS_PER_S),
+            )
         return FoundOrigin(record=self.store.find(query.key, self.node.clock.now()))
 
     # -- helpers ------------------------------------------------------------
 
+    @property
+    def _known_for_s(self) -> float:
+        """Return for how long this gateway has kept records, seconds."""
+        return self.node.clock.now() - self.started_at
+
     def _makes_copies(self, service: ServiceName) -> bool:
         """Return whether records are copied at once; else :meth:`refresh` copies them later."""
         return service in self.copied_services or self.certain_version(service) is None
--- a/ringseam/gateway/requests/streambinding.py
+++ b/ringseam/gateway/requests/streambinding.py
@@ -185,7 +185,7 @@
     async def _find_content(self, context: RequestContext) -> list[OriginRecord]:
         """Return the records of all streams of a content that may still go on, oldest first."""
         longest_s = self.sharing.longest_stream_s(context.service)
-        found = await self.sharing.find_content(self._content_key(context))
+        found = await self.sharing.find_content(self._content_key(context), within_s=longest_s)
         current = [record for record in found if record.age_ms <= longest_s * MS_PER_S]
         return sorted(current, key=lambda record: -record.age_ms)
 
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -206,6 +206,7 @@
         # The servers count as the only ones that have ever served, and their list as current.
         role.follower.updated_at = math.inf
         # What this gateway hasn't seen hasn't happened.
+        role.forwarder.origins.started_at = -math.inf
         for history in role.follower.routes.services.values():
             history.alone_since = -math.inf
         return self
--- a/tests/test_system/test_system_rejoined.py
+++ b/tests/test_system/test_system_rejoined.py
@@ -239,6 +239,26 @@
     assert not joined(streams)
 
 
+# Guards against streams whose content has begun anew since, joined from two versions.
+def test_stream_without_a_named_attempt_is_not_joined_with_a_new_one_of_its_content(system):
+    async def scenario(fleet):
+        for software in ('v1', 'v2', 'v1', 'v2'):
+            await fleet.add_server('first', software)
+        await fleet.submit(1, 'first', 5)
+        await asyncio.sleep(2)
+        begun = await fleet.begin_streams()
+        await fleet.kill_all_gateways()
+        # In another order, as servers are chosen in turn.
+        again = reversed(range(STREAMS))
+        await asyncio.gather(
+            *(fleet.ask(number + 2, f'n{number}', content=number) for number in again)
+        )
+        return await fleet.resume(begun, names=False)
+
+    streams = play(system, scenario)
+    assert not joined(streams)
+
+
 # Guards against streams that are refused although one version alone has served.
 def test_streams_of_one_version_go_on_after_all_gateways_were_killed(system):
     async def scenario(fleet):
