Refusals of other requests never say that a request has not run

Cause: the loop that skips responses with another id ended after three, and the last one's Not-Executed was used as the request's own. Change: after three such responses the request counts as lost. Related paths: calls for pieces raise in the same place already.

--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from ringseam.backends import BackendReport
+    from ringseam.calls import ResponseMetadata
     from ringseam.clock import Clock
     from ringseam.gateway.engines.silence import SilenceDetector
     from ringseam.gateway.following.health import HealthTracker
@@ -158,14 +159,7 @@
     async def _read_response(
         self, channel: HttpChannel, context: RequestContext, server: BackendReport
     ) -> TryOutcome:
-        for _ in range(_MAX_STRAY_RESPONSES + 1):
-            head = await channel.read_head()
-            metadata = decode_response_metadata(head)
-            if metadata.attempt_id in {'', context.request.attempt_id}:
-                break
-            # A response to an earlier request on this connection.
-            await channel.read_body(max_bytes=MAX_UNDECLARED_BODY_BYTES)
-            channel.skip_response()
+        head, metadata = await self._read_own_head(channel, context)
         self.silence.data_received(
             server.instance, metadata.attempt_id, self.clock.now(), event=False
         )
@@ -195,6 +189,23 @@
             )
         return Answered(head=head, marks=metadata, channel=channel)
 
+    async def _read_own_head(
+        self, channel: HttpChannel, context: RequestContext
+    ) -> tuple[ResponseHead, ResponseMetadata]:
+        """Return the head of the response to a request; responses to others are skipped.
+
+        :raises ChannelError: if there are too many of these: what they say holds for other
+            requests, and this one may have run.
+        """
+        for _ in range(_MAX_STRAY_RESPONSES + 1):
+            head = await channel.read_head()
+            metadata = decode_response_metadata(head)
+            if metadata.attempt_id in {'', context.request.attempt_id}:
+                return head, metadata
+            await channel.read_body(max_bytes=MAX_UNDECLARED_BODY_BYTES)
+            channel.skip_response()
+        raise ChannelError(f'{channel.address}: responses to other requests', sent=True)
+
     def _max_open(self, server: BackendReport) -> int | None:
         return None if self.limits is None else self.limits.limit(server, self.clock.now())
 
