An event of a stream has at most 1 MiB

Cause: the incomplete event of a stream was kept without a bound, counted for nobody, and searched again as a whole with each chunk. Ruled out: slow clients and connections that read ahead; both are bounded and counted. Change: a bound of 1 MiB for an event; what is held of it is counted for the connection; a server that sends more loses the connection and rests.

--- a/ringseam/gateway/requests/attempts.py
+++ b/ringseam/gateway/requests/attempts.py
@@ -56,6 +56,7 @@
         StreamOutcome.broken: LossCause.broken,
         StreamOutcome.out_of_order: LossCause.gap,
         StreamOutcome.empty: LossCause.not_whole,
+        StreamOutcome.endless: LossCause.broken,
     },
 )
 
@@ -312,10 +313,7 @@
             async with asyncio.timeout(max(0, context.deadline - self.clock.now())):
                 body = await answered.channel.read_body(max_bytes=_max_body_bytes(answered.head))
         except EndlessResponseError as error:
-            self.sender.notices.record_endless(
-                server.instance, context.request.attempt_id, str(error)
-            )
-            self.health.record_failure(server.instance, self.clock.now(), hard=True)
+            self._record_endless(context, server, str(error))
             return Lost(cause=LossCause.broken, detail=str(error))
         except ChannelError as error:
             self._record_server_failure(context, server)
@@ -357,7 +355,9 @@
                 context, answered.head.status, relay.first_event_at, relay.longest_gap
             )
             return answered
-        if end is not StreamOutcome.empty:
+        if end is StreamOutcome.endless:
+            self._record_endless(context, server, relay.endless_detail)
+        elif end is not StreamOutcome.empty:
             self._record_server_failure(context, server)
         self.responder.log(
             context,
@@ -395,6 +395,11 @@
             return False
         return self.selector.has_alternative(context)
 
+    def _record_endless(self, context: RequestContext, server: BackendReport, detail: str) -> None:
+        """Record that a server has sent more than a response can hold; it rests."""
+        self.sender.notices.record_endless(server.instance, context.request.attempt_id, detail)
+        self.health.record_failure(server.instance, self.clock.now(), hard=True)
+
     def _record_server_failure(self, context: RequestContext, server: BackendReport) -> None:
         if self.health.record_failure(server.instance, self.clock.now()):
             self.responder.log(context, Event.server_ejected, backend=server.instance)
--- a/ringseam/gateway/requests/relay.py
+++ b/ringseam/gateway/requests/relay.py
@@ -11,7 +11,7 @@
 
 from ringseam.platform.requests import INTERNAL_RESPONSE_HEADERS
 from ringseam.web.bodies import EventSplitter, end_to_end_headers
-from ringseam.web.client import ChannelError
+from ringseam.web.client import ChannelError, EndlessResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +29,8 @@
 #: Timers may fire this much too early, seconds.
 _TIMER_MARGIN_S = 0.001
 _STREAM_TYPE = 'text/event-stream'
+#: Maximum size of one event; those of language models have some hundred bytes.
+MAX_EVENT_BYTES = 2**20
 
 
 class StreamOutcome(enum.Enum):
@@ -40,6 +42,8 @@
     #: The stream ended properly without an event, although some events came before it.
     empty = 'empty'
     deadline = 'deadline'
+    #: An event had more bytes than one may have.
+    endless = 'endless'
 
 
 def is_stream(head: ResponseHead) -> bool:
@@ -76,6 +80,10 @@
     #: Whether the last stream was empty, which doesn't show that no event is missing.
     is_end_unconfirmed: bool = False
     splitter: EventSplitter = field(default_factory=EventSplitter)
+    #: Bytes of an incomplete event, counted for the connection to the server.
+    held_bytes: int = 0
+    #: What the server sent too much of, if the outcome is ``endless``.
+    endless_detail: str = ''
     #: Called once, on the first event: the server has all its inputs then.
     on_first_event: Callable[[], None] = lambda: None
     #: Since when the relay has waited for a server, on the clock of the event loop; infinite: it
@@ -108,6 +116,7 @@
     async def forward(self, answered: Answered) -> StreamOutcome:
         """Forward the events of one server until its stream ends."""
         self.splitter = EventSplitter()
+        self.held_bytes = 0
         self.events_of_server = 0
         if not self.started:
             self.started = True
@@ -118,12 +127,15 @@
             return await self._forward_events(answered.channel)
         except asyncio.TimeoutError:
             return StreamOutcome.deadline
+        except EndlessResponseError as error:
+            self.endless_detail = str(error)
+            return StreamOutcome.endless
         except ChannelError as error:
             logger.debug('stream aborted by the server: %s', error)
             return StreamOutcome.broken
         finally:
             self._stop_waiting()
-            self.context.exchange.source = None
+            self._leave(answered.channel)
 
     async def _forward_events(self, channel: HttpChannel) -> StreamOutcome:
         in_order = True
@@ -133,9 +145,25 @@
             if chunk is None:
                 return self._outcome_at_end()
             in_order = await self._forward_chunk(chunk)
+            self._hold_remainder(channel)
             self.on_forwarded(asyncio.get_running_loop().time() - channel.received_at)
         return StreamOutcome.out_of_order
 
+    def _leave(self, channel: HttpChannel) -> None:
+        channel.count_held(-self.held_bytes)
+        self.context.exchange.source = None
+
+    def _hold_remainder(self, channel: HttpChannel) -> None:
+        """Count what is held of an incomplete event.
+
+        :raises EndlessResponseError: if it is too large.
+        """
+        held_bytes = len(self.splitter.remainder)
+        channel.count_held(held_bytes - self.held_bytes)
+        self.held_bytes = held_bytes
+        if held_bytes > MAX_EVENT_BYTES:
+            raise channel.fail_endless(f'an event of {held_bytes} bytes')
+
     async def _read_chunk(self, channel: HttpChannel) -> bytes | None:
         self.waiting_since = asyncio.get_running_loop().time()
         # What is ready is forwarded even if its client is slow and the deadline has passed.
--- a/ringseam/web/bodies.py
+++ b/ringseam/web/bodies.py
@@ -76,28 +76,34 @@
 
 
 class EventSplitter:
-    """Split the bytes of an event stream into complete events."""
+    """Split the bytes of an event stream into complete events.
+
+    What is held of an incomplete event is the caller's to bound.
+    """
 
     def __init__(self) -> None:
         """Create a splitter with an empty remainder."""
-        self.remainder = b''
+        self.remainder = bytearray()
+        #: Where the last line of the remainder begins, and up to where it has no end.
+        self.line_start = 0
+        self.searched = 0
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that are complete with ``chunk``; keep the remainder."""
         self.remainder += chunk
         events = []
         start = 0
-        position = 0
-        while True:  # noqa: WPS457 - ends after the last complete line
-            end = self.remainder.find(_LINE_END, position)
-            if end < 0:
-                break
-            line = self.remainder[position : end + 1]
-            position = end + 1
+        end = self.remainder.find(_LINE_END, self.searched)
+        while end >= 0:
+            line = self.remainder[self.line_start : end + 1]
+            self.line_start = end + 1
             if line in _BLANK_LINES:
-                events.append(_parse_event(self.remainder[start:position]))
-                start = position
+                events.append(_parse_event(bytes(self.remainder[start : self.line_start])))
+                start = self.line_start
+            end = self.remainder.find(_LINE_END, self.line_start)
         self.remainder = self.remainder[start:]
+        self.line_start -= start
+        self.searched = len(self.remainder)
         return events
 
 
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -244,7 +244,7 @@
                 size += len(chunk)
                 self._count_spooled(len(chunk))
                 if size + _PART_COST_BYTES * len(parts) > max_bytes:
-                    raise self._endless(f'a body of {size} bytes in {len(parts)} parts')
+                    raise self.fail_endless(f'a body of {size} bytes in {len(parts)} parts')
                 chunk = await self.read_chunk()
         finally:
             self._count_spooled(-size)
@@ -263,6 +263,17 @@
         self._start_response()
         self._parse(bytes(unparsed), allow_empty=False)
 
+    def fail_endless(self, detail: str) -> EndlessResponseError:
+        """Close the connection of a server that sends without end; return the error."""
+        self.is_endless = True
+        self._fail(detail)
+        self.close()
+        return EndlessResponseError(f'{self.address}: {detail}', sent=True)
+
+    def count_held(self, change: int) -> None:
+        """Count what a reader holds of the response beside what the connection does."""
+        self._count_spooled(change)
+
     def close(self) -> None:
         """Abort the connection, so that the server cancels the request."""
         self.reusable = False
@@ -368,7 +379,7 @@
     def _count_informational(self) -> None:
         self.informational_count += 1
         if self.informational_count > _MAX_INFORMATIONAL:
-            self._endless(f'over {_MAX_INFORMATIONAL} informational responses')
+            self.fail_endless(f'over {_MAX_INFORMATIONAL} informational responses')
 
     def _limit_surplus(self, size: int) -> None:
         """Stop to read what comes after a complete response once there is much of it."""
@@ -376,13 +387,6 @@
         if self.surplus_bytes > _MAX_QUEUED_BYTES:
             self._stop_reading()
 
-    def _endless(self, detail: str) -> EndlessResponseError:
-        """Close the connection of a server that sends without end; return the error."""
-        self.is_endless = True
-        self._fail(detail)
-        self.close()
-        return EndlessResponseError(f'{self.address}: {detail}', sent=True)
-
     async def _next_event(self) -> object:
         while not self.events:
             if self.failure and not self.has_unparsed:
--- a/tests/endlessservers.py
+++ b/tests/endlessservers.py
@@ -59,6 +59,11 @@
     'surplus': Endless(repeated=1024 * b'y', headers=b'Content-Length: 0\r\n'),
     'head': Endless(repeated=b'x', has_head=False),
 }
+STREAM = b'Content-Type: text/event-stream\r\n' + CHUNKED
+STREAM_FORMS = {
+    'line': Endless(repeated=b'400\r\n' + 1024 * b'x' + b'\r\n', headers=STREAM),
+    'event': Endless(repeated=b'400\r\n' + 128 * b'data: x\n' + b'\r\n', headers=STREAM),
+}
 
 
 class EndlessServer:
