Control hosts decode documents as gateways do

Cause: the folder of the platform grew beyond its bound (test_platform_folder_is_small_and_stateless). Change: control hosts decode the whole document, as a second decoder for routes alone isn't needed.

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -34,8 +34,8 @@
 )
 from ringseam.lifetimes import EndedLifetimes, name_of, start_ms_of
 from ringseam.messages import Empty, Redirect
-from ringseam.platform.manifest import decode_stream_routes
-from ringseam.streamroutes import RouteHistory, StreamRoutes
+from ringseam.platform.manifest import decode_manifest
+from ringseam.streamroutes import RouteHistory, StreamRoutes, stream_routes
 from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
@@ -309,7 +309,7 @@
     def _observe_routes(self, state: FollowedState) -> None:
         is_next = state.documents == self.state.documents + 1
         try:
-            routes = decode_stream_routes(state.document)
+            routes = stream_routes(decode_manifest(state.document))
         except FindingsError as error:
             # It was validated before it was accepted, so this is a bug.
             logger.error('accepted document is invalid, its routes are not known: %s', error)
--- a/ringseam/platform/manifest.py
+++ b/ringseam/platform/manifest.py
@@ -24,7 +24,6 @@
     Target,
 )
 from ringseam.routevalidation import validated
-from ringseam.streamroutes import StreamRoutes, stream_routes
 from ringseam.util.bounds import BoundedInt, NonNegativeFloat, NonNegativeInt
 
 _MS_PER_S = 1000
@@ -116,7 +115,11 @@
 
     :raises FindingsError: if the manifest is invalid; lists every finding.
     """
-    manifest = _decode(document)
+    try:
+        manifest = _DECODER.decode(document)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        finding = Finding(path='manifest', line=0, section='', key='', message=str(error))
+        raise FindingsError([finding]) from None
     table = RouteTable(
         number=manifest.version,
         routes=tuple(_route(route) for route in manifest.routes),
@@ -132,24 +135,6 @@
     return validated(table, path='manifest')
 
 
-def decode_stream_routes(document: bytes) -> StreamRoutes:
-    """Return the routes of streams of a manifest.
-
-    :raises FindingsError: if it can't be decoded; it isn't validated.
-    """
-    manifest = _decode(document)
-    streams = [route for route in manifest.routes if route.kind is RequestKind.stream]
-    return stream_routes(RouteTable(number=manifest.version, routes=tuple(map(_route, streams))))
-
-
-def _decode(document: bytes) -> _Manifest:
-    try:
-        return _DECODER.decode(document)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        finding = Finding(path='manifest', line=0, section='', key='', message=str(error))
-        raise FindingsError([finding]) from None
-
-
 def _route(route: _Route) -> Route:
     shares = route.split or (_Share(service=route.service, weight=1),)
     return Route(
