Control hosts keep the origins of streams, which outlive the gateways

Cause: the origin of a stream and its copies are kept at gateways alone, which have no disk. Change: gateways send their records to two control hosts in batches of 0.2 s, which keep them in memory; a gateway that finds none elsewhere asks them, once it has run for 3 s. Ruled out: the replicated log (a sync for each batch), one host alone (a change of leader).

--- a/ringseam/control/follow.py
+++ b/ringseam/control/follow.py
@@ -13,6 +13,7 @@
 from ringseam.commands import RetireBackend
 from ringseam.control.backenddirectory import BackendDirectory
 from ringseam.control.documentservice import CONFIRM_TIMEOUT_S, DocumentService
+from ringseam.control.origincopies import OriginCopies
 from ringseam.control.quarantining import QuarantineService
 from ringseam.control.replicamessages import (
     Leadership,
@@ -132,6 +133,7 @@
         )
         self.documents = DocumentService(follow_service=self)
         self.zones = ZoneDrainService(follow_service=self)
+        self.origins = OriginCopies(node=node)
         #: Address to which backend servers should report, sent with each acknowledgement.
         self.report_to = ''
 
@@ -197,6 +199,7 @@
         self.quarantining.serve(server)
         self.documents.serve(server)
         self.zones.serve(server)
+        self.origins.serve(server)
 
     async def watch(self, received: ReceivedMessage) -> WatchReply:
         """Return what has changed for a gateway, once something has or on time-out."""
--- a/ringseam/gateway/requests/originsharing.py
+++ b/ringseam/gateway/requests/originsharing.py
@@ -11,20 +11,21 @@
 from ringseam.contentorigins import ContentOrigins, is_content_key
 from ringseam.errors import UnreachableError
 from ringseam.gateway.following.ownership import rendezvous_order
-from ringseam.gateway.requests.originmessages import (
+from ringseam.gateway.requests.controlcopies import ControlCopies
+from ringseam.messages import Empty
+from ringseam.originmessages import (
     FIND_ORIGIN,
     SAVE_ORIGINS,
     FindOrigin,
     FoundOrigin,
     SaveOrigins,
 )
-from ringseam.messages import Empty
 from ringseam.streamorigins import RETENTION_S, OriginRecord, OriginStore
 from ringseam.streamroutes import stream_routes
 from ringseam.util.tasks import TaskSet, cancel_and_wait
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from ringseam.backends import GatewayState
     from ringseam.contents import ContentId
@@ -65,6 +66,9 @@
         self.follower = follower
         self.store = OriginStore()
         self.content_origins = ContentOrigins()
+        self.control_copies = ControlCopies(
+            node=node, client=client, follower=follower, store=self.store
+        )
         #: Since when this gateway has kept records, seconds.
         self.started_at = node.clock.now()
         self.tasks = TaskSet()
@@ -239,7 +243,9 @@
         for store in (self.store, self.content_origins):
             self._copy(store.records(service, now, max_age_s=longest_s, copies=copies))
 
-    def _copy(self, records: Iterable[OriginRecord]) -> None:
+    def _copy(self, records: Collection[OriginRecord]) -> None:
+        # Control hosts keep no records of contents: these count only if none is missing.
+        self.control_copies.add(record.key for record in records if not is_content_key(record.key))
         by_address: dict[str, list[OriginRecord]] = {}
         for record in records:
             for address in self._holders(record.key, COPIES):
--- a/ringseam/gateway/requests/streambinding.py
+++ b/ringseam/gateway/requests/streambinding.py
@@ -4,7 +4,7 @@
 
 import enum
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from ringseam.clock import MS_PER_S
@@ -42,6 +42,8 @@
     content = 'content'
     #: No other version has served since the stream can have begun.
     uniform = 'uniform'
+    #: From a record that control hosts have kept.
+    control = 'control'
 
 
 class Obstacle(enum.Enum):
@@ -143,7 +145,7 @@
     async def _bind(self, context: RequestContext) -> Refusal | None:
         origin, knowledge, age_ms = await self._find(context)
         if origin is None:
-            return _UNKNOWN
+            return self._unknown()
         if all(target.service != origin.service for target in context.route.targets):
             return _OTHER_SERVICE
         context.origin = origin
@@ -167,7 +169,8 @@
     async def _find(self, context: RequestContext) -> tuple[StreamOrigin | None, Knowledge, int]:
         """Return what began a stream, how it is known, and how long ago it began, ms."""
         if context.request.resumes:
-            record = await self.sharing.find(self._key(context, context.request.resumes))
+            key = self._key(context, context.request.resumes)
+            record = await self.sharing.find(key)
             if record is not None:
                 certain = self._is_certain(record.origin)
                 return record.origin if certain else None, Knowledge.record, record.age_ms
@@ -177,11 +180,28 @@
                 return self._common_origin(records), Knowledge.content, records[-1].age_ms
         software = self.sharing.certain_version(context.service)
         if software is None:
-            return None, Knowledge.uniform, 0
+            return await self._find_at_control(context)
         origin = StreamOrigin(service=context.service, software=software)
         longest_s = self.sharing.longest_stream_s(context.service)
         return origin, Knowledge.uniform, int(longest_s * MS_PER_S)
 
+    async def _find_at_control(
+        self, context: RequestContext
+    ) -> tuple[StreamOrigin | None, Knowledge, int]:
+        """Return what control hosts know of a stream whose gateways are all gone."""
+        copies = self.sharing.control_copies
+        if not context.request.resumes or copies.usable_in_s:
+            return None, Knowledge.control, 0
+        record = await copies.find(self._key(context, context.request.resumes))
+        if record is None or not self._is_certain(record.origin):
+            return None, Knowledge.control, 0
+        return record.origin, Knowledge.control, record.age_ms
+
+    def _unknown(self) -> Refusal:
+        """Return the refusal of a stream of which nothing is known, or not yet."""
+        usable_in_s = self.sharing.control_copies.usable_in_s
+        return replace(_UNKNOWN, retry_after_s=max(DEFAULT_RETRY_AFTER_S, usable_in_s))
+
     async def _find_content(self, context: RequestContext) -> list[OriginRecord]:
         """Return the records of all streams of a content that may still go on, oldest first."""
         longest_s = self.sharing.longest_stream_s(context.service)
--- a/ringseam/gateway/requests/originmessages.py
+++ b/ringseam/originmessages.py
@@ -1,4 +1,4 @@
-"""Messages by which gateways keep copies of the origins of streams."""
+"""Messages by which the origins of streams are copied to gateways and control hosts."""
 
 from __future__ import annotations
 
--- a/tests/test_system/test_system_rejoined.py
+++ b/tests/test_system/test_system_rejoined.py
@@ -34,6 +34,8 @@
 #: Until the leader knows that a service has been alone for long enough: the longest duration
 #: of a stream, and the time in which documents and servers become known.
 HISTORY_S = 11
+#: Until a gateway that has started relies on what control hosts know of streams, seconds.
+KNOWN_AFTER_S = 3
 
 
 def document(number, service, limit_s):
@@ -272,3 +274,21 @@
 
     streams = play(system, scenario)
     assert len(continued(streams)) == STREAMS
+
+
+# Guards against streams that are refused for good since all gateways that knew them were killed.
+def test_streams_of_two_versions_go_on_at_theirs_after_all_gateways_were_killed(system):
+    async def scenario(fleet):
+        for software in ('v1', 'v2', 'v1', 'v2'):
+            await fleet.add_server('first', software)
+        await fleet.submit(1, 'first', 8)
+        await asyncio.sleep(2)
+        begun = await fleet.begin_streams()
+        await asyncio.sleep(0.5)
+        await fleet.kill_all_gateways()
+        await asyncio.sleep(KNOWN_AFTER_S)
+        return await fleet.resume(begun)
+
+    streams = play(system, scenario)
+    assert not joined(streams)
+    assert len(continued(streams)) == STREAMS
