Stand-in channels count what a reader holds

Cause: the model's channel and that of a test lacked count_held, so their streams broke off (test_requests_reservedloads, test_requests_relay: 6 cases failed, pass now).

--- a/ringseam/model/engines.py
+++ b/ringseam/model/engines.py
@@ -229,6 +229,9 @@
             raise ChannelError('reset', sent=True)
         return event or None
 
+    def count_held(self, change: int) -> None:
+        """Count nothing: the model has no bound of memory."""
+
     def close(self) -> None:
         """Close the stream; the engine cancels the request."""
         self.engine.cancel(self.run)
--- a/tests/test_gateway/test_requests/test_requests_relay.py
+++ b/tests/test_gateway/test_requests/test_requests_relay.py
@@ -59,6 +59,9 @@
             return None
         raise ChannelError('reset', sent=True)
 
+    def count_held(self, change):
+        """Count nothing."""
+
 
 @st.composite
 def server_plans(draw):
