Tests: failures are rendered without garbage collection

Cause: CPython 3.11.6 counts the recursion of its AST constructor in one place; a finalizer that runs and raises while a source is parsed (StreamWriter.__del__ on a closed loop) leaves the count wrong. Change: no collection while a report is made.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+
 import pytest
 from hypothesis import HealthCheck, settings
 
@@ -64,6 +66,20 @@
 """
 
 
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Render failures without garbage collection, which may end the whole run.
+
+    A finalizer that raises while a source is parsed breaks the recursion counter of the parser in
+    some versions of Python: ``SystemError: AST constructor recursion depth mismatch``.
+    """
+    gc.disable()
+    try:
+        return (yield)
+    finally:
+        gc.enable()
+
+
 def pytest_collection_modifyitems(items):
     """Expect the tests with known faults to fail; option ``-ra`` lists them."""
     mark_expected_failures(items, load_known_failures())
