HTTP servers bound what a connection holds and costs

What callers saw: four clients that send requests ahead and read nothing ended a gateway of 300 MB (302 to 316 MB, readiness missed 3 to 6 checks in a row) at the clients' address, the readiness check and the metrics; 1,500 heads of 3,900 fields without their bodies did too; one legal body of 4 MiB in chunks of a byte was reset after 3 s and stalled all others for 4 s; 4,500 idle connections left 175 of 400 ordinary requests served. Cause: reading never paused while a request was handled, only bodies were counted and only at one listener, a read was parsed in one go (11 us a chunk, 3 us a field), nothing gave way. Change, one mechanism for all listeners: requests are parsed by httptools in bounded steps, heads stay as received until their request is complete, turns on the event loop by start-time fair queueing, memory by size of the request, 64 KiB ahead of a response, bodies that nobody wants are discarded by their heads, connections without a served request make room, connections are decided on before they are made. What is ahead and dropped has not run; the request in progress is answered. Changed tests: those of the host monitor that assumed that all bodies wait at 0.7 of the bound now ask that large ones wait and smaller ones don't, and count heads too; the fake transport and names follow.

--- a/ringseam/contents.py
+++ b/ringseam/contents.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
     from ringseam.calls import PromptPart
-    from ringseam.web.server import Request
+    from ringseam.web.exchange import Request
 
 #: Identifies a request by its caller, address and body; hexadecimal digits.
 ContentId = NewType('ContentId', str)
--- a/ringseam/gateway/hosts/budget.py
+++ b/ringseam/gateway/hosts/budget.py
@@ -8,6 +8,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from ringseam.web.requestbudget import fits
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
 
@@ -16,8 +18,8 @@
 #: Share of the host's memory that may be held for clients and servers: the process itself and
 #: its routing documents need most of the rest.
 _BOUND_SHARE = 0.25
-#: Shares of the bound. Above the first, request bodies are no longer read; the margin below
-#: it keeps this from switching with each body.
+#: Shares of the bound. Above the first, the bound is near; the margin below the second keeps this
+#: from switching with each body.
 _NEAR_SHARE = 0.7
 _LEFT_SHARE = 0.6
 #: Shares of the bound from which requests of the lowest and of the highest rank are refused.
@@ -85,14 +87,27 @@
             return 0
         return self.total - int(_RELIEVED_SHARE * self.bound_bytes)
 
+    @property
+    def stalled_excess_bytes(self) -> int:
+        """Return how many bytes of stalled clients must be given up before others are refused."""
+        return max(0, self.total - int(_NEAR_SHARE * self.bound_bytes)) if self.is_scarce else 0
+
     @property
     def is_scarce(self) -> bool:
         """Return whether requests of some rank are refused."""
         return self.share >= _REFUSE_LAST_RANK_SHARE
 
-    def may_read_bodies(self) -> bool:
-        """Return whether more bytes of request bodies may be read."""
-        return not self.bound_bytes or self.share < _NEAR_SHARE
+    @property
+    def is_full(self) -> bool:
+        """Return whether requests of all ranks are refused."""
+        return self.share >= _REFUSE_FIRST_RANK_SHARE
+
+    def fits(self, size: int, own: int = 0) -> bool:
+        """Return whether a request of ``size`` bytes may be held.
+
+        :param own: how many of them are counted already.
+        """
+        return fits(size, others=self.total - own, bound_bytes=self.bound_bytes)
 
     def update(self) -> bool:
         """Return whether the bound has come near, or no longer is, since the last call."""
--- a/ringseam/gateway/hosts/descriptors.py
+++ b/ringseam/gateway/hosts/descriptors.py
@@ -6,7 +6,7 @@
 import os
 import resource
 
-from ringseam.web.server import Acceptance
+from ringseam.web.accounting import Acceptance
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -8,12 +8,15 @@
 from typing import TYPE_CHECKING
 
 from ringseam.clock import MS_PER_S
+from ringseam.closedclients import ClosedClients
 from ringseam.events import Event
 from ringseam.gateway.hosts.budget import Holder, budget_for
 from ringseam.gateway.hosts.countedpool import CountedPool
 from ringseam.gateway.hosts.descriptors import DescriptorBudget, descriptor_limit
+from ringseam.gateway.hosts.responsesizes import ResponseSizes
 from ringseam.gateway.hosts.slowclients import ClientLoad, clients_to_give_up
-from ringseam.web.server import Acceptance, HttpAccounting
+from ringseam.web.accounting import Acceptance, HttpAccounting
+from ringseam.web.requestbudget import largest_body
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -22,8 +25,11 @@
     from ringseam.hostcapacity import HostCapacity
     from ringseam.metrics import Metrics
     from ringseam.node import Node
+    from ringseam.web.accounting import CloseReason
+    from ringseam.web.connection import HttpConnection
+    from ringseam.web.exchange import Exchange
     from ringseam.web.pool import HttpChannelPool
-    from ringseam.web.server import Exchange, HttpConnection, HttpServer
+    from ringseam.web.server import HttpServer
 
 logger = logging.getLogger(__name__)
 
@@ -46,6 +52,8 @@
         self.budget = budget_for(capacity)
         self.budget.on_exceeded = self._relieve
         self.descriptors = DescriptorBudget(limit=descriptor_limit(capacity.descriptors))
+        self.closed = ClosedClients(node=node, metrics=metrics, listener='http')
+        self.response_sizes = ResponseSizes()
         self.server: HttpServer | None = None
         #: Whether there was no more client to give up; until the next check.
         self.is_exhausted = False
@@ -81,20 +89,24 @@
         return acceptance
 
     def count_request(self, change: int) -> None:
-        """Count a change of the bytes of request bodies."""
+        """Count a change of the bytes held for requests."""
         self.budget.count(Holder.client_requests, change)
 
     def count_response(self, change: int) -> None:
         """Count a change of the bytes of responses that clients have not read."""
         self.budget.count(Holder.client_responses, change)
 
-    def may_read_bodies(self) -> bool:
-        """Return whether more of the bodies of requests may be read."""
-        return self.budget.may_read_bodies()
+    def fits(self, size: int, own: int = 0) -> bool:
+        """Return whether a request of ``size`` bytes may be held."""
+        return self.budget.fits(size, own)
 
-    def must_refuse(self) -> bool:
-        """Return whether requests that are not read completely must be refused at once."""
-        return self.budget.excess_bytes > 0
+    def largest_body(self) -> int:
+        """Return the size above which a body never fits; 0: there is none."""
+        return largest_body(self.budget.bound_bytes)
+
+    def record_closed(self, connection: HttpConnection, reason: CloseReason) -> None:
+        """Count and log a connection that is closed because its client doesn't behave."""
+        self.closed.record(connection, reason)
 
     def record_cancelled(self, exchange: Exchange) -> None:
         """Log and count a request that ended inside this process without a response."""
@@ -123,11 +135,16 @@
         if exchange.connection.is_refused:
             return _CONNECTION_RETRY_AFTER_S
         self.ranks[exchange.rank] = self.node.clock.now()
-        if exchange.request.is_complete and not self._refuses(exchange.rank):
+        if exchange.request.is_complete and self._has_room(context):
             return None
         self.metrics.add('requests_refused_for_memory')
         return self.budget.retry_after_s()
 
+    def record_response(self, context: RequestContext) -> None:
+        """Learn how much the responses of a route hold."""
+        if context.exchange.body_bytes:
+            self.response_sizes.record(context.route.name, context.exchange.body_bytes)
+
     def check(self) -> None:
         """Give up clients that are too slow for what is held, and let bodies be read again."""
         self.is_exhausted = False
@@ -141,10 +158,17 @@
                 Event.budget_reached if self.budget.is_near else Event.budget_left,
                 **self._held(),
             )
-        if not self.budget.is_near:
-            self.server.resume_reading()
+        self.server.check()
         self._export()
 
+    def _has_room(self, context: RequestContext) -> bool:
+        """Return whether a request and its response may be held."""
+        route = context.route.name
+        if self.response_sizes.is_small(route):
+            return not self.budget.is_full
+        fits = self.budget.fits(self.response_sizes.estimate(route))
+        return fits and not self._refuses(context.exchange.rank)
+
     def _refuses(self, rank: int) -> bool:
         if not self.budget.is_scarce:
             return False
@@ -159,8 +183,15 @@
             self.is_exhausted = self.budget.excess_bytes > 0
 
     def _give_up_clients(self, now: float) -> None:
-        excess_bytes = self.budget.excess_bytes
-        for client in clients_to_give_up(self._loads(), excess_bytes=excess_bytes, now=now):
+        loads = list(self._loads())
+        given_up = clients_to_give_up(
+            loads,
+            excess_bytes=self.budget.excess_bytes,
+            now=now,
+            stalled_excess_bytes=self.budget.stalled_excess_bytes,
+            refused_ranks={load.rank for load in loads if self._refuses(load.rank)},
+        )
+        for client in given_up:
             exchange = client.connection.exchange
             self.metrics.add('clients_given_up')
             self.node.events.emit(
--- a/ringseam/gateway/requestcontext.py
+++ b/ringseam/gateway/requestcontext.py
@@ -18,7 +18,7 @@
     from ringseam.routes import Account, Route, ServiceName
     from ringseam.streamorigins import StreamOrigin
     from ringseam.web.client import HttpChannel, ResponseHead
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange
 
 
 class LossCause(enum.Enum):
--- a/ringseam/gateway/requests/answers.py
+++ b/ringseam/gateway/requests/answers.py
@@ -16,7 +16,7 @@
     from ringseam.metrics import Metrics
     from ringseam.node import Node
     from ringseam.web.bodies import Headers
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -26,6 +26,7 @@
     UNAUTHORIZED,
 )
 from ringseam.gateway.requests.attempts import SERVERS_LIMITED
+from ringseam.gateway.requests.bodies import RoutedBodies
 from ringseam.gateway.requests.fairness import Fairness
 from ringseam.gateway.requests.reservationclient import ReservationClient
 from ringseam.gateway.requests.reservedpolicy import ReservedAdmission
@@ -45,7 +46,7 @@
     from ringseam.gateway.stages.client import PieceClient
     from ringseam.node import Node
     from ringseam.routes import Account, Route, ServiceName
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange
 
 #: Retry-After while a gateway has no routes, seconds: an election takes less time,
 #: unless the first one fails.
@@ -88,6 +89,7 @@
         self.attempts = attempts
         self.responder = responder
         self.host = host
+        self.bodies = RoutedBodies(forwarder=self)
         #: Set when this process stops and running stages can't be finished.
         self.shutting_down = asyncio.Event()
         #: When requests under way are ended; infinite: this process doesn't stop.
@@ -122,8 +124,7 @@
                 retry_after_s=_NO_ROUTES_RETRY_AFTER_S,
             )
             return
-        route = table.match(request.host, request.path)
-        account = None if route is None or route.public else table.account_by_key(request.key)
+        route, account = self._find_route(request)
         status = self._rejection_status(request, route, account)
         if route is None or status:
             await self.responder.reject(exchange, request, status)
@@ -142,6 +143,12 @@
         finally:
             self._record_fairness(context)
 
+    def is_rejected(self, request: ClientRequest) -> bool:
+        """Return whether a request will be rejected, whatever its body is."""
+        if not self.follower.table.number:
+            return False
+        return bool(self._rejection_status(request, *self._find_route(request)))
+
     def plan_stop(self, left_s: float) -> None:
         """Refuse requests that would not be finished in ``left_s`` seconds."""
         self.ends_at = self.clock.now() + left_s
@@ -181,6 +188,13 @@
                 context=context,
             )
 
+    def _find_route(self, request: ClientRequest) -> tuple[Route | None, Account | None]:
+        table = self.follower.table
+        route = table.match(request.host, request.path)
+        if route is None or route.public:
+            return route, None
+        return route, table.account_by_key(request.key)
+
     def _rejection_status(
         self, request: ClientRequest, route: Route | None, account: Account | None
     ) -> int:
@@ -279,9 +293,14 @@
             if await self._admit_content(context) and not await self._refuse_unresumable(context):
                 await self._run(context)
         finally:
-            self.attempts.guard.end_trial(context)
-            if context.exchange.status >= _SERVER_ERROR:
-                self.admission.record_unserved(context.route.name)
+            self._record_end(context)
+
+    def _record_end(self, context: RequestContext) -> None:
+        self.attempts.guard.end_trial(context)
+        if self.host is not None:
+            self.host.record_response(context)
+        if context.exchange.status >= _SERVER_ERROR:
+            self.admission.record_unserved(context.route.name)
 
     async def _refuse_for_stop(self, context: RequestContext) -> bool:
         """Refuse a request that this process would break off; return whether it was refused."""
--- a/ringseam/gateway/requests/sending.py
+++ b/ringseam/gateway/requests/sending.py
@@ -12,6 +12,7 @@
 from ringseam.gateway.requestcontext import Answered, LossCause, Lost, NotRun
 from ringseam.gateway.requests.balancing import USUAL_REQUEST_S
 from ringseam.platform.requests import decode_response_metadata, encode_call_headers
+from ringseam.util.tasks import LoopTurns
 from ringseam.web.bodies import end_to_end_headers
 from ringseam.web.client import (
     MAX_UNDECLARED_BODY_BYTES,
@@ -34,6 +35,8 @@
 
 logger = logging.getLogger(__name__)
 
+#: Fields above which a request is sent in a turn of its own.
+_MANY_FIELDS = 256
 #: Connect timeout, seconds. A round trip takes milliseconds; with a full accept queue,
 #: connecting takes a second.
 CONNECT_TIMEOUT_S = 0.4
@@ -67,6 +70,8 @@
         self.silence = silence
         self.clock = clock
         self.notices = notices
+        #: Turns of requests of many fields: to encode one takes some milliseconds.
+        self.large_turns = LoopTurns()
 
     async def send(
         self,
@@ -99,11 +104,17 @@
             self.health.record_failure(server.instance, self.clock.now(), hard=True)
             return NotRun(detail=str(error))
         outcome: TryOutcome | None = None
+        exchange = context.exchange
+        if exchange.source is None:
+            # What arrives with the head of a response is held for this client already.
+            exchange.source = channel
         try:
             outcome = await self._send_and_receive(channel, context, server, last_event)
         finally:
             if not isinstance(outcome, Answered):
                 self._release_channel(channel, outcome)
+                if exchange.source is channel:
+                    exchange.source = None
         return outcome
 
     async def _send_and_receive(
@@ -114,6 +125,8 @@
         last_event: int | None,
     ) -> TryOutcome:
         request = context.exchange.request
+        if len(request.headers) > _MANY_FIELDS:
+            await self.large_turns.take()
         headers = encode_call_headers(
             end_to_end_headers(request.headers),
             CallHeaders(
--- a/ringseam/gateway/role.py
+++ b/ringseam/gateway/role.py
@@ -33,11 +33,12 @@
 from ringseam.platform.registration import READY_PATH
 from ringseam.retries import WindowRetries
 from ringseam.role import Role
+from ringseam.web.checkserver import create_check_server
 from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
     from ringseam.settings import Settings
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange
 
 logger = logging.getLogger(__name__)
 
@@ -182,9 +183,19 @@
             host=self.host,
             switch=self.switch,
         )
-        self.client_server = HttpServer(handler=self.forwarder.serve, limits=HttpLimits())
+        self.client_server = HttpServer(
+            handler=self.forwarder.serve,
+            limits=HttpLimits(),
+            body_policy=self.forwarder.bodies,
+        )
         self.host.watch(self.client_server)
-        self.probe_server = HttpServer(handler=self._answer_probe, limits=HttpLimits())
+        self.probe_server = create_check_server(
+            name='ready',
+            handler=self._answer_probe,
+            node=self.node,
+            metrics=self.metrics,
+            descriptors=settings.host_capacity.descriptors,
+        )
 
     async def open(self) -> None:
         """Start the servers and the background tasks."""
--- a/ringseam/model/clients.py
+++ b/ringseam/model/clients.py
@@ -18,7 +18,7 @@
     retry_after_header,
 )
 from ringseam.web.bodies import find_header
-from ringseam.web.server import Request
+from ringseam.web.exchange import Request
 
 if TYPE_CHECKING:
     from ringseam.clock import Clock
--- a/ringseam/platform/requests.py
+++ b/ringseam/platform/requests.py
@@ -15,7 +15,7 @@
     from ringseam.calls import CallHeaders
     from ringseam.web.bodies import Headers
     from ringseam.web.client import ResponseHead
-    from ringseam.web.server import Request
+    from ringseam.web.exchange import Request
 
 # Identifies one attempt of a client; a retry of the same work gets a new id.
 _ATTEMPT_ID = 'Attempt-Id'
--- a/ringseam/standin/direct.py
+++ b/ringseam/standin/direct.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from ringseam.routes import ServiceName
     from ringseam.web.bodies import Headers
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange
 
 logger = logging.getLogger(__name__)
 
--- a/ringseam/util/tasks.py
+++ b/ringseam/util/tasks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import logging
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,35 @@
     return 0 if task is None else task.cancelling()
 
 
+class LoopTurns:
+    """Let one task after the other do its work, and the event loop handle other events between."""
+
+    def __init__(self) -> None:
+        """Create turns that nobody waits for."""
+        self.waiting: collections.deque[asyncio.Future[None]] = collections.deque()
+        self.is_taken = False
+
+    async def take(self) -> None:
+        """Wait until no other task has had a turn in this iteration of the event loop."""
+        loop = asyncio.get_running_loop()
+        if self.is_taken:
+            turn = loop.create_future()
+            self.waiting.append(turn)
+            await turn
+        else:
+            self.is_taken = True
+            loop.call_soon(self._give_next)
+
+    def _give_next(self) -> None:
+        while self.waiting:
+            turn = self.waiting.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                asyncio.get_running_loop().call_soon(self._give_next)
+                return
+        self.is_taken = False
+
+
 class TaskSet:
     """Start background tasks, hold references to them until they end, and log failures.
 
--- /dev/null
+++ b/ringseam/web/acceptor.py
@@ -0,0 +1,121 @@
+"""Accepts the connections of a listening socket, some at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import logging
+import socket
+from typing import TYPE_CHECKING
+
+from ringseam.util.tasks import TaskSet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    #: Returns the protocol of a new connection; None: it is closed at once.
+    Admission = Callable[[socket.socket], 'asyncio.BaseProtocol | None']
+
+logger = logging.getLogger(__name__)
+
+#: Maximum number of connections waiting to be accepted.
+_BACKLOG = 1024
+#: Connections that are admitted, and that are looked at, before other events are handled. To close
+#: one takes a tenth of the time, and a full queue would keep all others out.
+_ADMITTED_AT_ONCE = 16
+_ACCEPTED_AT_ONCE = 128
+#: Pause after there was no descriptor or memory for a connection, seconds.
+_EXHAUSTED_PAUSE_S = 0.2
+_EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+#: Bytes in which the head of a short request is looked for.
+_PEEKED_BYTES = 4096
+_BLANK_LINE = b'\r\n\r\n'
+
+
+class Acceptor:
+    """Accept connections, and decide on each before anything is made for it."""
+
+    def __init__(self, *, admit: Admission) -> None:
+        """Create an acceptor that doesn't listen yet."""
+        self.admit = admit
+        self.listener: socket.socket | None = None
+        self.tasks = TaskSet()
+
+    def start(self, host: str, port: int) -> int:
+        """Start to listen and return the bound port."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        try:
+            listener.bind((host, port))
+            listener.listen(_BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self.listener = listener
+        self._watch()
+        return listener.getsockname()[1]
+
+    def close(self) -> None:
+        """Stop to listen."""
+        if self.listener is not None:
+            asyncio.get_running_loop().remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+
+    def _watch(self) -> None:
+        if self.listener is not None:
+            asyncio.get_running_loop().add_reader(self.listener, self._accept_some)
+
+    def _accept_some(self) -> None:
+        admitted = 0
+        for _ in range(_ACCEPTED_AT_ONCE):
+            sock = None if admitted == _ADMITTED_AT_ONCE else self._accept()
+            if sock is None:
+                return
+            admitted += self._admit(sock)
+
+    def _accept(self) -> socket.socket | None:
+        """Return an accepted connection; None: there is none, or no room for one."""
+        if self.listener is None:
+            return None
+        try:
+            sock, _ = self.listener.accept()
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as error:
+            self._handle_error(self.listener, error)
+            return None
+        sock.setblocking(False)
+        return sock
+
+    def _admit(self, sock: socket.socket) -> bool:
+        protocol = self.admit(sock)
+        if protocol is None:
+            sock.close()
+            return False
+        self.tasks.spawn(_connect(protocol, sock))
+        return True
+
+    def _handle_error(self, listener: socket.socket, error: OSError) -> None:
+        """Go on after a connection that was aborted; pause if there is no room for one."""
+        logger.warning('connection not accepted: %s', error)
+        if error.errno in _EXHAUSTED:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(listener)
+            loop.call_later(_EXHAUSTED_PAUSE_S, self._watch)
+
+
+def has_request(sock: socket.socket) -> bool:
+    """Return whether a short request has arrived on a new connection."""
+    try:
+        return _BLANK_LINE in sock.recv(_PEEKED_BYTES, socket.MSG_PEEK)
+    except OSError:
+        # Nothing has arrived yet, or the connection is closed.
+        return False
+
+
+async def _connect(protocol: asyncio.BaseProtocol, sock: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
--- a/ringseam/web/bodies.py
+++ b/ringseam/web/bodies.py
@@ -59,6 +59,21 @@
     return [(name.encode('latin-1'), text.encode('latin-1')) for name, text in headers]
 
 
+def encode_head(first_line: bytes, headers: Headers) -> bytes:
+    """Return the head of a message.
+
+    :param first_line: the request or status line, without its end.
+    :raises ValueError: if a line holds a line end or NUL, so that the head would mean another one.
+    :raises UnicodeEncodeError: for text that is no received header, beyond Latin-1.
+    """
+    lines = [first_line, *(b'%s: %s' % pair for pair in encode_headers(headers)), b'', b'']
+    head = b'\r\n'.join(lines)
+    ends = len(lines) - 1
+    if head.count(b'\n') != ends or head.count(b'\r') != ends or b'\0' in head:
+        raise ValueError('a header holds a line end or NUL')
+    return head
+
+
 def utf8_value(text: str) -> str:
     """Return a header value whose bytes are the UTF-8 encoding of ``text``.
 
--- a/ringseam/web/client.py
+++ b/ringseam/web/client.py
@@ -15,7 +15,7 @@
 import h11
 
 from ringseam.errors import RingseamError
-from ringseam.web.bodies import BODILESS_STATUSES, Headers, encode_headers, find_header
+from ringseam.web.bodies import BODILESS_STATUSES, Headers, encode_head, find_header
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +51,7 @@
 _DEFAULT_IDLE_S = 0.4
 #: Maximum idle timeout, so that few unused connections are kept open.
 _MAX_IDLE_S = 30
+_PARSED_HEADERS = (('Host', 'server'),)
 _KEEP_ALIVE_TIMEOUT = re.compile(r'timeout\s*=\s*(\d+)')
 
 
@@ -187,13 +188,12 @@
         framed_headers = list(headers)
         if body or method not in {'GET', 'DELETE', 'HEAD'}:
             framed_headers.append(('Content-Length', str(len(body))))
-        head = h11.Request(method=method, target=target, headers=encode_headers(framed_headers))
-        parts = [self.parser.send(head)]
-        if body:
-            parts.append(self.parser.send(h11.Data(data=body)))
-        parts.append(self.parser.send(h11.EndOfMessage()))
+        head = encode_head(_request_line(method, target), framed_headers)
+        # The parser needs only what the framing of the response depends on.
+        self.parser.send(h11.Request(method=method, target='/', headers=_PARSED_HEADERS))
+        self.parser.send(h11.EndOfMessage())
         self.request_sent = True
-        self.transport.write(b''.join(part for part in parts if part))
+        self.transport.write(head + body)
         self._count_unsent(self.transport.get_write_buffer_size())
 
     async def read_head(self) -> ResponseHead:
@@ -446,6 +446,12 @@
     """Handle the end of a connection where nobody asks for it."""
 
 
+def _request_line(method: str, target: str) -> bytes:
+    if ' ' in method or ' ' in target:
+        raise ValueError(f'a space in {method!r} or {target!r}')
+    return f'{method} {target} HTTP/1.1'.encode('latin-1')
+
+
 def _size_of(event: object) -> int:
     return _EVENT_BYTES + len(event.data) if isinstance(event, h11.Data) else _EVENT_BYTES
 
--- a/ringseam/web/metricspage.py
+++ b/ringseam/web/metricspage.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from ringseam.web.server import HttpLimits, HttpServer
+from ringseam.web.checkserver import create_check_server
 
 if TYPE_CHECKING:
     from ringseam.metrics import Metrics
-    from ringseam.web.server import Exchange
+    from ringseam.node import Node
+    from ringseam.web.exchange import Exchange
 
 METRICS_PATH = '/metrics'
 _OK = 200
@@ -18,10 +19,12 @@
 class MetricsPage:
     """Serve counters and histograms in the Prometheus text format."""
 
-    def __init__(self, *, metrics: Metrics) -> None:
+    def __init__(self, *, node: Node, metrics: Metrics) -> None:
         """Create a page that renders ``metrics`` on each request."""
         self.metrics = metrics
-        self.server = HttpServer(handler=self.handle, limits=HttpLimits())
+        self.server = create_check_server(
+            name='metrics', handler=self.handle, node=node, metrics=metrics
+        )
 
     async def start(self, host: str, port: int) -> int:
         """Start to listen and return the bound port."""
--- /dev/null
+++ b/ringseam/web/receiver.py
@@ -0,0 +1,418 @@
+"""Receiving of the requests of one connection, within time and memory."""
+
+from __future__ import annotations
+
+import enum
+import functools
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from ringseam.clock import boottime
+from ringseam.web.accounting import CloseReason
+from ringseam.web.bodypolicy import KEEP_BODY
+from ringseam.web.exchange import Request
+from ringseam.web.requestbudget import SMALL_BYTES
+from ringseam.web.requestparser import Progress, RequestError, RequestParser
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from ringseam.web.connection import HttpConnection
+
+#: Bytes that may follow a request while it is handled.
+_MAX_AHEAD_BYTES = 65_536
+#: What a connection that isn't read counts, bytes: the system keeps about as much for it.
+_UNREAD_BYTES = 65_536
+#: Memory is reserved for a body of unknown size in steps: the first one, and the factor between.
+_FIRST_RESERVED_BYTES = 4096
+_RESERVED_FACTOR = 4
+#: Fields above which a request is refused without its handler.
+_MAX_REFUSED_FIELDS = 256
+#: Parsed units (fields, chunks, blocks of bytes) after which others have their turn.
+_UNITS_PER_TURN = 4096
+#: Work of a unit and of handling a request, microseconds.
+_UNIT_US = 0.5
+_HANDLING_US = 300.0
+#: Work that a received byte makes at most, microseconds: of a head of short fields.
+_UNPARSED_BYTE_US = 2.0
+#: Each field is looked at, copied and checked some times while its request is handled.
+_FIELD_US = 8.0
+#: A timer that fires later than this shows that this process was late itself, seconds.
+_LATE_S = 0.02
+
+
+class Reading(enum.Enum):
+    """What becomes of the bytes that a client sends."""
+
+    parsed = 'parsed'
+    #: The request waits for memory.
+    waiting = 'waiting'
+    #: Too many were sent ahead of a response: they are discarded, slowly, so that the end of the
+    #: connection is noticed.
+    slowed = 'slowed'
+    #: The connection is about to be closed: they are discarded.
+    discarded = 'discarded'
+
+
+class RequestReceiver:  # noqa: WPS230 - protocol state
+    """Receive one request after the other; pass each to the connection once it is complete."""
+
+    def __init__(self, *, connection: HttpConnection) -> None:
+        """Create a receiver that has received nothing."""
+        self.connection = connection
+        self.server = connection.server
+        self.loop = connection.loop
+        self.parser = RequestParser()
+        self.reading = Reading.parsed
+        self.is_paused = False
+        #: Whether a request has begun to arrive or is handled; when its first byte and its last
+        #: part arrived, on the clock of the host.
+        self.has_begun = False
+        self.started_at: float = 0
+        self.progressed_at: float = 0
+        #: Time that the client has left for its request, which passes only while this server waits
+        #: for it, and until when it has, on the clock of the event loop; 0: it isn't waited for.
+        self.left_s: float = 0
+        self.receive_until: float = 0
+        self.timer: asyncio.TimerHandle | None = None
+        #: Since when the request has waited for memory, on the clock of the host.
+        self.waiting_since: float = 0
+        #: Bytes counted for the connection, and those that its request may take.
+        self.held_bytes = 0
+        self.granted_bytes = 0
+        self.is_decided = False
+        self.body_limit = 0
+
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether a request has begun to arrive and isn't handled."""
+        return self.has_begun and self.connection.task is None
+
+    @property
+    def estimate_us(self) -> float:
+        """Return an estimate of the work that the connection has now, microseconds."""
+        parser = self.parser
+        return _UNPARSED_BYTE_US * len(parser.unparsed) + _FIELD_US * parser.field_count
+
+    def receive(self, chunk: bytes) -> None:
+        """Take received bytes, and parse them unless a request is handled."""
+        if self.reading is Reading.discarded:
+            return
+        if self.reading is Reading.slowed:
+            self.pause()
+            return
+        self.parser.receive(chunk)
+        if self.connection.task is None:
+            self._begin()
+            self.server.give_turn(self.connection)
+            self._limit_unparsed()
+        else:
+            self._limit_ahead()
+        self.count()
+
+    def advance(self) -> float:
+        """Parse for one turn; return the work in microseconds."""
+        if self.reading is not Reading.parsed or self.connection.task is not None:
+            return 0
+        self.parser.work = 0
+        try:
+            work_us = self._advance()
+        except RequestError as error:
+            work_us = _UNIT_US * self.parser.work
+            self.connection.reject(error.status, CloseReason.invalid)
+        self.count()
+        return work_us
+
+    def end_request(self) -> None:
+        """Release what is held for the request that was handled."""
+        self.parser.start_next()
+        self.has_begun = False
+        self.granted_bytes = 0
+        self.is_decided = False
+        self.count()
+
+    def await_next(self) -> None:
+        """Receive the next request, of which a part may have arrived."""
+        self.resume()
+        if self.parser.unparsed:
+            self._begin()
+            self.server.queue_turn(self.connection)
+        self.count()
+
+    def pause(self) -> None:
+        """Read no more until :meth:`resume`."""
+        self.is_paused = True
+        if self.connection.transport is not None:
+            self.connection.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self.is_paused and not self.connection.is_closing:
+            self.is_paused = False
+            self.connection.transport.resume_reading()
+
+    def discard(self) -> None:
+        """Discard all that is received from now on."""
+        self._set_reading(Reading.discarded)
+        self.stop_timer()
+        self.parser = RequestParser()
+        self.granted_bytes = 0
+        self.resume()
+        self.count()
+
+    def close(self) -> None:
+        """Count nothing any more."""
+        self._set_reading(Reading.discarded)
+        self.stop_timer()
+        self.parser = RequestParser()
+        self.granted_bytes = 0
+        self.count()
+
+    def check(self, now: float, patience_s: float) -> None:
+        """Go on with a request that waits for memory if there is some; else refuse it when late."""
+        if self.connection.is_closing:
+            self._set_reading(Reading.discarded)
+        elif self._fits(self._needed_bytes()):
+            self._set_reading(Reading.parsed)
+            self.granted_bytes = self._needed_bytes()
+            self.count()
+            self.server.queue_turn(self.connection)
+        elif now >= self.waiting_since + patience_s:
+            self.refuse()
+
+    def refuse(self) -> None:
+        """Let the handler refuse a request that isn't complete.
+
+        A head that is not parsed, for want of memory, is refused without it.
+        """
+        self._set_reading(Reading.discarded)
+        self.parser.drop_unparsed()
+        if self.parser.head is None or self.parser.field_count > _MAX_REFUSED_FIELDS:
+            self.connection.reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.memory)
+        else:
+            self._hand_over(is_complete=False)
+
+    def reject_if_stalled(self, now: float, after_s: float) -> None:
+        """Reject a request that holds much if nothing of it has arrived for a while."""
+        is_awaited = self.is_receiving and self.reading is Reading.parsed
+        holds_much = is_awaited and self.held_bytes > SMALL_BYTES
+        if holds_much and now >= self.progressed_at + after_s:
+            self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.stalled)
+
+    def count(self) -> None:
+        """Count what the connection holds for requests."""
+        held = max(self.parser.held_bytes, self.granted_bytes)
+        if self.reading is Reading.waiting:
+            held += _UNREAD_BYTES
+        self.server.accounting.count_request(held - self.held_bytes)
+        self.held_bytes = held
+
+    def stop_timer(self) -> None:
+        """Stop to wait for the client; the time that is left is kept."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.receive_until:
+            self.left_s = max(0, self.receive_until - self.loop.time())
+            self.receive_until = 0
+
+    # -- one turn -----------------------------------------------------------------
+
+    def _advance(self) -> float:
+        limits = self.server.limits
+        step = functools.partial(self.parser.step, header_bytes=limits.header_bytes)
+        progress = step(body_bytes=limits.body_bytes)
+        if progress is Progress.head:
+            if self.connection.is_refused:
+                self.refuse()
+                return _HANDLING_US
+            self._check_length(limits.body_bytes)
+            progress = step(body_bytes=self.body_limit)
+        while progress is Progress.unfinished and self.parser.work < _UNITS_PER_TURN:
+            progress = step(body_bytes=self.body_limit)
+        work_us = _UNIT_US * self.parser.work
+        if progress is Progress.complete:
+            return work_us + self._complete()
+        if self.parser.head is not None:
+            self._continue_body()
+        if self.reading is Reading.parsed:
+            self._go_on(progress)
+        return work_us
+
+    def _go_on(self, progress: Progress) -> None:
+        """Parse the rest in a later turn, or wait for the client."""
+        if progress is Progress.unfinished:
+            self.stop_timer()
+            self.server.queue_turn(self.connection)
+        else:
+            self.resume()
+            self._await_client()
+
+    def _complete(self) -> float:
+        """Pass a complete request on; return the work that it will make."""
+        if not self._fits(self.parser.request_bytes):
+            self._wait()
+            return 0
+        self._hand_over(is_complete=True)
+        return _HANDLING_US + _FIELD_US * self.parser.field_count
+
+    def _hand_over(self, *, is_complete: bool) -> None:
+        self.stop_timer()
+        request = self._take_request(is_complete=is_complete)
+        if self.is_paused and is_complete:
+            self.resume()
+        self.count()
+        self.connection.start_handler(request)
+
+    def _take_request(self, *, is_complete: bool) -> Request:
+        parser = self.parser
+        head = parser.head
+        body = bytes(parser.body) if is_complete else b''
+        # The request has a copy of the body, or does without it.
+        parser.body = bytearray()
+        self.granted_bytes = parser.request_bytes + len(body)
+        return Request(
+            method='' if head is None else head.method,
+            target='' if head is None else head.target,
+            headers=parser.take_headers(),
+            body=body,
+            arrived=self.started_at,
+            is_complete=is_complete,
+        )
+
+    # -- limits -------------------------------------------------------------------
+
+    def _begin(self) -> None:
+        self.progressed_at = boottime()
+        if not self.has_begun:
+            self.has_begun = True
+            self.started_at = self.progressed_at
+            self.left_s = self.server.limits.header_timeout_s
+            self.connection.begin_request()
+
+    def _check_length(self, limit: int) -> None:
+        """Limit the size of the body.
+
+        :raises RequestError: if the declared size is larger.
+        """
+        self.body_limit = limit
+        length = self.parser.head.content_length or 0
+        if length > limit:
+            raise RequestError(
+                f'a body of {length} bytes', status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
+
+    def _continue_body(self) -> None:
+        """Decide about a body that is still to come, and reserve memory for it."""
+        if not self.is_decided:
+            self._decide()
+        needed = self._needed_bytes()
+        if needed > self.granted_bytes:
+            if self._fits(needed):
+                self.granted_bytes = needed
+            else:
+                self._wait()
+
+    def _decide(self) -> None:
+        """Decide by the head whether the body is kept, and ask the client for it."""
+        self.is_decided = True
+        head = self.parser.head
+        decision = KEEP_BODY
+        if self.server.body_policy is not None:
+            decision = self.server.body_policy.decide(
+                Request(
+                    method=head.method,
+                    target=head.target,
+                    headers=head.headers,
+                    body=b'',
+                    arrived=self.started_at,
+                )
+            )
+        self.parser.keeps_body = decision.is_kept
+        if decision.is_kept:
+            limits = (decision.max_bytes, self.server.accounting.largest_body(), self.body_limit)
+            self._check_length(min(filter(None, limits), default=0))
+        else:
+            self.parser.body = bytearray()
+        if head.expects_continue:
+            self.connection.send_continue()
+
+    def _needed_bytes(self) -> int:
+        """Return what the request needs before more of its body is received."""
+        parser = self.parser
+        if parser.is_complete:
+            return parser.request_bytes
+        if parser.head is None or not parser.keeps_body:
+            return parser.head_bytes
+        length = parser.head.content_length
+        if length is not None:
+            return parser.head_bytes + length
+        reserved = _FIRST_RESERVED_BYTES
+        while reserved < len(parser.body) + _FIRST_RESERVED_BYTES:
+            reserved *= _RESERVED_FACTOR
+        return parser.head_bytes + min(reserved, self.body_limit)
+
+    def _fits(self, size: int) -> bool:
+        return self.server.accounting.fits(size, own=self.held_bytes)
+
+    def _wait(self) -> None:
+        """Wait for memory, or refuse the request if there is too little even to wait."""
+        self.stop_timer()
+        if not self.server.accounting.fits(_UNREAD_BYTES):
+            self.refuse()
+            return
+        self.waiting_since = boottime()
+        self._set_reading(Reading.waiting)
+        self.pause()
+
+    def _set_reading(self, reading: Reading) -> None:
+        self.reading = reading
+        if reading is Reading.waiting:
+            self.server.add_waiting(self.connection)
+        else:
+            self.server.waiting.pop(self.connection, None)
+
+    def _limit_unparsed(self) -> None:
+        """Read no more while received bytes wait for their turn."""
+        if self.connection.awaits_turn:
+            self.pause()
+
+    def _limit_ahead(self) -> None:
+        """Discard what is sent ahead of a response if it is too much."""
+        ahead = len(self.parser.unparsed)
+        if ahead <= _MAX_AHEAD_BYTES and self._fits(ahead):
+            return
+        self.parser.drop_unparsed()
+        self.reading = Reading.slowed
+        self.pause()
+        self.server.add_slowed(self.connection)
+        self.connection.is_last = True
+        self.server.accounting.record_closed(self.connection, CloseReason.ahead)
+
+    # -- time of the client -------------------------------------------------------
+
+    def _await_client(self) -> None:
+        if not self.receive_until:
+            self.receive_until = self.loop.time() + self.left_s
+            self.timer = self.loop.call_later(self.left_s, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        """Reject a request that is late, unless this process was late to read it."""
+        late_s = self.loop.time() - self.receive_until
+        self.timer = None
+        self.receive_until = 0
+        if late_s > _LATE_S:
+            self.left_s = late_s
+            self._await_client()
+        else:
+            self.left_s = 0
+            # What has arrived is read in the next iteration of the loop, before the second call.
+            self.loop.call_soon(self.loop.call_soon, self._reject_if_late, self.progressed_at)
+
+    def _reject_if_late(self, progressed_at: float) -> None:
+        is_waited_for = self.is_receiving and self.reading is Reading.parsed
+        if not is_waited_for or self.connection.is_closing or self.receive_until:
+            return
+        if self.parser.is_complete or (self.progressed_at > progressed_at and self.parser.unparsed):
+            return
+        self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.slow)
--- a/tests/test_contents.py
+++ b/tests/test_contents.py
@@ -5,7 +5,7 @@
 
 from ringseam.calls import PromptPart
 from ringseam.contents import MAX_PARTS, is_part, prompt_part_ids, request_content_id
-from ringseam.web.server import Request
+from ringseam.web.exchange import Request
 
 parts = st.tuples(st.text(max_size=4), st.text(max_size=4), st.binary(max_size=8))
 
--- a/tests/test_gateway/test_following/test_following_guard.py
+++ b/tests/test_gateway/test_following/test_following_guard.py
@@ -23,7 +23,7 @@
     TrialRequest,
 )
 from ringseam.web.client import RefusedError
-from ringseam.web.server import Request
+from ringseam.web.exchange import Request
 from tests.gateways import (
     LocalGateway,
     ScriptedServer,
--- a/tests/test_gateway/test_hosts/test_hosts_crowds.py
+++ b/tests/test_gateway/test_hosts/test_hosts_crowds.py
@@ -135,3 +135,45 @@
 # them was given up and the bound was exceeded.
 def test_crowd_that_arrives_at_once_stays_within_the_bound(key_file, caplog):
     check_crowd(key_file, caplog, 0)
+
+
+class Gathering:
+    """Answers all requests at the same moment, each with a large part of a stream."""
+
+    def __init__(self):
+        self.waiting = 0
+        self.all_here = asyncio.Event()
+
+    async def __call__(self, request, writer):
+        self.waiting += 1
+        if self.waiting == GATHERED:
+            self.all_here.set()
+        await self.all_here.wait()
+        with contextlib.suppress(OSError):
+            writer.write(stream_head(request) + chunk(b'id: 1\ndata: ' + b'x' * 200_000 + b'\n\n'))
+            await writer.drain()
+
+
+GATHERED = 60
+
+
+# Fault: what had arrived with the head of a response belonged to no client until it was
+# forwarded, so that none of them was given up when the responses of many arrived at once.
+def test_responses_that_arrive_at_the_same_moment_stay_within_the_bound(key_file):
+    async def run():
+        services = [{'name': 'plain', 'max_conns': 2 * GATHERED}, {'name': 'crops', 'pieces': {}}]
+        async with LocalGateway(key_file) as gateway:
+            gateway.apply_document(manifest(services=services))
+            budget = gateway.role.host.budget
+            budget.bound_bytes = budget.limit = BOUND_BYTES
+            gateway.add_server(await ScriptedServer(Gathering()).start())
+            reading = [
+                asyncio.create_task(read_slowly(gateway.port, f'slow{number}'))
+                for number in range(GATHERED)
+            ]
+            await asyncio.sleep(1.5)
+            for task in reading:
+                task.cancel()
+            return budget.largest
+
+    assert asyncio.run(run()) <= EXCEEDED_FACTOR * BOUND_BYTES
--- a/tests/test_gateway/test_hosts/test_hosts_descriptors.py
+++ b/tests/test_gateway/test_hosts/test_hosts_descriptors.py
@@ -21,7 +21,7 @@
     count_open_descriptors,
     descriptor_limit,
 )
-from ringseam.web.server import Acceptance
+from ringseam.web.accounting import Acceptance
 from tests.gateways import LocalGateway, ScriptedServer, http_response
 
 LIMIT = 64
--- a/tests/test_gateway/test_hosts/test_hosts_slowclients.py
+++ b/tests/test_gateway/test_hosts/test_hosts_slowclients.py
@@ -53,6 +53,31 @@
     assert given_up([reading, stalled], 150) == [stalled, reading]
 
 
+def test_stalled_clients_make_room_before_others_are_refused():
+    clients = [load(rank=300, held=300), load(rank=0, held=300), load(held=300, unread_s=0.5)]
+
+    def chosen(excess_bytes, *ranks):
+        return clients_to_give_up(
+            clients,
+            excess_bytes=0,
+            now=NOW,
+            stalled_excess_bytes=excess_bytes,
+            refused_ranks=ranks,
+        )
+
+    assert chosen(200, 0, 300) == clients[:1]
+    assert chosen(2000, 0, 300) == clients[:2]
+    # New requests of the higher rank are admitted still.
+    assert chosen(2000, 300) == clients[:1]
+    assert chosen(2000) == []
+
+
+def test_reading_client_for_which_most_is_held_is_given_up_first():
+    """Guards against clients that read all they get and are cut for what others hold."""
+    steady, greedy = load(held=400, unread_s=0.3), load(held=200_000, unread_s=0.1)
+    assert given_up([steady, greedy], 1000) == [greedy]
+
+
 def test_client_that_stalls_beyond_its_deadline_is_given_up_in_any_case():
     late = load(held=1, deadline=NOW - 1)
     assert given_up([load(), late], 0) == [late]
--- a/tests/test_platform/test_platform_requests.py
+++ b/tests/test_platform/test_platform_requests.py
@@ -30,7 +30,7 @@
 )
 from ringseam.web.bodies import encode_headers, end_to_end_headers, find_header
 from ringseam.web.client import ResponseHead
-from ringseam.web.server import Request
+from ringseam.web.exchange import Request
 
 HEADERS = [
     ('Host', 'A.example:80'),
--- a/tests/test_web/test_web_server.py
+++ b/tests/test_web/test_web_server.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from ringseam.web.server import Acceptance, HttpAccounting, HttpLimits, HttpServer
+from ringseam.web.accounting import Acceptance, HttpAccounting
+from ringseam.web.server import HttpLimits, HttpServer
 
 LIMITS = HttpLimits(header_bytes=2000, body_bytes=1000, header_timeout_s=0.2, idle_timeout_s=0.4)
 
