Control hosts bound what their callers hold

What callers saw: four clients that send ahead, 150 bodies but for a byte or 1,500 heads of many fields ended a control host of 296 MB (297 to 336 MB), as its listener counted nothing and took bodies of twice the largest document at any path. Change: the bounds of the host's memory and descriptors (new settings host_memory_mb and the others, as gateways have them), bodies by their path, documents decoded no longer than needed, a refusal that promises not run.

--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -30,9 +30,11 @@
     encode_report_reply,
     instance_in_path,
 )
+from ringseam.platform.requests import retry_after_header
 from ringseam.platform.zones import decode_zone_order, is_zone_order_method, is_zone_order_path
 from ringseam.util.jsonbody import encode_json
 from ringseam.util.logratelimit import LogRateLimiter
+from ringseam.web.bodypolicy import DISCARD_BODY, KEEP_BODY, BodyDecision, BodyPolicy
 from ringseam.zones import DrainedZones
 
 if TYPE_CHECKING:
@@ -44,7 +46,7 @@
     from ringseam.metrics import Metrics
     from ringseam.node import Node
     from ringseam.rpc import Method
-    from ringseam.web.server import Exchange
+    from ringseam.web.exchange import Exchange, Request
 
 logger = logging.getLogger(__name__)
 
@@ -61,6 +63,10 @@
 _DISCONNECT_GRACE_S = 0.01
 #: A report has some hundred bytes; for a server with many models, a few thousand.
 _MAX_REPORT_BYTES = 64 * 2**10
+#: Bodies of up to this many times the limit are received, so that the reply can explain it.
+_BODY_LIMIT_FACTOR = 2
+#: Retry-After of a request that this host has no memory for, seconds.
+_MEMORY_RETRY_AFTER_S = 1.0
 #: Number of refused reports that are logged in a burst, and then per second: enough to
 #: identify the senders, while servers that report each second can't fill the log.
 _REFUSAL_LOG_BURST = 20
@@ -111,7 +117,10 @@
         """Answer one request, and record its duration and status."""
         started = self.node.clock.now()
         try:
-            await self._handle(exchange)
+            if exchange.request.is_complete:
+                await self._handle(exchange)
+            else:
+                await exchange.respond(_UNAVAILABLE, [retry_after_header(_MEMORY_RETRY_AFTER_S)])
         finally:
             self._record_metrics(exchange, self.node.clock.now() - started)
 
@@ -184,11 +193,12 @@
             await self._refuse_document(exchange, [text], status=_TOO_LARGE)
             return
         try:
-            manifest = decode_manifest(document)
+            # What is decoded takes many times the bytes of the document, and isn't kept.
+            number = decode_manifest(document).number
         except FindingsError as error:
             await self._refuse_document(exchange, [str(finding) for finding in error.findings])
             return
-        submit = SubmitRequest(number=manifest.number, document=document)
+        submit = SubmitRequest(number=number, document=document)
         reply = await self._call_leader(
             SUBMIT, submit, self.follow_service.documents.accept, _SUBMIT_TIMEOUT_S
         )
@@ -293,6 +303,18 @@
             return None
 
 
+class CallBodies(BodyPolicy):
+    """Bounds bodies by what they are for, and discards those of unknown paths."""
+
+    def decide(self, request: Request) -> BodyDecision:
+        """Keep documents, reports and orders, each up to its own size."""
+        if request.path == CONFIG_PATH:
+            return KEEP_BODY
+        if instance_in_path(request.path) or is_zone_order_path(request.path):
+            return BodyDecision(max_bytes=_BODY_LIMIT_FACTOR * _MAX_REPORT_BYTES)
+        return DISCARD_BODY
+
+
 def _call_target(path: str) -> str:
     if instance_in_path(path):
         return 'backend'
--- a/ringseam/control/role.py
+++ b/ringseam/control/role.py
@@ -9,6 +9,7 @@
 
 from ringseam.clock import MS_PER_S
 from ringseam.control.applying import ApplyService, redirect_if_not_leading
+from ringseam.control.callserver import ControlWebServer
 from ringseam.control.directory import Directory
 from ringseam.control.diskwait import DiskWait
 from ringseam.control.follow import FollowedState, FollowService
@@ -65,7 +66,6 @@
 from ringseam.shares import LEASE_S, ShareLeases
 from ringseam.util.actors import ask
 from ringseam.util.ini import split_list
-from ringseam.web.server import HttpLimits, HttpServer
 
 if TYPE_CHECKING:
     from ringseam.control.peermessages import HelloRequest, LeaveRequest
@@ -80,9 +80,6 @@
 _EXPIRY_INTERVAL_S = 0.2
 #: Seconds between two checks whether a stopping host has answered its requests.
 _DRAIN_POLL_S = 0.02
-#: HTTP bodies of up to this many times the largest document are read, so that the reply
-#: can explain the refusal; larger ones are answered with 413 and no body.
-_BODY_LIMIT_FACTOR = 2
 
 
 class ControlRole(Role):
@@ -121,7 +118,7 @@
         )
         self.shares: ShareLeases | None = None
         self.actor: Any = None
-        self.web: HttpServer | None = None
+        self.web: ControlWebServer | None = None
 
     async def open(self) -> None:
         """Load the replica, start serving, and join or create the group."""
@@ -328,18 +325,16 @@
     async def _open_http_interface(self) -> None:
         """Serve backend servers and operators over HTTP, and run the leader's loops."""
         leader_client = ControlClient(client=self.client, addresses=())
-        document_bytes = self.settings.role_options['document_bytes']
         interface = OpenInterface(
             node=self.node,
             follow_service=self.follow_service,
             leader_client=leader_client,
             peer_addresses=self.discovery.peer_addresses,
             metrics=self.metrics,
-            document_bytes=document_bytes,
+            document_bytes=self.settings.role_options['document_bytes'],
             zones=frozenset(self.settings.process['zones']),
         )
-        limits = HttpLimits(body_bytes=_BODY_LIMIT_FACTOR * document_bytes)
-        self.web = HttpServer(handler=interface.handle, limits=limits)
+        self.web = ControlWebServer(interface=interface, capacity=self.settings.host_capacity)
         await self.web.start(*split_address(self.settings.role_options['http']))
         self.stack.push_async_callback(self.web.close)
         self.spawn(self.follow_service.run_expiry())
