--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -333,7 +333,7 @@
         await settle()
         handler.server_sends()
         await settle()
-        # The requests themselves are held too, so this exceeds the bound by less than one client has.
+        # With the requests this exceeds the bound by less than what one client holds.
         handler.server_sends(23)
         assert [transport.aborted for transport in gateway.channels].count(True) == 1
         assert gateway.budget.total <= TINY_BOUND
