Receivers: stalled only while the client is awaited, late processes once

What callers saw: beside others that wait for memory, a request whose bytes lay unread here was rejected with 408 as stalled (test_heads_of_many_fields_wait_for_memory_before_they_become_objects, once, beside load: statuses 200, 408, 503). By reading: a process that is always late extended the time of a slow request for ever; a refusal outside of a turn could fail on a field that is parsed late and end the look after waiting requests; a connection that could not be made stayed counted; HTTP/1.0 clients were kept without being told. Change: stalls count from when the client is awaited; lateness is added once; the others are handled.

--- a/ringseam/web/acceptor.py
+++ b/ringseam/web/acceptor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import errno
 import logging
 import socket
@@ -117,5 +116,9 @@
 
 
 async def _connect(protocol: asyncio.BaseProtocol, sock: socket.socket) -> None:
-    with contextlib.suppress(OSError):
+    try:
         await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
+    except OSError as error:
+        logger.warning('connection not made: %s', error)
+        sock.close()
+        protocol.connection_lost(error)
--- a/ringseam/web/receiver.py
+++ b/ringseam/web/receiver.py
@@ -74,6 +74,8 @@
         #: for it, and until when it has, on the clock of the event loop; 0: it isn't waited for.
         self.left_s: float = 0
         self.receive_until: float = 0
+        #: Whether time by which this process was late has been added.
+        self.is_extended = False
         self.timer: asyncio.TimerHandle | None = None
         #: Since when the request has waited for memory, on the clock of the host.
         self.waiting_since: float = 0
@@ -189,12 +191,15 @@
         self.parser.drop_unparsed()
         if self.parser.head is None or self.parser.field_count > _MAX_REFUSED_FIELDS:
             self.connection.reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.memory)
-        else:
+            return
+        try:
             self._hand_over(is_complete=False)
+        except RequestError as error:
+            self.connection.reject(error.status, CloseReason.invalid)
 
     def reject_if_stalled(self, now: float, after_s: float) -> None:
         """Reject a request that holds much if nothing of it has arrived for a while."""
-        is_awaited = self.is_receiving and self.reading is Reading.parsed
+        is_awaited = self.is_receiving and bool(self.receive_until)
         holds_much = is_awaited and self.held_bytes > SMALL_BYTES
         if holds_much and now >= self.progressed_at + after_s:
             self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.stalled)
@@ -288,6 +293,7 @@
             self.has_begun = True
             self.started_at = self.progressed_at
             self.left_s = self.server.limits.header_timeout_s
+            self.is_extended = False
             self.connection.begin_request()
 
     def _check_length(self, limit: int) -> None:
@@ -393,26 +399,26 @@
 
     def _await_client(self) -> None:
         if not self.receive_until:
+            self.progressed_at = boottime()
             self.receive_until = self.loop.time() + self.left_s
             self.timer = self.loop.call_later(self.left_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        """Reject a request that is late, unless this process was late to read it."""
+        """Reject a request that is late; first add the time by which this process was late."""
         late_s = self.loop.time() - self.receive_until
         self.timer = None
         self.receive_until = 0
-        if late_s > _LATE_S:
+        self.left_s = 0
+        if late_s > _LATE_S and not self.is_extended:
+            self.is_extended = True
             self.left_s = late_s
             self._await_client()
         else:
-            self.left_s = 0
             # What has arrived is read in the next iteration of the loop, before the second call.
-            self.loop.call_soon(self.loop.call_soon, self._reject_if_late, self.progressed_at)
+            self.loop.call_soon(self.loop.call_soon, self._reject_if_late)
 
-    def _reject_if_late(self, progressed_at: float) -> None:
-        is_waited_for = self.is_receiving and self.reading is Reading.parsed
-        if not is_waited_for or self.connection.is_closing or self.receive_until:
-            return
-        if self.parser.is_complete or (self.progressed_at > progressed_at and self.parser.unparsed):
-            return
-        self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.slow)
+    def _reject_if_late(self) -> None:
+        is_awaited = self.is_receiving and self.reading is Reading.parsed
+        is_renewed = bool(self.receive_until) or self.connection.awaits_turn
+        if is_awaited and not (is_renewed or self.connection.is_closing):
+            self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.slow)
--- a/ringseam/web/requestparser.py
+++ b/ringseam/web/requestparser.py
@@ -361,7 +361,7 @@
 
 
 def _keeps_alive(version: str, fields: Headers) -> bool:
-    """Return whether the client allows the connection to be used again.
+    """Return whether the connection can be used again; never with an HTTP/1.0 client.
 
     The parser of the library no longer knows it once the request is complete.
     """
@@ -371,7 +371,7 @@
         if name == 'connection'
         for option in text.split(',')
     }
-    return 'close' not in options and (version != '1.0' or 'keep-alive' in options)
+    return 'close' not in options and version != '1.0'
 
 
 def _check_encoding(version: str, text: str) -> None:
