Requests refused for want of memory are told when to return

A refusal of a head that is not handed to the handler promised not run and named no time (by reading). It carries Retry-After now; test_request_that_is_refused_for_want_of_memory_is_told_when_to_return failed before. The policy that keeps bodies is the default object in place of none.

--- a/ringseam/web/connection.py
+++ b/ringseam/web/connection.py
@@ -13,6 +13,7 @@
 from ringseam.web.responseframing import CONTINUE, ResponseFraming
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from http import HTTPStatus
 
     from ringseam.web.accounting import CloseReason
@@ -201,7 +202,9 @@
         self.framing = self._new_framing()
         self.task = self.loop.create_task(self._handle(request))
 
-    def reject(self, status: HTTPStatus, reason: CloseReason) -> None:
+    def reject(
+        self, status: HTTPStatus, reason: CloseReason, headers: Sequence[tuple[str, str]] = ()
+    ) -> None:
         """Respond to a request that can't be handled, then close the connection."""
         accounting = self.server.accounting
         accounting.record_rejected(status)
@@ -209,7 +212,7 @@
         self.framing = self._new_framing()
         self.is_last = True
         if not self.is_closing:
-            self.send_response(status, [], b'')
+            self.send_response(status, list(headers), b'')
             self._linger()
 
     async def _handle(self, request: Request) -> None:
--- a/ringseam/web/receiver.py
+++ b/ringseam/web/receiver.py
@@ -9,7 +9,6 @@
 
 from ringseam.clock import boottime
 from ringseam.web.accounting import CloseReason
-from ringseam.web.bodypolicy import KEEP_BODY
 from ringseam.web.exchange import Request
 from ringseam.web.requestbudget import SMALL_BYTES
 from ringseam.web.requestparser import Progress, RequestError, RequestParser
@@ -28,6 +27,8 @@
 _RESERVED_FACTOR = 4
 #: Fields above which a request is refused without its handler.
 _MAX_REFUSED_FIELDS = 256
+#: Time after which a client that was refused for lack of memory may return, seconds.
+_RETRY_AFTER_S = 1.0
 #: Parsed units (fields, chunks, blocks of bytes) after which others have their turn.
 _UNITS_PER_TURN = 4096
 #: Work of a unit and of handling a request, microseconds.
@@ -190,7 +191,8 @@
         self._set_reading(Reading.discarded)
         self.parser.drop_unparsed()
         if self.parser.head is None or self.parser.field_count > _MAX_REFUSED_FIELDS:
-            self.connection.reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.memory)
+            headers = [('Retry-After', f'{_RETRY_AFTER_S:g}')]
+            self.connection.reject(HTTPStatus.SERVICE_UNAVAILABLE, CloseReason.memory, headers)
             return
         try:
             self._hand_over(is_complete=False)
@@ -323,17 +325,15 @@
         """Decide by the head whether the body is kept, and ask the client for it."""
         self.is_decided = True
         head = self.parser.head
-        decision = KEEP_BODY
-        if self.server.body_policy is not None:
-            decision = self.server.body_policy.decide(
-                Request(
-                    method=head.method,
-                    target=head.target,
-                    headers=head.headers,
-                    body=b'',
-                    arrived=self.started_at,
-                )
+        decision = self.server.body_policy.decide(
+            Request(
+                method=head.method,
+                target=head.target,
+                headers=head.headers,
+                body=b'',
+                arrived=self.started_at,
             )
+        )
         self.parser.keeps_body = decision.is_kept
         if decision.is_kept:
             limits = (decision.max_bytes, self.server.accounting.largest_body(), self.body_limit)
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -14,6 +14,7 @@
 from ringseam.clock import boottime
 from ringseam.web.acceptor import Acceptor, has_request
 from ringseam.web.accounting import Acceptance, CloseReason, HttpAccounting
+from ringseam.web.bodypolicy import KeepBodies
 from ringseam.web.connection import HttpConnection
 from ringseam.web.loopshares import LoopShares
 
@@ -79,12 +80,12 @@
     ) -> None:
         """Create a server; ``limits`` may be changed while it runs.
 
-        :param body_policy: None: handlers get all bodies.
+        :param body_policy: what becomes of bodies; by default handlers get all.
         """
         self.handler = handler
         self.limits = limits
         self.accounting = accounting or HttpAccounting()
-        self.body_policy = body_policy
+        self.body_policy = body_policy or KeepBodies()
         self.connections: set[HttpConnection] = set()
         #: How many of these are refused.
         self.refused = 0
--- a/tests/test_web/test_web_receiver.py
+++ b/tests/test_web/test_web_receiver.py
@@ -440,6 +440,24 @@
     assert set(handler.sizes) == {1_000_000}
 
 
+def test_request_that_is_refused_for_want_of_memory_is_told_when_to_return():
+    """Guards against a promise that a request has not run, without a time to come back."""
+
+    async def check(port, server):
+        server.accounting.budget.count(10 * MB)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(POST % b'' + b'ab:cd\r\n' * 2300 + b'\r\n')
+        async with asyncio.timeout(1):
+            head = await reader.readuntil(b'\r\n\r\n')
+        assert head.split()[1] == b'503'
+        assert b'Retry-After: 1\r\n' in head
+        assert b'Connection: close\r\n' in head
+        writer.close()
+        server.accounting.budget.count(-10 * MB)
+
+    play(Recorder(), check, bound_bytes=10 * MB)
+
+
 def test_heads_of_many_fields_wait_for_memory_before_they_become_objects():
     handler = Recorder(work_s=0.05)
     whole = POST % b'' + b'ab:cd\r\n' * 2300 + b'\r\n'
