Control explains reports and orders that are too large, as before

A body whose declared size is too large is now discarded, and the size is a finding. The same for orders of zones: a discarded body must not make an order of what is none (test_order_with_a_large_body_is_refused).

--- a/ringseam/control/openinterface.py
+++ b/ringseam/control/openinterface.py
@@ -150,7 +150,8 @@
             await exchange.respond(_NOT_ALLOWED, [])
             return
         try:
-            report = decode(name, _check_report_size(exchange.request.body))
+            _check_size(exchange.request)
+            report = decode(name, exchange.request.body)
         except ValueError as error:
             await self._refuse_report(exchange, name, str(error))
             return
@@ -248,6 +249,7 @@
             await exchange.respond(_NOT_ALLOWED, [])
             return None
         try:
+            _check_size(request)
             order = decode_zone_order(request.method, request.path, request.body)
         except ValueError as error:
             await self._refuse_order(exchange, str(error), status=_BAD_REQUEST)
@@ -304,15 +306,21 @@
 
 
 class CallBodies(BodyPolicy):
-    """Bounds bodies by what they are for, and discards those of unknown paths."""
+    """Bounds bodies by what they are for, and discards those that are refused by their heads."""
 
     def decide(self, request: Request) -> BodyDecision:
-        """Keep documents, reports and orders, each up to its own size."""
+        """Keep documents, and reports and orders that may be small enough."""
         if request.path == CONFIG_PATH:
             return KEEP_BODY
-        if instance_in_path(request.path) or is_zone_order_path(request.path):
-            return BodyDecision(max_bytes=_BODY_LIMIT_FACTOR * _MAX_REPORT_BYTES)
-        return DISCARD_BODY
+        is_known = instance_in_path(request.path) or is_zone_order_path(request.path)
+        if not is_known or declared_bytes(request) > _MAX_REPORT_BYTES:
+            return DISCARD_BODY
+        return BodyDecision(max_bytes=_BODY_LIMIT_FACTOR * _MAX_REPORT_BYTES)
+
+
+def declared_bytes(request: Request) -> int:
+    """Return the declared size of a body; 0: none is."""
+    return int(request.header('Content-Length') or 0)
 
 
 def _call_target(path: str) -> str:
@@ -321,11 +329,11 @@
     return 'zone' if is_zone_order_path(path) else 'document'
 
 
-def _check_report_size(body: bytes) -> bytes:
-    """Return the body of a report.
+def _check_size(request: Request) -> None:
+    """Check the size of a report or an order, whose body was not kept if it is too large.
 
     :raises ValueError: if it is larger than a report can be.
     """
-    if len(body) > _MAX_REPORT_BYTES:
-        raise ValueError(f'{len(body)} bytes; a report has {_MAX_REPORT_BYTES} at most')
-    return body
+    size = max(len(request.body), declared_bytes(request))
+    if size > _MAX_REPORT_BYTES:
+        raise ValueError(f'{size} bytes; a report has {_MAX_REPORT_BYTES} at most')
--- a/tests/test_system/test_system_platform.py
+++ b/tests/test_system/test_system_platform.py
@@ -254,6 +254,18 @@
     asyncio.run(run())
 
 
+def test_order_with_a_large_body_is_refused(platform):
+    """Guards against an order that is obeyed although its body, which makes it none, is gone."""
+
+    async def run():
+        await platform.call_until(200, 'http', 'PUT', '/api/config', manifest(version=4))
+        status, raw = await platform.call('http', 'POST', '/api/evacuate/a', b'x' * 300_000)
+        assert status == 400
+        assert b'300000 bytes' in raw
+
+    asyncio.run(run())
+
+
 def test_restarted_server_is_used_and_reports_of_its_earlier_lifetime_are_ignored(platform):
     async def run():
         server = ScriptedServer(respond_ok)
