Heads of many fields are searched four times as fast

What was seen: 1,500 heads of 3,900 fields that come again at once: p99 of ordinary requests 0.63 to 0.71 s of 0.5. Cause: 34 % of the gateway's time was the search for the fields that decide about the body (py-spy): a regular expression that tried six names at each of 3,900 lines, 419 us a head. Change: it begins with a literal and two sets of letters, which skip nearly all lines: 117 us; 270 us for 2,300 fields 'host'.

--- a/ringseam/web/requestparser.py
+++ b/ringseam/web/requestparser.py
@@ -24,9 +24,11 @@
 FIELD_BYTES = 180
 _LINE_END = b'\r\n'
 _BLANK_LINE = b'\r\n\r\n'
+#: Host, Authorization, Connection, Content-Length, Transfer-Encoding and Expect. The literal at the
+#: start and the two sets of letters let the search skip nearly all lines.
 _DECIDING_FIELDS = re.compile(
-    rb'^(?:host|authorization|connection|content-length|transfer-encoding|expect)\s*:[^\r\n]*\r\n',
-    re.IGNORECASE | re.MULTILINE,
+    rb'\n([HhAaCcTtEe][OoUuRrXx]'
+    rb'(?i:st|thorization|nnection|ntent-length|ansfer-encoding|pect)[ \t]*:[^\r\n]*\r)(?=\n)',
 )
 #: This server never switches protocols; the parser would take a body for another protocol.
 _UPGRADE_FIELD = re.compile(rb'\r\nupgrade:[^\r\n]*(?=\r\n)', re.IGNORECASE)
@@ -226,9 +228,9 @@
         self.field_count = self.raw_head.count(_LINE_END) - 2
         parsed = self.raw_head
         if self.has_many_fields:
-            first_line = parsed[: parsed.index(_LINE_END) + len(_LINE_END)]
+            first_line = parsed[: parsed.index(b'\n')]
             deciding = _DECIDING_FIELDS.findall(parsed, len(first_line))
-            parsed = b''.join((first_line, *deciding, _LINE_END))
+            parsed = b'\n'.join((first_line, *deciding, _LINE_END))
         self.head, self._parser = _parse_head(parsed, self._fields)
         self.work += len(self.head.headers)
         return Progress.head if self.head.has_body else self._complete()
