What lies unread in the system is bounded for each client connection

Also: of 2,000 connections at once half overflowed the queue of 1,024; their first packets are sent again after seconds. Change: 32 KiB a connection, set on the listener; a queue of 4,096; 32 connections admitted at once.

--- a/bench/hostile.py
+++ b/bench/hostile.py
@@ -68,6 +68,8 @@
         self.limits_mb = limits_mb
         self.peaks_mb = collections.Counter()
         self.queues_mb = collections.Counter()
+        #: How much of the peak lay unread in the system.
+        self.unread_at_peak_mb = collections.Counter()
         self.exceeded = {}
         self.done = threading.Event()
 
@@ -88,7 +90,9 @@
         except (OSError, IndexError):
             return
         used_mb = pages * PAGE_BYTES / BYTES_PER_MB + self.queues_mb[name]
-        self.peaks_mb[name] = max(self.peaks_mb[name], used_mb)
+        if used_mb > self.peaks_mb[name]:
+            self.peaks_mb[name] = used_mb
+            self.unread_at_peak_mb[name] = self.queues_mb[name]
         if used_mb > limit_mb and name not in self.exceeded:
             self.exceeded[name] = round(used_mb)
             process.kill()
@@ -149,6 +153,7 @@
     ready: list
     control: Outcomes
     peaks_mb: dict
+    unread_mb: dict
     exceeded: dict
     ended: list
     attackers: list
@@ -181,7 +186,9 @@
         served = self.outcomes.statuses
         return (
             f'gateway {self.peaks_mb.get(GATEWAY, 0):4.0f} MB, control '
-            f'{max(self.peaks_mb.get(name, 0) for name in CONTROL):4.0f} MB, ordinary '
+            f'{max(self.peaks_mb.get(name, 0) for name in CONTROL):4.0f} MB (of these unread '
+            f'{self.unread_mb.get(GATEWAY, 0):.0f} and '
+            f'{max(self.unread_mb.get(name, 0) for name in CONTROL):.0f}), ordinary '
             f'{served[200]}/{served.total()} p50 {self.outcomes.percentile(0.5):.3f} '
             f'p99 {self.outcomes.percentile(0.99):.3f} worst '
             f'{max(self.outcomes.times, default=0):.3f} s, control '
@@ -416,6 +423,7 @@
             ready=ready,
             control=control,
             peaks_mb=dict(self.memory.peaks_mb),
+            unread_mb=dict(self.memory.unread_at_peak_mb),
             exceeded=dict(self.memory.exceeded),
             ended=[name for name in self.system.running if not self.is_running(name)],
             attackers=attackers,
--- a/ringseam/web/acceptor.py
+++ b/ringseam/web/acceptor.py
@@ -19,10 +19,13 @@
 logger = logging.getLogger(__name__)
 
 #: Maximum number of connections waiting to be accepted.
-_BACKLOG = 1024
+_BACKLOG = 4096
+#: Size of the receive buffer of a connection, bytes: what lies unread in the system counts for this
+#: host. A client that is 20 ms away can still send 1.6 MB a second.
+_RECEIVE_BUFFER_BYTES = 32_768
 #: Connections that are admitted, and that are looked at, before other events are handled. To close
 #: one takes a tenth of the time, and a full queue would keep all others out.
-_ADMITTED_AT_ONCE = 16
+_ADMITTED_AT_ONCE = 32
 _ACCEPTED_AT_ONCE = 128
 #: Pause after there was no descriptor or memory for a connection, seconds.
 _EXHAUSTED_PAUSE_S = 0.2
@@ -45,6 +48,8 @@
         """Start to listen and return the bound port."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it. Without it the system lets the buffer grow to megabytes.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
         listener.setblocking(False)
         try:
             listener.bind((host, port))
--- a/tests/test_web/test_web_receiver.py
+++ b/tests/test_web/test_web_receiver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
@@ -604,6 +605,29 @@
     play(Recorder(), check, connections=400)
 
 
+def test_unread_bytes_of_a_connection_are_bounded_by_its_receive_buffer():
+    """Guards against megabytes that the system holds for each client that sends ahead."""
+
+    async def check(port, server):
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        while not server.connections:
+            await asyncio.sleep(0.01)
+        (connection,) = server.connections
+        connection.receiver.pause()
+        sock = writer.get_extra_info('socket')
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sent = 0
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(writer.transport.abort)
+            while not writer.transport.get_write_buffer_size():
+                writer.write(b'x' * 4096)
+                sent += 4096
+                await asyncio.sleep(0.001)
+        assert sent <= 1.5 * 32_768
+
+    play(Recorder(), check)
+
+
 def test_all_connections_are_accepted_in_turns():
     """Guards against a crowd of new connections that keeps the loop from all others."""
 
