Requests of small responses are refused only beyond the bound

What callers saw: beside 1,200 clients that read nothing of 4 MB each, 7 to 10 of some 200 ordinary requests were refused for want of memory. Cause: all ranks are refused from 0.95 of the bound, where unread responses stay until 1.0 is exceeded; then their clients are given up. A request whose response is known to be small frees nothing. Change: it is refused only beyond the bound. The new test fails without the change.

--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -165,7 +165,7 @@
         """Return whether a request and its response may be held."""
         route = context.route.name
         if self.response_sizes.is_small(route):
-            return not self.budget.is_full
+            return not self.budget.excess_bytes
         fits = self.budget.fits(self.response_sizes.estimate(route))
         return fits and not self._refuses(context.exchange.rank)
 
--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -587,3 +587,28 @@
         assert gateway.budget.total == 0
 
     asyncio.run(run())
+
+
+def test_small_responses_are_admitted_until_the_bound_is_exceeded(monkeypatch):
+    """Guards against ordinary requests that are refused while other clients can be given up."""
+
+    async def run():
+        _, gateway = streaming(monkeypatch, capacity=SMALLEST)
+        gateway.monitor.response_sizes.record('small', 100)
+        connection, _ = gateway.connect()
+        admitted = []
+
+        async def admit(exchange):
+            admitted.append(gateway.monitor.admit(context_of(exchange)) is None)
+            await exchange.respond(200, [])
+
+        gateway.server.handler = admit
+        gateway.monitor.response_sizes.record('large', 100_000)
+        gateway.budget.count(Holder.client_responses, int(0.97 * BOUND))
+        for route in (b'small', b'large'):
+            head = b'POST / HTTP/1.1\r\nHost: h\r\nRank: 0\r\nRoute: %s\r\n' % route
+            connection.data_received(head + b'Content-Length: 0\r\n\r\n')
+            await settle()
+        assert admitted == [True, False]
+
+    asyncio.run(run())
