Requests that wait to be handled share the event loop by route and account

A read and the pause after it counted nothing, so that one iteration read all 2,000 connections (80 ms), and connections were accepted 16 an iteration. Change: complete requests that find others waiting wait themselves, in the flow of their route and client account; flows have their turns one after the other (start-time fair queueing). Handling counts 1,500 us, a turn 60 us. Reading goes on meanwhile, so that a client that leaves is noticed. The time of the client has a class of its own. The test of a crowd fails without the change (the other flow was the 201st).

--- a/ringseam/gateway/requests/bodies.py
+++ b/ringseam/gateway/requests/bodies.py
@@ -23,3 +23,7 @@
         """Discard the body of a request that is rejected anyway."""
         is_rejected = self.forwarder.is_rejected(decode_request(request))
         return DISCARD_BODY if is_rejected else KEEP_BODY
+
+    def flow_of(self, request: Request) -> str:
+        """Return the route and the client account; empty: neither is known."""
+        return self.forwarder.flow_of(decode_request(request))
--- a/ringseam/gateway/requests/forwarding.py
+++ b/ringseam/gateway/requests/forwarding.py
@@ -149,6 +149,13 @@
             return False
         return bool(self._rejection_status(request, *self._find_route(request)))
 
+    def flow_of(self, request: ClientRequest) -> str:
+        """Return the route and the client account of a request; empty: neither is known."""
+        route, account = self._find_route(request)
+        if route is None:
+            return ''
+        return f'{route.name} {account.name if account else ""}'
+
     def plan_stop(self, left_s: float) -> None:
         """Refuse requests that would not be finished in ``left_s`` seconds."""
         self.ends_at = self.clock.now() + left_s
--- a/ringseam/web/bodypolicy.py
+++ b/ringseam/web/bodypolicy.py
@@ -30,6 +30,10 @@
     def decide(self, request: Request) -> BodyDecision:
         """Decide by the head of a request; its body is empty here."""
 
+    def flow_of(self, request: Request) -> str:
+        """Return the flow of a request: while many wait, each flow has its share of the loop."""
+        return ''
+
 
 class KeepBodies(BodyPolicy):
     """Pass all bodies to the handler."""
--- a/ringseam/web/receiver.py
+++ b/ringseam/web/receiver.py
@@ -9,13 +9,12 @@
 
 from ringseam.clock import boottime
 from ringseam.web.accounting import CloseReason
+from ringseam.web.clienttime import ClientTime
 from ringseam.web.exchange import Request
 from ringseam.web.requestbudget import SMALL_BYTES
 from ringseam.web.requestparser import Progress, RequestError, RequestParser
 
 if TYPE_CHECKING:
-    import asyncio
-
     from ringseam.web.connection import HttpConnection
 
 #: Bytes that may follow a request while it is handled.
@@ -36,13 +35,11 @@
 _UNITS_PER_TURN = 4096
 #: Work of a unit and of handling a request, microseconds.
 _UNIT_US = 0.5
-_HANDLING_US = 300.0
+_HANDLING_US = 1500.0
 #: Work that a received byte makes at most, microseconds: of a head of short fields.
 _UNPARSED_BYTE_US = 2.0
 #: Each field is looked at, copied and checked some times while its request is handled.
 _FIELD_US = 8.0
-#: A timer that fires later than this shows that this process was late itself, seconds.
-_LATE_S = 0.02
 
 
 class Reading(enum.Enum):
@@ -76,13 +73,7 @@
         self.has_begun = False
         self.started_at: float = 0
         self.progressed_at: float = 0
-        #: Time that the client has left for its request, which passes only while this server waits
-        #: for it, and until when it has, on the clock of the event loop; 0: it isn't waited for.
-        self.left_s: float = 0
-        self.receive_until: float = 0
-        #: Whether time by which this process was late has been added.
-        self.is_extended = False
-        self.timer: asyncio.TimerHandle | None = None
+        self.client_time = ClientTime(loop=self.loop, on_late=self._reject_if_late)
         #: Since when the request has waited for memory, on the clock of the host.
         self.waiting_since: float = 0
         #: Bytes counted for the connection, and those that its request may take.
@@ -90,11 +81,13 @@
         self.granted_bytes = 0
         self.is_decided = False
         self.body_limit = 0
+        #: Whether the request is complete and waits for its turn to be handled.
+        self.is_queued = False
 
     @property
     def is_receiving(self) -> bool:
-        """Return whether a request has begun to arrive and isn't handled."""
-        return self.has_begun and self.connection.task is None
+        """Return whether a request has begun to arrive and isn't complete."""
+        return self.has_begun and self.connection.task is None and not self.is_queued
 
     @property
     def estimate_us(self) -> float:
@@ -113,7 +106,7 @@
                 self.pause()
             return
         self.parser.receive(chunk)
-        if self.connection.task is None:
+        if self.connection.task is None and not self.is_queued:
             self._begin()
             self.server.give_turn(self.connection)
             self._limit_unparsed()
@@ -122,8 +115,9 @@
         self.count()
 
     def advance(self) -> float:
-        """Parse for one turn; return the work in microseconds."""
-        if self.reading is not Reading.parsed or self.connection.task is not None:
+        """Parse for one turn, or have a complete request handled; return the work in us."""
+        has_work = self.is_queued or self.reading is Reading.parsed
+        if not has_work or self.connection.task is not None:
             return 0
         self.parser.work = 0
         try:
@@ -165,7 +159,8 @@
     def discard(self) -> None:
         """Discard all that is received from now on."""
         self._set_reading(Reading.discarded)
-        self.stop_timer()
+        self.is_queued = False
+        self.client_time.stop()
         self.parser = RequestParser()
         self.granted_bytes = 0
         self.resume()
@@ -174,7 +169,8 @@
     def close(self) -> None:
         """Count nothing any more."""
         self._set_reading(Reading.discarded)
-        self.stop_timer()
+        self.is_queued = False
+        self.client_time.stop()
         self.parser = RequestParser()
         self.granted_bytes = 0
         self.count()
@@ -209,7 +205,7 @@
 
     def reject_if_stalled(self, now: float, after_s: float) -> None:
         """Reject a request that holds much if nothing of it has arrived for a while."""
-        is_awaited = self.is_receiving and bool(self.receive_until)
+        is_awaited = self.is_receiving and self.client_time.is_running
         holds_much = is_awaited and self.held_bytes > SMALL_BYTES
         if holds_much and now >= self.progressed_at + after_s:
             self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.stalled)
@@ -222,15 +218,6 @@
         self.server.accounting.count_request(held - self.held_bytes)
         self.held_bytes = held
 
-    def stop_timer(self) -> None:
-        """Stop to wait for the client; the time that is left is kept."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.receive_until:
-            self.left_s = max(0, self.receive_until - self.loop.time())
-            self.receive_until = 0
-
     # -- one turn -----------------------------------------------------------------
 
     def _advance(self) -> float:
@@ -257,7 +244,7 @@
     def _go_on(self, progress: Progress) -> None:
         """Parse the rest in a later turn, or wait for the client."""
         if progress is Progress.unfinished:
-            self.stop_timer()
+            self.client_time.stop()
             self.server.queue_turn(self.connection)
         else:
             self.resume()
@@ -268,11 +255,26 @@
         if not self._fits(self.parser.request_bytes):
             self._wait()
             return 0
+        work_us = _HANDLING_US + _FIELD_US * self.parser.field_count
+        if self.server.shares.waiting and not self.is_queued:
+            self._queue(work_us)
+            return 0
         self._hand_over(is_complete=True)
-        return _HANDLING_US + _FIELD_US * self.parser.field_count
+        return work_us
+
+    def _queue(self, work_us: float) -> None:
+        """Let others have their turn before the request is handled."""
+        self.is_queued = True
+        self.server.unproven.pop(self.connection, None)
+        self.client_time.stop()
+        # The end of the connection must be noticed.
+        self.resume()
+        flow = self.server.body_policy.flow_of(self._bodiless_request())
+        self.server.queue_request(self.connection, flow, work_us)
 
     def _hand_over(self, *, is_complete: bool) -> None:
-        self.stop_timer()
+        self.is_queued = False
+        self.client_time.stop()
         request = self._take_request(is_complete=is_complete)
         if self.is_paused and is_complete:
             self.resume()
@@ -302,8 +304,7 @@
         if not self.has_begun:
             self.has_begun = True
             self.started_at = self.progressed_at
-            self.left_s = self.server.limits.header_timeout_s
-            self.is_extended = False
+            self.client_time.allow(self.server.limits.header_timeout_s)
             self.connection.begin_request()
 
     def _check_length(self, limit: int) -> None:
@@ -333,15 +334,7 @@
         """Decide by the head whether the body is kept, and ask the client for it."""
         self.is_decided = True
         head = self.parser.head
-        decision = self.server.body_policy.decide(
-            Request(
-                method=head.method,
-                target=head.target,
-                headers=head.headers,
-                body=b'',
-                arrived=self.started_at,
-            )
-        )
+        decision = self.server.body_policy.decide(self._bodiless_request())
         self.parser.keeps_body = decision.is_kept
         if decision.is_kept:
             limits = (decision.max_bytes, self.server.accounting.largest_body(), self.body_limit)
@@ -351,6 +344,17 @@
         if head.expects_continue:
             self.connection.send_continue()
 
+    def _bodiless_request(self) -> Request:
+        """Return the request as its head tells it."""
+        head = self.parser.head
+        return Request(
+            method=head.method,
+            target=head.target,
+            headers=head.headers,
+            body=b'',
+            arrived=self.started_at,
+        )
+
     def _needed_bytes(self) -> int:
         """Return what the request needs before more of its body is received."""
         parser = self.parser
@@ -371,7 +375,7 @@
 
     def _wait(self) -> None:
         """Wait for memory, or refuse the request if there is too little even to wait."""
-        self.stop_timer()
+        self.client_time.stop()
         if not self.server.accounting.fits(_UNREAD_BYTES):
             self.refuse()
             return
@@ -406,27 +410,12 @@
     # -- time of the client -------------------------------------------------------
 
     def _await_client(self) -> None:
-        if not self.receive_until:
+        if not self.client_time.is_running:
             self.progressed_at = boottime()
-            self.receive_until = self.loop.time() + self.left_s
-            self.timer = self.loop.call_later(self.left_s, self._on_timeout)
-
-    def _on_timeout(self) -> None:
-        """Reject a request that is late; first add the time by which this process was late."""
-        late_s = self.loop.time() - self.receive_until
-        self.timer = None
-        self.receive_until = 0
-        self.left_s = 0
-        if late_s > _LATE_S and not self.is_extended:
-            self.is_extended = True
-            self.left_s = late_s
-            self._await_client()
-        else:
-            # What has arrived is read in the next iteration of the loop, before the second call.
-            self.loop.call_soon(self.loop.call_soon, self._reject_if_late)
+            self.client_time.run()
 
     def _reject_if_late(self) -> None:
         is_awaited = self.is_receiving and self.reading is Reading.parsed
-        is_renewed = bool(self.receive_until) or self.connection.awaits_turn
+        is_renewed = self.client_time.is_running or self.connection.awaits_turn
         if is_awaited and not (is_renewed or self.connection.is_closing):
             self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.slow)
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -38,6 +38,8 @@
 _RECEIVE_BUSY_BYTES = 4096
 #: Work on the requests of all connections before other events are handled, microseconds.
 _TURN_US = 4000.0
+#: Work of a turn beside that of its requests, microseconds: a read, and the pause until the next.
+_READ_US = 60.0
 #: Interval of looking after requests that wait for memory and connections that are read slowly,
 #: and time that such a request may wait, seconds.
 _CHECK_INTERVAL_S = 0.05
@@ -204,6 +206,12 @@
             self.shares.wait(connection, connection.finished_us, estimate_us)
             self._schedule_turn()
 
+    def queue_request(self, connection: HttpConnection, flow: str, work_us: float) -> None:
+        """Let a complete request be handled in a later turn, behind others of its flow."""
+        connection.awaits_turn = True
+        self.shares.wait_in_flow(connection, flow, work_us)
+        self._schedule_turn()
+
     def add_waiting(self, connection: HttpConnection) -> None:
         """Look after a request that waits for memory."""
         self.waiting[connection] = None
@@ -261,7 +269,7 @@
         return longest if idle_s >= _IDLE_SHARE * self.limits.idle_timeout_s else None
 
     def _work(self, connection: HttpConnection) -> None:
-        work_us = connection.receiver.advance()
+        work_us = _READ_US + connection.receiver.advance()
         connection.finished_us = self.shares.charge(work_us)
         self._schedule_turn()
 
--- a/tests/test_web/test_web_loopshares.py
+++ b/tests/test_web/test_web_loopshares.py
@@ -93,3 +93,44 @@
     assert len(run_turn(shares, members)) == 4
     assert not shares.may_work_now()
     assert shares.next_member() is None
+
+
+def flow_order(counts, work_us=1000):
+    """Return the flows in the order in which their work is done; all of it waits at first."""
+    shares = LoopShares(turn_us=TURN_US)
+    for flow, count in counts.items():
+        for _ in range(count):
+            shares.wait_in_flow(flow, flow, work_us)
+    order = []
+    while shares.waiting:
+        shares.begin_turn()
+        flow = shares.next_member()
+        while flow is not None:
+            order.append(flow)
+            shares.charge(work_us)
+            flow = shares.next_member()
+    return order
+
+
+@given(
+    st.dictionaries(st.sampled_from('abcdefgh'), st.integers(1, 30), min_size=1), st.integers(1, 9)
+)
+def test_flows_have_their_turns_one_after_the_other(counts, work_units):
+    """Differential: a naive round robin over the flows that still have work."""
+    left = dict(counts)
+    rounds = []
+    while left:
+        rounds.extend(left)
+        left = {flow: count - 1 for flow, count in left.items() if count > 1}
+    assert flow_order(counts, 100 * work_units) == rounds
+
+
+def test_flow_without_waiting_work_is_forgotten():
+    """Guards against a state that grows with each flow that ever was."""
+    shares = LoopShares(turn_us=TURN_US)
+    for number in range(10_000):
+        shares.wait_in_flow('member', str(number), 100)
+        shares.begin_turn()
+        shares.next_member()
+        shares.charge(100)
+    assert len(shares.flows) <= 1000
--- a/tests/test_web/test_web_receiver.py
+++ b/tests/test_web/test_web_receiver.py
@@ -13,7 +13,7 @@
 from ringseam.metrics import Metrics
 from ringseam.node import Node
 from ringseam.web.accounting import HttpAccounting, ListenerAccounting
-from ringseam.web.bodypolicy import DISCARD_BODY, KEEP_BODY, BodyPolicy
+from ringseam.web.bodypolicy import DISCARD_BODY, KEEP_BODY, BodyPolicy, KeepBodies
 from ringseam.web.checkserver import create_check_server
 from ringseam.web.server import HttpLimits, HttpServer
 
@@ -628,6 +628,33 @@
     play(Recorder(), check)
 
 
+class ByTarget(KeepBodies):
+    """A flow for each target."""
+
+    def flow_of(self, request):
+        return request.target
+
+
+def test_crowd_on_one_flow_does_not_keep_another_one_waiting():
+    """Guards against ordinary requests behind a thousand others that arrived before them."""
+    handler = Recorder()
+
+    async def check(port, server):
+        crowd = [await asyncio.open_connection('127.0.0.1', port) for _ in range(200)]
+        other = await asyncio.open_connection('127.0.0.1', port)
+        await asyncio.sleep(0.05)
+        for _, writer in (*crowd, other):
+            target = b'/other' if writer is other[1] else b'/crowd'
+            writer.write(b'GET %s HTTP/1.1\r\nHost: h\r\n\r\n' % target)
+        statuses = [await read_status(reader) for reader, _ in (*crowd, other)]
+        assert statuses == [200] * 201
+        assert handler.targets.index('/other') <= 20
+        for _, writer in (*crowd, other):
+            writer.close()
+
+    play(handler, check, policy=ByTarget())
+
+
 def test_all_connections_are_accepted_in_turns():
     """Guards against a crowd of new connections that keeps the loop from all others."""
 
