Routes that hold little are admitted while others hold what is scarce

Cause: between 0.8 and 1.0 of the bound a request is refused by its rank alone, whoever holds the memory; a crowd whose requests begin one after the other stays in that range for longer than one that is begun at once. Change: a route for whose clients less than a sixteenth of the bound is held is admitted up to the bound; beyond it the clients that hold most are given up, as before. The new test fails without the change. Changed test: settle() of the tests of the monitor waits for 30 iterations of the loop in place of 8, as an iteration now begins three requests; what is asked is the same.

--- a/ringseam/gateway/hosts/monitor.py
+++ b/ringseam/gateway/hosts/monitor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 import math
 import time
@@ -33,6 +34,10 @@
 
 logger = logging.getLogger(__name__)
 
+#: Share of the bound up to which a route holds little, and for how long what the routes hold isn't
+#: counted again, seconds: to count it looks at all connections.
+_LITTLE_SHARE = 1 / 16
+_ROUTES_COUNTED_S = 0.05
 #: Room is kept for requests of a higher rank if one arrived within this time, seconds: it spans
 #: bursts and the pauses of refused clients.
 _RANK_MEMORY_S = 10.0
@@ -59,6 +64,9 @@
         self.is_exhausted = False
         #: When a request of each rank last arrived.
         self.ranks: dict[int, float] = {}
+        #: What is held for the clients of each route, and until when that is taken as known.
+        self.held_by_route: collections.Counter[str] = collections.Counter()
+        self.routes_known_until: float = 0
 
     def new_pool(self) -> HttpChannelPool:
         """Create a pool of connections to backend servers whose bytes are counted."""
@@ -131,6 +139,7 @@
         exchange = context.exchange
         exchange.name = context.request.attempt_id
         exchange.rank = context.precedence.rank
+        exchange.route = context.route.name
         exchange.deadline = context.deadline
         if exchange.connection.is_refused:
             return _CONNECTION_RETRY_AFTER_S
@@ -166,8 +175,20 @@
         route = context.route.name
         if self.response_sizes.is_small(route):
             return not self.budget.excess_bytes
-        fits = self.budget.fits(self.response_sizes.estimate(route))
-        return fits and not self._refuses(context.exchange.rank)
+        if not self.budget.fits(self.response_sizes.estimate(route)):
+            return False
+        return not self._refuses(context.exchange.rank) or self._holds_little(route)
+
+    def _holds_little(self, route: str) -> bool:
+        """Return whether others hold what is scarce, so that their clients can be given up."""
+        now = self.node.clock.now()
+        if now >= self.routes_known_until:
+            self.routes_known_until = now + _ROUTES_COUNTED_S
+            self.held_by_route.clear()
+            for load in self._loads():
+                self.held_by_route[load.route] += load.held_bytes
+        is_little = self.held_by_route[route] <= _LITTLE_SHARE * self.budget.bound_bytes
+        return is_little and not self.budget.excess_bytes
 
     def _refuses(self, rank: int) -> bool:
         if not self.budget.is_scarce:
@@ -247,4 +268,5 @@
         # A client that has read all so far is not slow: its response is not complete yet.
         unread_since=connection.unread_since if connection.unread_bytes else now,
         deadline=exchange.deadline,
+        route=exchange.route,
     )
--- a/ringseam/gateway/hosts/slowclients.py
+++ b/ringseam/gateway/hosts/slowclients.py
@@ -29,6 +29,8 @@
     unread_since: float
     #: When its client stops waiting.
     deadline: float
+    #: Name of its route; empty: its response is complete.
+    route: str = ''
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the client reads more slowly than its response arrives."""
--- a/ringseam/web/exchange.py
+++ b/ringseam/web/exchange.py
@@ -61,8 +61,10 @@
         self.status = 0
         #: Size of the body of a response that was sent as a whole.
         self.body_bytes = 0
-        #: Name and rank of the request, 0 is the highest, and when its client stops waiting.
+        #: Names of the request and its route, its rank, 0 is the highest, and when its client stops
+        #: waiting.
         self.name = ''
+        self.route = ''
         self.rank = 0
         self.deadline = math.inf
         #: The connection to the server whose response is forwarded.
--- a/tests/test_gateway/test_hosts/test_hosts_monitor.py
+++ b/tests/test_gateway/test_hosts/test_hosts_monitor.py
@@ -139,7 +139,8 @@
 
 
 async def settle():
-    for _ in range(8):
+    """Let all that can happen now happen: each iteration begins only a few requests."""
+    for _ in range(30):
         await asyncio.sleep(0)
 
 
@@ -612,3 +613,29 @@
         assert admitted == [True, False]
 
     asyncio.run(run())
+
+
+def test_route_that_holds_little_is_served_beside_one_that_holds_much(monkeypatch):
+    """Guards against requests that are refused for the slow readers of another route."""
+
+    async def run():
+        handler, gateway = streaming(monkeypatch)
+        slow = [gateway.request() for _ in range(20)]
+        await settle()
+        while not gateway.budget.is_scarce:
+            handler.server_sends()
+            await settle()
+        refused = len(handler.retry_after)
+        gateway.request()
+        await settle()
+        assert len(handler.retry_after) == refused + 1
+        connection, _ = gateway.connect()
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: h\r\nRank: 0\r\nRoute: other\r\nContent-Length: 0\r\n\r\n'
+        )
+        await settle()
+        assert len(handler.retry_after) == refused + 1
+        assert connection.exchange is not None
+        assert not all(transport.aborted for _, transport in slow)
+
+    asyncio.run(run())
