Bodies at an entry are bounded together, and decided on by the head

Cause: each of 72 threads read a whole body before the path or the token was looked at; the library reads the rest of a body that was refused in one piece, whatever its size, unless it closes the connection. Change: the head decides whether a body is wanted (path, method, token, pipeline); others are discarded in pieces of 64 KiB. All bodies together, each counted twice, stay within max_held_body_bytes (256 MiB, setting of entries; at least twice the largest body); beyond it 503 with Retry-After, not run. After a refusal the connection is closed. The rest of a refused body is not taken for a request (tested).

--- a/tests/test_agent/test_agent_orders.py
+++ b/tests/test_agent/test_agent_orders.py
@@ -12,7 +12,7 @@
 from ringseam.control.state import StateMachine, encode_command
 from ringseam.errors import UnreachableError
 from ringseam.standin.backend import Faults, Recorder, ServiceBackend
-from ringseam.util.http import WsgiServer
+from ringseam.util.http import BodyLimits, WsgiServer
 
 
 class FakeControl:
@@ -39,7 +39,7 @@
         address=('127.0.0.1', 0),
         respond=backend.respond,
         threads=2,
-        max_body_bytes=1000,
+        bodies=BodyLimits(max_bytes=1000),
     )
     server.start()
     backend.address = f'127.0.0.1:{server.port}'
--- a/tests/test_util/test_util_http.py
+++ b/tests/test_util/test_util_http.py
@@ -8,7 +8,7 @@
 import pytest
 import urllib3
 
-from ringseam.util.http import HttpReply, WsgiServer
+from ringseam.util.http import BodyLimits, HttpReply, WsgiServer
 
 READ_TIMEOUT_S = 1
 
@@ -19,7 +19,7 @@
         address=('127.0.0.1', 0),
         respond=lambda request: HttpReply(status=200, body=request.body),
         threads=2,
-        max_body_bytes=1000,
+        bodies=BodyLimits(max_bytes=1000),
         read_timeout_s=READ_TIMEOUT_S,
     )
     wsgi_server.start()
@@ -69,3 +69,74 @@
         HttpReply(status=200, body=b'ok'),
     )[1]
     assert post(server, b'x').data == b'ok'
+
+
+def open_request(server, length):
+    """Send the head of a request with a body; return the connection."""
+    connection = socket.create_connection(('127.0.0.1', server.port), timeout=5)
+    connection.sendall(b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n' % length)
+    return connection
+
+
+def bounded_server(**limits):
+    return WsgiServer(
+        address=('127.0.0.1', 0),
+        respond=lambda request: HttpReply(status=200, body=b'%d' % len(request.body)),
+        threads=8,
+        bodies=BodyLimits(max_bytes=1000, **limits),
+    )
+
+
+def test_body_beyond_the_memory_for_bodies_is_refused_until_there_is_some():
+    """Guards against a process that ends as many bodies arrive at the same time."""
+    server = bounded_server(max_held_bytes=4000)
+    server.start()
+    try:
+        held = [open_request(server, 1000) for _ in range(2)]
+        while server.held.total < 4000:
+            time.sleep(0.01)
+        reply = post(server, b'x' * 1000)
+        assert reply.status == 503
+        assert reply.headers['Retry-After'] == '1'
+        for connection in held:
+            connection.sendall(b'x' * 1000)
+            assert b' 200 ' in connection.recv(1000)
+            connection.close()
+        assert post(server, b'x' * 1000).data == b'1000'
+        assert server.held.total == 0
+    finally:
+        server.stop()
+
+
+def test_body_that_is_not_wanted_is_discarded_and_its_request_answered():
+    server = bounded_server(max_held_bytes=2000, wants_body=lambda request: False)
+    server.start()
+    try:
+        reply = post(server, b'x' * 1000)
+        assert reply.status == 200
+        assert reply.data == b'0'
+        assert reply.headers['Connection'] == 'close'
+        assert post(server, iter([b'x' * 400, b'x' * 400])).data == b'0'
+    finally:
+        server.stop()
+
+
+def test_rest_of_a_body_is_not_taken_for_another_request():
+    """Guards against a request that is smuggled in a body which was refused."""
+    asked = []
+    server = bounded_server()
+    server.respond = asked.append
+    server.start()
+    try:
+        with open_request(server, 100_000) as connection:
+            connection.sendall(b'GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n' * 30)
+            received = b''
+            try:
+                while piece := connection.recv(1000):
+                    received += piece
+            except ConnectionError:
+                pass
+        assert received.count(b'HTTP/1.1 ') <= 1
+        assert not asked
+    finally:
+        server.stop()
