Complete requests have a part of the loop of their own; gone clients are not admitted

Cause: a request had the share of one connection among 2,000, and its 200 bytes were estimated as 400 us where others had one byte, so that each of these had seven turns before it. A connection that was reset while it waited to be accepted was made, read and closed like any other; 4,500 of them a second took the loop. Change: parsing has turns by connection, handling has turns by flow, each of them in every iteration; up to 2 KiB count as no work to parse. Connections that are closed already are not admitted; accepting has 3 ms an iteration, or a tenth of the time since it last had.

--- a/ringseam/web/acceptor.py
+++ b/ringseam/web/acceptor.py
@@ -23,10 +23,12 @@
 #: Size of the receive buffer of a connection, bytes: what lies unread in the system counts for this
 #: host. A client that is 20 ms away can still send 1.6 MB a second.
 _RECEIVE_BUFFER_BYTES = 32_768
-#: Connections that are admitted, and that are looked at, before other events are handled. To close
-#: one takes a tenth of the time, and a full queue would keep all others out.
-_ADMITTED_AT_ONCE = 32
-_ACCEPTED_AT_ONCE = 128
+#: Time for accepting connections before other events are handled, seconds: the least, and the share
+#: of the time since connections were last accepted. A full queue would keep all others out.
+_ACCEPTING_S = 0.003
+_ACCEPTING_SHARE = 0.1
+#: Connections that are accepted at once at the most.
+_ACCEPTED_AT_ONCE = 256
 #: Pause after there was no descriptor or memory for a connection, seconds.
 _EXHAUSTED_PAUSE_S = 0.2
 _EXHAUSTED = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
@@ -42,6 +44,8 @@
         """Create an acceptor that doesn't listen yet."""
         self.admit = admit
         self.listener: socket.socket | None = None
+        #: When connections were last accepted, on the clock of the event loop.
+        self.accepted_at: float = 0
         self.tasks = TaskSet()
 
     def start(self, host: str, port: int) -> int:
@@ -73,12 +77,20 @@
             asyncio.get_running_loop().add_reader(self.listener, self._accept_some)
 
     def _accept_some(self) -> None:
-        admitted = 0
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        until = now + max(_ACCEPTING_S, _ACCEPTING_SHARE * min(1, now - self.accepted_at))
         for _ in range(_ACCEPTED_AT_ONCE):
-            sock = None if admitted == _ADMITTED_AT_ONCE else self._accept()
+            sock = self._accept()
             if sock is None:
-                return
-            admitted += self._admit(sock)
+                break
+            if has_left(sock):
+                sock.close()
+            else:
+                self._admit(sock)
+            if loop.time() >= until:
+                break
+        self.accepted_at = loop.time()
 
     def _accept(self) -> socket.socket | None:
         """Return an accepted connection; None: there is none, or no room for one."""
@@ -94,13 +106,12 @@
         sock.setblocking(False)
         return sock
 
-    def _admit(self, sock: socket.socket) -> bool:
+    def _admit(self, sock: socket.socket) -> None:
         protocol = self.admit(sock)
         if protocol is None:
             sock.close()
-            return False
-        self.tasks.spawn(_connect(protocol, sock))
-        return True
+        else:
+            self.tasks.spawn(_connect(protocol, sock))
 
     def _handle_error(self, listener: socket.socket, error: OSError) -> None:
         """Go on after a connection that was aborted; pause if there is no room for one."""
@@ -120,6 +131,18 @@
         return False
 
 
+def has_left(sock: socket.socket) -> bool:
+    """Return whether the client closed a connection that waited to be accepted."""
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return True
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 async def _connect(protocol: asyncio.BaseProtocol, sock: socket.socket) -> None:
     try:
         await asyncio.get_running_loop().connect_accepted_socket(lambda: protocol, sock)
--- a/ringseam/web/receiver.py
+++ b/ringseam/web/receiver.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from ringseam.web.connection import HttpConnection
+    from ringseam.web.requestparser import RequestHead
 
 #: Bytes that may follow a request while it is handled.
 _MAX_AHEAD_BYTES = 65_536
@@ -38,6 +39,8 @@
 _HANDLING_US = 1500.0
 #: Work that a received byte makes at most, microseconds: of a head of short fields.
 _UNPARSED_BYTE_US = 2.0
+#: Received bytes up to this number make little work.
+_SHORT_BYTES = 2048
 #: Each field is looked at, copied and checked some times while its request is handled.
 _FIELD_US = 8.0
 
@@ -92,8 +95,8 @@
     @property
     def estimate_us(self) -> float:
         """Return an estimate of the work that the connection has now, microseconds."""
-        parser = self.parser
-        return _UNPARSED_BYTE_US * len(parser.unparsed) + _FIELD_US * parser.field_count
+        size = len(self.parser.unparsed)
+        return _UNPARSED_BYTE_US * size if size > _SHORT_BYTES else 0
 
     def receive(self, chunk: bytes) -> None:
         """Take received bytes, and parse them unless a request is handled."""
@@ -115,9 +118,8 @@
         self.count()
 
     def advance(self) -> float:
-        """Parse for one turn, or have a complete request handled; return the work in us."""
-        has_work = self.is_queued or self.reading is Reading.parsed
-        if not has_work or self.connection.task is not None:
+        """Parse for one turn; return the work in microseconds."""
+        if self.reading is not Reading.parsed or not self.is_receiving:
             return 0
         self.parser.work = 0
         try:
@@ -128,6 +130,17 @@
         self.count()
         return work_us
 
+    def handle(self) -> float:
+        """Have a complete request handled that waited for its turn; return the work in us."""
+        if not self.is_queued or self.connection.is_closing:
+            return 0
+        work_us = _handling_us(self.parser)
+        try:
+            self._hand_over(is_complete=True)
+        except RequestError as error:
+            self.connection.reject(error.status, CloseReason.invalid)
+        return work_us
+
     def end_request(self) -> None:
         """Release what is held for the request that was handled."""
         self.parser.start_next()
@@ -251,26 +264,25 @@
             self._await_client()
 
     def _complete(self) -> float:
-        """Pass a complete request on; return the work that it will make."""
+        """Pass a complete request on, now or in its turn; return the work of parsing it."""
         if not self._fits(self.parser.request_bytes):
             self._wait()
             return 0
-        work_us = _HANDLING_US + _FIELD_US * self.parser.field_count
-        if self.server.shares.waiting and not self.is_queued:
-            self._queue(work_us)
-            return 0
-        self._hand_over(is_complete=True)
-        return work_us
+        if self.server.may_handle_now(_handling_us(self.parser)):
+            self._hand_over(is_complete=True)
+        else:
+            self._queue()
+        return 0
 
-    def _queue(self, work_us: float) -> None:
+    def _queue(self) -> None:
         """Let others have their turn before the request is handled."""
         self.is_queued = True
-        self.server.unproven.pop(self.connection, None)
+        self.granted_bytes = self.parser.request_bytes
         self.client_time.stop()
         # The end of the connection must be noticed.
         self.resume()
-        flow = self.server.body_policy.flow_of(self._bodiless_request())
-        self.server.queue_request(self.connection, flow, work_us)
+        flow = self.server.body_policy.flow_of(_bodiless_request(self.parser.head, self.started_at))
+        self.server.queue_request(self.connection, flow, _handling_us(self.parser))
 
     def _hand_over(self, *, is_complete: bool) -> None:
         self.is_queued = False
@@ -334,7 +346,9 @@
         """Decide by the head whether the body is kept, and ask the client for it."""
         self.is_decided = True
         head = self.parser.head
-        decision = self.server.body_policy.decide(self._bodiless_request())
+        decision = self.server.body_policy.decide(
+            _bodiless_request(self.parser.head, self.started_at)
+        )
         self.parser.keeps_body = decision.is_kept
         if decision.is_kept:
             limits = (decision.max_bytes, self.server.accounting.largest_body(), self.body_limit)
@@ -344,17 +358,6 @@
         if head.expects_continue:
             self.connection.send_continue()
 
-    def _bodiless_request(self) -> Request:
-        """Return the request as its head tells it."""
-        head = self.parser.head
-        return Request(
-            method=head.method,
-            target=head.target,
-            headers=head.headers,
-            body=b'',
-            arrived=self.started_at,
-        )
-
     def _needed_bytes(self) -> int:
         """Return what the request needs before more of its body is received."""
         parser = self.parser
@@ -419,3 +422,15 @@
         is_renewed = self.client_time.is_running or self.connection.awaits_turn
         if is_awaited and not (is_renewed or self.connection.is_closing):
             self.connection.reject(HTTPStatus.REQUEST_TIMEOUT, CloseReason.slow)
+
+
+def _handling_us(parser: RequestParser) -> float:
+    """Return an estimate of the work of handling a complete request, microseconds."""
+    return _HANDLING_US + _FIELD_US * parser.field_count
+
+
+def _bodiless_request(head: RequestHead, arrived: float) -> Request:
+    """Return a request as its head tells it."""
+    return Request(
+        method=head.method, target=head.target, headers=head.headers, body=b'', arrived=arrived
+    )
--- a/ringseam/web/server.py
+++ b/ringseam/web/server.py
@@ -97,7 +97,10 @@
         self.slowed: dict[HttpConnection, None] = {}
         self.unproven: dict[HttpConnection, None] = {}
         self.idle: dict[HttpConnection, None] = {}
-        self.shares: LoopShares[HttpConnection] = LoopShares(turn_us=_TURN_US)
+        #: What is received is parsed by connection, complete requests are handled by flow; each
+        #: has a part of the loop, so that much of one doesn't keep the other waiting.
+        self.parsing: LoopShares[HttpConnection] = LoopShares(turn_us=_TURN_US)
+        self.handling: LoopShares[HttpConnection] = LoopShares(turn_us=_TURN_US)
         self.is_turn_scheduled = False
         self.is_check_scheduled = False
         #: All connections read into this buffer, one after the other.
@@ -184,7 +187,7 @@
 
     def next_buffer(self) -> memoryview:
         """Return the buffer for what is read next."""
-        if self.shares.may_work_now():
+        if self.parsing.may_work_now():
             return self.receive_buffer
         return self.receive_buffer[:_RECEIVE_BUSY_BYTES]
 
@@ -192,8 +195,8 @@
         """Let a connection parse what it has received, at once or in its turn."""
         if connection.awaits_turn:
             return
-        if self.shares.may_work_now():
-            self.shares.begin(connection.finished_us)
+        if self.parsing.may_work_now():
+            self.parsing.begin(connection.finished_us)
             self._work(connection)
         else:
             self.queue_turn(connection)
@@ -203,13 +206,22 @@
         if not connection.awaits_turn:
             connection.awaits_turn = True
             estimate_us = connection.receiver.estimate_us
-            self.shares.wait(connection, connection.finished_us, estimate_us)
+            self.parsing.wait(connection, connection.finished_us, estimate_us)
             self._schedule_turn()
 
+    def may_handle_now(self, work_us: float) -> bool:
+        """Return whether a complete request may be handled at once; if so, its work is counted."""
+        if not self.handling.may_work_now():
+            return False
+        self.handling.begin(0)
+        self.handling.charge(work_us)
+        self._schedule_turn()
+        return True
+
     def queue_request(self, connection: HttpConnection, flow: str, work_us: float) -> None:
         """Let a complete request be handled in a later turn, behind others of its flow."""
-        connection.awaits_turn = True
-        self.shares.wait_in_flow(connection, flow, work_us)
+        self.unproven.pop(connection, None)
+        self.handling.wait_in_flow(connection, flow, work_us)
         self._schedule_turn()
 
     def add_waiting(self, connection: HttpConnection) -> None:
@@ -270,7 +282,7 @@
 
     def _work(self, connection: HttpConnection) -> None:
         work_us = _READ_US + connection.receiver.advance()
-        connection.finished_us = self.shares.charge(work_us)
+        connection.finished_us = self.parsing.charge(work_us)
         self._schedule_turn()
 
     def _schedule_turn(self) -> None:
@@ -281,15 +293,26 @@
     def _run_turn(self) -> None:
         """Let connections work in the order of their shares, until the turn is over."""
         self.is_turn_scheduled = False
-        self.shares.begin_turn()
-        connection = self.shares.next_member()
+        self.handling.begin_turn()
+        self.parsing.begin_turn()
+        self._handle_some()
+        self._parse_some()
+        if self.handling.waiting or self.parsing.waiting:
+            self._schedule_turn()
+
+    def _handle_some(self) -> None:
+        connection = self.handling.next_member()
+        while connection is not None:
+            self.handling.charge(connection.receiver.handle())
+            connection = self.handling.next_member()
+
+    def _parse_some(self) -> None:
+        connection = self.parsing.next_member()
         while connection is not None:
             connection.awaits_turn = False
             if not connection.is_closing:
                 self._work(connection)
-            connection = self.shares.next_member()
-        if self.shares.waiting:
-            self._schedule_turn()
+            connection = self.parsing.next_member()
 
     def _schedule_check(self) -> None:
         if not self.is_check_scheduled:
--- a/tests/test_system/test_system_hostileclients.py
+++ b/tests/test_system/test_system_hostileclients.py
@@ -33,6 +33,10 @@
     ('idle', 'route', 3500),
     ('drip', 'ready', 600),
     ('unread', 'large', 120),
+    ('unread', 'large', 700),
+    ('body-pieces', 'route', 1500),
+    ('over-chunked', 'no-route', 1000),
+    ('come-and-go', 'route', 300),
 )
 CONTROL_ATTACKS = (
     ('ahead', 'control', 4),
@@ -57,7 +61,10 @@
 @pytest.mark.parametrize(
     ('shape', 'address', 'count'),
     [*GATEWAY_ATTACKS, *CONTROL_ATTACKS],
-    ids=[f'{shape}-{address}' for shape, address, _ in (*GATEWAY_ATTACKS, *CONTROL_ATTACKS)],
+    ids=[
+        f'{shape}-{address}-{count}'
+        for shape, address, count in (*GATEWAY_ATTACKS, *CONTROL_ATTACKS)
+    ],
 )
 def test_ordinary_clients_are_served_beside(tmp_path, shape, address, count):
     (report,) = play(tmp_path, lambda arena: [arena.attack(shape, address, count, SECONDS)])
--- a/tests/test_web/test_web_receiver.py
+++ b/tests/test_web/test_web_receiver.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import time
 
 import pytest
@@ -655,6 +656,24 @@
     play(handler, check, policy=ByTarget())
 
 
+def test_connection_that_was_reset_while_it_waited_is_not_admitted():
+    """Guards against the cost of a connection for clients that come and go."""
+
+    async def check(port, server):
+        admitted = []
+        admit = server.acceptor.admit
+        server.acceptor.admit = lambda sock: admitted.append(sock) or admit(sock)
+        # Nothing is awaited here, so that all of them wait to be accepted.
+        for _ in range(50):
+            with socket.create_connection(('127.0.0.1', port)) as gone:
+                gone.sendall(POST % b'')
+                gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+        assert await ask(port, GET) == 200
+        assert len(admitted) == 1
+
+    play(Recorder(), check)
+
+
 def test_all_connections_are_accepted_in_turns():
     """Guards against a crowd of new connections that keeps the loop from all others."""
 
