--- a/ringseam/gateway/hosts/budget.py
+++ b/ringseam/gateway/hosts/budget.py
@@ -97,11 +97,6 @@
         """Return whether requests of some rank are refused."""
         return self.share >= _REFUSE_LAST_RANK_SHARE
 
-    @property
-    def is_full(self) -> bool:
-        """Return whether requests of all ranks are refused."""
-        return self.share >= _REFUSE_FIRST_RANK_SHARE
-
     def fits(self, size: int, own: int = 0) -> bool:
         """Return whether a request of ``size`` bytes may be held.
 
--- a/tests/test_system/test_system_hostilecallers.py
+++ b/tests/test_system/test_system_hostilecallers.py
@@ -82,3 +82,15 @@
     address = running_system.layout.processes['entry'].http
     with urllib.request.urlopen(f'http://{address}/readyz', timeout=2) as response:
         assert response.status == 200
+
+
+# Fault: each connection took a thread from its first moment, whether it sent anything or not.
+def test_entry_is_ready_beside_callers_that_send_nothing(running_system):
+    address = running_system.layout.processes['entry'].http
+    with contextlib.ExitStack() as stack:
+        for _ in range(200):
+            idle = socket.create_connection(split_address(address), timeout=5)
+            stack.enter_context(contextlib.closing(idle))
+        time.sleep(1.0)
+        with urllib.request.urlopen(f'http://{address}/readyz', timeout=2) as response:
+            assert response.status == 200
